--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Commands for contributors and operators; README.md explains them.
+
+SEED ?= 1
+MODULES = . ./cmd/persimmoncart ./cmd/persimmonctl ./cmd/persimmonfake ./cmd/persimmonload
+
+.PHONY: all build fmt generate lint test tidy vet
+
+all: build
+
+build:
+	go build -o bin/ ./cmd/persimmoncart ./cmd/persimmonctl ./cmd/persimmonfake ./cmd/persimmonload
+
+fmt:
+	tools/lint fmt
+
+generate:
+	tools/generate
+
+lint:
+	tools/lint run
+
+test:
+	go test -race work
+
+tidy:
+	tools/tidy
+
+vet:
+	go vet work
--- /dev/null
+++ b/cmd/persimmonctl/main.go
@@ -0,0 +1,8 @@
+// Command persimmonctl is described in docs/design.md.
+package main
+
+import "os"
+
+func main() {
+	os.Exit(0)
+}
--- /dev/null
+++ b/engine.go
@@ -0,0 +1,188 @@
+package persimmoncart
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// A CacheEvent is one change of an engine's prefix cache.
+type CacheEvent struct {
+	Evicted  bool
+	Prefix   uint64 // hash of the prompt up to and including one block
+	Sequence uint64 // gaps in the sequence mean lost events
+}
+
+// A CacheEventStream reads the cache events of one engine.
+type CacheEventStream interface {
+	// Close ends the stream.
+	Close() error
+	// Next waits for the next event.
+	Next(ctx context.Context) (CacheEvent, error)
+}
+
+// A DecodeRequest asks a decode engine to generate from imported KV cache.
+type DecodeRequest struct {
+	Attempt  AttemptID
+	Class    Class
+	Deadline time.Time
+	Limit    int // highest number of tokens of the whole answer
+	Start    int // index of the first token to generate
+	Tag      Tag
+}
+
+// An Engine is one model engine.
+//
+// Errors are *EndpointRefusedError (provably not run), *KVMissingError and
+// *UnavailableError; any other error leaves open whether the call had an effect.
+type Engine interface {
+	// CacheEvents streams the changes of the prefix cache after sequence from.
+	CacheEvents(ctx context.Context, from uint64) (CacheEventStream, error)
+	// Cancel ends all work of the attempt and frees its memory. Cancelling
+	// unknown work is no error.
+	Cancel(ctx context.Context, attempt AttemptID) error
+	// Decode generates tokens. Closing the stream cancels the generation.
+	Decode(ctx context.Context, request DecodeRequest) (TokenStream, error)
+	// Import copies the KV cache of an attempt from a prefill engine.
+	Import(ctx context.Context, request ImportRequest) error
+	// Load returns the newest load report; it lags behind the real load.
+	Load(ctx context.Context) (LoadReport, error)
+	// Order loads or unloads a model or changes the role.
+	Order(ctx context.Context, order Order) error
+	// Prefill computes the KV cache of a prompt and exports it.
+	Prefill(ctx context.Context, request PrefillRequest) (PrefillResult, error)
+	// Release frees the exported KV cache of the attempt.
+	Release(ctx context.Context, attempt AttemptID) error
+	// Work lists the work that holds memory.
+	Work(ctx context.Context) ([]Work, error)
+}
+
+// Engines connects to engines.
+type Engines interface {
+	// Engine returns the engine at addr. It does not wait for a connection.
+	Engine(addr netip.AddrPort) Engine
+}
+
+// An ImportRequest asks a decode engine to fetch KV cache from a prefill engine.
+type ImportRequest struct {
+	Attempt  AttemptID
+	Blocks   int // memory to hold for the prompt and the whole answer
+	Deadline time.Time
+	From     netip.AddrPort
+	Handle   string
+	Size     int64 // bytes
+	Tag      Tag
+}
+
+// A LoadReport is what an engine or application endpoint says about its load.
+type LoadReport struct {
+	At         time.Time
+	BlocksFree int
+	Blocks     int
+	Leaving    bool
+	Models     []ModelName
+	Role       Role
+	Running    int
+	Slots      int
+	Waiting    int
+}
+
+// Kinds of orders.
+const (
+	OrderLoad   OrderKind = "load"
+	OrderRole   OrderKind = "role"
+	OrderUnload OrderKind = "unload"
+)
+
+// An Order changes what an engine serves. Orders are idempotent: they state the
+// desired result.
+type Order struct {
+	Fence  uint64 // fencing token of the sender's lease
+	Kind   OrderKind
+	Model  ModelName
+	Role   Role
+	Sender InstanceID
+}
+
+// An OrderKind is the kind of an order.
+type OrderKind string
+
+// A PrefillRequest asks a prefill engine for the KV cache of a prompt.
+type PrefillRequest struct {
+	Attempt   AttemptID
+	Class     Class
+	Deadline  time.Time
+	Generated []string // tokens already sent to the caller, for a resumed stream
+	Model     ModelName
+	Prompt    string
+	Tag       Tag
+}
+
+// A PrefillResult is the exported KV cache of a prompt.
+type PrefillResult struct {
+	Attempt AttemptID
+	Cached  int // prompt tokens found in the prefix cache
+	Handle  string
+	Size    int64 // bytes
+	Tokens  int   // prompt tokens
+}
+
+// A Token is one generated token.
+type Token struct {
+	Attempt AttemptID
+	Index   int // position in the answer, from zero
+	Last    bool
+	Text    string
+}
+
+// A TokenStream reads generated tokens.
+type TokenStream interface {
+	// Close cancels the generation and frees its memory.
+	Close() error
+	// Next waits for the next token. After a token with Last it returns io.EOF;
+	// a stream that ends earlier returns io.ErrUnexpectedEOF.
+	Next(ctx context.Context) (Token, error)
+}
+
+// A Work is one piece of work that holds memory on an engine.
+type Work struct {
+	Attempt  AttemptID
+	Blocks   int
+	Deadline time.Time
+	Tag      Tag
+}
+
+// An EndpointRefusedError reports that an endpoint refused a call before acting on it.
+type EndpointRefusedError struct {
+	Addr   netip.AddrPort
+	Reason string
+	Retry  time.Duration // zero if the endpoint named no time
+}
+
+// Error implements error.
+func (e *EndpointRefusedError) Error() string {
+	return fmt.Sprintf("endpoint %s refused: %s", e.Addr, e.Reason)
+}
+
+// A KVMissingError reports that exported KV cache was evicted or never existed.
+type KVMissingError struct {
+	Attempt AttemptID
+	Handle  string
+}
+
+// Error implements error.
+func (e *KVMissingError) Error() string {
+	return fmt.Sprintf("no KV cache %q for attempt %s", e.Handle, e.Attempt)
+}
+
+// An AttemptMismatchError reports an answer that belongs to another attempt.
+type AttemptMismatchError struct {
+	Got  AttemptID
+	Want AttemptID
+}
+
+// Error implements error.
+func (e *AttemptMismatchError) Error() string {
+	return fmt.Sprintf("answer belongs to attempt %s, not %s", e.Got, e.Want)
+}
--- /dev/null
+++ b/refusal.go
@@ -0,0 +1,103 @@
+package persimmoncart
+
+import (
+	"fmt"
+	"time"
+)
+
+// Codes of refusals. They are part of the interface towards callers and label
+// the refusal counter.
+const (
+	RefusalAccountLimited  RefusalCode = "account_limited"
+	RefusalAccountUnknown  RefusalCode = "account_unknown"
+	RefusalBodyInvalid     RefusalCode = "body_invalid"
+	RefusalBodyTooLarge    RefusalCode = "body_too_large"
+	RefusalCapacity        RefusalCode = "capacity"
+	RefusalClaimed         RefusalCode = "claimed"
+	RefusalDeadline        RefusalCode = "deadline"
+	RefusalDraining        RefusalCode = "draining"
+	RefusalEndpointFailed  RefusalCode = "endpoint_failed"
+	RefusalEndpointInvalid RefusalCode = "endpoint_invalid"
+	RefusalInternal        RefusalCode = "internal"
+	RefusalKeyInvalid      RefusalCode = "key_invalid"
+	RefusalKeyMissing      RefusalCode = "key_missing"
+	RefusalModelUnknown    RefusalCode = "model_unknown"
+	RefusalNotReady        RefusalCode = "not_ready"
+	RefusalPoolEmpty       RefusalCode = "pool_empty"
+	RefusalRouteUnknown    RefusalCode = "route_unknown"
+	RefusalStoreDown       RefusalCode = "store_down"
+	RefusalStreamBroken    RefusalCode = "stream_broken"
+	RefusalTransferStalled RefusalCode = "transfer_stalled"
+)
+
+// RefusalCodes are all codes, sorted.
+var RefusalCodes = []RefusalCode{
+	RefusalAccountLimited,
+	RefusalAccountUnknown,
+	RefusalBodyInvalid,
+	RefusalBodyTooLarge,
+	RefusalCapacity,
+	RefusalClaimed,
+	RefusalDeadline,
+	RefusalDraining,
+	RefusalEndpointFailed,
+	RefusalEndpointInvalid,
+	RefusalInternal,
+	RefusalKeyInvalid,
+	RefusalKeyMissing,
+	RefusalModelUnknown,
+	RefusalNotReady,
+	RefusalPoolEmpty,
+	RefusalRouteUnknown,
+	RefusalStoreDown,
+	RefusalStreamBroken,
+	RefusalTransferStalled,
+}
+
+// A RefusalCode is the stable code of a refusal.
+type RefusalCode string
+
+// A Refusal is the error that ends a request without the whole answer.
+type Refusal struct {
+	Code    RefusalCode
+	Err     error // the cause for logs; never shown to a caller
+	Message string
+	Outcome Outcome
+	Retry   time.Duration // when to come back; zero if coming back is no use
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	if r.Err != nil {
+		return fmt.Sprintf("%s (%s): %s: %v", r.Code, r.Outcome, r.Message, r.Err)
+	}
+	return fmt.Sprintf("%s (%s): %s", r.Code, r.Outcome, r.Message)
+}
+
+// Unwrap returns the cause.
+func (r *Refusal) Unwrap() error { return r.Err }
+
+// Reasons for another attempt. They label the retry counter.
+const (
+	RetryEndpointDied    RetryReason = "endpoint_died"
+	RetryEndpointRefused RetryReason = "endpoint_refused"
+	RetryHedge           RetryReason = "hedge"
+	RetryKVEvicted       RetryReason = "kv_evicted"
+	RetryResume          RetryReason = "resume"
+	RetrySlotLost        RetryReason = "slot_lost"
+	RetryTransferStalled RetryReason = "transfer_stalled"
+)
+
+// RetryReasons are all reasons, sorted.
+var RetryReasons = []RetryReason{
+	RetryEndpointDied,
+	RetryEndpointRefused,
+	RetryHedge,
+	RetryKVEvicted,
+	RetryResume,
+	RetrySlotLost,
+	RetryTransferStalled,
+}
+
+// A RetryReason says why a request was attempted again.
+type RetryReason string
--- /dev/null
+++ b/store.go
@@ -0,0 +1,119 @@
+package persimmoncart
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+)
+
+// MaxValueBytes is the largest value that the store accepts, in bytes.
+const MaxValueBytes = 1 << 20
+
+// An Object is one value in the store.
+type Object struct {
+	Key     string
+	Value   []byte
+	Version Version
+}
+
+// A Store is the platform's object API.
+//
+// Errors are *NotFoundError, *ConflictError, *TooLargeError, *UnavailableError
+// and *AmbiguousError. After an *AmbiguousError the write may or may not have
+// taken effect; the caller settles it by reading back.
+type Store interface {
+	// Create writes a new object. It returns a *ConflictError if key exists.
+	Create(ctx context.Context, key string, value []byte) (Version, error)
+	// Delete removes the object if its version is still version.
+	Delete(ctx context.Context, key string, version Version) error
+	// Get returns the newest object.
+	Get(ctx context.Context, key string) (Object, error)
+	// List returns the objects whose keys start with prefix, sorted by key.
+	List(ctx context.Context, prefix string) ([]Object, error)
+	// Update replaces the value if the object's version is still version.
+	Update(ctx context.Context, key string, value []byte, version Version) (Version, error)
+	// Watch reports changes of the objects whose keys start with prefix and
+	// whose versions are higher than from.
+	Watch(ctx context.Context, prefix string, from Version) (Watch, error)
+}
+
+// A Version orders the writes to the store; later writes have higher versions.
+type Version uint64
+
+// A Watch is an open watch on the store.
+type Watch interface {
+	// Close ends the watch.
+	Close() error
+	// Next waits for the next event. It returns an *UnavailableError when the
+	// watch broke; the caller watches again from the last version it saw.
+	Next(ctx context.Context) (WatchEvent, error)
+}
+
+// A WatchEvent is one change seen by a watch.
+type WatchEvent struct {
+	Deleted bool
+	Object  Object
+}
+
+// An AmbiguousError reports that the answer to a write was lost.
+type AmbiguousError struct {
+	Err error
+	Key string
+}
+
+// Error implements error.
+func (e *AmbiguousError) Error() string {
+	return fmt.Sprintf("write of %q may have taken effect: %v", e.Key, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *AmbiguousError) Unwrap() error { return e.Err }
+
+// A ConflictError reports that an object's version was not the expected one.
+type ConflictError struct {
+	Have Version // zero if the object does not exist
+	Key  string
+	Want Version // zero if the object was to be created
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("conflict on %q: have version %d, want %d", e.Key, e.Have, e.Want)
+}
+
+// A NotFoundError reports a key without an object.
+type NotFoundError struct {
+	Key string
+}
+
+// Error implements error.
+func (e *NotFoundError) Error() string {
+	return "no object " + strconv.Quote(e.Key)
+}
+
+// A TooLargeError reports a value above MaxValueBytes.
+type TooLargeError struct {
+	Key  string
+	Size int // bytes
+}
+
+// Error implements error.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("value of %q has %d bytes, more than %d", e.Key, e.Size, MaxValueBytes)
+}
+
+// An UnavailableError reports a call to an outside system that had no effect.
+type UnavailableError struct {
+	Err   error
+	Op    string
+	Retry time.Duration // zero if the system named no time
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("%s: unavailable: %v", e.Op, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/weightstore.go
@@ -0,0 +1,18 @@
+package persimmoncart
+
+import (
+	"context"
+	"time"
+)
+
+// A WeightStore is the platform's rate-limited store of model weights.
+type WeightStore interface {
+	// Models returns the size of each model's weights.
+	Models(ctx context.Context) (map[ModelName]Weights, error)
+}
+
+// Weights describes the weights of one model.
+type Weights struct {
+	Fetch time.Duration // shortest time that one fetch takes at the store's rate
+	Size  int64         // bytes
+}
