Add membership of a cell and the transport between instances

Cause: instances need to know which of them run, without taking a paused one for dead, within 2 KB/s an instance. Change: internal/membership holds the protocol as pure code (round-robin and indirect probes, suspicion, three kinds of evidence of death, incarnations, summaries between cells) and a service around it; internal/peer carries member.v1 and load.v1 over connect-go and over an in-memory network with delays, cuts, drops, duplicates and byte counts. Result: tests of each rule and random histories of kills, pauses and drops in virtual time pass; both transports count the same bytes (TestTransports).

--- /dev/null
+++ b/internal/membership/cells.go
@@ -0,0 +1,345 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/persimmoncart/persimmoncart"
+	memberv1 "github.com/persimmoncart/persimmoncart/proto/member/v1"
+)
+
+// A cell is what is known about the instances of another data centre: all of
+// them within the region, only the gateways of other regions.
+type cell struct {
+	hash    uint64
+	heard   time.Time // last change or answer
+	listed  time.Time // last instance list that names one of its instances
+	members []entry   // sorted by identifier
+	misses  int       // calls to its gateways without an answer, in a row
+	name    persimmoncart.DataCentre
+	region  persimmoncart.Region
+	sent    uint64 // hash of our cell that it last confirmed
+	updated uint64 // order of local changes
+	version uint64
+}
+
+// wire returns the cell as a message.
+func (c *cell) wire(full bool) *memberv1.Cell {
+	w := &memberv1.Cell{
+		DataCentre: string(c.name),
+		Hash:       c.hash,
+		Region:     string(c.region),
+		Version:    c.version,
+	}
+	if full {
+		for i := range c.members {
+			w.Members = append(w.Members, c.members[i].wire(true))
+		}
+	}
+	return w
+}
+
+// trim returns the cell with its gateways only.
+func (c *cell) trim() *cell {
+	t := *c
+	t.members = gateways(c.name, c.members)
+	t.hash = contentHash(t.members)
+	return &t
+}
+
+// contentHash returns a hash over the entries of a cell.
+func contentHash(members []entry) uint64 {
+	var h uint64
+	for i := range members {
+		e := members[i]
+		e.suspect = false
+		h ^= e.hash()
+	}
+	return max(h, 1)
+}
+
+// gateways returns the entries with the smallest rendezvous ranks, sorted by rank.
+func gateways(name persimmoncart.DataCentre, members []entry) []entry {
+	var alive []entry
+	for i := range members {
+		if !members[i].dead {
+			alive = append(alive, members[i])
+		}
+	}
+	slices.SortFunc(alive, func(a, b entry) int {
+		return cmp.Compare(rank(string(name), a.instance.ID), rank(string(name), b.instance.ID))
+	})
+	return alive[:min(gatewayCount, len(alive))]
+}
+
+// ownCell returns this instance's cell as others shall see it.
+func (m *Machine) ownCell() *cell {
+	members := make([]entry, 0, len(m.peers)+1)
+	members = append(members, m.self())
+	for _, p := range m.peers {
+		e := p.entry
+		e.suspect = false
+		members = append(members, e)
+	}
+	slices.SortFunc(members, func(a, b entry) int { return cmp.Compare(a.instance.ID, b.instance.ID) })
+	c := &cell{
+		hash:    contentHash(members),
+		members: members,
+		name:    m.Self.DataCentre,
+		region:  m.Self.Region,
+	}
+	if c.hash != m.ownHash {
+		m.ownHash = c.hash
+		m.ownVersion++
+	}
+	c.version = m.ownVersion
+	return c
+}
+
+// Gateway reports whether this instance is a gateway of its cell: one of the
+// two with the smallest ranks among those that are not suspect.
+func (m *Machine) Gateway() bool {
+	mine := rank(string(m.Self.DataCentre), m.Self.ID)
+	before := 0
+	for id, p := range m.peers {
+		if !p.dead && !p.suspect && rank(string(m.Self.DataCentre), id) < mine {
+			before++
+		}
+	}
+	return before < gatewayCount
+}
+
+// tickSummaries sends the summaries that are due. The two gateways of a cell
+// each send at half the rate.
+func (m *Machine) tickSummaries(now time.Time) {
+	near, far := !now.Before(m.summary), !now.Before(m.far)
+	if !near && !far {
+		return
+	}
+	if near {
+		m.summary = now.Add(gatewayCount * CellPeriod)
+	}
+	if far {
+		m.far = now.Add(gatewayCount * FarPeriod)
+	}
+	if !m.Gateway() {
+		return
+	}
+	own := m.ownCell()
+	if near {
+		for _, c := range m.sortedCells() {
+			if c.region == m.Self.Region {
+				m.sendSummary(now, own, c, []uint64{c.hash}, false)
+			}
+		}
+	}
+	if far {
+		m.sendFar(now, own)
+	}
+}
+
+// sendFar sends the cell to one gateway of each other region.
+func (m *Machine) sendFar(now time.Time, own *cell) {
+	trimmed := own.trim()
+	regions := map[persimmoncart.Region][]*cell{}
+	var names []persimmoncart.Region
+	for _, c := range m.sortedCells() {
+		if c.region == m.Self.Region {
+			continue
+		}
+		if regions[c.region] == nil {
+			names = append(names, c.region)
+		}
+		regions[c.region] = append(regions[c.region], c)
+	}
+	for _, r := range names {
+		var have []uint64
+		for _, c := range regions[r] {
+			have = append(have, c.hash)
+		}
+		m.sendSummary(now, trimmed, regions[r][m.Rand.IntN(len(regions[r]))], have, true)
+	}
+}
+
+// sendSummary queues a summary to a gateway of c.
+func (m *Machine) sendSummary(now time.Time, own, c *cell, have []uint64, far bool) {
+	candidates := gateways(c.name, c.members)
+	if c.misses > gatewayCount {
+		candidates = c.members
+	}
+	if len(candidates) == 0 {
+		return
+	}
+	to := candidates[m.Rand.IntN(len(candidates))].instance
+	r := &memberv1.SummaryRequest{
+		Cell:      own.wire(c.sent != own.hash),
+		Far:       far,
+		Have:      have,
+		Piggyback: &memberv1.Piggyback{},
+	}
+	for _, x := range m.Extensions {
+		x.Fill(to, false, r.Piggyback)
+	}
+	m.call(now, to, r, CellPeriod)
+}
+
+// Summary answers a summary of another cell.
+func (m *Machine) Summary(now time.Time, r *memberv1.SummaryRequest) *memberv1.SummaryReply {
+	m.init(now)
+	m.mergeCells(now, []*memberv1.Cell{r.GetCell()})
+	reply := &memberv1.SummaryReply{Piggyback: &memberv1.Piggyback{}}
+	if c := m.cells[persimmoncart.DataCentre(r.GetCell().GetDataCentre())]; c != nil {
+		reply.HaveHash, reply.HaveVersion = c.hash, c.version
+	}
+	answer := []*cell{m.ownCell()}
+	if r.GetFar() {
+		answer[0] = answer[0].trim()
+		for _, c := range m.sortedCells() {
+			if c.region == m.Self.Region {
+				answer = append(answer, c.trim())
+			}
+		}
+	}
+	for _, c := range answer {
+		if !slices.Contains(r.GetHave(), c.hash) {
+			reply.Cells = append(reply.Cells, c.wire(true))
+		}
+	}
+	from := persimmoncart.Instance{DataCentre: persimmoncart.DataCentre(r.GetCell().GetDataCentre())}
+	for _, x := range m.Extensions {
+		x.Fill(from, false, reply.Piggyback)
+	}
+	m.receive(from, r.GetPiggyback(), time.Time{})
+	return reply
+}
+
+// summaryDone takes the result of a summary.
+func (m *Machine) summaryDone(now time.Time, call Call, reply proto.Message, err error) {
+	c := m.cells[call.Instance.DataCentre]
+	if err != nil {
+		if c != nil {
+			c.misses++
+		}
+		return
+	}
+	answer := reply.(*memberv1.SummaryReply)
+	sent := call.Request.(*memberv1.SummaryRequest).GetCell()
+	if c != nil {
+		c.misses, c.heard, c.sent = 0, now, answer.GetHaveHash()
+	}
+	if answer.GetHaveHash() != sent.GetHash() && answer.GetHaveVersion() >= m.ownVersion {
+		m.ownVersion = answer.GetHaveVersion() + 1 // the next summary replaces it
+	} else if answer.GetHaveHash() == sent.GetHash() && m.ownHash == sent.GetHash() {
+		m.ownVersion = max(m.ownVersion, answer.GetHaveVersion())
+	}
+	m.mergeCells(now, answer.GetCells())
+	m.receive(call.Instance, answer.GetPiggyback(), call.Sent)
+}
+
+// mergeCells merges summaries of other cells.
+func (m *Machine) mergeCells(now time.Time, cells []*memberv1.Cell) {
+	for _, w := range cells {
+		name := persimmoncart.DataCentre(w.GetDataCentre())
+		if name == "" || name == m.Self.DataCentre {
+			continue
+		}
+		c := m.cells[name]
+		if c != nil && c.hash == w.GetHash() {
+			c.version, c.heard = max(c.version, w.GetVersion()), now
+			continue
+		}
+		if len(w.GetMembers()) == 0 || len(w.GetMembers()) > MaxCell {
+			continue
+		}
+		if c != nil && (w.GetVersion() < c.version || w.GetVersion() == c.version && w.GetHash() < c.hash) {
+			continue
+		}
+		var members []entry
+		for _, x := range w.GetMembers() {
+			if e, valid := fromWire(x, name, persimmoncart.Region(w.GetRegion())); valid {
+				members = append(members, e)
+			}
+		}
+		m.setCell(now, name, persimmoncart.Region(w.GetRegion()), members, w.GetVersion(), w.GetHash())
+	}
+}
+
+// setCell replaces the members of another cell and notes what changed.
+func (m *Machine) setCell(now time.Time, name persimmoncart.DataCentre, region persimmoncart.Region, members []entry, version, hash uint64) {
+	c := m.cells[name]
+	if c == nil {
+		if len(m.cells) >= MaxCells {
+			m.Stats.Dropped++
+			return
+		}
+		c = &cell{listed: now, name: name}
+		m.cells[name] = c
+	}
+	old := map[persimmoncart.Tag]persimmoncart.MemberState{}
+	for i := range c.members {
+		old[c.members[i].instance.Tag()] = c.members[i].state()
+	}
+	for i := range members {
+		if s, known := old[members[i].instance.Tag()]; !known || s != members[i].state() {
+			m.changes = append(m.changes, members[i].member())
+		}
+	}
+	m.changed++
+	c.hash, c.heard, c.members, c.region, c.updated, c.version = hash, now, members, region, m.changed, version
+}
+
+// someCells returns the cell that changed last and one other by turns, which
+// bounds the size of an answer while all cells arrive in time.
+func (m *Machine) someCells() []*memberv1.Cell {
+	cells := m.sortedCells()
+	if len(cells) == 0 {
+		return nil
+	}
+	newest := slices.MaxFunc(cells, func(a, b *cell) int { return cmp.Compare(a.updated, b.updated) })
+	m.cursor++
+	other := cells[m.cursor%len(cells)]
+	some := []*memberv1.Cell{newest.wire(true)}
+	if other != newest {
+		some = append(some, other.wire(true))
+	}
+	return some
+}
+
+// sortedCells returns the other cells, sorted by name.
+func (m *Machine) sortedCells() []*cell {
+	cells := make([]*cell, 0, len(m.cells))
+	for _, c := range m.cells {
+		cells = append(cells, c)
+	}
+	slices.SortFunc(cells, func(a, b *cell) int { return cmp.Compare(a.name, b.name) })
+	return cells
+}
+
+// cellsHash returns a hash over the summaries of the other cells.
+func (m *Machine) cellsHash() uint64 {
+	var h uint64
+	for _, c := range m.cells {
+		var b [80]byte
+		s := binary.BigEndian.AppendUint64(b[:0], c.hash)
+		h ^= xxhash.Sum64(append(s, c.name...))
+	}
+	return max(h, 1)
+}
+
+// regionInstances returns the instances of the region's other cells.
+func (m *Machine) regionInstances() []persimmoncart.Instance {
+	var instances []persimmoncart.Instance
+	for _, c := range m.sortedCells() {
+		for i := range c.members {
+			if c.region == m.Self.Region && !c.members[i].dead {
+				instances = append(instances, c.members[i].instance)
+			}
+		}
+	}
+	return instances
+}
--- /dev/null
+++ b/internal/membership/entry.go
@@ -0,0 +1,143 @@
+package membership
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/persimmoncart/persimmoncart"
+	memberv1 "github.com/persimmoncart/persimmoncart/proto/member/v1"
+)
+
+// Flags of an entry on the wire.
+const (
+	flagLeaving = 1 << iota
+	flagSuspect
+	flagDead
+)
+
+// An entry is what is known about one incarnation of an instance.
+type entry struct {
+	dead     bool
+	instance persimmoncart.Instance
+	suspect  bool
+	version  uint32 // raised by the instance itself, within one incarnation
+}
+
+// newer reports whether e replaces f, an entry of the same instance. A later
+// incarnation wins; within one, death is final, then the higher version wins,
+// and at the same version a suspicion, which only a higher version clears.
+func (e *entry) newer(f *entry) bool {
+	switch {
+	case e.instance.Incarnation != f.instance.Incarnation:
+		return e.instance.Incarnation > f.instance.Incarnation
+	case e.dead != f.dead:
+		return e.dead
+	case e.version != f.version:
+		return e.version > f.version
+	default:
+		return e.suspect && !f.suspect
+	}
+}
+
+// state returns the state in the terms of the root package.
+func (e *entry) state() persimmoncart.MemberState {
+	switch {
+	case e.dead:
+		return persimmoncart.MemberDead
+	case e.suspect:
+		return persimmoncart.MemberSuspect
+	case e.instance.Leaving:
+		return persimmoncart.MemberLeaving
+	default:
+		return persimmoncart.MemberAlive
+	}
+}
+
+// member returns the entry as a Member.
+func (e *entry) member() persimmoncart.Member {
+	return persimmoncart.Member{Instance: e.instance, State: e.state()}
+}
+
+// hash returns a hash over everything that peers compare.
+func (e *entry) hash() uint64 {
+	var b [80]byte
+	s := append(b[:0], e.instance.ID...)
+	s = append(s, 0)
+	s = binary.BigEndian.AppendUint64(s, uint64(e.instance.Incarnation))
+	s = binary.BigEndian.AppendUint32(s, e.version)
+	s = append(s, e.flags())
+	return xxhash.Sum64(s)
+}
+
+// flags returns the flags of the entry on the wire.
+func (e *entry) flags() byte {
+	var f byte
+	if e.instance.Leaving {
+		f |= flagLeaving
+	}
+	if e.suspect {
+		f |= flagSuspect
+	}
+	if e.dead {
+		f |= flagDead
+	}
+	return f
+}
+
+// wire returns the entry as a message; the address is left out unless full.
+func (e *entry) wire(full bool) *memberv1.Entry {
+	w := &memberv1.Entry{
+		Flags:       uint32(e.flags()),
+		Id:          string(e.instance.ID),
+		Incarnation: uint64(e.instance.Incarnation),
+		Version:     e.version,
+	}
+	if full {
+		w.Addr = addrBytes(e.instance.Addr)
+	}
+	return w
+}
+
+// fromWire returns the entry in w; it is false if w holds no instance.
+func fromWire(w *memberv1.Entry, cell persimmoncart.DataCentre, region persimmoncart.Region) (entry, bool) {
+	if w.GetId() == "" {
+		return entry{}, false
+	}
+	var addr netip.AddrPort
+	if len(w.GetAddr()) > 0 && addr.UnmarshalBinary(w.GetAddr()) != nil {
+		return entry{}, false
+	}
+	return entry{
+		dead: w.GetFlags()&flagDead != 0,
+		instance: persimmoncart.Instance{
+			Addr:        addr,
+			DataCentre:  cell,
+			ID:          persimmoncart.InstanceID(w.GetId()),
+			Incarnation: persimmoncart.Incarnation(w.GetIncarnation()),
+			Leaving:     w.GetFlags()&flagLeaving != 0,
+			Region:      region,
+		},
+		suspect: w.GetFlags()&flagSuspect != 0,
+		version: w.GetVersion(),
+	}, true
+}
+
+// addrBytes returns the binary form of an address.
+func addrBytes(addr netip.AddrPort) []byte {
+	b, err := addr.MarshalBinary()
+	if err != nil {
+		return nil // never returned for an AddrPort
+	}
+	return b
+}
+
+// rank returns the rendezvous rank of an instance for a name; smaller is first.
+func rank(name string, id persimmoncart.InstanceID) uint64 {
+	var b [96]byte
+	s := append(b[:0], name...)
+	s = append(s, 0)
+	s = append(s, id...)
+	return xxhash.Sum64(s)
+}
--- /dev/null
+++ b/internal/membership/list.go
@@ -0,0 +1,107 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// List takes an answer of the instance list. It adds instances that are not
+// known yet and finds those that ended without any other trace: suspects that
+// the list has not named for longer than its lag.
+func (m *Machine) List(now time.Time, listed []persimmoncart.Listed) []Call {
+	m.init(now)
+	cells := map[persimmoncart.DataCentre][]entry{}
+	present := map[persimmoncart.InstanceID]bool{}
+	for _, l := range listed {
+		if l.Instance == nil || l.Instance.ID == m.Self.ID {
+			continue
+		}
+		e := entry{instance: *l.Instance}
+		if e.instance.DataCentre != m.Self.DataCentre {
+			cells[e.instance.DataCentre] = append(cells[e.instance.DataCentre], e)
+			continue
+		}
+		present[e.instance.ID] = true
+		m.seed(now, &e)
+	}
+	for name, members := range cells {
+		m.seedCell(now, name, members)
+	}
+	m.buryUnlisted(now, present)
+	return m.take()
+}
+
+// seed adds a listed instance of this cell.
+func (m *Machine) seed(now time.Time, e *entry) {
+	p := m.peers[e.instance.ID]
+	if p == nil {
+		e.instance.Leaving = false // the instance itself says so with its version
+		m.merge(now, e, false)
+		if p = m.peers[e.instance.ID]; p == nil {
+			return
+		}
+		m.sendProbe(now, p, true)
+	}
+	p.listed = now
+}
+
+// seedCell adds or refreshes a cell that no gateway has told about recently.
+func (m *Machine) seedCell(now time.Time, name persimmoncart.DataCentre, members []entry) {
+	c := m.cells[name]
+	if c != nil {
+		c.listed = now
+		if now.Sub(c.heard) <= m.Lag {
+			return
+		}
+	}
+	slices.SortFunc(members, func(a, b entry) int { return cmp.Compare(a.instance.ID, b.instance.ID) })
+	region := members[0].instance.Region
+	if region != m.Self.Region {
+		members = gateways(name, members)
+	}
+	var version uint64
+	if c != nil {
+		version = c.version
+	}
+	if hash := contentHash(members); c == nil || hash != c.hash {
+		m.setCell(now, name, region, members, version, hash)
+	}
+}
+
+// buryUnlisted declares suspects dead that the list no longer names. The list
+// lags in both directions, so an instance that it has never named is only
+// concerned after twice the lag.
+func (m *Machine) buryUnlisted(now time.Time, present map[persimmoncart.InstanceID]bool) {
+	for _, id := range m.ids() {
+		p := m.peers[id]
+		if p.dead || present[id] || !p.suspect {
+			continue
+		}
+		since, wait := p.listed, m.Lag
+		if since.IsZero() {
+			since, wait = p.known, 2*m.Lag
+		}
+		if now.Sub(since) > wait && now.Sub(p.heard) > ProbePeriod {
+			m.declareDead(now, p)
+		}
+	}
+	for _, c := range m.sortedCells() {
+		if now.Sub(c.listed) <= m.Lag || now.Sub(c.heard) <= m.Lag {
+			continue
+		}
+		members := slices.Clone(c.members)
+		gone := true
+		for i := range members {
+			gone = gone && members[i].dead
+			members[i].dead = true
+		}
+		if !gone {
+			m.setCell(now, c.name, c.region, members, c.version+1, contentHash(members))
+		} else if now.Sub(c.heard) > m.Lag+TombstonePeriod {
+			delete(m.cells, c.name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/machine.go
@@ -0,0 +1,314 @@
+// Package membership keeps each instance's view of the other instances.
+//
+// Machine is the protocol of one instance as pure code: time and messages go
+// in, calls come out. Service runs it on a timer service and a transport.
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/persimmoncart/persimmoncart"
+	memberv1 "github.com/persimmoncart/persimmoncart/proto/member/v1"
+)
+
+// Bounds and periods; see docs/design.md section 8.3.
+const (
+	CellPeriod      = 2 * time.Second  // between summaries to a cell of the region
+	DefaultLag      = 30 * time.Second // of the instance list
+	FarPeriod       = 10 * time.Second // between summaries to another region
+	MaxCell         = 512              // members of one cell, dead ones included
+	MaxCells        = 256              // other cells
+	ProbePeriod     = time.Second
+	ProbeTimeout    = 300 * time.Millisecond // lower bound; at least three round trips
+	TombstonePeriod = 2 * time.Minute        // a dead entry is kept and spread
+	ViaTimeout      = 900 * time.Millisecond
+	helpers         = 2 // instances asked for an indirect probe
+	gatewayCount    = 2 // gateways of a cell
+)
+
+// A Call is a request that the machine wants sent.
+type Call struct {
+	Instance persimmoncart.Instance
+	Request  proto.Message
+	Sent     time.Time
+	Timeout  time.Duration
+	via      persimmoncart.Instance // target of an indirect probe
+}
+
+// An Extension lets another subsystem send state with probes and summaries. Its
+// methods run under the lock of the Service.
+type Extension interface {
+	// Fill adds the subsystem's state to an outgoing message. Full is false for
+	// a probe that only serves to refresh acknowledgements.
+	Fill(to persimmoncart.Instance, full bool, p *memberv1.Piggyback)
+	// Receive reads a message. Sent is the local time at which the request left
+	// when p came with its reply, and zero when p came with a request.
+	Receive(from persimmoncart.Instance, p *memberv1.Piggyback, sent time.Time)
+}
+
+// Stats counts what the machine saw.
+type Stats struct {
+	Deaths       int // instances declared dead here, by first-hand evidence
+	Dropped      int // entries refused because a table was full
+	FalseBurials int // times this instance was declared dead while running
+	Probes       int // probes sent
+	Suspicions   int // probes that made a peer suspect
+}
+
+// A Machine is the membership protocol of one instance. It is not safe for
+// concurrent use.
+type Machine struct {
+	Extensions []Extension
+	Lag        time.Duration // of the instance list; zero is DefaultLag
+	Rand       *rand.Rand
+	Self       persimmoncart.Instance
+	Stats      Stats
+
+	changes    []persimmoncart.Member
+	cells      map[persimmoncart.DataCentre]*cell
+	cursor     int
+	changed    uint64 // counts changes of other cells
+	far        time.Time
+	hash       uint64 // over the entries of this cell; zero when stale
+	order      []persimmoncart.InstanceID
+	out        []Call
+	ownHash    uint64
+	ownVersion uint64
+	peers      map[persimmoncart.InstanceID]*cellMember
+	probe      time.Time
+	sequence   uint64
+	started    time.Time
+	summary    time.Time
+	version    uint32
+}
+
+// A cellMember is a member of this instance's own cell.
+type cellMember struct {
+	entry
+	died    time.Time     // when it was declared dead
+	heard   time.Time     // last direct or indirect answer
+	known   time.Time     // when it was first seen
+	listed  time.Time     // last appearance in the instance list; zero if never
+	pending uint64        // sequence of the probe in flight
+	refused bool          // this incarnation refused a connection from here
+	rtt     time.Duration // smoothed
+}
+
+// Tick does what is due: probes, summaries and the removal of old entries.
+func (m *Machine) Tick(now time.Time) []Call {
+	m.init(now)
+	if !now.Before(m.probe) {
+		m.probe = now.Add(ProbePeriod)
+		m.expire(now)
+		if p := m.nextPeer(); p != nil {
+			m.sendProbe(now, p, true)
+		}
+	}
+	m.tickSummaries(now)
+	return m.take()
+}
+
+// init sets the fields that a literal leaves out.
+func (m *Machine) init(now time.Time) {
+	if m.peers != nil {
+		return
+	}
+	m.peers = map[persimmoncart.InstanceID]*cellMember{}
+	m.cells = map[persimmoncart.DataCentre]*cell{}
+	if m.Lag == 0 {
+		m.Lag = DefaultLag
+	}
+	m.started = now
+	m.probe = now.Add(time.Duration(m.Rand.Int64N(int64(ProbePeriod))))
+	m.summary = now.Add(time.Duration(m.Rand.Int64N(int64(CellPeriod))))
+	m.far = now.Add(time.Duration(m.Rand.Int64N(int64(FarPeriod))))
+}
+
+// Leave announces that this instance is going to stop.
+func (m *Machine) Leave(now time.Time) []Call {
+	m.init(now)
+	m.Self.Leaving = true
+	m.version++
+	m.hash = 0
+	m.push(now)
+	return m.take()
+}
+
+// ProbeNow sends a probe outside the round. A full probe compares tables; the
+// other kind only refreshes what the extensions carry.
+func (m *Machine) ProbeNow(now time.Time, id persimmoncart.InstanceID, full bool) []Call {
+	m.init(now)
+	if p := m.peers[id]; p != nil && !p.dead {
+		m.sendProbe(now, p, full)
+	}
+	return m.take()
+}
+
+// Changes returns and forgets the members whose state changed.
+func (m *Machine) Changes() []persimmoncart.Member {
+	c := m.changes
+	m.changes = nil
+	return c
+}
+
+// View returns the known members with this instance, sorted by identifier. The
+// dead ones stay for TombstonePeriod.
+func (m *Machine) View() []persimmoncart.Member {
+	v := make([]persimmoncart.Member, 0, len(m.peers)+1)
+	e := m.self()
+	v = append(v, e.member())
+	for _, p := range m.peers {
+		v = append(v, p.member())
+	}
+	for _, c := range m.cells {
+		for i := range c.members {
+			v = append(v, c.members[i].member())
+		}
+	}
+	slices.SortFunc(v, func(a, b persimmoncart.Member) int {
+		return strings.Compare(string(a.Instance.ID), string(b.Instance.ID))
+	})
+	return v
+}
+
+// Member returns one member of this instance's own cell.
+func (m *Machine) Member(id persimmoncart.InstanceID) (persimmoncart.Member, bool) {
+	if id == m.Self.ID {
+		e := m.self()
+		return e.member(), true
+	}
+	if p := m.peers[id]; p != nil {
+		return p.member(), true
+	}
+	return persimmoncart.Member{}, false
+}
+
+// Dead reports whether an incarnation of a member of this cell is proven to
+// have ended: it is declared dead, or a later incarnation runs.
+func (m *Machine) Dead(tag persimmoncart.Tag) bool {
+	if tag.Instance == m.Self.ID {
+		return tag.Incarnation < m.Self.Incarnation
+	}
+	p := m.peers[tag.Instance]
+	if p == nil {
+		return false
+	}
+	if p.instance.Incarnation == tag.Incarnation {
+		return p.dead
+	}
+	return p.instance.Incarnation > tag.Incarnation
+}
+
+// self returns this instance as an entry.
+func (m *Machine) self() entry {
+	return entry{instance: m.Self, version: m.version}
+}
+
+// take returns and forgets the calls to send.
+func (m *Machine) take() []Call {
+	out := m.out
+	m.out = nil
+	return out
+}
+
+// call queues a request.
+func (m *Machine) call(now time.Time, to persimmoncart.Instance, request proto.Message, timeout time.Duration) {
+	m.out = append(m.out, Call{Instance: to, Request: request, Sent: now, Timeout: timeout})
+}
+
+// nextPeer returns the next peer of the round; each round has a random order.
+func (m *Machine) nextPeer() *cellMember {
+	for range 2 {
+		for len(m.order) > 0 {
+			p := m.peers[m.order[0]]
+			m.order = m.order[1:]
+			if p != nil && !p.dead {
+				return p
+			}
+		}
+		for id := range m.peers {
+			m.order = append(m.order, id)
+		}
+		slices.Sort(m.order) // the shuffle must not depend on map order
+		m.Rand.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
+	}
+	return nil
+}
+
+// sendProbe queues a probe of p.
+func (m *Machine) sendProbe(now time.Time, p *cellMember, full bool) {
+	m.sequence++
+	p.pending = m.sequence
+	m.Stats.Probes++
+	e := m.self()
+	r := &memberv1.ProbeRequest{From: e.wire(full), Piggyback: &memberv1.Piggyback{}, Sequence: m.sequence}
+	if full {
+		r.CellHash = m.cellHash()
+		r.CellsHash = m.cellsHash()
+		r.DataCentre = string(m.Self.DataCentre)
+		r.Region = string(m.Self.Region)
+	}
+	if p.suspect { // lets it refute the suspicion
+		r.Updates = append(r.Updates, p.wire(true))
+	}
+	for _, x := range m.Extensions {
+		x.Fill(p.instance, full, r.Piggyback)
+	}
+	m.call(now, p.instance, r, max(ProbeTimeout, 3*p.rtt))
+}
+
+// push sends the whole table to every peer of the cell, after a change that
+// should not wait for the round.
+func (m *Machine) push(now time.Time, changed ...*cellMember) {
+	for _, id := range m.ids() {
+		p := m.peers[id]
+		if p.dead {
+			continue
+		}
+		m.sendProbe(now, p, true)
+		r := m.out[len(m.out)-1].Request.(*memberv1.ProbeRequest)
+		for _, c := range changed {
+			r.Updates = append(r.Updates, c.wire(true))
+		}
+	}
+}
+
+// ids returns the identifiers of the peers, sorted.
+func (m *Machine) ids() []persimmoncart.InstanceID {
+	ids := make([]persimmoncart.InstanceID, 0, len(m.peers))
+	for id := range m.peers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// cellHash returns a hash over the entries of the cell that are not dead.
+func (m *Machine) cellHash() uint64 {
+	if m.hash != 0 {
+		return m.hash
+	}
+	e := m.self()
+	h := e.hash()
+	for _, p := range m.peers {
+		if !p.dead {
+			h ^= p.hash()
+		}
+	}
+	m.hash = max(h, 1)
+	return m.hash
+}
+
+// expire forgets dead entries after TombstonePeriod.
+func (m *Machine) expire(now time.Time) {
+	for id, p := range m.peers {
+		if p.dead && now.Sub(p.died) > TombstonePeriod {
+			delete(m.peers, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/service.go
@@ -0,0 +1,215 @@
+package membership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/peer"
+	memberv1 "github.com/persimmoncart/persimmoncart/proto/member/v1"
+)
+
+const (
+	listPeriod = 10 * time.Second
+	tickPeriod = 250 * time.Millisecond
+)
+
+var (
+	_ peer.Handler          = (*Service)(nil)
+	_ persimmoncart.Members = (*Service)(nil)
+)
+
+// A Service runs a Machine. Set the fields before Run.
+type Service struct {
+	List      persimmoncart.InstanceList // nil is no list
+	Lock      sync.Locker                // shared by the control state of one instance; nil is its own
+	Log       zerolog.Logger
+	Machine   *Machine
+	Records   func(*memberv1.RecordRequest) *memberv1.RecordReply // called under Lock; nil is no record
+	Spawn     func(func())                                        // runs calls that wait; nil starts a goroutine
+	Timer     persimmoncart.Timer
+	Transport peer.Transport
+
+	once        sync.Once
+	nextList    time.Time
+	subscribers map[int]func([]persimmoncart.Member)
+	next        int
+}
+
+// Run runs the protocol until ctx is done.
+func (s *Service) Run(ctx context.Context) error {
+	stop := s.Start(ctx)
+	defer stop()
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Start subscribes to the timer; the returned function ends it.
+func (s *Service) Start(ctx context.Context) (stop func()) {
+	s.init()
+	s.tick(ctx, s.Timer.Now())
+	return s.Timer.Subscribe(tickPeriod, func(now time.Time) { s.tick(ctx, now) })
+}
+
+// Handle implements peer.Handler.
+func (s *Service) Handle(request proto.Message, respond func(proto.Message, error)) {
+	switch r := request.(type) {
+	case *memberv1.ProbeRequest:
+		var reply *memberv1.ProbeReply
+		s.do(func(now time.Time) []Call {
+			var calls []Call
+			reply, calls = s.Machine.Probe(now, r)
+			return calls
+		})
+		respond(reply, nil)
+	case *memberv1.ProbeViaRequest:
+		s.probeVia(r, respond)
+	case *memberv1.RecordRequest:
+		reply := &memberv1.RecordReply{}
+		s.do(func(time.Time) []Call {
+			if s.Records != nil {
+				reply = s.Records(r)
+			}
+			return nil
+		})
+		respond(reply, nil)
+	case *memberv1.SummaryRequest:
+		var reply *memberv1.SummaryReply
+		s.do(func(now time.Time) []Call {
+			reply = s.Machine.Summary(now, r)
+			return nil
+		})
+		respond(reply, nil)
+	default:
+		respond(nil, &peer.UnknownRequestError{Name: string(request.ProtoReflect().Descriptor().FullName())})
+	}
+}
+
+// Leave announces the planned stop of this instance.
+func (s *Service) Leave() { s.do(s.Machine.Leave) }
+
+// Probe sends a probe outside the round. The caller holds Lock.
+func (s *Service) Probe(id persimmoncart.InstanceID) {
+	s.send(s.Machine.ProbeNow(s.Timer.Now(), id, false))
+}
+
+// Self implements persimmoncart.Members.
+func (s *Service) Self() persimmoncart.Instance {
+	s.init()
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	return s.Machine.Self
+}
+
+// Subscribe implements persimmoncart.Members. The callback runs under Lock and
+// must not call back into the Service.
+func (s *Service) Subscribe(f func([]persimmoncart.Member)) (stop func()) {
+	s.init()
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	s.next++
+	n := s.next
+	s.subscribers[n] = f
+	return func() {
+		s.Lock.Lock()
+		defer s.Lock.Unlock()
+		delete(s.subscribers, n)
+	}
+}
+
+// View implements persimmoncart.Members.
+func (s *Service) View() []persimmoncart.Member {
+	s.init()
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	return s.Machine.View()
+}
+
+// init sets the fields that a literal leaves out.
+func (s *Service) init() {
+	s.once.Do(func() {
+		if s.Lock == nil {
+			s.Lock = &sync.Mutex{}
+		}
+		if s.Spawn == nil {
+			s.Spawn = func(f func()) { go f() }
+		}
+		s.subscribers = map[int]func([]persimmoncart.Member){}
+	})
+}
+
+// do runs f under the lock, sends its calls and reports changes.
+func (s *Service) do(f func(time.Time) []Call) {
+	s.init()
+	s.Lock.Lock()
+	defer s.Lock.Unlock()
+	s.send(f(s.Timer.Now()))
+	s.notify()
+}
+
+// notify reports changes to the subscribers. Lock is held.
+func (s *Service) notify() {
+	changes := s.Machine.Changes()
+	if len(changes) == 0 {
+		return
+	}
+	for _, c := range changes {
+		s.Log.Debug().Str("instance", string(c.Instance.ID)).Stringer("state", c.State).Msg("member changed")
+	}
+	for n := 1; n <= s.next; n++ {
+		if f := s.subscribers[n]; f != nil {
+			f(changes)
+		}
+	}
+}
+
+// send sends calls. Lock is held; results arrive without it.
+func (s *Service) send(calls []Call) {
+	for _, c := range calls {
+		s.Transport.Call(c.Instance.Addr, c.Request, c.Timeout, func(reply proto.Message, err error) {
+			s.do(func(now time.Time) []Call { return s.Machine.Done(now, c, reply, err) })
+		})
+	}
+}
+
+// tick drives the machine and reads the instance list when that is due.
+func (s *Service) tick(ctx context.Context, now time.Time) {
+	s.do(s.Machine.Tick)
+	if s.List == nil || now.Before(s.nextList) {
+		return
+	}
+	s.nextList = now.Add(listPeriod)
+	s.Spawn(func() {
+		listed, err := s.List.List(ctx)
+		if err != nil {
+			s.Log.Warn().Err(err).Msg("instance list unavailable")
+			return
+		}
+		s.do(func(now time.Time) []Call { return s.Machine.List(now, listed) })
+	})
+}
+
+// probeVia probes a third instance and answers with the result.
+func (s *Service) probeVia(r *memberv1.ProbeViaRequest, respond func(proto.Message, error)) {
+	target, valid := fromWire(&memberv1.Entry{Addr: r.GetAddr(), Id: r.GetId()}, "", "")
+	if !valid {
+		respond(&memberv1.ProbeViaReply{Result: memberv1.Result_SILENT}, nil)
+		return
+	}
+	probe := &memberv1.ProbeRequest{Piggyback: &memberv1.Piggyback{}}
+	s.Transport.Call(target.instance.Addr, probe, ProbeTimeout, func(reply proto.Message, err error) {
+		answer := &memberv1.ProbeViaReply{Result: memberv1.Result_SILENT}
+		switch {
+		case err == nil:
+			answer.Result = memberv1.Result_ANSWERED
+			answer.From = reply.(*memberv1.ProbeReply).GetFrom()
+		case isRefused(err):
+			answer.Result = memberv1.Result_REFUSED
+		}
+		respond(answer, nil)
+	})
+}
