--- /dev/null
+++ b/internal/lease/keeper.go
@@ -0,0 +1,205 @@
+// Package lease grants named leases with fencing tokens that are recorded in
+// the store.
+//
+// A holder counts its lease from before it sent the write, on its own
+// monotonic clock, and stops a margin before the term ends. A successor takes
+// over only after it has seen the record unchanged for the term plus a margin
+// on its own clock. No clocks are compared, so a paused holder has always
+// stopped counting on its lease before a successor starts; what it sent before
+// the pause carries the older fencing token.
+package lease
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+const (
+	// DefaultMargin covers the difference in rate of two monotonic clocks over
+	// one term, and the time between the check of a lease and the send.
+	DefaultMargin = time.Second
+	// DefaultTerm is the time for which a lease holds without renewal.
+	DefaultTerm = 15 * time.Second
+
+	keyPrefix = "leases/"
+)
+
+var _ persimmoncart.Leases = (*Keeper)(nil)
+
+// A Keeper implements persimmoncart.Leases for one instance. Its exported
+// fields are set before the first call; it is safe for concurrent use.
+type Keeper struct {
+	Margin time.Duration // DefaultMargin if zero
+	Self   persimmoncart.Tag
+	Store  persimmoncart.Store
+	Term   time.Duration // DefaultTerm if zero
+	Timer  persimmoncart.Timer
+
+	mutex sync.Mutex
+	seen  map[string]sighting
+	turn  uint64
+}
+
+// Acquire implements persimmoncart.Leases. It also renews a lease that this
+// instance holds; the fencing token then stays the same.
+func (k *Keeper) Acquire(ctx context.Context, name string) (persimmoncart.Lease, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	current, version, err := k.read(ctx, name)
+	if err != nil {
+		return persimmoncart.Lease{}, errors.Wrapf(err, "acquire lease %q", name)
+	}
+	if version != 0 && !current.Free && !current.heldBy(k.Self) {
+		if wait := k.remaining(name, current, version); wait > 0 {
+			return persimmoncart.Lease{}, &persimmoncart.LeaseHeldError{Holder: current.Holder, Name: name, Retry: wait}
+		}
+	}
+	next := k.successor(current, version)
+	start := k.Timer.Now()
+	if err := k.write(ctx, name, next, version); err != nil {
+		return persimmoncart.Lease{}, errors.Wrapf(err, "acquire lease %q", name)
+	}
+	return persimmoncart.Lease{
+		Expires: start.Add(k.term() - k.margin()),
+		Fence:   next.Fence,
+		Name:    name,
+	}, nil
+}
+
+// Release implements persimmoncart.Leases. Releasing a lease that another
+// instance holds by now is no error.
+func (k *Keeper) Release(ctx context.Context, lease persimmoncart.Lease) error {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	current, version, err := k.read(ctx, lease.Name)
+	if err != nil {
+		return errors.Wrapf(err, "release lease %q", lease.Name)
+	}
+	if version == 0 || !current.heldBy(k.Self) || current.Fence != lease.Fence {
+		return nil
+	}
+	k.turn++
+	current.Free = true
+	current.Turn = k.turn
+	if err := k.write(ctx, lease.Name, current, version); err != nil {
+		var held *persimmoncart.LeaseHeldError
+		if errors.As(err, &held) {
+			return nil
+		}
+		return errors.Wrapf(err, "release lease %q", lease.Name)
+	}
+	return nil
+}
+
+// margin returns the configured margin.
+func (k *Keeper) margin() time.Duration {
+	if k.Margin == 0 {
+		return DefaultMargin
+	}
+	return k.Margin
+}
+
+// read returns the record of the lease; the version is zero if there is none.
+func (k *Keeper) read(ctx context.Context, name string) (record, persimmoncart.Version, error) {
+	object, err := k.Store.Get(ctx, keyPrefix+name)
+	if missing := (*persimmoncart.NotFoundError)(nil); errors.As(err, &missing) {
+		return record{}, 0, nil
+	}
+	if err != nil {
+		return record{}, 0, err
+	}
+	current, err := decodeRecord(object.Value)
+	if err != nil {
+		return record{}, 0, err
+	}
+	return current, object.Version, nil
+}
+
+// remaining returns how long the record must still stay unchanged before this
+// instance may take the lease over.
+func (k *Keeper) remaining(name string, current record, version persimmoncart.Version) time.Duration {
+	now := k.Timer.Now()
+	last, ok := k.seen[name]
+	if !ok || last.version != version {
+		if k.seen == nil {
+			k.seen = make(map[string]sighting)
+		}
+		last = sighting{at: now, version: version}
+		k.seen[name] = last
+	}
+	return last.at.Add(current.Term + k.margin()).Sub(now)
+}
+
+// successor returns the record that this instance writes next.
+func (k *Keeper) successor(current record, version persimmoncart.Version) record {
+	k.turn++
+	next := record{
+		Fence:  current.Fence,
+		Holder: k.Self.Instance,
+		Start:  k.Self.Incarnation,
+		Term:   k.term(),
+		Turn:   k.turn,
+	}
+	if version == 0 || !current.heldBy(k.Self) {
+		next.Fence++
+	}
+	return next
+}
+
+// term returns the configured term.
+func (k *Keeper) term() time.Duration {
+	if k.Term == 0 {
+		return DefaultTerm
+	}
+	return k.Term
+}
+
+// write stores next over version and settles a lost answer by reading back. It
+// returns a *persimmoncart.LeaseHeldError if another write came first.
+func (k *Keeper) write(ctx context.Context, name string, next record, version persimmoncart.Version) error {
+	value, err := next.encode()
+	if err != nil {
+		return err
+	}
+	key := keyPrefix + name
+	if version == 0 {
+		_, err = k.Store.Create(ctx, key, value)
+	} else {
+		_, err = k.Store.Update(ctx, key, value, version)
+	}
+	var ambiguous *persimmoncart.AmbiguousError
+	var conflict *persimmoncart.ConflictError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &ambiguous), errors.As(err, &conflict):
+		// A client that repeats a write by itself reports a conflict with its
+		// own first try, so both cases are settled by the record.
+		return k.settle(ctx, name, next)
+	default:
+		return err
+	}
+}
+
+// settle reads the record back and returns nil if it is next.
+func (k *Keeper) settle(ctx context.Context, name string, next record) error {
+	current, _, err := k.read(ctx, name)
+	if err != nil {
+		return err
+	}
+	if current != next {
+		return &persimmoncart.LeaseHeldError{Holder: current.Holder, Name: name, Retry: current.Term}
+	}
+	return nil
+}
+
+// A sighting is the last change of a lease record that this instance saw.
+type sighting struct {
+	at      time.Time
+	version persimmoncart.Version
+}
--- /dev/null
+++ b/internal/lease/record.go
@@ -0,0 +1,43 @@
+package lease
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// A record is the object that the store keeps for one lease.
+type record struct {
+	Fence  uint64                    `json:"fence"`
+	Free   bool                      `json:"free"` // released by its holder
+	Holder persimmoncart.InstanceID  `json:"holder"`
+	Start  persimmoncart.Incarnation `json:"start"` // incarnation of the holder
+	Term   time.Duration             `json:"term"`  // nanoseconds
+	Turn   uint64                    `json:"turn"`  // counts the writes of one holder
+}
+
+// decodeRecord returns the record in value.
+func decodeRecord(value []byte) (record, error) {
+	var r record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return record{}, errors.Wrap(err, "decode lease record")
+	}
+	return r, nil
+}
+
+// encode returns the record as stored.
+func (r record) encode() ([]byte, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode lease record")
+	}
+	return value, nil
+}
+
+// heldBy reports whether the incarnation that tag names wrote the record.
+func (r record) heldBy(tag persimmoncart.Tag) bool {
+	return !r.Free && r.Holder == tag.Instance && r.Start == tag.Incarnation
+}
--- /dev/null
+++ b/internal/rendezvous/rendezvous.go
@@ -0,0 +1,51 @@
+// Package rendezvous ranks candidates for a key by rendezvous hashing, so that
+// every instance with the same candidates chooses the same one and the loss of
+// a candidate moves only that candidate's keys.
+package rendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Best returns the candidate with the highest score for key; false if there is
+// no candidate.
+func Best[T ~string](key string, candidates []T) (T, bool) {
+	var best T
+	var high uint64
+	found := false
+	for _, c := range candidates {
+		s := Score(key, string(c))
+		if !found || s > high || (s == high && c < best) {
+			best, high, found = c, s, true
+		}
+	}
+	return best, found
+}
+
+// Rank returns the candidates by falling score for key.
+func Rank[T ~string](key string, candidates []T) []T {
+	ranked := slices.Clone(candidates)
+	slices.SortFunc(ranked, func(a, b T) int {
+		if c := cmp.Compare(Score(key, string(b)), Score(key, string(a))); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	return ranked
+}
+
+// Score returns the score of candidate for key.
+func Score(key, candidate string) uint64 {
+	// Hashing the two parts on their own and mixing them keeps "ab"+"c" apart
+	// from "a"+"bc".
+	x := xxhash.Sum64String(key) ^ (xxhash.Sum64String(candidate) * 0x9e3779b97f4a7c15)
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
