--- /dev/null
+++ b/internal/objectapi/client.go
@@ -0,0 +1,243 @@
+// Package objectapi speaks to the platform's object API (the store).
+//
+// Client calls it over HTTP, Memory is an object API in memory, Handler serves a
+// store over HTTP, and Faulty, Logging and Metered wrap a store.
+package objectapi
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/transport"
+)
+
+var _ persimmoncart.Store = (*Client)(nil)
+
+const (
+	// maxListBytes bounds a list answer; the largest prefix that is listed is
+	// the configuration.
+	maxListBytes = 256 << 20
+	// maxObjectBytes leaves room for a value in base64 and its key.
+	maxObjectBytes = persimmoncart.MaxValueBytes*4/3 + 64<<10
+)
+
+// A Client is a Store over HTTP. Set the fields before the first call.
+//
+// A write whose request never left the process, or that the store refused, gives
+// an *UnavailableError; a write without a usable answer gives an
+// *AmbiguousError.
+type Client struct {
+	Addr   netip.AddrPort
+	HTTP   *http.Client // from transport.NewClient
+	Secure bool         // HTTPS
+	Timer  persimmoncart.Timer
+}
+
+// Create implements persimmoncart.Store.
+func (c *Client) Create(ctx context.Context, key string, value []byte) (persimmoncart.Version, error) {
+	return c.put(ctx, key, value, 0, "If-None-Match", "*")
+}
+
+// Delete implements persimmoncart.Store.
+func (c *Client) Delete(ctx context.Context, key string, version persimmoncart.Version) error {
+	_, err := c.write(ctx, write{header: "If-Match", key: key, method: http.MethodDelete, tag: formatTag(version), want: version})
+	return err
+}
+
+// Get implements persimmoncart.Store.
+func (c *Client) Get(ctx context.Context, key string) (persimmoncart.Object, error) {
+	var o wireObject
+	if err := c.read(ctx, "get", key, objectPath+url.PathEscape(key), maxObjectBytes, &o); err != nil {
+		return persimmoncart.Object{}, err
+	}
+	if o.Key != key {
+		return persimmoncart.Object{}, &persimmoncart.UnavailableError{
+			Err: transport.NewGarbageError("answer for another key", []byte(o.Key)),
+			Op:  "get",
+		}
+	}
+	return persimmoncart.Object{Key: o.Key, Value: o.Value, Version: o.Version}, nil
+}
+
+// List implements persimmoncart.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]persimmoncart.Object, error) {
+	var l wireList
+	path := listPath + "?prefix=" + url.QueryEscape(prefix)
+	if err := c.read(ctx, "list", prefix, path, maxListBytes, &l); err != nil {
+		return nil, err
+	}
+	list := make([]persimmoncart.Object, 0, len(l.Objects))
+	for _, o := range l.Objects {
+		list = append(list, persimmoncart.Object{Key: o.Key, Value: o.Value, Version: o.Version})
+	}
+	return list, nil
+}
+
+// Update implements persimmoncart.Store.
+func (c *Client) Update(ctx context.Context, key string, value []byte, version persimmoncart.Version) (persimmoncart.Version, error) {
+	return c.put(ctx, key, value, version, "If-Match", formatTag(version))
+}
+
+// Watch implements persimmoncart.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, from persimmoncart.Version) (persimmoncart.Watch, error) {
+	path := watchPath + "?prefix=" + url.QueryEscape(prefix) + "&from=" + strconv.FormatUint(uint64(from), 10)
+	// The watch outlives the call that opens it, so that only the opening
+	// itself follows ctx.
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	r, err := c.send(inner, http.MethodGet, path, nil, nil)
+	if err != nil {
+		cancel()
+		return nil, &persimmoncart.UnavailableError{Err: err, Op: opWatch}
+	}
+	if r.StatusCode != http.StatusOK {
+		defer cancel()
+		defer closeBody(r)
+		return nil, readError(r, opWatch, prefix, from)
+	}
+	if !stop() {
+		cancel()
+		closeBody(r)
+		return nil, &persimmoncart.UnavailableError{Err: ctx.Err(), Op: opWatch}
+	}
+	return newClientWatch(r.Body, cancel, c.Timer), nil
+}
+
+// put sends one Create or Update.
+func (c *Client) put(ctx context.Context, key string, value []byte, version persimmoncart.Version, header, tag string) (persimmoncart.Version, error) {
+	if len(value) > persimmoncart.MaxValueBytes {
+		return 0, &persimmoncart.TooLargeError{Key: key, Size: len(value)}
+	}
+	return c.write(ctx, write{header: header, key: key, method: http.MethodPut, tag: tag, value: value, want: version})
+}
+
+// read sends one read, which has no effect whatever happens to its answer.
+func (c *Client) read(ctx context.Context, op, key, path string, limit int64, answer any) error {
+	r, err := c.send(ctx, http.MethodGet, path, nil, nil)
+	if err != nil {
+		return &persimmoncart.UnavailableError{Err: err, Op: op}
+	}
+	defer closeBody(r)
+	if r.StatusCode != http.StatusOK {
+		return readError(r, op, key, 0)
+	}
+	if err := transport.ReadJSON(r.Body, limit, answer); err != nil {
+		return &persimmoncart.UnavailableError{Err: err, Op: op}
+	}
+	return nil
+}
+
+// send sends one request.
+func (c *Client) send(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, method, transport.URL(c.Addr, c.Secure)+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for k, v := range header {
+		r.Header[k] = v
+	}
+	return c.HTTP.Do(r)
+}
+
+// A write is one Create, Delete or Update.
+type write struct {
+	header string // of the condition
+	key    string
+	method string
+	tag    string
+	value  []byte
+	want   persimmoncart.Version
+}
+
+// write sends one write and sorts its errors.
+func (c *Client) write(ctx context.Context, w write) (persimmoncart.Version, error) {
+	ctx, sent := transport.Track(ctx)
+	header := http.Header{w.header: {w.tag}}
+	r, err := c.send(ctx, w.method, objectPath+url.PathEscape(w.key), header, w.value)
+	if err != nil {
+		if sent.Any() {
+			return 0, &persimmoncart.AmbiguousError{Err: err, Key: w.key}
+		}
+		return 0, &persimmoncart.UnavailableError{Err: err, Op: w.method}
+	}
+	defer closeBody(r)
+	if r.StatusCode != http.StatusOK {
+		err := answerError(r, w.method, w.key, w.want)
+		if e := (*AnswerError)(nil); errors.As(err, &e) {
+			return 0, &persimmoncart.AmbiguousError{Err: err, Key: w.key}
+		}
+		return 0, err
+	}
+	var v wireVersion
+	if err := transport.ReadJSON(r.Body, maxObjectBytes, &v); err != nil {
+		return 0, &persimmoncart.AmbiguousError{Err: err, Key: w.key}
+	}
+	return v.Version, nil
+}
+
+// answerError returns the error that the answer r stands for. The result is an
+// *AnswerError or the error of reading if the answer is not the store's own, so
+// that it proves nothing.
+func answerError(r *http.Response, op, key string, want persimmoncart.Version) error {
+	p, err := transport.ReadProblem(r)
+	if err != nil {
+		return &AnswerError{Err: err}
+	}
+	switch p.Code {
+	case codeConflict:
+		return &persimmoncart.ConflictError{Have: persimmoncart.Version(p.Have), Key: key, Want: want}
+	case codeHistory:
+		return &persimmoncart.UnavailableError{
+			Err: &persimmoncart.HistoryError{From: want, Oldest: persimmoncart.Version(p.Have)},
+			Op:  op,
+		}
+	case codeInvalid:
+		return &RequestError{Reason: p.Message}
+	case codeNotFound:
+		return &persimmoncart.NotFoundError{Key: key}
+	case codeTooLarge:
+		return &persimmoncart.TooLargeError{Key: key, Size: int(p.Have)}
+	case codeUnavailable:
+		return &persimmoncart.UnavailableError{Err: p, Op: op, Retry: time.Duration(p.Retry)}
+	default:
+		return &AnswerError{Err: p}
+	}
+}
+
+// readError returns the error that the answer to a read stands for.
+func readError(r *http.Response, op, key string, from persimmoncart.Version) error {
+	err := answerError(r, op, key, from)
+	if e := (*AnswerError)(nil); errors.As(err, &e) {
+		return &persimmoncart.UnavailableError{Err: err, Op: op}
+	}
+	return err
+}
+
+// An AnswerError reports an answer that the store itself did not give.
+type AnswerError struct {
+	Err error
+}
+
+// Error implements error.
+func (e *AnswerError) Error() string {
+	return "unexpected answer: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *AnswerError) Unwrap() error { return e.Err }
+
+// closeBody reads the rest of a short answer, so that the connection can be used
+// again, and closes it.
+func closeBody(r *http.Response) {
+	_, _ = io.CopyN(io.Discard, r.Body, transport.MaxProblemBytes)
+	_ = r.Body.Close()
+}
--- /dev/null
+++ b/internal/objectapi/clientwatch.go
@@ -0,0 +1,145 @@
+package objectapi
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/transport"
+)
+
+// silenceLimit is how long a watch may stay silent before it counts as broken:
+// three missed signs of life, so that a cut network path is noticed.
+const silenceLimit = 3*idleInterval + time.Second
+
+// errSilent is the cause of an *UnavailableError of a watch that went silent.
+var errSilent = errors.New("watch is silent")
+
+// A clientWatch is an open watch over HTTP. One goroutine reads its events.
+type clientWatch struct {
+	cancel context.CancelFunc
+	closed chan struct{}
+	events chan persimmoncart.WatchEvent
+	failed error // valid once events is closed
+	once   sync.Once
+}
+
+// newClientWatch returns a watch that reads body until cancel is called.
+func newClientWatch(body io.ReadCloser, cancel context.CancelFunc, timer persimmoncart.Timer) *clientWatch {
+	w := &clientWatch{
+		cancel: cancel,
+		closed: make(chan struct{}),
+		events: make(chan persimmoncart.WatchEvent),
+	}
+	go w.run(body, timer)
+	return w
+}
+
+// Close implements persimmoncart.Watch.
+func (w *clientWatch) Close() error {
+	w.once.Do(func() {
+		close(w.closed)
+		w.cancel()
+	})
+	return nil
+}
+
+// Next implements persimmoncart.Watch.
+func (w *clientWatch) Next(ctx context.Context) (persimmoncart.WatchEvent, error) {
+	select {
+	case <-w.closed:
+		return persimmoncart.WatchEvent{}, &persimmoncart.UnavailableError{Err: errWatchClosed, Op: opWatch}
+	default:
+	}
+	select {
+	case <-ctx.Done():
+		return persimmoncart.WatchEvent{}, ctx.Err()
+	case e, ok := <-w.events:
+		if !ok {
+			return persimmoncart.WatchEvent{}, &persimmoncart.UnavailableError{Err: w.failed, Op: opWatch}
+		}
+		return e, nil
+	}
+}
+
+// run reads events until the body ends, breaks or goes silent.
+func (w *clientWatch) run(body io.ReadCloser, timer persimmoncart.Timer) {
+	defer close(w.events)
+	defer w.cancel()
+	defer func() { _ = body.Close() }()
+	reader := bufio.NewReader(body)
+	for {
+		var silent atomic.Bool
+		stop := timer.After(silenceLimit, func(time.Time) {
+			silent.Store(true)
+			w.cancel()
+		})
+		line, err := readLine(reader)
+		stop()
+		if silent.Load() {
+			err = errSilent
+		}
+		if err != nil {
+			w.failed = err
+			return
+		}
+		if len(line) == 0 {
+			continue
+		}
+		e, err := parseEvent(line)
+		if err != nil {
+			w.failed = err
+			return
+		}
+		select {
+		case <-w.closed:
+			w.failed = errWatchClosed
+			return
+		case w.events <- e:
+		}
+	}
+}
+
+// parseEvent returns the event on one line, or a *transport.GarbageError.
+func parseEvent(line []byte) (persimmoncart.WatchEvent, error) {
+	var o wireObject
+	if err := json.Unmarshal(line, &o); err != nil {
+		return persimmoncart.WatchEvent{}, transport.NewGarbageError(err.Error(), line)
+	}
+	if o.Key == "" || o.Version == 0 {
+		return persimmoncart.WatchEvent{}, transport.NewGarbageError("event without key or version", line)
+	}
+	return persimmoncart.WatchEvent{
+		Deleted: o.Deleted,
+		Object:  persimmoncart.Object{Key: o.Key, Value: o.Value, Version: o.Version},
+	}, nil
+}
+
+// readLine reads one line without its end. It returns a
+// *transport.AnswerTooLargeError for a line that no event can have.
+func readLine(r *bufio.Reader) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > maxObjectBytes {
+			return nil, &transport.AnswerTooLargeError{Limit: maxObjectBytes}
+		}
+		switch {
+		case err == nil:
+			return line[:len(line)-1], nil
+		case errors.Is(err, bufio.ErrBufferFull):
+		case errors.Is(err, io.EOF):
+			return nil, io.ErrUnexpectedEOF
+		default:
+			return nil, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/objectapi/contract_test.go
@@ -0,0 +1,228 @@
+package objectapi_test
+
+import (
+	"bytes"
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/objectapi"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+	"github.com/persimmoncart/persimmoncart/internal/transport"
+)
+
+// A system is one implementation under the contract with the faults behind it.
+type system struct {
+	faulty *objectapi.Faulty
+	memory *objectapi.Memory
+	server *httptest.Server // nil if there is none
+	store  persimmoncart.Store
+}
+
+// newSystem returns a fake behind faults, over loopback HTTP if served.
+func newSystem(t *testing.T, served bool, history int) *system {
+	t.Helper()
+	clock := &timer.System{}
+	s := &system{memory: &objectapi.Memory{History: history, Timer: clock}}
+	s.faulty = &objectapi.Faulty{Store: s.memory, Timer: clock}
+	s.store = s.faulty
+	if !served {
+		return s
+	}
+	s.server = httptest.NewServer((&objectapi.Handler{Store: s.faulty, Timer: clock}).Handler())
+	t.Cleanup(s.server.Close)
+	s.store = &objectapi.Client{
+		Addr:  netip.MustParseAddrPort(s.server.Listener.Addr().String()),
+		HTTP:  transport.NewClient(nil),
+		Timer: clock,
+	}
+	return s
+}
+
+// forEach runs the contract test f on the fake and on client and handler.
+func forEach(t *testing.T, f func(t *testing.T, s *system)) {
+	for name, served := range map[string]bool{"http": true, "memory": false} {
+		t.Run(name, func(t *testing.T) { f(t, newSystem(t, served, 4)) })
+	}
+}
+
+// Guards against a conditional write that ignores its condition, which would let
+// two instances both win a claim or a lease.
+func TestConditionalWrites(t *testing.T) {
+	forEach(t, func(t *testing.T, s *system) {
+		ctx := t.Context()
+		one, err := s.store.Create(ctx, "claims/a b/%2F?", []byte("1"))
+		assert.NilError(t, err)
+		conflict := &persimmoncart.ConflictError{}
+		_, err = s.store.Create(ctx, "claims/a b/%2F?", []byte("2"))
+		assert.Assert(t, errors.As(err, &conflict))
+		assert.DeepEqual(t, *conflict, persimmoncart.ConflictError{Have: one, Key: "claims/a b/%2F?"})
+		two, err := s.store.Update(ctx, "claims/a b/%2F?", []byte("2"), one)
+		assert.NilError(t, err)
+		assert.Assert(t, two > one)
+		_, err = s.store.Update(ctx, "claims/a b/%2F?", []byte("3"), one)
+		assert.Assert(t, errors.As(err, &conflict))
+		assert.DeepEqual(t, *conflict, persimmoncart.ConflictError{Have: two, Key: "claims/a b/%2F?", Want: one})
+		_, err = s.store.Update(ctx, "missing", nil, one)
+		assert.Assert(t, errors.As(err, &conflict))
+		assert.Equal(t, conflict.Have, persimmoncart.Version(0))
+		o, err := s.store.Get(ctx, "claims/a b/%2F?")
+		assert.NilError(t, err)
+		assert.DeepEqual(t, o, persimmoncart.Object{Key: "claims/a b/%2F?", Value: []byte("2"), Version: two})
+		err = s.store.Delete(ctx, o.Key, one)
+		assert.Assert(t, errors.As(err, &conflict))
+		assert.NilError(t, s.store.Delete(ctx, o.Key, two))
+		missing := &persimmoncart.NotFoundError{}
+		_, err = s.store.Get(ctx, o.Key)
+		assert.Assert(t, errors.As(err, &missing))
+		large := &persimmoncart.TooLargeError{}
+		_, err = s.store.Create(ctx, "large", bytes.Repeat([]byte("x"), persimmoncart.MaxValueBytes+1))
+		assert.Assert(t, errors.As(err, &large))
+		_, err = s.store.Create(ctx, "full", bytes.Repeat([]byte("x"), persimmoncart.MaxValueBytes))
+		assert.NilError(t, err)
+	})
+}
+
+// Guards against a list or a watch that leaves out, repeats or reorders changes.
+func TestListAndWatch(t *testing.T) {
+	forEach(t, func(t *testing.T, s *system) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		a, err := s.store.Create(ctx, "config/b", []byte("1"))
+		assert.NilError(t, err)
+		_, err = s.store.Create(ctx, "other", nil)
+		assert.NilError(t, err)
+		b, err := s.store.Create(ctx, "config/a", []byte("2"))
+		assert.NilError(t, err)
+		list, err := s.store.List(ctx, "config/")
+		assert.NilError(t, err)
+		assert.Equal(t, len(list), 2)
+		assert.Equal(t, list[0].Key, "config/a")
+		w, err := s.store.Watch(ctx, "config/", a)
+		assert.NilError(t, err)
+		e, err := w.Next(ctx)
+		assert.NilError(t, err)
+		assert.Equal(t, e.Object.Version, b)
+		assert.Equal(t, s.memory.Counts().Watches, uint64(1))
+		assert.NilError(t, s.store.Delete(ctx, "config/a", b))
+		e, err = w.Next(ctx)
+		assert.NilError(t, err)
+		assert.Assert(t, e.Deleted)
+		assert.Equal(t, e.Object.Key, "config/a")
+		short, stop := context.WithTimeout(ctx, time.Millisecond)
+		defer stop()
+		_, err = w.Next(short)
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		s.faulty.SetDown(true)
+		unavailable := &persimmoncart.UnavailableError{}
+		_, err = w.Next(ctx)
+		assert.Assert(t, errors.As(err, &unavailable))
+		assert.NilError(t, w.Close())
+		assert.NilError(t, w.Close())
+	})
+}
+
+// Guards against a watch from a lost part of the history that leaves out changes
+// without saying so.
+func TestWatchHistory(t *testing.T) {
+	forEach(t, func(t *testing.T, s *system) {
+		version, err := s.store.Create(t.Context(), "k", nil)
+		assert.NilError(t, err)
+		first := version
+		for range 8 {
+			version, err = s.store.Update(t.Context(), "k", nil, version)
+			assert.NilError(t, err)
+		}
+		history := &persimmoncart.HistoryError{}
+		_, err = s.store.Watch(t.Context(), "k", first)
+		assert.Assert(t, errors.As(err, &history), "%v", err)
+		w, err := s.store.Watch(t.Context(), "k", history.Oldest)
+		assert.NilError(t, err)
+		assert.NilError(t, w.Close())
+	})
+}
+
+// Guards against an error that says "nothing was written" after a write, and
+// against the opposite, which would hold up calls for no reason.
+func TestWriteErrors(t *testing.T) {
+	cases := []struct {
+		name      string
+		ambiguous bool
+		written   bool
+		fail      func(ctx context.Context, s *system) context.Context
+	}{
+		{"answer lost", true, true, func(ctx context.Context, s *system) context.Context {
+			s.faulty.LoseAnswers(1)
+			return ctx
+		}},
+		{"request lost", true, false, func(ctx context.Context, s *system) context.Context {
+			s.faulty.DropRequests(1)
+			return ctx
+		}},
+		{"outage", false, false, func(ctx context.Context, s *system) context.Context {
+			s.faulty.SetDown(true)
+			return ctx
+		}},
+		{"cancelled before", false, false, func(ctx context.Context, _ *system) context.Context {
+			ctx, cancel := context.WithCancel(ctx)
+			cancel()
+			return ctx
+		}},
+		{"caller gives up", true, false, func(ctx context.Context, s *system) context.Context {
+			s.faulty.SetDelay(time.Hour)
+			ctx, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+			context.AfterFunc(ctx, cancel)
+			return ctx
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			forEach(t, func(t *testing.T, s *system) {
+				_, err := s.store.Create(c.fail(t.Context(), s), "k", []byte("v"))
+				ambiguous, unavailable := &persimmoncart.AmbiguousError{}, &persimmoncart.UnavailableError{}
+				assert.Equal(t, errors.As(err, &ambiguous), c.ambiguous, "%v", err)
+				assert.Equal(t, errors.As(err, &unavailable), !c.ambiguous, "%v", err)
+				_, err = s.memory.Get(t.Context(), "k")
+				assert.Equal(t, err == nil, c.written)
+			})
+		})
+	}
+}
+
+// Guards against a refused connection that is reported as a possible write.
+func TestServerGone(t *testing.T) {
+	s := newSystem(t, true, 0)
+	version, err := s.store.Create(t.Context(), "k", nil)
+	assert.NilError(t, err)
+	s.server.Close()
+	unavailable := &persimmoncart.UnavailableError{}
+	_, err = s.store.Create(t.Context(), "k2", nil)
+	assert.Assert(t, errors.As(err, &unavailable), "%v", err)
+	_, err = s.store.Update(t.Context(), "k", nil, version)
+	assert.Assert(t, errors.As(err, &unavailable), "%v", err)
+}
+
+// Guards against limits that do not follow the platform's rates, in virtual time.
+func TestRateLimits(t *testing.T) {
+	v := timer.NewVirtual(time.Unix(0, 0))
+	m := &objectapi.Memory{ReadRate: objectapi.DefaultReadRate, Timer: v, WriteRate: objectapi.DefaultWriteRate}
+	version, err := m.Create(t.Context(), "k", nil)
+	assert.NilError(t, err)
+	for range 10_000 {
+		if next, err := m.Update(t.Context(), "k", nil, version); err == nil {
+			version = next
+		}
+		v.Advance(100 * time.Microsecond)
+	}
+	done := m.Counts().Writes - m.Counts().Limited
+	assert.Assert(t, done >= 400 && done <= 441, "%d writes in a second", done)
+	unavailable := &persimmoncart.UnavailableError{}
+	_, err = m.Update(t.Context(), "k", nil, version)
+	assert.Assert(t, err == nil || errors.As(err, &unavailable) && unavailable.Retry > 0)
+}
--- /dev/null
+++ b/internal/objectapi/handler.go
@@ -0,0 +1,231 @@
+package objectapi
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/transport"
+)
+
+// idleInterval is how often a served watch without events shows that it is alive.
+const idleInterval = 5 * time.Second
+
+// A Handler serves a Store over HTTP. Set the fields before Handler is called.
+//
+// A write that ends with an *AmbiguousError breaks its connection, as a lost
+// answer does.
+type Handler struct {
+	Store persimmoncart.Store
+	Timer persimmoncart.Timer
+}
+
+// Handler returns the HTTP handler.
+func (h *Handler) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Delete(objectPath+"*", h.remove)
+	r.Get(objectPath+"*", h.get)
+	r.Get(listPath, h.list)
+	r.Get(watchPath, h.watch)
+	r.Put(objectPath+"*", h.put)
+	return r
+}
+
+// get serves one object.
+func (h *Handler) get(w http.ResponseWriter, r *http.Request) {
+	key, err := keyOf(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	o, err := h.Store.Get(r.Context(), key)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	transport.WriteJSON(w, http.StatusOK, wireObject{Key: o.Key, Value: o.Value, Version: o.Version})
+}
+
+// list serves the objects below a prefix.
+func (h *Handler) list(w http.ResponseWriter, r *http.Request) {
+	list, err := h.Store.List(r.Context(), r.URL.Query().Get("prefix"))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	answer := wireList{Objects: make([]wireObject, 0, len(list))}
+	for _, o := range list {
+		answer.Objects = append(answer.Objects, wireObject{Key: o.Key, Value: o.Value, Version: o.Version})
+	}
+	transport.WriteJSON(w, http.StatusOK, answer)
+}
+
+// put serves Create (If-None-Match: *) and Update (If-Match: "version").
+func (h *Handler) put(w http.ResponseWriter, r *http.Request) {
+	key, err := keyOf(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	value, err := transport.ReadAll(r.Body, persimmoncart.MaxValueBytes)
+	if err != nil {
+		if e := (*transport.AnswerTooLargeError)(nil); errors.As(err, &e) {
+			err = &persimmoncart.TooLargeError{Key: key, Size: int(max(r.ContentLength, persimmoncart.MaxValueBytes+1))}
+		}
+		writeError(w, err)
+		return
+	}
+	var version persimmoncart.Version
+	if r.Header.Get("If-None-Match") == "*" {
+		version, err = h.Store.Create(r.Context(), key, value)
+	} else {
+		var want persimmoncart.Version
+		if want, err = parseTag(r.Header.Get("If-Match")); err == nil {
+			version, err = h.Store.Update(r.Context(), key, value, want)
+		}
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set("ETag", formatTag(version))
+	transport.WriteJSON(w, http.StatusOK, wireVersion{Version: version})
+}
+
+// remove serves Delete.
+func (h *Handler) remove(w http.ResponseWriter, r *http.Request) {
+	key, err := keyOf(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	want, err := parseTag(r.Header.Get("If-Match"))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	if err := h.Store.Delete(r.Context(), key, want); err != nil {
+		writeError(w, err)
+		return
+	}
+	transport.WriteJSON(w, http.StatusOK, wireVersion{})
+}
+
+// watch serves a watch as one JSON object a line; empty lines show that the
+// watch is alive.
+func (h *Handler) watch(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		writeError(w, &RequestError{Reason: err.Error()})
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	open, err := h.Store.Watch(ctx, r.URL.Query().Get("prefix"), persimmoncart.Version(from))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	defer func() { _ = open.Close() }()
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	w.WriteHeader(http.StatusOK)
+	control := http.NewResponseController(w)
+	_ = control.Flush()
+	events := make(chan wireObject)
+	go func() {
+		defer close(events)
+		for {
+			e, err := open.Next(ctx)
+			if err != nil {
+				return
+			}
+			o := wireObject{Deleted: e.Deleted, Key: e.Object.Key, Value: e.Object.Value, Version: e.Object.Version}
+			select {
+			case <-ctx.Done():
+				return
+			case events <- o:
+			}
+		}
+	}()
+	idle := make(chan struct{}, 1)
+	stop := h.Timer.Subscribe(idleInterval, func(time.Time) {
+		select {
+		case idle <- struct{}{}:
+		default:
+		}
+	})
+	defer stop()
+	encoder := json.NewEncoder(w)
+	for {
+		select {
+		case o, ok := <-events:
+			if !ok {
+				panic(http.ErrAbortHandler)
+			}
+			err = encoder.Encode(o)
+		case <-idle:
+			_, err = w.Write([]byte("\n"))
+		}
+		if err == nil {
+			err = control.Flush()
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// A RequestError reports a request that does not follow the protocol.
+type RequestError struct {
+	Reason string
+}
+
+// Error implements error.
+func (e *RequestError) Error() string {
+	return "invalid request: " + e.Reason
+}
+
+// keyOf returns the key in the request's path.
+func keyOf(r *http.Request) (string, error) {
+	key, err := url.PathUnescape(strings.TrimPrefix(r.URL.EscapedPath(), objectPath))
+	if err != nil || key == "" {
+		return "", &RequestError{Reason: "path without a key"}
+	}
+	return key, nil
+}
+
+// writeError sends the answer that stands for err.
+func writeError(w http.ResponseWriter, err error) {
+	p := &transport.Problem{Code: codeInvalid, Message: err.Error(), Status: http.StatusBadRequest}
+	var (
+		ambiguous   *persimmoncart.AmbiguousError
+		conflict    *persimmoncart.ConflictError
+		history     *persimmoncart.HistoryError
+		large       *persimmoncart.TooLargeError
+		missing     *persimmoncart.NotFoundError
+		unavailable *persimmoncart.UnavailableError
+	)
+	switch {
+	case errors.As(err, &ambiguous):
+		panic(http.ErrAbortHandler)
+	case errors.As(err, &conflict):
+		p.Code, p.Status, p.Have = codeConflict, http.StatusPreconditionFailed, uint64(conflict.Have)
+	case errors.As(err, &history):
+		p.Code, p.Status, p.Have = codeHistory, http.StatusGone, uint64(history.Oldest)
+	case errors.As(err, &large):
+		p.Code, p.Status, p.Have = codeTooLarge, http.StatusRequestEntityTooLarge, uint64(large.Size)
+	case errors.As(err, &missing):
+		p.Code, p.Status = codeNotFound, http.StatusNotFound
+	case errors.As(err, &unavailable):
+		p.Code, p.Status, p.Retry = codeUnavailable, http.StatusServiceUnavailable, transport.Duration(unavailable.Retry)
+	}
+	transport.WriteProblem(w, p)
+}
--- /dev/null
+++ b/internal/objectapi/logging.go
@@ -0,0 +1,78 @@
+package objectapi
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+var _ persimmoncart.Store = (*Logging)(nil)
+
+// A Logging is a Store that logs failed calls as warnings and all calls at debug level.
+type Logging struct {
+	Log   zerolog.Logger
+	Store persimmoncart.Store
+	Timer persimmoncart.Timer
+}
+
+// Create implements persimmoncart.Store.
+func (l *Logging) Create(ctx context.Context, key string, value []byte) (persimmoncart.Version, error) {
+	done := l.begin("create", key)
+	v, err := l.Store.Create(ctx, key, value)
+	done(err)
+	return v, err
+}
+
+// Delete implements persimmoncart.Store.
+func (l *Logging) Delete(ctx context.Context, key string, version persimmoncart.Version) error {
+	done := l.begin("delete", key)
+	err := l.Store.Delete(ctx, key, version)
+	done(err)
+	return err
+}
+
+// Get implements persimmoncart.Store.
+func (l *Logging) Get(ctx context.Context, key string) (persimmoncart.Object, error) {
+	done := l.begin("get", key)
+	o, err := l.Store.Get(ctx, key)
+	done(err)
+	return o, err
+}
+
+// List implements persimmoncart.Store.
+func (l *Logging) List(ctx context.Context, prefix string) ([]persimmoncart.Object, error) {
+	done := l.begin("list", prefix)
+	list, err := l.Store.List(ctx, prefix)
+	done(err)
+	return list, err
+}
+
+// Update implements persimmoncart.Store.
+func (l *Logging) Update(ctx context.Context, key string, value []byte, version persimmoncart.Version) (persimmoncart.Version, error) {
+	done := l.begin("update", key)
+	v, err := l.Store.Update(ctx, key, value, version)
+	done(err)
+	return v, err
+}
+
+// Watch implements persimmoncart.Store.
+func (l *Logging) Watch(ctx context.Context, prefix string, from persimmoncart.Version) (persimmoncart.Watch, error) {
+	done := l.begin(opWatch, prefix)
+	w, err := l.Store.Watch(ctx, prefix, from)
+	done(err)
+	return w, err
+}
+
+// begin starts a call; the returned function logs its end.
+func (l *Logging) begin(op, key string) func(error) {
+	start := l.Timer.Now()
+	return func(err error) {
+		e := l.Log.Debug()
+		if err != nil {
+			e = l.Log.Warn().Err(err)
+		}
+		e.Str("op", op).Str("key", key).Dur("took", l.Timer.Now().Sub(start)).Msg("store call")
+	}
+}
--- /dev/null
+++ b/internal/objectapi/memory.go
@@ -0,0 +1,304 @@
+package objectapi
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+var _ persimmoncart.Store = (*Memory)(nil)
+
+// Limits of the platform's object API (docs/design.md, section 3).
+const (
+	DefaultHistory   = 16384 // events that a watch can resume from
+	DefaultReadRate  = 2000  // calls a second
+	DefaultWriteRate = 400   // calls a second
+	burstShare       = 10    // a burst is a tenth of the calls of one second
+)
+
+// opWatch is the operation that errors of watches name.
+const opWatch = "watch"
+
+// errRate is the cause of an *UnavailableError above a rate limit.
+var errRate = errors.New("rate limit")
+
+// Counts are the calls that a store has received, by kind.
+type Counts struct {
+	Limited uint64 // calls refused by a rate limit; also counted by their kind
+	Opened  uint64 // watches ever opened
+	Reads   uint64 // Get and List
+	Watches uint64 // watches open now
+	Writes  uint64 // Create, Delete and Update
+}
+
+// A Memory is an object API in memory. Set the fields before the first call.
+//
+// Calls take no time. Rate limits follow Timer, so that a Memory runs in virtual
+// time. A call above a limit returns an *UnavailableError with a retry time.
+type Memory struct {
+	History   int     // events kept for watches; zero is DefaultHistory
+	ReadRate  float64 // calls a second; zero is unlimited
+	Timer     persimmoncart.Timer
+	WriteRate float64 // calls a second; zero is unlimited
+
+	changed  chan struct{} // closed at the next write
+	counts   Counts
+	events   []persimmoncart.WatchEvent // versions are consecutive
+	mutex    sync.Mutex
+	objects  map[string]persimmoncart.Object
+	reads    *rate.Limiter
+	version  persimmoncart.Version
+	watchers uint64
+	writes   *rate.Limiter
+}
+
+// Counts returns the calls received so far.
+func (m *Memory) Counts() Counts {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	c := m.counts
+	c.Watches = m.watchers
+	return c
+}
+
+// Create implements persimmoncart.Store.
+func (m *Memory) Create(ctx context.Context, key string, value []byte) (persimmoncart.Version, error) {
+	return m.write(ctx, key, value, 0, false)
+}
+
+// Delete implements persimmoncart.Store.
+func (m *Memory) Delete(ctx context.Context, key string, version persimmoncart.Version) error {
+	_, err := m.write(ctx, key, nil, version, true)
+	return err
+}
+
+// Get implements persimmoncart.Store.
+func (m *Memory) Get(ctx context.Context, key string) (persimmoncart.Object, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err := m.read(ctx, "get"); err != nil {
+		return persimmoncart.Object{}, err
+	}
+	o, ok := m.objects[key]
+	if !ok {
+		return persimmoncart.Object{}, &persimmoncart.NotFoundError{Key: key}
+	}
+	o.Value = slices.Clone(o.Value)
+	return o, nil
+}
+
+// List implements persimmoncart.Store.
+func (m *Memory) List(ctx context.Context, prefix string) ([]persimmoncart.Object, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err := m.read(ctx, "list"); err != nil {
+		return nil, err
+	}
+	var list []persimmoncart.Object
+	for k, o := range m.objects {
+		if strings.HasPrefix(k, prefix) {
+			o.Value = slices.Clone(o.Value)
+			list = append(list, o)
+		}
+	}
+	slices.SortFunc(list, func(a, b persimmoncart.Object) int { return strings.Compare(a.Key, b.Key) })
+	return list, nil
+}
+
+// Update implements persimmoncart.Store.
+func (m *Memory) Update(ctx context.Context, key string, value []byte, version persimmoncart.Version) (persimmoncart.Version, error) {
+	if version == 0 {
+		return 0, &persimmoncart.ConflictError{Have: m.versionOf(key), Key: key}
+	}
+	return m.write(ctx, key, value, version, false)
+}
+
+// Version returns the version of the last write.
+func (m *Memory) Version() persimmoncart.Version {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.version
+}
+
+// Watch implements persimmoncart.Store. A from that lies before the kept history
+// gives an *UnavailableError that wraps a *HistoryError.
+func (m *Memory) Watch(ctx context.Context, prefix string, from persimmoncart.Version) (persimmoncart.Watch, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, &persimmoncart.UnavailableError{Err: err, Op: opWatch}
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.counts.Opened++
+	if err := m.checkHistory(from); err != nil {
+		return nil, err
+	}
+	m.watchers++
+	return &memoryWatch{closed: make(chan struct{}), cursor: from, memory: m, prefix: prefix}, nil
+}
+
+// checkHistory returns an error if the events after from are gone; the mutex is held.
+func (m *Memory) checkHistory(from persimmoncart.Version) error {
+	if oldest := m.version - persimmoncart.Version(len(m.events)); from < oldest {
+		return &persimmoncart.UnavailableError{
+			Err: &persimmoncart.HistoryError{From: from, Oldest: oldest},
+			Op:  opWatch,
+		}
+	}
+	return nil
+}
+
+// allow applies a rate limit; the mutex is held.
+func (m *Memory) allow(ctx context.Context, op string, limiter **rate.Limiter, limit float64) error {
+	if err := ctx.Err(); err != nil {
+		return &persimmoncart.UnavailableError{Err: err, Op: op}
+	}
+	if limit <= 0 {
+		return nil
+	}
+	if *limiter == nil {
+		*limiter = rate.NewLimiter(rate.Limit(limit), max(int(limit/burstShare), 1))
+	}
+	now := m.Timer.Now()
+	r := (*limiter).ReserveN(now, 1)
+	if d := r.DelayFrom(now); d > 0 {
+		r.CancelAt(now)
+		m.counts.Limited++
+		return &persimmoncart.UnavailableError{Err: errRate, Op: op, Retry: d}
+	}
+	return nil
+}
+
+// read counts and limits one read; the mutex is held.
+func (m *Memory) read(ctx context.Context, op string) error {
+	m.counts.Reads++
+	return m.allow(ctx, op, &m.reads, m.ReadRate)
+}
+
+// write applies one write. A zero version means that the key must not exist.
+func (m *Memory) write(ctx context.Context, key string, value []byte, version persimmoncart.Version, remove bool) (persimmoncart.Version, error) {
+	if len(value) > persimmoncart.MaxValueBytes {
+		return 0, &persimmoncart.TooLargeError{Key: key, Size: len(value)}
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.counts.Writes++
+	if err := m.allow(ctx, "write", &m.writes, m.WriteRate); err != nil {
+		return 0, err
+	}
+	have := m.objects[key]
+	if have.Version != version {
+		return 0, &persimmoncart.ConflictError{Have: have.Version, Key: key, Want: version}
+	}
+	m.version++
+	o := persimmoncart.Object{Key: key, Value: slices.Clone(value), Version: m.version}
+	if m.objects == nil {
+		m.objects = map[string]persimmoncart.Object{}
+	}
+	if remove {
+		delete(m.objects, key)
+	} else {
+		m.objects[key] = o
+	}
+	m.record(persimmoncart.WatchEvent{Deleted: remove, Object: o})
+	return o.Version, nil
+}
+
+// record adds an event to the history and wakes the watches; the mutex is held.
+func (m *Memory) record(e persimmoncart.WatchEvent) {
+	limit := m.History
+	if limit == 0 {
+		limit = DefaultHistory
+	}
+	m.events = append(m.events, e)
+	// Cutting only at twice the limit keeps the cost of a write constant.
+	if len(m.events) >= 2*limit {
+		m.events = slices.Clone(m.events[len(m.events)-limit:])
+	}
+	if m.changed != nil {
+		close(m.changed)
+		m.changed = nil
+	}
+}
+
+// versionOf returns the version of an object, or zero.
+func (m *Memory) versionOf(key string) persimmoncart.Version {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.objects[key].Version
+}
+
+// wake returns a channel that is closed at the next write; the mutex is held.
+func (m *Memory) wake() <-chan struct{} {
+	if m.changed == nil {
+		m.changed = make(chan struct{})
+	}
+	return m.changed
+}
+
+// A memoryWatch is an open watch on a Memory.
+type memoryWatch struct {
+	closed chan struct{}
+	cursor persimmoncart.Version // last version looked at
+	memory *Memory
+	once   sync.Once
+	prefix string
+}
+
+// Close implements persimmoncart.Watch.
+func (w *memoryWatch) Close() error {
+	w.once.Do(func() {
+		close(w.closed)
+		w.memory.mutex.Lock()
+		defer w.memory.mutex.Unlock()
+		w.memory.watchers--
+	})
+	return nil
+}
+
+// Next implements persimmoncart.Watch.
+func (w *memoryWatch) Next(ctx context.Context) (persimmoncart.WatchEvent, error) {
+	for {
+		e, wake, err := w.poll()
+		if err != nil || wake == nil {
+			return e, err
+		}
+		select {
+		case <-ctx.Done():
+			return persimmoncart.WatchEvent{}, ctx.Err()
+		case <-w.closed:
+			return persimmoncart.WatchEvent{}, &persimmoncart.UnavailableError{Err: errWatchClosed, Op: opWatch}
+		case <-wake:
+		}
+	}
+}
+
+// errWatchClosed is the cause of an *UnavailableError after Close.
+var errWatchClosed = errors.New("watch is closed")
+
+// poll returns the next event, or a channel to wait on if there is none.
+func (w *memoryWatch) poll() (persimmoncart.WatchEvent, <-chan struct{}, error) {
+	m := w.memory
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if err := m.checkHistory(w.cursor); err != nil {
+		return persimmoncart.WatchEvent{}, nil, err
+	}
+	first := len(m.events) - int(m.version-w.cursor)
+	if w.cursor > m.version {
+		first = len(m.events)
+	}
+	for _, e := range m.events[first:] {
+		w.cursor = e.Object.Version
+		if strings.HasPrefix(e.Object.Key, w.prefix) {
+			e.Object.Value = slices.Clone(e.Object.Value)
+			return e, nil, nil
+		}
+	}
+	return persimmoncart.WatchEvent{}, m.wake(), nil
+}
--- /dev/null
+++ b/internal/objectapi/wire.go
@@ -0,0 +1,56 @@
+package objectapi
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+const (
+	listPath   = "/v1/list"
+	objectPath = "/v1/objects/"
+	watchPath  = "/v1/watch"
+)
+
+// Codes of error answers.
+const (
+	codeConflict    = "conflict"
+	codeHistory     = "history"
+	codeInvalid     = "invalid"
+	codeNotFound    = "not_found"
+	codeTooLarge    = "too_large"
+	codeUnavailable = "unavailable"
+)
+
+// A wireList is the answer to a list call.
+type wireList struct {
+	Objects []wireObject `json:"objects"`
+}
+
+// A wireObject is an object or a watch event.
+type wireObject struct {
+	Deleted bool                  `json:"deleted,omitempty"`
+	Key     string                `json:"key"`
+	Value   []byte                `json:"value,omitempty"`
+	Version persimmoncart.Version `json:"version"`
+}
+
+// A wireVersion is the answer to a write.
+type wireVersion struct {
+	Version persimmoncart.Version `json:"version"`
+}
+
+// formatTag returns the entity tag of a version.
+func formatTag(v persimmoncart.Version) string {
+	return strconv.Quote(strconv.FormatUint(uint64(v), 10))
+}
+
+// parseTag returns the version of an entity tag, or a *RequestError.
+func parseTag(s string) (persimmoncart.Version, error) {
+	v, err := strconv.ParseUint(strings.Trim(s, `"`), 10, 64)
+	if err != nil {
+		return 0, &RequestError{Reason: "no version in If-Match " + strconv.Quote(s)}
+	}
+	return persimmoncart.Version(v), nil
+}
--- /dev/null
+++ b/internal/transport/client.go
@@ -0,0 +1,74 @@
+// Package transport holds the HTTP parts that the clients and the fakes of the
+// outside systems share.
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	dialTimeout     = 2 * time.Second
+	idleConnTimeout = 90 * time.Second
+	// A node keeps about 40 requests a second in flight for some seconds each;
+	// fewer idle connections would close and reopen them in every swing.
+	idleConnsPerHost = 128
+	readBufferBytes  = 4 << 10
+)
+
+// NewClient returns a client for HTTP/1.1 calls to an outside system.
+//
+// A nil config means cleartext. HTTP/1.1 carries one call on a connection, so
+// that Sent knows exactly whether a failed call left this process, and a
+// streamed token costs less processor time than in an HTTP/2 frame. Requests
+// have no overall timeout: the context of each call bounds it.
+func NewClient(config *tls.Config) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	return &http.Client{
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return &countingConn{Conn: c}, nil
+			},
+			DisableCompression:  true,
+			IdleConnTimeout:     idleConnTimeout,
+			MaxIdleConnsPerHost: idleConnsPerHost,
+			Protocols:           protocols,
+			ReadBufferSize:      readBufferBytes,
+			TLSClientConfig:     config,
+			TLSHandshakeTimeout: dialTimeout,
+		},
+	}
+}
+
+// URL returns the base URL of the system at addr.
+func URL(addr netip.AddrPort, secure bool) string {
+	if secure {
+		return "https://" + addr.String()
+	}
+	return "http://" + addr.String()
+}
+
+// A countingConn counts the bytes written to a connection.
+type countingConn struct {
+	net.Conn
+	written atomic.Int64 // bytes
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
