Fix a race in the test of a store that is gone

Cause: the client could still hold a connection that the closed server had not torn down yet, and a write into it is rightly ambiguous. Change: close the client's idle connections before the write.

--- a/internal/objectapi/contract_test.go
+++ b/internal/objectapi/contract_test.go
@@ -201,6 +201,8 @@
 	version, err := s.store.Create(t.Context(), "k", nil)
 	assert.NilError(t, err)
 	s.server.Close()
+	// A connection that still looks open would rightly be ambiguous.
+	s.store.(*objectapi.Client).HTTP.CloseIdleConnections()
 	unavailable := &persimmoncart.UnavailableError{}
 	_, err = s.store.Create(t.Context(), "k2", nil)
 	assert.Assert(t, errors.As(err, &unavailable), "%v", err)
