--- /dev/null
+++ b/internal/places/places_test.go
@@ -0,0 +1,182 @@
+package places_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/places"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+)
+
+// fixed is a configuration that never changes.
+type fixed struct {
+	snapshot persimmoncart.Snapshot
+}
+
+func (f *fixed) Snapshot() *persimmoncart.Snapshot                     { return &f.snapshot }
+func (f *fixed) Subscribe(func(*persimmoncart.Snapshot)) (stop func()) { return func() {} }
+
+// peers connects places in one process.
+type peers map[persimmoncart.InstanceID]persimmoncart.Lender
+
+func (p peers) Lender(id persimmoncart.InstanceID) persimmoncart.Lender { return p[id] }
+
+func engine(id persimmoncart.EndpointID, role persimmoncart.Role, slots int) *persimmoncart.Endpoint {
+	return &persimmoncart.Endpoint{
+		Blocks: 100, DataCentre: "sfax-hall1", ID: id, Models: []persimmoncart.ModelName{"m"},
+		Pool: "hull-llm", Region: "sfax-coast", Role: role, Slots: slots,
+	}
+}
+
+func configuration(endpoints ...*persimmoncart.Endpoint) *fixed {
+	f := &fixed{persimmoncart.Snapshot{
+		Endpoints: map[persimmoncart.EndpointID]*persimmoncart.Endpoint{},
+		Pools:     map[persimmoncart.PoolName]*persimmoncart.Pool{"hull-llm": {Name: "hull-llm"}},
+		Version:   1,
+	}}
+	for _, e := range endpoints {
+		f.snapshot.Endpoints[e.ID] = e
+	}
+	return f
+}
+
+func request(class persimmoncart.Class, due time.Duration) persimmoncart.ReserveRequest {
+	return persimmoncart.ReserveRequest{
+		Class: class, Deadline: time.Now().Add(due), Limit: 100, Model: "m", Pool: "hull-llm", Tokens: 1000,
+	}
+}
+
+func start(t *testing.T, p *places.Places) {
+	p.Timer = &timer.System{}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+}
+
+func usable(ids ...persimmoncart.EndpointID) (list []persimmoncart.Usable) {
+	for _, id := range ids {
+		list = append(list, persimmoncart.Usable{Blocks: 100, Endpoint: id, Owned: true, Slots: 1})
+	}
+	return list
+}
+
+// Guards against a slot that is granted twice, a waiter that is not woken in
+// the order of the queue, and a slot lost with a caller that left.
+func TestReserveOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &places.Places{Configuration: configuration(engine("d", persimmoncart.RoleDecode, 1), engine("p", persimmoncart.RolePrefill, 4))}
+		start(t, p)
+		p.SetUsable([]persimmoncart.Usable{{Blocks: 100, Endpoint: "d", Owned: true, Slots: 1}, {Blocks: 100, Endpoint: "p", Owned: true, Slots: 4}})
+		first, err := p.Reserve(t.Context(), request(persimmoncart.ClassBatch, time.Minute))
+		assert.NilError(t, err)
+		assert.NilError(t, p.Commit(t.Context(), first.ID))
+		var order []string
+		wait := func(name string, ctx context.Context, r persimmoncart.ReserveRequest) {
+			go func() {
+				g, err := p.Reserve(ctx, r)
+				if err != nil {
+					order = append(order, name+" failed")
+					return
+				}
+				order = append(order, name)
+				p.Release(g.ID)
+			}()
+			synctest.Wait()
+		}
+		left, leave := context.WithCancel(t.Context())
+		wait("left", left, request(persimmoncart.ClassInteractive, 50*time.Second))
+		wait("late", t.Context(), request(persimmoncart.ClassBatch, time.Minute))
+		wait("early", t.Context(), request(persimmoncart.ClassBatch, 30*time.Second))
+		wait("interactive", t.Context(), request(persimmoncart.ClassInteractive, 50*time.Second))
+		leave()
+		synctest.Wait()
+		p.Release(first.ID)
+		synctest.Wait()
+		assert.DeepEqual(t, order, []string{"left failed", "interactive", "early", "late"})
+	})
+}
+
+// Guards against holding a request that can no longer be served in time.
+func TestReserveRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &places.Places{Configuration: configuration(engine("d", persimmoncart.RoleDecode, 1), engine("p", persimmoncart.RolePrefill, 4))}
+		start(t, p)
+		p.SetUsable(usable("d", "p"))
+		g, err := p.Reserve(t.Context(), request(persimmoncart.ClassBatch, time.Minute))
+		assert.NilError(t, err)
+		assert.NilError(t, p.Commit(t.Context(), g.ID))
+		begin := time.Now()
+		_, err = p.Reserve(t.Context(), request(persimmoncart.ClassInteractive, 10*time.Second))
+		var refusal *persimmoncart.Refusal
+		assert.Assert(t, errors.As(err, &refusal))
+		assert.Equal(t, refusal.Code, persimmoncart.RefusalCapacity)
+		assert.Equal(t, refusal.Outcome, persimmoncart.OutcomeNotRun)
+		assert.Assert(t, refusal.Retry > 0)
+		assert.Assert(t, time.Since(begin) < 9*time.Second, "held until near the deadline")
+	})
+}
+
+// Guards against an expired grant that still counts, and against one that is
+// used after it has expired.
+func TestGrantExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &places.Places{Configuration: configuration(engine("d", persimmoncart.RoleDecode, 1), engine("p", persimmoncart.RolePrefill, 4))}
+		start(t, p)
+		p.SetUsable(usable("d", "p"))
+		g, err := p.Reserve(t.Context(), request(persimmoncart.ClassBatch, time.Minute))
+		assert.NilError(t, err)
+		time.Sleep(3 * time.Second)
+		var lost *places.GrantError
+		assert.Assert(t, errors.As(p.Commit(t.Context(), g.ID), &lost))
+		g, err = p.Reserve(t.Context(), request(persimmoncart.ClassBatch, time.Minute))
+		assert.NilError(t, err)
+		assert.NilError(t, p.Commit(t.Context(), g.ID))
+		time.Sleep(3 * time.Second)
+		p.Release(g.ID)
+	})
+}
+
+// Guards against a lent slot that the owner grants again, and against one that
+// does not come back when the borrower releases it.
+func TestBorrow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := configuration(engine("d", persimmoncart.RoleDecode, 1), engine("p", persimmoncart.RolePrefill, 1))
+		link := peers{}
+		var all []*places.Places
+		for _, id := range []persimmoncart.InstanceID{"n1", "n2", "n3"} {
+			p := &places.Places{Configuration: c, Lenders: link, Self: persimmoncart.Instance{ID: id, Region: "sfax-coast"}}
+			link[id] = p
+			all = append(all, p)
+			start(t, p)
+		}
+		all[0].SetUsable(usable("d"))
+		all[1].SetUsable(usable("p"))
+		for _, p := range all {
+			for _, o := range all {
+				p.Learn(o.Digest(), time.Millisecond)
+			}
+		}
+		g, err := all[2].Reserve(t.Context(), request(persimmoncart.ClassBatch, time.Minute))
+		assert.NilError(t, err)
+		assert.Equal(t, g.Decode.ID, persimmoncart.EndpointID("d"))
+		assert.Equal(t, g.Prefill.ID, persimmoncart.EndpointID("p"))
+		assert.NilError(t, all[2].Commit(t.Context(), g.ID))
+		all[2].PrefillDone(g.ID)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, all[0].Digest().Pools[0].Free, 0)
+		assert.Equal(t, all[1].Digest().Pools[0].Free, 1)
+		all[2].Release(g.ID)
+		time.Sleep(time.Second)
+		assert.Equal(t, all[0].Digest().Pools[0].Free, 1)
+	})
+}
--- /dev/null
+++ b/internal/policy/balance.go
@@ -0,0 +1,125 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// balanceGain is the weight of one new latency in an endpoint's average.
+const balanceGain = 0.1
+
+// A Balance chooses application endpoints of one pool: the better of two random
+// ones by calls in flight and latency, stragglers left out.
+type Balance struct {
+	endpoints  []*balanced // sorted by identifier
+	pool       persimmoncart.PoolName
+	stragglers *Stragglers
+}
+
+// A balanced is one endpoint of a Balance.
+type balanced struct {
+	average  float64 // seconds
+	endpoint persimmoncart.Endpoint
+	inFlight int
+	probing  bool
+}
+
+// NewBalance returns a Balance of a pool without endpoints.
+func NewBalance(pool persimmoncart.PoolName, stragglers *Stragglers) *Balance {
+	return &Balance{pool: pool, stragglers: stragglers}
+}
+
+// Done takes the end of a call on an endpoint.
+func (b *Balance) Done(now time.Time, result persimmoncart.CallResult) {
+	i := slices.IndexFunc(b.endpoints, func(e *balanced) bool { return e.endpoint.ID == result.Endpoint })
+	if i < 0 {
+		return
+	}
+	e := b.endpoints[i]
+	e.inFlight = max(e.inFlight-1, 0)
+	e.probing = false
+	switch {
+	case result.Cancelled:
+		// The latency of a hedge's loser is a lower bound: it counts only if
+		// it is already above the average.
+		if result.Latency.Seconds() > e.average {
+			b.learn(now, e, result.Latency)
+		}
+	default:
+		b.learn(now, e, result.Latency)
+	}
+}
+
+// InFlight returns the calls in flight on an endpoint.
+func (b *Balance) InFlight(id persimmoncart.EndpointID) int {
+	for _, e := range b.endpoints {
+		if e.endpoint.ID == id {
+			return e.inFlight
+		}
+	}
+	return 0
+}
+
+// Pick chooses an endpoint and counts a call on it. It reports false if there
+// is none; the endpoints in avoid are used only if there is no other.
+func (b *Balance) Pick(now time.Time, random *rand.Rand, avoid []persimmoncart.EndpointID) (persimmoncart.Endpoint, bool) {
+	var healthy, fallback []*balanced
+	for _, e := range b.endpoints {
+		if e.endpoint.Leaving {
+			continue
+		}
+		weight, probe := b.stragglers.Weight(now, b.pool, persimmoncart.RoleApplication, e.endpoint.ID)
+		switch avoided := slices.Contains(avoid, e.endpoint.ID); {
+		case probe && !avoided && !e.probing:
+			e.probing = true
+			e.inFlight++
+			return e.endpoint, true
+		case weight > 0 && !avoided:
+			healthy = append(healthy, e)
+		default:
+			fallback = append(fallback, e)
+		}
+	}
+	if len(healthy) == 0 {
+		healthy = fallback
+	}
+	if len(healthy) == 0 {
+		return persimmoncart.Endpoint{}, false
+	}
+	e := healthy[random.IntN(len(healthy))]
+	if o := healthy[random.IntN(len(healthy))]; b.cost(now, o) < b.cost(now, e) {
+		e = o
+	}
+	e.inFlight++
+	return e.endpoint, true
+}
+
+// SetEndpoints replaces the endpoints and keeps what is known of those that stay.
+func (b *Balance) SetEndpoints(endpoints []persimmoncart.Endpoint) {
+	old := b.endpoints
+	b.endpoints = nil
+	for i := range endpoints {
+		e := &balanced{}
+		if j := slices.IndexFunc(old, func(o *balanced) bool { return o.endpoint.ID == endpoints[i].ID }); j >= 0 {
+			e = old[j]
+		}
+		e.endpoint = endpoints[i]
+		b.endpoints = append(b.endpoints, e)
+	}
+	b.stragglers.SetPool(b.pool, persimmoncart.RoleApplication, len(endpoints), 0, 0)
+}
+
+// cost is the expected time of one more call.
+func (b *Balance) cost(now time.Time, e *balanced) float64 {
+	weight, _ := b.stragglers.Weight(now, b.pool, persimmoncart.RoleApplication, e.endpoint.ID)
+	return float64(e.inFlight+1) * max(e.average, 0.001) / max(weight, 0.01)
+}
+
+// learn takes a latency.
+func (b *Balance) learn(now time.Time, e *balanced, latency time.Duration) {
+	e.average += balanceGain * (latency.Seconds() - e.average)
+	b.stragglers.Add(now, b.pool, persimmoncart.RoleApplication, e.endpoint.ID, latency)
+}
--- /dev/null
+++ b/internal/policy/broker.go
@@ -0,0 +1,325 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// Constants of a broker.
+const (
+	// DefaultExpiry is the life of a grant or lent seat that nobody committed.
+	DefaultExpiry = 2 * time.Second
+	// DefaultMaxWait is the longest prefill queue that a decode slot is held
+	// for: a longer one leaves decode slots idle.
+	DefaultMaxWait = 400 * time.Millisecond
+	// DefaultQueue bounds the waiting requests of one pool and model.
+	DefaultQueue = 1024
+	// DefaultPrefixes bounds the prefix index.
+	DefaultPrefixes = 16384
+	// brokerTick is the period in which waiting requests are looked at again.
+	brokerTick = 20 * time.Millisecond
+)
+
+// Effects carries out what a Broker decides. The Broker calls it during its own
+// methods; implementations must not call the Broker back.
+type Effects interface {
+	// Borrow sends a request to an owner; the answer goes to Broker.Lent.
+	Borrow(owner persimmoncart.InstanceID, request persimmoncart.BorrowRequest)
+	// Grant ends the wait of a ticket with a grant.
+	Grant(ticket uint64, grant persimmoncart.Grant)
+	// Lend answers a request that Broker.Lend took.
+	Lend(lend uint64, loan persimmoncart.Loan)
+	// Refuse ends the wait of a ticket with a refusal.
+	Refuse(ticket uint64, refusal *persimmoncart.Refusal)
+	// Settle tells an owner about lent seats.
+	Settle(owner persimmoncart.InstanceID, changes []persimmoncart.SeatChange)
+}
+
+// BrokerSettings are the settings of a Broker.
+type BrokerSettings struct {
+	BorrowItems int // most items in one borrow message; zero is the default
+	Effects     Effects
+	Expiry      time.Duration
+	LinkShare   float64 // this instance's part of the links' rate
+	MaxWait     time.Duration
+	Prefix      string // makes grant identifiers unique across instances and restarts
+	QueueLimit  int
+	Random      *rand.Rand
+	Region      persimmoncart.Region
+	Self        persimmoncart.InstanceID
+	TokenBytes  float64 // KV cache of one prompt token
+}
+
+// A Broker decides which requests of one instance are served by which replicas.
+//
+// It grants slots of its own replicas, lends them to other instances, borrows
+// from other owners, and refuses what cannot be served in time.
+type Broker struct {
+	endpoints  map[persimmoncart.EndpointID]*persimmoncart.Endpoint
+	grants     map[persimmoncart.GrantID]*grantState
+	lanes      map[laneKey]*lane
+	ledger     *Ledger
+	lends      map[uint64]*lending
+	loans      map[loanKey]uint64 // request to lend, so that a repeat gets the same answer
+	order      []*lane            // lanes in the order of creation
+	outgoing   map[uint64]*borrowing
+	peers      *peerTable
+	placement  Placement
+	replicas   map[persimmoncart.EndpointID]*Replica
+	seats      map[persimmoncart.GrantID]*lentSeat
+	byHolding  map[uint64]persimmoncart.GrantID
+	sequence   uint64
+	settings   BrokerSettings
+	stragglers *Stragglers
+	tickets    map[uint64]*waiter
+}
+
+// NewBroker returns a Broker without replicas. Zero settings get their defaults.
+func NewBroker(s BrokerSettings) *Broker {
+	s = s.withDefaults()
+	return &Broker{
+		byHolding: make(map[uint64]persimmoncart.GrantID),
+		endpoints: make(map[persimmoncart.EndpointID]*persimmoncart.Endpoint),
+		grants:    make(map[persimmoncart.GrantID]*grantState),
+		lanes:     make(map[laneKey]*lane),
+		ledger:    NewLedger(),
+		lends:     make(map[uint64]*lending),
+		loans:     make(map[loanKey]uint64),
+		outgoing:  make(map[uint64]*borrowing),
+		peers:     newPeerTable(),
+		placement: Placement{
+			Links:      NewLinks(s.LinkShare),
+			MaxWait:    s.MaxWait,
+			Prefixes:   NewPrefixIndex(DefaultPrefixes),
+			TokenBytes: s.TokenBytes,
+		},
+		replicas:   make(map[persimmoncart.EndpointID]*Replica),
+		seats:      make(map[persimmoncart.GrantID]*lentSeat),
+		settings:   s,
+		stragglers: NewStragglers(),
+		tickets:    make(map[uint64]*waiter),
+	}
+}
+
+// withDefaults returns the settings with defaults for zero values.
+func (s BrokerSettings) withDefaults() BrokerSettings {
+	setDefault(&s.BorrowItems, DefaultBorrowItems)
+	setDefault(&s.Expiry, DefaultExpiry)
+	setDefault(&s.LinkShare, 1)
+	setDefault(&s.MaxWait, DefaultMaxWait)
+	setDefault(&s.QueueLimit, DefaultQueue)
+	setDefault(&s.TokenBytes, DefaultTokenBytes)
+	return s
+}
+
+// setDefault sets *v to d if it is zero.
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// A part is one secured half of a grant.
+type part struct {
+	cached   int
+	endpoint *persimmoncart.Endpoint // nil until secured
+	first    time.Duration           // expected prefill time when it was secured
+	holding  uint64                  // in the own ledger; zero for a lent seat
+	owner    persimmoncart.InstanceID
+	replica  *Replica
+	seat     persimmoncart.GrantID // at the owner
+	tokens   int                   // prompt tokens to compute
+}
+
+// A grantState is one grant in force.
+type grantState struct {
+	committed bool
+	decode    part
+	expires   time.Time
+	limit     int
+	pace      time.Duration // last seen time between tokens
+	prefill   part
+	granted   time.Time
+	lane      *lane
+}
+
+// A waiter is one request in the admission queue: an own request, or an item
+// of another instance's borrow.
+type waiter struct {
+	Item
+	ask         Ask
+	decode      part
+	index       int      // item of lend
+	lend        *lending // nil for own requests
+	needDecode  bool
+	needPrefill bool
+	prefill     part
+	request     persimmoncart.ReserveRequest
+	since       time.Time
+}
+
+// Cancel withdraws a ticket that is still waiting.
+func (b *Broker) Cancel(now time.Time, ticket uint64) {
+	if w, found := b.tickets[ticket]; found {
+		b.drop(now, w)
+	}
+}
+
+// Commit keeps a grant beyond its expiry. It reports whether the grant exists.
+func (b *Broker) Commit(now time.Time, id persimmoncart.GrantID) bool {
+	g, found := b.grants[id]
+	if !found || (!g.committed && now.After(g.expires)) {
+		return false
+	}
+	g.committed = true
+	b.commitPart(now, &g.decode)
+	b.commitPart(now, &g.prefill)
+	return true
+}
+
+// PrefillDone releases the prefill half of a grant and learns from its duration.
+func (b *Broker) PrefillDone(now time.Time, id persimmoncart.GrantID) {
+	g, found := b.grants[id]
+	if !found || g.prefill.endpoint == nil {
+		return
+	}
+	took := now.Sub(g.granted)
+	if g.prefill.replica != nil {
+		g.prefill.replica.Sample(g.prefill.first, took)
+	}
+	b.releasePart(now, &g.prefill, took)
+}
+
+// Release frees a grant. Unknown grants are ignored.
+func (b *Broker) Release(now time.Time, id persimmoncart.GrantID) {
+	g, found := b.grants[id]
+	if !found {
+		return
+	}
+	delete(b.grants, id)
+	if g.prefill.replica != nil {
+		g.prefill.replica.Unqueue(g.prefill.tokens)
+	}
+	b.releasePart(now, &g.prefill, 0)
+	b.releasePart(now, &g.decode, g.pace)
+}
+
+// Submit adds a request to the admission queue and returns its ticket, or why
+// it is refused at once. Step serves it.
+func (b *Broker) Submit(now time.Time, request persimmoncart.ReserveRequest, weight int) (uint64, *persimmoncart.Refusal) {
+	l := b.lane(request.Pool, request.Model)
+	if refusal := b.usable(l); refusal != nil {
+		return 0, refusal
+	}
+	w := b.waiter(now, l, request, weight)
+	w.needDecode, w.needPrefill = true, true
+	if refusal := l.check(now, b.settings.Random, w); refusal != nil {
+		return 0, refusal
+	}
+	if !l.queue.Push(&w.Item) {
+		return 0, l.refusal(b.settings.Random, "the admission queue is full")
+	}
+	b.tickets[w.ID] = w
+	return w.ID, nil
+}
+
+// Waiting returns the number of own and borrowing requests in the queues.
+func (b *Broker) Waiting() int { return len(b.tickets) }
+
+// commitPart keeps one half of a grant.
+func (b *Broker) commitPart(now time.Time, p *part) {
+	switch {
+	case p.endpoint == nil:
+	case p.holding != 0:
+		b.ledger.Commit(p.holding)
+	default:
+		b.peers.settle(now, p.owner, persimmoncart.SeatChange{ID: p.seat, Kind: persimmoncart.SeatCommitted})
+	}
+}
+
+// drop removes a waiter and whatever it has secured.
+func (b *Broker) drop(now time.Time, w *waiter) {
+	delete(b.tickets, w.ID)
+	l := b.lane(w.request.Pool, w.request.Model)
+	l.queue.Remove(&w.Item)
+	b.releaseWaiter(now, w)
+}
+
+// id returns a new identifier for a grant or seat.
+func (b *Broker) id(n uint64) persimmoncart.GrantID {
+	return persimmoncart.GrantID(b.settings.Prefix + "." + strconv.FormatUint(n, 36))
+}
+
+// next returns a new number for a ticket, holding or message.
+func (b *Broker) next() uint64 {
+	b.sequence++
+	return b.sequence
+}
+
+// releasePart frees one half of a grant.
+func (b *Broker) releasePart(now time.Time, p *part, took time.Duration) {
+	switch {
+	case p.endpoint == nil:
+	case p.holding != 0:
+		b.ledger.Release(p.holding)
+		delete(b.byHolding, p.holding)
+	default:
+		b.peers.settle(now, p.owner, persimmoncart.SeatChange{ID: p.seat, Kind: persimmoncart.SeatReleased, Took: took})
+	}
+	*p = part{}
+}
+
+// releaseWaiter frees what a waiter has secured.
+func (b *Broker) releaseWaiter(now time.Time, w *waiter) {
+	if w.prefill.replica != nil {
+		w.prefill.replica.Unqueue(w.prefill.tokens)
+	}
+	b.releasePart(now, &w.prefill, 0)
+	b.releasePart(now, &w.decode, 0)
+}
+
+// usable refuses requests of lanes that no replica anywhere serves.
+func (b *Broker) usable(l *lane) *persimmoncart.Refusal {
+	if len(l.decodes) > 0 || b.peers.serves(l.key, persimmoncart.RoleDecode) {
+		return nil
+	}
+	return &persimmoncart.Refusal{
+		Code:    persimmoncart.RefusalPoolEmpty,
+		Message: "no replica of pool " + string(l.key.pool) + " serves model " + string(l.key.model),
+		Outcome: persimmoncart.OutcomeNotRun,
+		Retry:   SpreadRetry(b.settings.Random, time.Second),
+	}
+}
+
+// waiter returns a waiter for a request, not yet queued.
+func (b *Broker) waiter(now time.Time, l *lane, request persimmoncart.ReserveRequest, weight int) *waiter {
+	w := &waiter{
+		Item: Item{
+			Account: request.Account,
+			Class:   request.Class,
+			Cost:    float64(request.Limit) + float64(request.Tokens)/promptCost,
+			Due:     request.Deadline,
+			ID:      b.next(),
+			Weight:  weight,
+		},
+		ask: Ask{
+			Avoid:    request.Avoid,
+			Blocks:   persimmoncart.Blocks(request.Tokens + request.Limit),
+			Class:    request.Class,
+			Model:    request.Model,
+			Prefixes: request.Prefixes,
+			Tokens:   request.Tokens,
+		},
+		request: request,
+		since:   now,
+	}
+	if !request.First.IsZero() {
+		w.Due = request.First
+	}
+	w.Latest = l.latest(&request)
+	return w
+}
--- /dev/null
+++ b/internal/policy/lane.go
@@ -0,0 +1,361 @@
+package policy
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// Constants of a lane.
+const (
+	// defaultPace is the expected time between tokens until it is measured.
+	defaultPace = 45 * time.Millisecond
+	// defaultFill is the expected share of the output limit that is generated.
+	defaultFill = 0.6
+	// laneBypass is how many waiting requests that do not fit now may be
+	// passed over, so that a large one does not block small ones.
+	laneBypass = 8
+	// promptCost is how many prompt tokens cost as much as one output token.
+	promptCost = 64
+)
+
+// A laneKey names the pool and model whose requests wait together.
+type laneKey struct {
+	model persimmoncart.ModelName
+	pool  persimmoncart.PoolName
+}
+
+// A lane holds the waiting requests and the usable replicas of one pool and model.
+type lane struct {
+	borrowAfter time.Time // earliest time of the next borrow after an empty answer
+	decodes     []*Replica
+	fill        float64 // measured share of the output limit that is generated
+	key         laneKey
+	pace        time.Duration // measured time between tokens
+	prefills    []*Replica
+	queue       *Queue
+	served      servedRate
+	stock       []stockSeat
+	wanted      [persimmoncart.RolePrefill + 1]int // items of outgoing borrows, by role
+}
+
+// A stockSeat is a borrowed seat that no request uses yet.
+type stockSeat struct {
+	endpoint *persimmoncart.Endpoint
+	owner    persimmoncart.InstanceID
+	seat     persimmoncart.Seat
+}
+
+// check refuses a request as soon as it is clear that it cannot be served in time.
+func (l *lane) check(now time.Time, random *rand.Rand, w *waiter) *persimmoncart.Refusal {
+	if now.After(w.Latest) {
+		if w.since.Equal(now) {
+			return &persimmoncart.Refusal{
+				Code:    persimmoncart.RefusalDeadline,
+				Message: "the deadline is too short for the request",
+				Outcome: persimmoncart.OutcomeNotRun,
+			}
+		}
+		return l.refusal(random, "no slot became free in time")
+	}
+	ahead := l.queue.Ahead(w.Class, w.Due)
+	if wait, known := l.served.wait(ahead); known && now.Add(wait).After(w.Latest) {
+		return l.refusal(random, "the queue is too long for the deadline")
+	}
+	return nil
+}
+
+// latest returns the last time at which serving a request is still useful.
+func (l *lane) latest(request *persimmoncart.ReserveRequest) time.Time {
+	decode := time.Duration(float64(request.Limit) * l.fill * float64(l.pace))
+	prefill := l.prefillTime(request.Tokens)
+	latest := request.Deadline.Add(-decode - prefill)
+	if !request.First.IsZero() {
+		if first := request.First.Add(-prefill); first.Before(latest) {
+			return first
+		}
+	}
+	return latest
+}
+
+// prefillTime returns the time of a prefill on the fastest replica.
+func (l *lane) prefillTime(tokens int) time.Duration {
+	rate := float64(DefaultPrefillRate)
+	for _, r := range l.prefills {
+		rate = max(rate, r.Rate)
+	}
+	return time.Duration(float64(tokens) / rate * float64(time.Second))
+}
+
+// refusal returns a refusal for lack of capacity, with a time to come back at
+// which the present queue is expected to be gone.
+func (l *lane) refusal(random *rand.Rand, message string) *persimmoncart.Refusal {
+	wait, known := l.served.wait(l.queue.Len())
+	if !known {
+		wait = time.Second
+	}
+	return &persimmoncart.Refusal{
+		Code:    persimmoncart.RefusalCapacity,
+		Message: message,
+		Outcome: persimmoncart.OutcomeNotRun,
+		Retry:   SpreadRetry(random, wait),
+	}
+}
+
+// lane returns the lane of a pool and model.
+func (b *Broker) lane(pool persimmoncart.PoolName, model persimmoncart.ModelName) *lane {
+	k := laneKey{model: model, pool: pool}
+	l, found := b.lanes[k]
+	if !found {
+		l = &lane{fill: defaultFill, key: k, pace: defaultPace, queue: NewQueue(b.settings.QueueLimit)}
+		b.lanes[k] = l
+		b.order = append(b.order, l)
+		b.assign(l)
+	}
+	return l
+}
+
+// Next returns when Step has something to do without another event.
+func (b *Broker) Next(now time.Time) time.Time {
+	next := b.ledger.Next()
+	if len(b.tickets) > 0 || len(b.lends) > 0 || b.peers.pending() {
+		if tick := now.Add(brokerTick); next.IsZero() || tick.Before(next) {
+			return tick
+		}
+	}
+	return next
+}
+
+// Step serves waiting requests, refuses those that cannot be served in time,
+// borrows for the rest, answers borrows and settles lent seats.
+func (b *Broker) Step(now time.Time) {
+	b.ledger.Expire(now, func(h Holding) { b.expired(now, h) })
+	b.refreshWeights(now)
+	for _, l := range b.order {
+		b.stepLane(now, l)
+	}
+	b.answerLends(now)
+	b.peers.flush(now, b.settings.Effects.Settle)
+}
+
+// expired forgets the grant or seat of an expired holding.
+func (b *Broker) expired(now time.Time, h Holding) {
+	id, found := b.byHolding[h.ID]
+	if !found {
+		return
+	}
+	delete(b.byHolding, h.ID)
+	if s, lent := b.seats[id]; lent {
+		delete(b.seats, id)
+		s.holding = 0
+		return
+	}
+	b.Release(now, id)
+}
+
+// stepLane serves the waiting requests of one lane.
+func (b *Broker) stepLane(now time.Time, l *lane) {
+	l.served.tick(now, l.queue.Len() > 0)
+	if l.queue.Len() == 0 {
+		b.returnStock(now, l)
+		return
+	}
+	var served, late, unplaced []*waiter
+	missed := 0
+	l.queue.Order(func(e *Item) bool {
+		w := b.tickets[e.ID]
+		switch {
+		case now.After(e.Latest):
+			late = append(late, w)
+		case b.secure(now, l, w):
+			served = append(served, w)
+		default:
+			if w.lend == nil {
+				unplaced = append(unplaced, w)
+			}
+			missed++
+		}
+		return missed < laneBypass
+	})
+	for _, w := range late {
+		b.refuse(now, l, w)
+	}
+	for _, w := range served {
+		b.serve(now, l, w)
+	}
+	b.returnStock(now, l)
+	b.borrow(now, l, unplaced)
+}
+
+// refuse ends the wait of a request that cannot be served in time.
+func (b *Broker) refuse(now time.Time, l *lane, w *waiter) {
+	b.drop(now, w)
+	if w.lend == nil {
+		b.settings.Effects.Refuse(w.ID, l.refusal(b.settings.Random, "no slot became free in time"))
+	}
+}
+
+// secure tries to secure the halves that a waiter still needs. It reports
+// whether the waiter has all of them.
+func (b *Broker) secure(now time.Time, l *lane, w *waiter) bool {
+	needDecode := w.needDecode && w.decode.endpoint == nil
+	needPrefill := w.needPrefill && w.prefill.endpoint == nil
+	if needDecode && needPrefill {
+		if c, found := b.placement.Choose(now, &w.ask, l.prefills, l.decodes); found {
+			b.takeDecode(now, w, c.Decode)
+			b.takePrefill(now, w, c.Prefill)
+			b.placement.reserveTransfer(now, &c, w.ask.Tokens)
+			return true
+		}
+	}
+	if needDecode && !b.secureDecode(now, l, w) {
+		return false
+	}
+	if !needPrefill || b.securePrefill(now, l, w) {
+		return true
+	}
+	// A borrower that gets a decode slot alone looks for the prefill elsewhere.
+	return w.lend != nil && w.needDecode
+}
+
+// secureDecode takes a decode slot from the stock or the own replicas.
+func (b *Broker) secureDecode(now time.Time, l *lane, w *waiter) bool {
+	if b.takeStock(l, w, persimmoncart.RoleDecode, &w.decode) {
+		return true
+	}
+	if w.lend == nil && !b.prefillNear(now, l, w) {
+		return false
+	}
+	if r, found := b.placement.ChooseDecode(&w.ask, l.decodes); found {
+		b.takeDecode(now, w, r)
+		return true
+	}
+	return false
+}
+
+// securePrefill takes a prefill slot from the stock or the own replicas, in the
+// region of the decode slot.
+func (b *Broker) securePrefill(now time.Time, l *lane, w *waiter) bool {
+	if b.takeStock(l, w, persimmoncart.RolePrefill, &w.prefill) {
+		return true
+	}
+	if w.decode.endpoint != nil {
+		w.ask.Home, w.ask.Region = w.decode.endpoint.DataCentre, w.decode.endpoint.Region
+	}
+	r, found := b.placement.ChoosePrefill(now, &w.ask, l.prefills)
+	if found {
+		b.takePrefill(now, w, r)
+	}
+	return found
+}
+
+// prefillNear reports whether a prefill slot can be expected, so that a decode
+// slot is not held in vain.
+func (b *Broker) prefillNear(now time.Time, l *lane, w *waiter) bool {
+	if _, found := b.placement.ChoosePrefill(now, &w.ask, l.prefills); found {
+		return true
+	}
+	return b.peers.prefillWait(l.key, cmp.Or(w.ask.Region, b.settings.Region)) <= b.settings.MaxWait
+}
+
+// takeDecode reserves a slot and memory on an own replica.
+func (b *Broker) takeDecode(now time.Time, w *waiter, r *Replica) {
+	w.decode = part{endpoint: &r.Endpoint, holding: b.next(), replica: r}
+	if err := b.ledger.Reserve(w.decode.holding, r, w.ask.Blocks, b.until(now, w)); err != nil {
+		panic(err) // the replica was checked in the same step
+	}
+}
+
+// takePrefill reserves a prefill slot on an own replica.
+func (b *Broker) takePrefill(now time.Time, w *waiter, r *Replica) {
+	cached := r.cached
+	w.prefill = part{
+		cached:   cached,
+		endpoint: &r.Endpoint,
+		first:    r.Queue(now, w.ask.Tokens-cached),
+		holding:  b.next(),
+		replica:  r,
+		tokens:   w.ask.Tokens - cached,
+	}
+	if err := b.ledger.Reserve(w.prefill.holding, r, 0, b.until(now, w)); err != nil {
+		panic(err) // the replica was checked in the same step
+	}
+	for _, prefix := range w.ask.Prefixes {
+		b.placement.Prefixes.Add(now, r.Endpoint.ID, prefix)
+	}
+}
+
+// until returns when what a waiter secures expires by itself.
+func (b *Broker) until(now time.Time, w *waiter) time.Time {
+	expires := now.Add(b.settings.Expiry)
+	if w.Latest.After(now) && w.lend == nil {
+		return w.Latest.Add(b.settings.Expiry)
+	}
+	return expires
+}
+
+// serve ends the wait of a waiter that has secured everything.
+func (b *Broker) serve(now time.Time, l *lane, w *waiter) {
+	delete(b.tickets, w.ID)
+	l.queue.Serve(&w.Item)
+	if w.lend != nil {
+		b.lendSeats(now, w)
+		return
+	}
+	l.served.add()
+	g := &grantState{
+		decode:  w.decode,
+		expires: now.Add(b.settings.Expiry),
+		granted: now,
+		lane:    l,
+		limit:   w.request.Limit,
+		prefill: w.prefill,
+	}
+	id := b.id(w.ID)
+	b.grants[id] = g
+	for _, p := range []*part{&g.decode, &g.prefill} {
+		if p.holding != 0 {
+			b.ledger.Extend(p.holding, g.expires)
+			b.byHolding[p.holding] = id
+		}
+	}
+	b.settings.Effects.Grant(w.ID, persimmoncart.Grant{
+		Blocks:  w.ask.Blocks,
+		Cached:  g.prefill.cached,
+		Decode:  *g.decode.endpoint,
+		Expires: g.expires,
+		First:   g.prefill.first,
+		ID:      id,
+		Prefill: *g.prefill.endpoint,
+	})
+}
+
+// returnStock gives back borrowed seats that nobody needed.
+func (b *Broker) returnStock(now time.Time, l *lane) {
+	for _, s := range l.stock {
+		b.peers.settleNow(now, s.owner, persimmoncart.SeatChange{ID: s.seat.ID, Kind: persimmoncart.SeatReleased})
+	}
+	l.stock = l.stock[:0]
+}
+
+// takeStock gives a waiter a borrowed seat that fits it.
+func (b *Broker) takeStock(l *lane, w *waiter, role persimmoncart.Role, p *part) bool {
+	for i, s := range l.stock {
+		if s.seat.Role != role || w.lend != nil || slices.Contains(w.ask.Avoid, s.endpoint.ID) {
+			continue
+		}
+		if role == persimmoncart.RoleDecode && s.seat.Blocks < w.ask.Blocks {
+			continue
+		}
+		if role == persimmoncart.RolePrefill && w.decode.endpoint != nil && w.decode.endpoint.Region != s.endpoint.Region {
+			continue
+		}
+		*p = part{cached: s.seat.Cached, endpoint: s.endpoint, first: s.seat.First, owner: s.owner, seat: s.seat.ID}
+		l.stock = slices.Delete(l.stock, i, i+1)
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/policy/ledger.go
@@ -0,0 +1,194 @@
+package policy
+
+import (
+	"container/heap"
+	"fmt"
+	"time"
+)
+
+// A Ledger keeps exact books of the slots and memory blocks of replicas.
+//
+// A holding is reserved until it expires, or committed until it is released.
+type Ledger struct {
+	expiring holdingHeap
+	holdings map[uint64]*Holding
+	spare    []*Holding // reused, so that steady operation allocates nothing
+}
+
+// A Holding is what one request holds on one replica.
+type Holding struct {
+	Blocks  int
+	Expires time.Time // zero once committed
+	ID      uint64
+	Replica *Replica
+
+	index int // position in the heap; negative if it does not expire
+}
+
+// NewLedger returns an empty Ledger.
+func NewLedger() *Ledger {
+	return &Ledger{holdings: make(map[uint64]*Holding)}
+}
+
+// Commit keeps the holding until it is released. It reports whether it exists.
+func (l *Ledger) Commit(id uint64) bool {
+	h, found := l.holdings[id]
+	if !found {
+		return false
+	}
+	if h.index >= 0 {
+		heap.Remove(&l.expiring, h.index)
+	}
+	h.Expires = time.Time{}
+	return true
+}
+
+// Extend moves the expiry of a holding, committed or not. It reports whether the
+// holding exists.
+func (l *Ledger) Extend(id uint64, expires time.Time) bool {
+	h, found := l.holdings[id]
+	if !found {
+		return false
+	}
+	if h.index >= 0 {
+		heap.Remove(&l.expiring, h.index)
+	}
+	h.Expires = expires
+	heap.Push(&l.expiring, h)
+	return true
+}
+
+// Expire releases every reservation that is due and calls f with its holding,
+// which is valid during the call only.
+func (l *Ledger) Expire(now time.Time, f func(Holding)) {
+	for len(l.expiring) > 0 && !l.expiring[0].Expires.After(now) {
+		h := *l.expiring[0]
+		l.Release(h.ID)
+		f(h)
+	}
+}
+
+// Grow adds blocks to a holding during its output. It returns a *FullError if
+// the replica has not that many.
+func (l *Ledger) Grow(id uint64, blocks int) error {
+	h, found := l.holdings[id]
+	if !found {
+		return &HoldingError{ID: id}
+	}
+	if _, free := h.Replica.Free(); free < blocks {
+		return &FullError{Blocks: blocks, Replica: string(h.Replica.Endpoint.ID)}
+	}
+	h.Blocks += blocks
+	h.Replica.usedBlocks += blocks
+	return nil
+}
+
+// Len returns the number of holdings.
+func (l *Ledger) Len() int { return len(l.holdings) }
+
+// Next returns when the next reservation expires; zero if none does.
+func (l *Ledger) Next() time.Time {
+	if len(l.expiring) == 0 {
+		return time.Time{}
+	}
+	return l.expiring[0].Expires
+}
+
+// Release frees the holding and returns its replica, or nil if there is none.
+func (l *Ledger) Release(id uint64) *Replica {
+	h, found := l.holdings[id]
+	if !found {
+		return nil
+	}
+	if h.index >= 0 {
+		heap.Remove(&l.expiring, h.index)
+	}
+	delete(l.holdings, id)
+	r := h.Replica
+	r.usedSlots--
+	r.usedBlocks -= h.Blocks
+	h.Replica = nil
+	l.spare = append(l.spare, h)
+	return r
+}
+
+// Reserve takes one slot and blocks memory blocks of the replica until expires.
+// It returns a *FullError if the replica has not that much.
+func (l *Ledger) Reserve(id uint64, r *Replica, blocks int, expires time.Time) error {
+	if _, found := l.holdings[id]; found {
+		return &HoldingError{ID: id}
+	}
+	if slots, free := r.Free(); slots < 1 || free < blocks {
+		return &FullError{Blocks: blocks, Replica: string(r.Endpoint.ID)}
+	}
+	h := l.take()
+	*h = Holding{Blocks: blocks, Expires: expires, ID: id, Replica: r}
+	l.holdings[id] = h
+	heap.Push(&l.expiring, h)
+	r.usedSlots++
+	r.usedBlocks += blocks
+	return nil
+}
+
+// take returns a spare or new holding.
+func (l *Ledger) take() *Holding {
+	if n := len(l.spare); n > 0 {
+		h := l.spare[n-1]
+		l.spare = l.spare[:n-1]
+		return h
+	}
+	return &Holding{}
+}
+
+// A FullError reports a replica without the wanted slot or memory.
+type FullError struct {
+	Blocks  int
+	Replica string
+}
+
+// Error implements error.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("replica %s has no slot with %d blocks", e.Replica, e.Blocks)
+}
+
+// A HoldingError reports a holding that is unknown or already there.
+type HoldingError struct {
+	ID uint64
+}
+
+// Error implements error.
+func (e *HoldingError) Error() string {
+	return fmt.Sprintf("holding %d is unknown or exists already", e.ID)
+}
+
+// A holdingHeap orders reservations by expiry.
+type holdingHeap []*Holding
+
+// Len implements heap.Interface.
+func (h holdingHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h holdingHeap) Less(i, j int) bool { return h[i].Expires.Before(h[j].Expires) }
+
+// Pop implements heap.Interface.
+func (h *holdingHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	e.index = -1
+	return e
+}
+
+// Push implements heap.Interface.
+func (h *holdingHeap) Push(x any) {
+	e := x.(*Holding)
+	e.index = len(*h)
+	*h = append(*h, e)
+}
+
+// Swap implements heap.Interface.
+func (h holdingHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
--- /dev/null
+++ b/internal/policy/lend.go
@@ -0,0 +1,174 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// A lending is a borrow of another instance that waits for its answer.
+type lending struct {
+	from    persimmoncart.InstanceID
+	id      uint64
+	loan    persimmoncart.Loan
+	open    int // items that still wait
+	request uint64
+	until   time.Time
+	waiters []*waiter
+}
+
+// A lentSeat is a seat that another instance holds.
+type lentSeat struct {
+	borrower  persimmoncart.InstanceID
+	deadline  time.Time
+	expected  time.Duration
+	holding   uint64
+	replica   *Replica
+	role      persimmoncart.Role
+	committed bool
+	tokens    int
+}
+
+// A loanKey identifies a borrow of another instance.
+type loanKey struct {
+	from persimmoncart.InstanceID
+	id   uint64
+}
+
+// Lend takes another instance's borrow into the queue and returns the number
+// that Effects.Lend answers. A repeated borrow that still waits returns the
+// same number.
+func (b *Broker) Lend(now time.Time, request persimmoncart.BorrowRequest) uint64 {
+	k := loanKey{from: request.From, id: request.ID}
+	if id, found := b.loans[k]; found {
+		return id
+	}
+	d := &lending{
+		from:    request.From,
+		id:      b.next(),
+		loan:    persimmoncart.Loan{ID: request.ID},
+		request: request.ID,
+		until:   now.Add(request.Wait),
+	}
+	b.lends[d.id] = d
+	b.loans[k] = d.id
+	for i := range request.Items {
+		b.lendItem(now, d, i, &request.Items[i])
+	}
+	return d.id
+}
+
+// ReleaseFrom frees all seats lent to an instance that has ended.
+func (b *Broker) ReleaseFrom(instance persimmoncart.InstanceID) {
+	for id, s := range b.seats {
+		if s.borrower == instance {
+			b.freeSeat(id, s)
+		}
+	}
+}
+
+// Settled takes what a borrower says about its seats.
+func (b *Broker) Settled(now time.Time, from persimmoncart.InstanceID, changes []persimmoncart.SeatChange) {
+	for _, c := range changes {
+		s, found := b.seats[c.ID]
+		if !found || s.borrower != from {
+			continue
+		}
+		b.learnSeat(now, s, c)
+		switch c.Kind {
+		case persimmoncart.SeatCommitted:
+			s.committed = true
+			b.ledger.Extend(s.holding, s.deadline.Add(b.settings.Expiry))
+		case persimmoncart.SeatReleased:
+			if s.role == persimmoncart.RolePrefill && c.Took == 0 {
+				s.replica.Unqueue(s.tokens)
+			}
+			b.freeSeat(c.ID, s)
+		}
+	}
+}
+
+// answerLends answers the borrows that got seats or waited long enough.
+func (b *Broker) answerLends(now time.Time) {
+	for _, id := range sortedKeys(b.lends) {
+		d := b.lends[id]
+		if d.open > 0 && len(d.loan.Seats) == 0 && now.Before(d.until) {
+			continue
+		}
+		delete(b.lends, id)
+		delete(b.loans, loanKey{from: d.from, id: d.request})
+		for _, w := range d.waiters {
+			if _, waits := b.tickets[w.ID]; waits {
+				b.drop(now, w)
+			}
+		}
+		d.loan.Digest = b.Digest(now)
+		b.settings.Effects.Lend(id, d.loan)
+	}
+}
+
+// freeSeat frees a lent seat.
+func (b *Broker) freeSeat(id persimmoncart.GrantID, s *lentSeat) {
+	b.ledger.Release(s.holding)
+	delete(b.byHolding, s.holding)
+	delete(b.seats, id)
+}
+
+// learnSeat learns from the time that a borrower saw.
+func (b *Broker) learnSeat(now time.Time, s *lentSeat, c persimmoncart.SeatChange) {
+	switch {
+	case c.Took <= 0:
+	case s.role == persimmoncart.RolePrefill:
+		s.replica.Sample(s.expected, c.Took)
+	default:
+		b.observe(now, &s.replica.Endpoint, c.Took)
+	}
+}
+
+// lendItem queues one item of a borrow.
+func (b *Broker) lendItem(now time.Time, d *lending, index int, item *persimmoncart.BorrowItem) {
+	l := b.lane(item.Request.Pool, item.Request.Model)
+	if len(l.decodes)+len(l.prefills) == 0 {
+		return
+	}
+	w := b.waiter(now, l, item.Request, 1)
+	w.index, w.lend = index, d
+	w.needDecode, w.needPrefill = item.Decode, item.Prefill
+	if l.queue.Push(&w.Item) {
+		b.tickets[w.ID] = w
+		d.waiters = append(d.waiters, w)
+		d.open++
+	}
+}
+
+// lendSeats turns what a waiter has secured into lent seats.
+func (b *Broker) lendSeats(now time.Time, w *waiter) {
+	w.lend.open--
+	for _, p := range []*part{&w.decode, &w.prefill} {
+		if p.endpoint == nil {
+			continue
+		}
+		id := b.id(p.holding)
+		role := p.replica.Endpoint.Role
+		b.byHolding[p.holding] = id
+		b.ledger.Extend(p.holding, now.Add(b.settings.Expiry))
+		b.seats[id] = &lentSeat{
+			borrower: w.lend.from,
+			deadline: w.request.Deadline,
+			expected: p.first,
+			holding:  p.holding,
+			replica:  p.replica,
+			role:     role,
+			tokens:   p.tokens,
+		}
+		w.lend.loan.Seats = append(w.lend.loan.Seats, persimmoncart.Seat{
+			Blocks:   w.ask.Blocks,
+			Cached:   p.cached,
+			Endpoint: p.endpoint.ID,
+			First:    p.first,
+			ID:       id,
+			Item:     w.index,
+			Role:     role,
+		})
+	}
+}
--- /dev/null
+++ b/internal/policy/sorted.go
@@ -0,0 +1,16 @@
+package policy
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// sortedKeys returns the keys of m in order, so that a run does not depend on
+// the order of a map.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	if len(m) == 0 {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/internal/policy/straggler.go
@@ -0,0 +1,179 @@
+package policy
+
+import (
+	"slices"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// Constants of straggler detection.
+const (
+	// stragglerEject is the ratio to the pool's median at which an endpoint is
+	// ejected, if enough of the pool stays.
+	stragglerEject = 2.5
+	// stragglerGain is the weight of one new sample.
+	stragglerGain = 0.4
+	// stragglerProbe is the first time until an ejected endpoint is probed; it
+	// doubles with each failed probe up to stragglerProbeLimit.
+	stragglerProbe      = 2 * time.Second
+	stragglerProbeLimit = 30 * time.Second
+	// stragglerReturn is the ratio below which an endpoint is healthy again.
+	stragglerReturn = 1.4
+	// stragglerSamples is how many samples a judgement needs.
+	stragglerSamples = 2
+	// stragglerSlow is the ratio from which the weight is lowered.
+	stragglerSlow = 1.6
+	// stragglerWindow is the age from which samples do not count.
+	stragglerWindow = 20 * time.Second
+)
+
+// Stragglers detects slow endpoints from this instance's own latencies.
+type Stragglers struct {
+	groups map[groupKey]*stragglerGroup
+}
+
+// A groupKey names the endpoints that are compared with each other.
+type groupKey struct {
+	pool persimmoncart.PoolName
+	role persimmoncart.Role
+}
+
+// A stragglerGroup is one role of a pool.
+type stragglerGroup struct {
+	floor  time.Duration
+	others int
+	size   int
+	states map[persimmoncart.EndpointID]*latencyState
+}
+
+// A latencyState is what is known about one endpoint.
+type latencyState struct {
+	at      time.Time
+	average float64 // seconds
+	backoff time.Duration
+	ejected bool
+	probe   time.Time // when an ejected endpoint is probed
+	samples int
+	weight  float64
+}
+
+// NewStragglers returns a Stragglers without samples.
+func NewStragglers() *Stragglers {
+	return &Stragglers{groups: make(map[groupKey]*stragglerGroup)}
+}
+
+// Add takes one latency of an endpoint: a whole call, or the time of one token.
+func (s *Stragglers) Add(now time.Time, pool persimmoncart.PoolName, role persimmoncart.Role, id persimmoncart.EndpointID, latency time.Duration) {
+	g := s.group(pool, role)
+	e, found := g.states[id]
+	if !found || now.Sub(e.at) > stragglerWindow {
+		weight := 1.0
+		if !found {
+			e = &latencyState{weight: weight}
+			g.states[id] = e
+		}
+		e.average, e.samples = latency.Seconds(), 0
+	}
+	e.at = now
+	e.average += stragglerGain * (latency.Seconds() - e.average)
+	e.samples++
+	if e.ejected && !now.Before(e.probe) {
+		e.average = latency.Seconds() // the probe alone decides
+	}
+	g.judge(now, e)
+}
+
+// Ejected returns the number of ejected endpoints of a pool and role.
+func (s *Stragglers) Ejected(pool persimmoncart.PoolName, role persimmoncart.Role) int {
+	return s.group(pool, role).ejected()
+}
+
+// SetPool states the number of endpoints of a pool and role, how many of them
+// other instances report as slow, and the latency that never counts as slow.
+func (s *Stragglers) SetPool(pool persimmoncart.PoolName, role persimmoncart.Role, size, others int, floor time.Duration) {
+	g := s.group(pool, role)
+	g.floor, g.others, g.size = floor, others, size
+}
+
+// Weight returns an endpoint's weight, 0 if it is ejected, and whether an
+// ejected endpoint may be probed now.
+func (s *Stragglers) Weight(now time.Time, pool persimmoncart.PoolName, role persimmoncart.Role, id persimmoncart.EndpointID) (weight float64, probe bool) {
+	e, found := s.group(pool, role).states[id]
+	switch {
+	case !found:
+		return 1, false
+	case e.ejected:
+		return 0, !now.Before(e.probe)
+	case now.Sub(e.at) > stragglerWindow:
+		return 1, false
+	default:
+		return e.weight, false
+	}
+}
+
+// group returns the group of a pool and role.
+func (s *Stragglers) group(pool persimmoncart.PoolName, role persimmoncart.Role) *stragglerGroup {
+	k := groupKey{pool: pool, role: role}
+	g, found := s.groups[k]
+	if !found {
+		g = &stragglerGroup{states: make(map[persimmoncart.EndpointID]*latencyState)}
+		s.groups[k] = g
+	}
+	return g
+}
+
+// ejected returns the number of ejected endpoints.
+func (g *stragglerGroup) ejected() int {
+	n := 0
+	for _, e := range g.states {
+		if e.ejected {
+			n++
+		}
+	}
+	return n
+}
+
+// judge sets the weight of an endpoint after a sample.
+func (g *stragglerGroup) judge(now time.Time, e *latencyState) {
+	median, known := g.median(now)
+	if !known || e.samples < stragglerSamples && !e.ejected {
+		return
+	}
+	ratio := e.average / median
+	if e.average <= g.floor.Seconds() {
+		ratio = min(ratio, 1)
+	}
+	switch {
+	case e.ejected && ratio < stragglerReturn:
+		e.ejected, e.backoff, e.weight = false, 0, 1
+	case e.ejected:
+		if !now.Before(e.probe) {
+			e.backoff = min(2*e.backoff, stragglerProbeLimit)
+			e.probe = now.Add(e.backoff)
+		}
+	case ratio >= stragglerEject && 3*(g.ejected()+g.others+1) <= g.size:
+		e.ejected, e.backoff = true, stragglerProbe
+		e.probe = now.Add(e.backoff)
+	case ratio >= stragglerSlow:
+		e.weight = 1 / ratio
+	case ratio < stragglerReturn:
+		e.weight = 1
+	}
+}
+
+// median returns the median of the endpoints with samples; it needs three of
+// them, or the slower of two would be judged by its own latency.
+func (g *stragglerGroup) median(now time.Time) (float64, bool) {
+	values := make([]float64, 0, len(g.states))
+	for _, e := range g.states {
+		if now.Sub(e.at) <= stragglerWindow {
+			values = append(values, e.average)
+		}
+	}
+	if len(values) < 3 {
+		return 0, false
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2], true
+}
--- /dev/null
+++ b/internal/policy/view.go
@@ -0,0 +1,203 @@
+package policy
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// PoolTargets are the properties of a pool that detection needs.
+type PoolTargets struct {
+	Name persimmoncart.PoolName
+	Pace time.Duration // target between tokens; zero is 60 ms
+	Size [persimmoncart.RolePrefill + 1]int
+}
+
+// defaultPaceTarget is the pool's target between tokens if none is configured.
+const defaultPaceTarget = 60 * time.Millisecond
+
+// CacheEvent takes one change of a prefill replica's cache.
+func (b *Broker) CacheEvent(now time.Time, replica persimmoncart.EndpointID, e persimmoncart.CacheEvent) {
+	b.placement.Prefixes.Apply(now, replica, e)
+}
+
+// Digest returns what this instance can lend.
+func (b *Broker) Digest(now time.Time) persimmoncart.Digest {
+	rows := make([]persimmoncart.PoolDigest, 0, 2*len(b.order))
+	for _, l := range b.order {
+		for _, list := range [][]*Replica{l.decodes, l.prefills} {
+			for _, r := range list {
+				rows = addRow(now, rows, l, r)
+			}
+		}
+	}
+	slices.SortFunc(rows, func(a, c persimmoncart.PoolDigest) int {
+		return cmp.Or(cmp.Compare(a.Pool, c.Pool), cmp.Compare(a.Model, c.Model), cmp.Compare(a.Role, c.Role), cmp.Compare(a.DataCentre, c.DataCentre))
+	})
+	return persimmoncart.Digest{Instance: b.settings.Self, Pools: rows, Sequence: b.next()}
+}
+
+// Forget drops what is known about an instance that left or is suspect.
+func (b *Broker) Forget(instance persimmoncart.InstanceID) { b.peers.forget(instance) }
+
+// Learn takes another instance's digest.
+func (b *Broker) Learn(digest persimmoncart.Digest, distance time.Duration) {
+	if digest.Instance != b.settings.Self {
+		b.peers.learn(digest, distance)
+	}
+}
+
+// Observe learns from a result on an endpoint. The result of a decode tells the
+// time of one token; prefills are judged in PrefillDone.
+func (b *Broker) Observe(now time.Time, result persimmoncart.CallResult) {
+	e, found := b.endpoints[result.Endpoint]
+	if !found || result.Cancelled || result.Role != persimmoncart.RoleDecode || result.Tokens <= 0 {
+		return
+	}
+	b.observe(now, e, result.Latency/time.Duration(result.Tokens))
+}
+
+// ObservePace learns the time between tokens on the decode replica of a grant;
+// a lent seat's owner learns it with the release.
+func (b *Broker) ObservePace(now time.Time, id persimmoncart.GrantID, pace time.Duration) {
+	g, found := b.grants[id]
+	if !found || g.decode.endpoint == nil || pace <= 0 {
+		return
+	}
+	g.pace = pace
+	g.lane.pace += (pace - g.lane.pace) / 32
+	b.observe(now, g.decode.endpoint, pace)
+	if g.decode.holding == 0 && pace > defaultPaceTarget {
+		b.peers.settle(now, g.decode.owner, persimmoncart.SeatChange{ID: g.decode.seat, Kind: persimmoncart.SeatCommitted, Took: pace})
+	}
+}
+
+// SetEndpoints replaces the records of all engines that the configuration
+// names and the targets of their pools.
+func (b *Broker) SetEndpoints(endpoints []persimmoncart.Endpoint, pools []PoolTargets) {
+	clear(b.endpoints)
+	for i := range endpoints {
+		e := endpoints[i]
+		b.endpoints[e.ID] = &e
+		if r, found := b.replicas[e.ID]; found {
+			r.Endpoint = e
+		}
+	}
+	for _, p := range pools {
+		floor := cmp.Or(p.Pace, defaultPaceTarget)
+		others := b.peers.stragglers(p.Name, persimmoncart.RoleDecode)
+		b.stragglers.SetPool(p.Name, persimmoncart.RoleDecode, p.Size[persimmoncart.RoleDecode], others, floor)
+	}
+	b.reassign()
+}
+
+// SetLink sets the rate of a path in bytes a second.
+func (b *Broker) SetLink(from, to persimmoncart.DataCentre, rate float64) {
+	b.placement.Links.SetRate(from, to, rate)
+}
+
+// SetUsable replaces the replicas that this instance may grant. Requests on a
+// replica that is no longer in the set keep their slots until released.
+func (b *Broker) SetUsable(usable []persimmoncart.Usable) {
+	seen := make(map[persimmoncart.EndpointID]bool, len(usable))
+	for _, u := range usable {
+		e, found := b.endpoints[u.Endpoint]
+		if !found || e.Role == persimmoncart.RoleApplication {
+			continue
+		}
+		seen[u.Endpoint] = true
+		r, known := b.replicas[u.Endpoint]
+		if !known {
+			r = NewReplica(*e, u.Slots, u.Blocks)
+			b.replicas[u.Endpoint] = r
+		}
+		r.Blocks, r.Owned, r.Slots = u.Blocks, u.Owned, u.Slots
+	}
+	for id, r := range b.replicas {
+		if !seen[id] {
+			r.Slots = 0 // holdings keep pointing to it until they end
+			delete(b.replicas, id)
+		}
+	}
+	b.reassign()
+}
+
+// assign fills the replicas of one lane, sorted by identifier.
+func (b *Broker) assign(l *lane) {
+	l.decodes, l.prefills = l.decodes[:0], l.prefills[:0]
+	for _, id := range sortedKeys(b.replicas) {
+		r := b.replicas[id]
+		if r.Endpoint.Pool != l.key.pool || !r.Serves(l.key.model) {
+			continue
+		}
+		if r.Endpoint.Role == persimmoncart.RolePrefill {
+			l.prefills = append(l.prefills, r)
+		} else {
+			l.decodes = append(l.decodes, r)
+		}
+	}
+}
+
+// observe feeds straggler detection and applies its judgement.
+func (b *Broker) observe(now time.Time, e *persimmoncart.Endpoint, pace time.Duration) {
+	b.stragglers.Add(now, e.Pool, e.Role, e.ID, pace)
+	if r, found := b.replicas[e.ID]; found {
+		r.Weight, r.Probe = b.stragglers.Weight(now, e.Pool, e.Role, e.ID)
+	}
+}
+
+// reassign fills the replicas of all lanes and makes one for each model served
+// here, so that digests show it.
+func (b *Broker) reassign() {
+	for _, id := range sortedKeys(b.replicas) {
+		e := &b.replicas[id].Endpoint
+		for _, m := range e.Models {
+			b.lane(e.Pool, m)
+		}
+	}
+	for _, l := range b.order {
+		b.assign(l)
+	}
+}
+
+// refreshWeights applies the judgement of stragglers as time passes.
+func (b *Broker) refreshWeights(now time.Time) {
+	for _, r := range b.replicas {
+		if r.Endpoint.Role == persimmoncart.RoleDecode {
+			r.Weight, r.Probe = b.stragglers.Weight(now, r.Endpoint.Pool, r.Endpoint.Role, r.Endpoint.ID)
+		}
+	}
+}
+
+// addRow adds a replica to the digest row of its role and data centre.
+func addRow(now time.Time, rows []persimmoncart.PoolDigest, l *lane, r *Replica) []persimmoncart.PoolDigest {
+	if !r.Owned {
+		return rows
+	}
+	i := slices.IndexFunc(rows, func(d persimmoncart.PoolDigest) bool {
+		return d.Pool == l.key.pool && d.Model == l.key.model && d.Role == r.Endpoint.Role && d.DataCentre == r.Endpoint.DataCentre
+	})
+	if i < 0 {
+		i = len(rows)
+		rows = append(rows, persimmoncart.PoolDigest{
+			DataCentre: r.Endpoint.DataCentre, Model: l.key.model, Pool: l.key.pool,
+			Region: r.Endpoint.Region, Role: r.Endpoint.Role, Waiting: l.queue.Len(),
+			Wait: r.Wait(now),
+		})
+	}
+	d := &rows[i]
+	if r.Weight < 1 {
+		d.Stragglers++
+	}
+	if r.Weight <= 0 || r.Endpoint.Leaving {
+		return rows
+	}
+	slots, blocks := r.Free()
+	d.Blocks += max(blocks, 0)
+	d.Free += max(slots, 0)
+	d.Slots += r.Slots
+	d.Wait = min(d.Wait, r.Wait(now))
+	return rows
+}
--- a/place.go
+++ b/place.go
@@ -13,7 +13,8 @@
 	Pick(ctx context.Context, request PickRequest) (Endpoint, error)
 }
 
-// A CallResult is the end of one call as its sender saw it.
+// A CallResult is the end of one call, or of a part of a long decode, as its
+// sender saw it.
 type CallResult struct {
 	Cancelled bool // cancelled by the sender; says nothing about the endpoint
 	Endpoint  EndpointID
@@ -21,6 +22,7 @@
 	Latency   time.Duration
 	Pool      PoolName
 	Role      Role
+	Tokens    int // tokens that Latency covers; zero if unknown
 }
 
 // A Grant is a secured pair of slots for one completion.
@@ -48,7 +50,9 @@
 type Places interface {
 	// Commit keeps the grant until Release, beyond its expiry.
 	Commit(ctx context.Context, id GrantID) error
-	// Done reports how a phase on an endpoint went.
+	// Done reports how a phase on an endpoint went. It may be called several
+	// times during one decode, each time with the tokens and the time since the
+	// last call, so that a slow engine is noticed before the answer ends.
 	Done(result CallResult)
 	// PrefillDone releases the prefill slot of the grant and keeps the decode slot.
 	PrefillDone(id GrantID)
