--- /dev/null
+++ b/internal/policy/retry.go
@@ -0,0 +1,94 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// Constants of retry budgets.
+const (
+	// RetryBase is the mean delay before the first retry, RetryCap the longest.
+	RetryBase = 25 * time.Millisecond
+	RetryCap  = time.Second
+	// retryBurst lets rare callers retry; retryShare is earned by each first attempt.
+	retryBurst = 3.0
+	retryShare = 0.1
+	// retryKeys bounds the remembered pairs of route and account.
+	retryKeys = 8192
+)
+
+// A RetryKey names a budget.
+type RetryKey struct {
+	Account persimmoncart.AccountID
+	Route   persimmoncart.RouteName
+}
+
+// Retries keeps a retry budget for each route and account: a tenth of the first
+// attempts plus a small burst. A budget that is forgotten starts at the burst.
+type Retries struct {
+	budgets map[RetryKey]float64
+}
+
+// NewRetries returns Retries with full bursts.
+func NewRetries() *Retries {
+	return &Retries{budgets: make(map[RetryKey]float64)}
+}
+
+// First counts the first attempt of a request.
+func (r *Retries) First(k RetryKey) {
+	b, found := r.budgets[k]
+	if !found {
+		return // a full burst needs no memory
+	}
+	if b += retryShare; b >= retryBurst {
+		delete(r.budgets, k)
+		return
+	}
+	r.budgets[k] = b
+}
+
+// Retry takes one retry, number from 1, and returns the delay before it. It
+// reports false if the budget is empty, or if the delay and the expected time
+// need of the attempt reach beyond the deadline.
+func (r *Retries) Retry(now time.Time, random *rand.Rand, k RetryKey, number int, deadline time.Time, need time.Duration) (time.Duration, bool) {
+	delay := RetryDelay(random, number)
+	if now.Add(delay + need).After(deadline) {
+		return 0, false
+	}
+	b, found := r.budgets[k]
+	if !found {
+		b = retryBurst
+	}
+	if b < 1 {
+		return 0, false
+	}
+	if !found && len(r.budgets) >= retryKeys {
+		r.shrink()
+	}
+	r.budgets[k] = b - 1
+	return delay, true
+}
+
+// shrink drops the fullest half of the budgets, which lose the least by
+// starting at the burst again.
+func (r *Retries) shrink() {
+	for _, least := range []float64{2, 1, 0} {
+		for k, b := range r.budgets {
+			if b >= least {
+				delete(r.budgets, k)
+			}
+		}
+		if len(r.budgets) <= retryKeys/2 {
+			return
+		}
+	}
+}
+
+// RetryDelay returns the delay before retry number, from 1: uniform between
+// half and one and a half of a base that doubles up to RetryCap.
+func RetryDelay(random *rand.Rand, number int) time.Duration {
+	base := min(RetryBase<<min(max(number-1, 0), 10), RetryCap)
+	return base/2 + time.Duration(random.Int64N(int64(base)))
+}
