--- a/internal/membership/cells.go
+++ b/internal/membership/cells.go
@@ -194,6 +194,7 @@
 	m.mergeCells(now, []*memberv1.Cell{r.GetCell()})
 	reply := &memberv1.SummaryReply{Piggyback: &memberv1.Piggyback{}}
 	if c := m.cells[persimmoncart.DataCentre(r.GetCell().GetDataCentre())]; c != nil {
+		c.heard, c.misses = now, 0
 		reply.HaveHash, reply.HaveVersion = c.hash, c.version
 	}
 	answer := []*cell{m.ownCell()}
@@ -233,7 +234,13 @@
 		c.misses, c.heard, c.sent = 0, now, answer.GetHaveHash()
 	}
 	if answer.GetHaveHash() != sent.GetHash() && answer.GetHaveVersion() >= m.ownVersion {
-		m.ownVersion = answer.GetHaveVersion() + 1 // the next summary replaces it
+		// Another gateway numbered its summaries higher; send again at once.
+		m.ownVersion = answer.GetHaveVersion() + 1
+		if call.Request.(*memberv1.SummaryRequest).GetFar() {
+			m.far = now
+		} else {
+			m.summary = now
+		}
 	} else if answer.GetHaveHash() == sent.GetHash() && m.ownHash == sent.GetHash() {
 		m.ownVersion = max(m.ownVersion, answer.GetHaveVersion())
 	}
@@ -250,7 +257,7 @@
 		}
 		c := m.cells[name]
 		if c != nil && c.hash == w.GetHash() {
-			c.version, c.heard = max(c.version, w.GetVersion()), now
+			c.version = max(c.version, w.GetVersion())
 			continue
 		}
 		if len(w.GetMembers()) == 0 || len(w.GetMembers()) > MaxCell {
@@ -273,6 +280,9 @@
 func (m *Machine) setCell(now time.Time, name persimmoncart.DataCentre, region persimmoncart.Region, members []entry, version, hash uint64) {
 	c := m.cells[name]
 	if c == nil {
+		if allDead(members) {
+			return
+		}
 		if len(m.cells) >= MaxCells {
 			m.Stats.Dropped++
 			return
@@ -290,7 +300,7 @@
 		}
 	}
 	m.changed++
-	c.hash, c.heard, c.members, c.region, c.updated, c.version = hash, now, members, region, m.changed, version
+	c.hash, c.heard, c.members, c.misses, c.region, c.updated, c.version = hash, now, members, 0, region, m.changed, version
 }
 
 // someCells returns the cell that changed last and one other by turns, which
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/rendezvous"
 	memberv1 "github.com/persimmoncart/persimmoncart/proto/member/v1"
 )
 
@@ -135,9 +136,5 @@
 
 // rank returns the rendezvous rank of an instance for a name; smaller is first.
 func rank(name string, id persimmoncart.InstanceID) uint64 {
-	var b [96]byte
-	s := append(b[:0], name...)
-	s = append(s, 0)
-	s = append(s, id...)
-	return xxhash.Sum64(s)
+	return ^rendezvous.Score(name, string(id))
 }
--- a/internal/membership/harness_test.go
+++ b/internal/membership/harness_test.go
@@ -92,9 +92,9 @@
 // kill ends n; its host stays up if refused is true.
 func (f *fleet) kill(n *node, refused bool) {
 	n.stop()
-	n.port.State = peer.PortSilent
+	n.port.End(peer.PortSilent)
 	if refused {
-		n.port.State = peer.PortRefused
+		n.port.End(peer.PortRefused)
 	}
 }
 
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -48,12 +48,13 @@
 	p.listed = now
 }
 
-// seedCell adds or refreshes a cell that no gateway has told about recently.
+// seedCell adds a cell that no gateway has told about yet, or one whose known
+// instances no longer answer this gateway.
 func (m *Machine) seedCell(now time.Time, name persimmoncart.DataCentre, members []entry) {
 	c := m.cells[name]
 	if c != nil {
 		c.listed = now
-		if now.Sub(c.heard) <= m.Lag {
+		if c.version > 0 && !m.lost(now, c) {
 			return
 		}
 	}
@@ -89,19 +90,28 @@
 		}
 	}
 	for _, c := range m.sortedCells() {
-		if now.Sub(c.listed) <= m.Lag || now.Sub(c.heard) <= m.Lag {
-			continue
-		}
-		members := slices.Clone(c.members)
-		gone := true
-		for i := range members {
-			gone = gone && members[i].dead
-			members[i].dead = true
-		}
-		if !gone {
+		switch {
+		case allDead(c.members):
+			if now.Sub(c.heard) > m.Lag+TombstonePeriod {
+				delete(m.cells, c.name)
+			}
+		case now.Sub(c.listed) > m.Lag && m.lost(now, c):
+			members := slices.Clone(c.members)
+			for i := range members {
+				members[i].dead = true
+			}
 			m.setCell(now, c.name, c.region, members, c.version+1, contentHash(members))
-		} else if now.Sub(c.heard) > m.Lag+TombstonePeriod {
-			delete(m.cells, c.name)
 		}
 	}
 }
+
+// lost reports whether a cell has stopped answering this gateway. Instances
+// that are no gateways do not call other cells and never find one lost.
+func (m *Machine) lost(now time.Time, c *cell) bool {
+	return c.misses > gatewayCount && now.Sub(c.heard) > m.Lag
+}
+
+// allDead reports whether every entry is dead.
+func allDead(members []entry) bool {
+	return !slices.ContainsFunc(members, func(e entry) bool { return !e.dead })
+}
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -139,16 +139,44 @@
 	return m.take()
 }
 
-// ProbeNow sends a probe outside the round. A full probe compares tables; the
-// other kind only refreshes what the extensions carry.
-func (m *Machine) ProbeNow(now time.Time, id persimmoncart.InstanceID, full bool) []Call {
+// Refresh sends a probe outside the round that compares no tables and only
+// refreshes what the extensions carry. The instance may be in another cell.
+func (m *Machine) Refresh(now time.Time, id persimmoncart.InstanceID) []Call {
 	m.init(now)
-	if p := m.peers[id]; p != nil && !p.dead {
-		m.sendProbe(now, p, full)
+	if p := m.peers[id]; p != nil {
+		if !p.dead {
+			m.sendProbe(now, p, false)
+		}
+		return m.take()
+	}
+	if e := m.lookup(id); e != nil && !e.dead {
+		self := m.self()
+		m.sequence++
+		m.Stats.Probes++
+		r := &memberv1.ProbeRequest{From: self.wire(false), Piggyback: &memberv1.Piggyback{}, Sequence: m.sequence}
+		for _, x := range m.Extensions {
+			x.Fill(e.instance, false, r.Piggyback)
+		}
+		m.call(now, e.instance, r, ProbeTimeout)
 	}
 	return m.take()
 }
 
+// lookup returns the entry of a known instance, or nil.
+func (m *Machine) lookup(id persimmoncart.InstanceID) *entry {
+	if p := m.peers[id]; p != nil {
+		return &p.entry
+	}
+	for _, c := range m.cells {
+		for i := range c.members {
+			if c.members[i].instance.ID == id {
+				return &c.members[i]
+			}
+		}
+	}
+	return nil
+}
+
 // Changes returns and forgets the members whose state changed.
 func (m *Machine) Changes() []persimmoncart.Member {
 	c := m.changes
@@ -176,32 +204,32 @@
 	return v
 }
 
-// Member returns one member of this instance's own cell.
+// Member returns one member.
 func (m *Machine) Member(id persimmoncart.InstanceID) (persimmoncart.Member, bool) {
 	if id == m.Self.ID {
 		e := m.self()
 		return e.member(), true
 	}
-	if p := m.peers[id]; p != nil {
-		return p.member(), true
+	if e := m.lookup(id); e != nil {
+		return e.member(), true
 	}
 	return persimmoncart.Member{}, false
 }
 
-// Dead reports whether an incarnation of a member of this cell is proven to
-// have ended: it is declared dead, or a later incarnation runs.
+// Dead reports whether an incarnation is proven to have ended: it is declared
+// dead, or a later incarnation of the instance runs.
 func (m *Machine) Dead(tag persimmoncart.Tag) bool {
 	if tag.Instance == m.Self.ID {
 		return tag.Incarnation < m.Self.Incarnation
 	}
-	p := m.peers[tag.Instance]
-	if p == nil {
+	e := m.lookup(tag.Instance)
+	if e == nil {
 		return false
 	}
-	if p.instance.Incarnation == tag.Incarnation {
-		return p.dead
+	if e.instance.Incarnation == tag.Incarnation {
+		return e.dead
 	}
-	return p.instance.Incarnation > tag.Incarnation
+	return e.instance.Incarnation > tag.Incarnation
 }
 
 // self returns this instance as an entry.
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -23,9 +23,9 @@
 	}
 	m.mergeAll(now, r.GetUpdates())
 	if valid {
-		if p := m.peers[from.instance.ID]; p != nil && p.instance.Incarnation == from.instance.Incarnation {
-			m.receive(p.instance, r.GetPiggyback(), time.Time{})
-			from.instance = p.instance
+		if e := m.lookup(from.instance.ID); e != nil && e.instance.Incarnation == from.instance.Incarnation {
+			m.receive(e.instance, r.GetPiggyback(), time.Time{})
+			from.instance = e.instance
 		}
 	}
 	return m.answer(r, from.instance), m.take()
@@ -68,6 +68,12 @@
 // probeDone takes the result of a probe.
 func (m *Machine) probeDone(now time.Time, c Call, r *memberv1.ProbeRequest, reply proto.Message, err error) {
 	p := m.peers[c.Instance.ID]
+	if p == nil && err == nil {
+		answer := reply.(*memberv1.ProbeReply)
+		if answer.GetFrom().GetId() == string(c.Instance.ID) && answer.GetFrom().GetIncarnation() == uint64(c.Instance.Incarnation) {
+			m.receive(c.Instance, answer.GetPiggyback(), c.Sent)
+		}
+	}
 	if p == nil || p.dead || p.instance.Incarnation != c.Instance.Incarnation {
 		return
 	}
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -94,7 +94,7 @@
 
 // Probe sends a probe outside the round. The caller holds Lock.
 func (s *Service) Probe(id persimmoncart.InstanceID) {
-	s.send(s.Machine.ProbeNow(s.Timer.Now(), id, false))
+	s.send(s.Machine.Refresh(s.Timer.Now(), id))
 }
 
 // Self implements persimmoncart.Members.
--- /dev/null
+++ b/internal/ownership/machine.go
@@ -0,0 +1,465 @@
+package ownership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/rendezvous"
+)
+
+// Times of the protocol; see docs/design.md section 8.2. They hold on the
+// monotonic clock of one instance each; no clocks are compared.
+const (
+	AckTerm     = 2 * time.Second         // an acknowledgement counts from the time it was asked for
+	AckRefresh  = 1300 * time.Millisecond // age at which it is asked for again
+	EpochMargin = 500 * time.Millisecond  // allows clocks to differ in rate by a quarter
+	StaticAfter = AckTerm + EpochMargin   // without an owner, until static shares are used
+	askAgain    = 300 * time.Millisecond  // a call without an answer counts as lost
+)
+
+// A Machine is the protocol of one instance for one cell. It is not safe for
+// concurrent use.
+type Machine struct {
+	Cell persimmoncart.DataCentre
+	Dead func(persimmoncart.Tag) bool // proof that an incarnation has ended
+	Self persimmoncart.Tag
+
+	acks      map[uint64]map[persimmoncart.Tag]time.Time // by epoch: when the newest acknowledgement was asked for
+	asked     map[persimmoncart.Tag]time.Time
+	carried   map[persimmoncart.EndpointID]uint64 // first epoch of a holding that continues
+	closed    map[uint64]time.Time                // when an earlier epoch was seen to be closed
+	dead      map[persimmoncart.Tag]bool
+	effective bool // the newest epoch is in effect here
+	record    *Record
+	seen      map[persimmoncart.Tag]uint64 // highest epoch acknowledged
+	unowned   time.Time                    // since when this instance has no confirmed holding
+	until     time.Time                    // holdings in carried are valid up to here
+	valid     time.Time                    // fresh of the newest record
+}
+
+// Epoch returns the newest epoch that this instance has acknowledged; zero is none.
+func (m *Machine) Epoch() uint64 {
+	if m.record == nil {
+		return 0
+	}
+	return m.record.Epoch
+}
+
+// Record returns the newest record, or nil. It must not be changed.
+func (m *Machine) Record() *Record { return m.record }
+
+// Renew sets the incarnation of this instance. A new one holds nothing: others
+// may have declared the old one dead.
+func (m *Machine) Renew(self persimmoncart.Tag) {
+	if self == m.Self {
+		return
+	}
+	m.Self = self
+	m.carried, m.effective = nil, false
+	if m.record != nil {
+		m.valid = m.fresh(m.record)
+	}
+}
+
+// Learn takes a record. From here on this instance acknowledges no earlier
+// epoch. It reports whether the record is newer than the one known.
+func (m *Machine) Learn(now time.Time, r *Record) bool {
+	if r == nil || r.Cell != m.Cell || r.Epoch <= m.Epoch() {
+		return false
+	}
+	m.Advance(now)
+	m.carry(now, r)
+	if m.record == nil {
+		m.unowned = now
+	}
+	m.record = r
+	m.effective = false
+	epochs := map[uint64]bool{r.Epoch: true}
+	for i := range r.Prior {
+		epochs[r.Prior[i].Epoch] = true
+	}
+	for e := range m.acks {
+		if !epochs[e] {
+			delete(m.acks, e)
+		}
+	}
+	closed := map[uint64]time.Time{}
+	for e, at := range m.closed {
+		if epochs[e] {
+			closed[e] = at
+		}
+	}
+	m.closed = closed
+	m.valid = m.fresh(r)
+	maps.DeleteFunc(m.seen, func(t persimmoncart.Tag, _ uint64) bool { return !m.counts(t) })
+	maps.DeleteFunc(m.dead, func(t persimmoncart.Tag, _ bool) bool { return !m.counts(t) })
+	m.Advance(now)
+	return true
+}
+
+// carry keeps those holdings whose replica has this instance as its owner in
+// the new epoch and in every epoch between that may still be held.
+func (m *Machine) carry(now time.Time, next *Record) {
+	held := map[persimmoncart.EndpointID]uint64{}
+	if m.record != nil {
+		for _, id := range m.record.Replicas {
+			if m.Holds(now, id) {
+				first, continued := m.carried[id]
+				if !continued {
+					first = m.record.Epoch
+				}
+				held[id] = first
+			}
+		}
+		if m.effective {
+			m.until = m.valid
+		}
+		// This instance acknowledges the old epoch only up to now.
+		if end := now.Add(AckTerm); m.until.After(end) {
+			m.until = end
+		}
+	}
+	for id := range held {
+		if !m.ownsThrough(next, id, m.record.Epoch) {
+			delete(held, id)
+		}
+	}
+	m.carried = held
+}
+
+// ownsThrough reports whether this instance owns id in next and in each of its
+// earlier epochs from the given one on.
+func (m *Machine) ownsThrough(next *Record, id persimmoncart.EndpointID, from uint64) bool {
+	if owner, _ := next.Owner(id); owner != m.Self.Instance || !next.contains(m.Self) {
+		return false
+	}
+	known := false
+	for i := range next.Prior {
+		p := &next.Prior[i]
+		if p.Epoch < from {
+			continue
+		}
+		known = known || p.Epoch == from
+		if owner, _ := p.Owner(id); owner != m.Self.Instance || !p.contains(m.Self) {
+			return false
+		}
+	}
+	return known
+}
+
+// Ack takes an acknowledgement of epoch by a member. Asked is the local time at
+// which it was asked for, or zero if the member stated its epoch unasked.
+func (m *Machine) Ack(now time.Time, from persimmoncart.Tag, epoch uint64, asked time.Time) {
+	if m.seen == nil {
+		m.seen = map[persimmoncart.Tag]uint64{}
+	}
+	if m.record != nil && !m.counts(from) {
+		return // bounds the tables by the members of the epochs in the record
+	}
+	m.seen[from] = max(m.seen[from], epoch)
+	if !asked.IsZero() && m.record != nil {
+		m.Advance(now)
+		if m.acks == nil {
+			m.acks = map[uint64]map[persimmoncart.Tag]time.Time{}
+		}
+		if m.acks[epoch] == nil && (epoch == m.record.Epoch || m.prior(epoch) != nil) {
+			m.acks[epoch] = map[persimmoncart.Tag]time.Time{}
+		}
+		if a := m.acks[epoch]; a != nil && asked.After(a[from]) {
+			a[from] = asked
+		}
+		m.valid = m.fresh(m.record)
+	}
+	m.Advance(now)
+}
+
+// counts reports whether tag is a member of the newest or an earlier epoch.
+func (m *Machine) counts(tag persimmoncart.Tag) bool {
+	if m.record.contains(tag) {
+		return true
+	}
+	for i := range m.record.Prior {
+		if m.record.Prior[i].contains(tag) {
+			return true
+		}
+	}
+	return false
+}
+
+// prior returns an earlier epoch of the newest record, or nil.
+func (m *Machine) prior(epoch uint64) *Record {
+	for i := range m.record.Prior {
+		if m.record.Prior[i].Epoch == epoch {
+			return &m.record.Prior[i]
+		}
+	}
+	return nil
+}
+
+// Advance moves the protocol to now: it ends holdings that have lapsed, closes
+// earlier epochs and puts the newest one into effect.
+func (m *Machine) Advance(now time.Time) {
+	if m.record == nil {
+		return
+	}
+	m.extend(now)
+	settled := true
+	for i := range m.record.Prior {
+		p := &m.record.Prior[i]
+		if m.closed[p.Epoch].IsZero() && m.isClosed(p) {
+			if m.closed == nil {
+				m.closed = map[uint64]time.Time{}
+			}
+			m.closed[p.Epoch] = now
+		}
+		at := m.closed[p.Epoch]
+		settled = settled && !at.IsZero() && now.Sub(at) >= AckTerm+EpochMargin
+	}
+	if !m.effective && settled && m.record.contains(m.Self) && now.Before(m.valid) {
+		m.effective = true
+		m.carried = nil
+	}
+	if m.confirmed(now) || !m.record.contains(m.Self) {
+		m.unowned = time.Time{}
+	} else if m.unowned.IsZero() {
+		m.unowned = now
+	}
+}
+
+// extend moves the end of continued holdings while they are still valid; once
+// they have lapsed they start again only when the epoch is in effect.
+func (m *Machine) extend(now time.Time) {
+	if len(m.carried) == 0 {
+		return
+	}
+	if !now.Before(m.until) {
+		m.carried = nil
+		return
+	}
+	first := m.record.Epoch
+	for _, e := range m.carried {
+		first = min(first, e)
+	}
+	until := m.valid
+	for i := range m.record.Prior {
+		if p := &m.record.Prior[i]; p.Epoch >= first {
+			until = later(until, m.fresh(p))
+		}
+	}
+	m.until = later(m.until, until)
+}
+
+// isClosed reports whether no quorum of an earlier epoch can acknowledge it any
+// more: enough members have acknowledged a later one or are proven dead.
+func (m *Machine) isClosed(p *Record) bool {
+	return !quorum(p.Members, func(t persimmoncart.Tag) bool {
+		if t == m.Self || m.seen[t] > p.Epoch || m.isDead(t) {
+			return false
+		}
+		return true
+	})
+}
+
+// isDead remembers proofs of death, which membership keeps only for a while.
+func (m *Machine) isDead(t persimmoncart.Tag) bool {
+	if !m.dead[t] && m.Dead(t) {
+		if m.dead == nil {
+			m.dead = map[persimmoncart.Tag]bool{}
+		}
+		m.dead[t] = true
+	}
+	return m.dead[t]
+}
+
+// fresh returns the time up to which a quorum of r has acknowledged r to this
+// instance; it is zero if no quorum ever has.
+func (m *Machine) fresh(r *Record) time.Time {
+	if !r.contains(m.Self) {
+		return time.Time{}
+	}
+	times := make([]time.Time, 0, len(r.Members))
+	acks := m.acks[r.Epoch]
+	for _, t := range r.Members {
+		if at := acks[t]; t != m.Self && !at.IsZero() {
+			times = append(times, at)
+		}
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	// This instance acknowledges to itself as long as the record is its newest.
+	self := r == m.record
+	for _, at := range times {
+		if quorum(r.Members, func(t persimmoncart.Tag) bool {
+			return t == m.Self && self || t != m.Self && !acks[t].Before(at)
+		}) {
+			return at.Add(AckTerm)
+		}
+	}
+	if self && quorum(r.Members, func(t persimmoncart.Tag) bool { return t == m.Self }) {
+		return farFuture
+	}
+	return time.Time{}
+}
+
+// farFuture is the end of a holding that needs no other member.
+var farFuture = time.Date(9999, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Holds reports whether this instance owns the replica at now.
+func (m *Machine) Holds(now time.Time, id persimmoncart.EndpointID) bool {
+	if m.record == nil {
+		return false
+	}
+	if m.effective {
+		owner, _ := m.record.Owner(id)
+		return owner == m.Self.Instance && now.Before(m.valid)
+	}
+	_, continued := m.carried[id]
+	return continued && now.Before(m.until)
+}
+
+// Owned returns the replicas that this instance owns at now, sorted.
+func (m *Machine) Owned(now time.Time) []persimmoncart.EndpointID {
+	var owned []persimmoncart.EndpointID
+	if m.record == nil || (m.effective && !now.Before(m.valid)) {
+		return nil
+	}
+	for _, id := range m.record.Replicas {
+		if m.effective {
+			if owner, _ := m.record.Owner(id); owner == m.Self.Instance {
+				owned = append(owned, id)
+			}
+		} else if _, continued := m.carried[id]; continued && now.Before(m.until) {
+			owned = append(owned, id)
+		}
+	}
+	slices.Sort(owned)
+	return owned
+}
+
+// confirmed reports whether the newest epoch is in effect here and acknowledged.
+func (m *Machine) confirmed(now time.Time) bool {
+	return m.effective && now.Before(m.valid)
+}
+
+// Static returns the number of members among which the slots of a replica
+// without a confirmed owner are divided; zero means that it has an owner. Down
+// reports whether the instance is silent or dead.
+func (m *Machine) Static(now time.Time, id persimmoncart.EndpointID, down func(persimmoncart.InstanceID) bool) int {
+	if m.record == nil || !m.record.contains(m.Self) || m.Holds(now, id) {
+		return 0
+	}
+	owner, found := m.record.Owner(id)
+	lost := !m.unowned.IsZero() && now.Sub(m.unowned) > StaticAfter
+	if found && !lost && !down(owner) {
+		return 0
+	}
+	return len(m.record.Members)
+}
+
+// Ask returns the members that should be asked for an acknowledgement now, so
+// that a quorum stays fresh. Silent members come last.
+func (m *Machine) Ask(now time.Time, silent func(persimmoncart.InstanceID) bool) []persimmoncart.Tag {
+	if m.record == nil {
+		return nil
+	}
+	m.Advance(now)
+	if m.asked == nil {
+		m.asked = map[persimmoncart.Tag]time.Time{}
+	}
+	var ask []persimmoncart.Tag
+	if m.record.contains(m.Self) {
+		ask = m.askMembers(now, silent)
+	}
+	if !m.effective {
+		ask = append(ask, m.askUnmoved(now)...)
+	}
+	for _, t := range ask {
+		m.asked[t] = now
+	}
+	maps.DeleteFunc(m.asked, func(_ persimmoncart.Tag, at time.Time) bool { return now.Sub(at) > AckTerm })
+	return ask
+}
+
+// askMembers returns members of the newest epoch to ask.
+func (m *Machine) askMembers(now time.Time, silent func(persimmoncart.InstanceID) bool) []persimmoncart.Tag {
+	need := len(m.record.Members)/2 + 1 - 1
+	if len(m.record.Members)%2 == 0 && m.record.Members[0] == m.Self {
+		need--
+	}
+	acks := m.acks[m.record.Epoch]
+	var stale []persimmoncart.Tag
+	for _, t := range m.record.Members {
+		if t == m.Self {
+			continue
+		}
+		if now.Sub(acks[t]) < AckRefresh || now.Sub(m.asked[t]) < askAgain {
+			need--
+			continue
+		}
+		stale = append(stale, t)
+	}
+	if need <= 0 {
+		return nil
+	}
+	weight := func(t persimmoncart.Tag) uint64 {
+		w := rendezvous.Score(string(m.Self.Instance), string(t.Instance)) >> 1
+		if silent(t.Instance) || now.Sub(acks[t]) > AckTerm && !m.asked[t].IsZero() {
+			w |= 1 << 63 // did not answer lately
+		}
+		return w
+	}
+	slices.SortFunc(stale, func(a, b persimmoncart.Tag) int { return cmp.Compare(weight(a), weight(b)) })
+	return stale[:min(need, len(stale))]
+}
+
+// askUnmoved returns the members of epochs not yet closed that have not stated
+// a later one, which the new epoch waits for.
+func (m *Machine) askUnmoved(now time.Time) []persimmoncart.Tag {
+	var ask []persimmoncart.Tag
+	for i := range m.record.Prior {
+		p := &m.record.Prior[i]
+		if !m.closed[p.Epoch].IsZero() {
+			continue
+		}
+		for _, t := range p.Members {
+			if t != m.Self && m.seen[t] <= p.Epoch && !m.isDead(t) && now.Sub(m.asked[t]) >= askAgain && !slices.Contains(ask, t) {
+				ask = append(ask, t)
+			}
+		}
+	}
+	return ask
+}
+
+// Next returns the record that follows the newest one, with the given members
+// and replicas; it is false while too many earlier epochs may still be held.
+func (m *Machine) Next(now time.Time, members []persimmoncart.Tag, replicas []persimmoncart.EndpointID, nonce string) (Record, bool) {
+	m.Advance(now)
+	next := Record{
+		Cell:     m.Cell,
+		Epoch:    m.Epoch() + 1,
+		Members:  slices.SortedFunc(slices.Values(members), compareTags),
+		Nonce:    nonce,
+		Replicas: slices.Compact(slices.Sorted(slices.Values(replicas))),
+	}
+	if m.record == nil {
+		return next, true
+	}
+	for i := range m.record.Prior {
+		p := &m.record.Prior[i]
+		if at := m.closed[p.Epoch]; at.IsZero() || now.Sub(at) < AckTerm+EpochMargin {
+			next.Prior = append(next.Prior, *p)
+		}
+	}
+	next.Prior = append(next.Prior, m.record.bare())
+	return next, len(next.Prior) <= maxPrior
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/ownership/model_test.go
@@ -0,0 +1,219 @@
+package ownership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// A modelNode is one process in the model test. Its clock runs at its own rate.
+type modelNode struct {
+	ended   bool
+	machine Machine
+	offset  time.Duration
+	paused  bool
+	rate    float64
+}
+
+// A modelMessage is an acknowledgement on its way.
+type modelMessage struct {
+	answered bool
+	asked    time.Time
+	epoch    uint64
+	from, to int
+}
+
+// A model runs a few machines under a random schedule. The store is a chain of
+// records; a node may write any membership at any time, since safety must not
+// depend on who is proposed when.
+type model struct {
+	chain    []Record
+	holding  int
+	messages []modelMessage
+	nodes    []*modelNode
+	now      time.Duration
+	random   *rand.Rand
+	replicas []persimmoncart.EndpointID
+	trace    []string
+}
+
+// local returns a node's own time.
+func (m *model) local(n *modelNode) time.Time {
+	return time.Unix(1e9, 0).Add(n.offset + time.Duration(float64(m.now)*n.rate))
+}
+
+// dead is true only for processes that have really ended.
+func (m *model) dead(t persimmoncart.Tag) bool {
+	for _, n := range m.nodes {
+		if n.machine.Self == t {
+			return n.ended
+		}
+	}
+	return false
+}
+
+// start starts a process.
+func (m *model) start(tag persimmoncart.Tag) {
+	m.nodes = append(m.nodes, &modelNode{
+		machine: Machine{Cell: "c", Dead: m.dead, Self: tag},
+		offset:  time.Duration(m.random.Int64N(int64(time.Hour))),
+		rate:    0.9 + m.random.Float64()*0.2,
+	})
+}
+
+// alive returns a random process that runs and is not paused, or nil.
+func (m *model) alive() (int, *modelNode) {
+	i := m.random.IntN(len(m.nodes))
+	n := m.nodes[i]
+	if n.ended || n.paused {
+		return i, nil
+	}
+	return i, n
+}
+
+// step does one random step and returns its name.
+func (m *model) step() string {
+	i, n := m.alive()
+	switch k := m.random.IntN(40); {
+	case k < 12:
+		d := time.Duration(m.random.Int64N(int64(700 * time.Millisecond)))
+		m.now += d
+		return fmt.Sprint("wait ", d)
+	case k < 20:
+		if n == nil {
+			return ""
+		}
+		now := m.local(n)
+		for _, t := range n.machine.Ask(now, func(persimmoncart.InstanceID) bool { return false }) {
+			for j, q := range m.nodes {
+				if q.machine.Self == t {
+					m.messages = append(m.messages, modelMessage{asked: now, epoch: n.machine.Epoch(), from: i, to: j})
+				}
+			}
+		}
+		return fmt.Sprint("ask ", i)
+	case k < 33:
+		return m.deliver()
+	case k < 36:
+		if n == nil || len(m.chain) == 0 {
+			return ""
+		}
+		r := m.chain[len(m.chain)-1]
+		n.machine.Learn(m.local(n), &r)
+		return fmt.Sprint("learn ", i, " ", r.Epoch)
+	case k < 38:
+		return m.write(i, n)
+	case k == 38:
+		m.nodes[i].paused = !m.nodes[i].paused
+		return fmt.Sprint("pause ", i, " ", m.nodes[i].paused)
+	default:
+		if m.nodes[i].ended || m.random.IntN(4) > 0 {
+			return ""
+		}
+		m.nodes[i].ended = true
+		tag := m.nodes[i].machine.Self
+		tag.Incarnation++
+		m.start(tag)
+		return fmt.Sprint("restart ", i)
+	}
+}
+
+// write writes the next record; its answer may be lost.
+func (m *model) write(i int, n *modelNode) string {
+	if n == nil || int(n.machine.Epoch()) != len(m.chain) {
+		return "" // the store refuses: the version is an old one
+	}
+	var members []persimmoncart.Tag
+	for _, q := range m.nodes {
+		if !q.ended && m.random.IntN(4) > 0 {
+			members = append(members, q.machine.Self)
+		}
+	}
+	r, possible := n.machine.Next(m.local(n), members, m.replicas, "")
+	if !possible || len(members) == 0 {
+		return ""
+	}
+	m.chain = append(m.chain, r)
+	if m.random.IntN(3) > 0 {
+		n.machine.Learn(m.local(n), &r)
+	}
+	return fmt.Sprint("write ", i, " ", members)
+}
+
+// deliver delivers, loses or repeats a random message.
+func (m *model) deliver() string {
+	if len(m.messages) == 0 {
+		return ""
+	}
+	k := m.random.IntN(len(m.messages))
+	x := m.messages[k]
+	to := m.nodes[x.to]
+	if to.paused {
+		return ""
+	}
+	if m.random.IntN(10) > 0 {
+		m.messages = slices.Delete(m.messages, k, k+1)
+	}
+	if to.ended || m.random.IntN(10) == 0 {
+		return fmt.Sprint("lose ", x)
+	}
+	from := m.nodes[x.from].machine.Self
+	if x.answered {
+		to.machine.Ack(m.local(to), from, x.epoch, x.asked)
+	} else {
+		to.machine.Ack(m.local(to), from, x.epoch, time.Time{})
+		m.messages = append(m.messages, modelMessage{answered: true, asked: x.asked, epoch: to.machine.Epoch(), from: x.to, to: x.from})
+	}
+	return fmt.Sprint("deliver ", x)
+}
+
+// check returns an error if a replica has two owners now. A paused process
+// counts: it may go on at any moment without knowing that it was paused.
+func (m *model) check() error {
+	for _, r := range m.replicas {
+		owner := -1
+		for i, n := range m.nodes {
+			if n.ended || !n.machine.Holds(m.local(n), r) {
+				continue
+			}
+			if owner >= 0 {
+				return fmt.Errorf("%s is owned by %d and %d at %s", r, owner, i, m.now)
+			}
+			owner = i
+			m.holding++
+		}
+	}
+	return nil
+}
+
+// Guards against two owners of one replica at the same time, under any order of
+// pauses, lost, late and repeated answers, cuts, restarts and changes of
+// membership, with clocks that differ in rate by up to a fifth.
+func TestModelOneOwner(t *testing.T) {
+	const schedules, steps = 2000, 300
+	holding := 0
+	for seed := range uint64(schedules) {
+		m := &model{random: rand.New(rand.NewPCG(seed, 0)), replicas: []persimmoncart.EndpointID{"a", "b", "c"}}
+		for i := range 2 + m.random.IntN(4) {
+			m.start(persimmoncart.Tag{Incarnation: 1, Instance: persimmoncart.InstanceID(fmt.Sprint("i", i))})
+		}
+		for range steps {
+			if s := m.step(); s != "" {
+				m.trace = append(m.trace, s)
+			}
+			if err := m.check(); err != nil {
+				t.Fatalf("seed %d: %v\n%v", seed, err, m.trace)
+			}
+		}
+		holding += m.holding
+	}
+	// The schedules must reach states in which replicas are owned.
+	assert.Assert(t, holding > schedules, "%d", holding)
+	t.Logf("%d schedules, %d owned replica states", schedules, holding)
+}
--- /dev/null
+++ b/internal/ownership/propose.go
@@ -0,0 +1,183 @@
+package ownership
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/rendezvous"
+)
+
+// A view is what a tick needs of membership.
+type view struct {
+	alive   map[persimmoncart.InstanceID]persimmoncart.Member // neither dead nor suspect
+	centres map[persimmoncart.DataCentre][]persimmoncart.Tag  // instances of the region that should own replicas
+	present map[persimmoncart.DataCentre]bool                 // has an instance that is not proven dead
+}
+
+// view returns membership as this tick sees it.
+func (s *Service) view(now time.Time) view {
+	v := view{
+		alive:   map[persimmoncart.InstanceID]persimmoncart.Member{},
+		centres: map[persimmoncart.DataCentre][]persimmoncart.Tag{},
+		present: map[persimmoncart.DataCentre]bool{},
+	}
+	silent := map[persimmoncart.Tag]time.Time{}
+	region := s.Members.Machine.Self.Region
+	for _, m := range s.Members.Machine.View() {
+		i := m.Instance
+		if i.Region != region || m.State == persimmoncart.MemberDead {
+			continue
+		}
+		v.present[i.DataCentre] = true
+		switch m.State {
+		case persimmoncart.MemberSuspect:
+			since, known := s.silent[i.Tag()]
+			if !known {
+				since = now
+			}
+			silent[i.Tag()] = since
+			if now.Sub(since) < suspectDelay {
+				v.centres[i.DataCentre] = append(v.centres[i.DataCentre], i.Tag())
+			}
+		case persimmoncart.MemberLeaving:
+			v.alive[i.ID] = m // may propose, and owns nothing in the next epoch
+		case persimmoncart.MemberAlive:
+			v.alive[i.ID] = m
+			if i.Incarnation != 0 {
+				v.centres[i.DataCentre] = append(v.centres[i.DataCentre], i.Tag())
+			}
+		default:
+		}
+	}
+	s.silent = silent
+	return v
+}
+
+// adopt takes part in cells without instances when this instance's cell is the
+// first of the region for them, and ends that when their own instances are back.
+func (s *Service) adopt(now time.Time, v view) {
+	own := s.Members.Machine.Self.DataCentre
+	for name := range s.configured() {
+		if name == own {
+			continue
+		}
+		c := s.cells[name]
+		if s.adopter(name, v) == own {
+			if c == nil {
+				c = s.cell(name)
+				c.empty = now
+			}
+			continue
+		}
+		// Kept until the record no longer names this instance, so that the
+		// handover closes the old epoch.
+		if c != nil && c.record != nil && !c.counts(c.Self) && c.effectiveElsewhere(now) {
+			delete(s.cells, name)
+		}
+	}
+}
+
+// effectiveElsewhere reports whether enough time has passed for a record that
+// does not name this instance to be in effect at its members.
+func (c *cellState) effectiveElsewhere(now time.Time) bool {
+	if c.empty.IsZero() || c.record.contains(c.Self) {
+		c.empty = now
+	}
+	return now.Sub(c.empty) > suspectDelay
+}
+
+// adopter returns the cell whose instances own the replicas of a data centre:
+// itself if it has instances, otherwise the region's first by rendezvous hash.
+func (s *Service) adopter(name persimmoncart.DataCentre, v view) persimmoncart.DataCentre {
+	if v.present[name] {
+		return name
+	}
+	var best persimmoncart.DataCentre
+	for other := range v.present {
+		if best == "" || rendezvous.Score(string(name), string(other)) > rendezvous.Score(string(name), string(best)) {
+			best = other
+		}
+	}
+	return best
+}
+
+// propose writes the next record when the newest one is not what it should be.
+func (s *Service) propose(ctx context.Context, now time.Time, c *cellState, v view) {
+	if c.busy || now.Before(c.retry) || (c.record == nil && !c.missing) {
+		return
+	}
+	members := slices.SortedFunc(slices.Values(v.centres[s.adopter(c.Cell, v)]), compareTags)
+	replicas := s.configured()[c.Cell]
+	if len(members) == 0 || c.matches(members, replicas) {
+		c.since = time.Time{}
+		return
+	}
+	rank, may := s.rank(c, members, v)
+	if !may {
+		c.since = time.Time{}
+		return
+	}
+	if c.since.IsZero() {
+		c.since = now
+	}
+	wait := proposeDelay + time.Duration(rank)*rankDelay
+	if c.record == nil || !c.lost(members) {
+		wait += joinDelay
+	}
+	if now.Sub(c.since) < wait {
+		return
+	}
+	next, possible := c.Next(now, members, replicas, s.nonce())
+	if !possible {
+		return
+	}
+	var version persimmoncart.Version
+	if c.record != nil {
+		version = c.record.Version
+	}
+	s.write(ctx, c, next, version)
+}
+
+// matches reports whether the newest record has these members and replicas.
+func (c *cellState) matches(members []persimmoncart.Tag, replicas []persimmoncart.EndpointID) bool {
+	return c.record != nil && slices.Equal(c.record.Members, members) && slices.Equal(c.record.Replicas, replicas)
+}
+
+// lost reports whether a member of the record is not among members.
+func (c *cellState) lost(members []persimmoncart.Tag) bool {
+	for _, t := range c.record.Members {
+		if !slices.Contains(members, t) {
+			return true
+		}
+	}
+	return false
+}
+
+// rank returns this instance's turn among those that may propose. Members of
+// the record propose while a quorum of those not proven dead is reachable, so
+// that the smaller part of a cut cell does not replace the larger one. If all
+// are dead, the wanted members propose.
+func (s *Service) rank(c *cellState, members []persimmoncart.Tag, v view) (int, bool) {
+	proposers := members
+	if c.record != nil {
+		remaining := slices.DeleteFunc(slices.Clone(c.record.Members), c.isDead)
+		if len(remaining) > 0 {
+			reachable := func(t persimmoncart.Tag) bool {
+				m, alive := v.alive[t.Instance]
+				return alive && m.Instance.Incarnation == t.Incarnation || t == c.Self
+			}
+			if !quorum(remaining, reachable) {
+				return 0, false
+			}
+			proposers = slices.DeleteFunc(remaining, func(t persimmoncart.Tag) bool { return !reachable(t) })
+		}
+	}
+	proposers = slices.SortedFunc(slices.Values(proposers), func(a, b persimmoncart.Tag) int {
+		return cmp.Compare(rendezvous.Score(string(c.Cell), string(a.Instance)), rendezvous.Score(string(c.Cell), string(b.Instance)))
+	})
+	i := slices.Index(proposers, c.Self)
+	return i, i >= 0
+}
--- /dev/null
+++ b/internal/ownership/record.go
@@ -0,0 +1,137 @@
+package ownership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/persimmoncart/persimmoncart"
+	memberv1 "github.com/persimmoncart/persimmoncart/proto/member/v1"
+)
+
+// maxPrior bounds the earlier epochs in a record. No further epoch is proposed
+// until one of them has closed.
+const maxPrior = 8
+
+// A Record is the membership of a cell in one epoch.
+type Record struct {
+	Cell     persimmoncart.DataCentre
+	Epoch    uint64
+	Members  []persimmoncart.Tag // sorted
+	Nonce    string
+	Prior    []Record // earlier epochs that may still be held, oldest first
+	Replicas []persimmoncart.EndpointID
+	Version  persimmoncart.Version // in the store
+
+	owners map[persimmoncart.EndpointID]persimmoncart.InstanceID
+}
+
+// Owner returns the owner of a replica in this epoch.
+func (r *Record) Owner(id persimmoncart.EndpointID) (persimmoncart.InstanceID, bool) {
+	if r.owners == nil {
+		ids := make([]persimmoncart.InstanceID, 0, len(r.Members))
+		for _, m := range r.Members {
+			ids = append(ids, m.Instance)
+		}
+		r.owners = Assign(ids, r.Replicas)
+	}
+	owner, found := r.owners[id]
+	return owner, found
+}
+
+// contains reports whether tag is a member.
+func (r *Record) contains(tag persimmoncart.Tag) bool {
+	return slices.Contains(r.Members, tag)
+}
+
+// quorum reports whether the members for which in is true are a majority, or an
+// exact half with the smallest identifier. Two quorums always share a member.
+func quorum(members []persimmoncart.Tag, in func(persimmoncart.Tag) bool) bool {
+	count := 0
+	for _, m := range members {
+		if in(m) {
+			count++
+		}
+	}
+	if 2*count == len(members) && count > 0 {
+		return in(members[0])
+	}
+	return 2*count > len(members)
+}
+
+// bare returns the record as it appears among the earlier epochs of another.
+func (r *Record) bare() Record {
+	return Record{Cell: r.Cell, Epoch: r.Epoch, Members: r.Members, Replicas: r.Replicas}
+}
+
+// Wire returns the record as a message.
+func (r *Record) Wire() *memberv1.CellRecord {
+	w := &memberv1.CellRecord{
+		Cell:    string(r.Cell),
+		Epoch:   r.Epoch,
+		Nonce:   r.Nonce,
+		Version: uint64(r.Version),
+	}
+	for _, m := range r.Members {
+		w.Members = append(w.Members, &memberv1.RecordMember{Id: string(m.Instance), Incarnation: uint64(m.Incarnation)})
+	}
+	for _, id := range r.Replicas {
+		w.Replicas = append(w.Replicas, string(id))
+	}
+	for i := range r.Prior {
+		w.Prior = append(w.Prior, r.Prior[i].Wire())
+	}
+	return w
+}
+
+// RecordFromWire returns the record in a message.
+func RecordFromWire(w *memberv1.CellRecord) Record {
+	r := Record{
+		Cell:    persimmoncart.DataCentre(w.GetCell()),
+		Epoch:   w.GetEpoch(),
+		Nonce:   w.GetNonce(),
+		Version: persimmoncart.Version(w.GetVersion()),
+	}
+	for _, m := range w.GetMembers() {
+		r.Members = append(r.Members, persimmoncart.Tag{
+			Incarnation: persimmoncart.Incarnation(m.GetIncarnation()),
+			Instance:    persimmoncart.InstanceID(m.GetId()),
+		})
+	}
+	for _, id := range w.GetReplicas() {
+		r.Replicas = append(r.Replicas, persimmoncart.EndpointID(id))
+	}
+	for _, p := range w.GetPrior() {
+		r.Prior = append(r.Prior, RecordFromWire(p))
+	}
+	return r
+}
+
+// encode returns the value that the store keeps.
+func (r *Record) encode() ([]byte, error) {
+	w := r.Wire()
+	w.Version = 0 // known only after the write
+	value, err := proto.Marshal(w)
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode record of cell %s", r.Cell)
+	}
+	return value, nil
+}
+
+// decode reads the value of an object in the store.
+func decode(object persimmoncart.Object) (Record, error) {
+	w := &memberv1.CellRecord{}
+	if err := proto.Unmarshal(object.Value, w); err != nil {
+		return Record{}, errors.Wrapf(err, "decode %q", object.Key)
+	}
+	r := RecordFromWire(w)
+	r.Version = object.Version
+	return r, nil
+}
+
+// compareTags orders tags by identifier, then by incarnation.
+func compareTags(a, b persimmoncart.Tag) int {
+	return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation))
+}
--- /dev/null
+++ b/internal/ownership/service.go
@@ -0,0 +1,362 @@
+package ownership
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/membership"
+	"github.com/persimmoncart/persimmoncart/internal/peer"
+	memberv1 "github.com/persimmoncart/persimmoncart/proto/member/v1"
+)
+
+const (
+	backoffMax   = 10 * time.Second // between attempts while the store is down, with jitter
+	checkPeriod  = time.Second
+	joinDelay    = 2 * time.Second // collects instances and replicas that come together
+	loadPeriod   = 5 * time.Minute // the record is read again in case no peer told of it
+	proposeDelay = 200 * time.Millisecond
+	rankDelay    = time.Second     // between the first proposer and the next
+	recordLimit  = 2 * time.Second // for a record from a peer
+	storeTimeout = 2 * time.Second
+	suspectDelay = 10 * time.Second // a suspect then leaves the next epoch
+	tickPeriod   = 200 * time.Millisecond
+)
+
+// KeyPrefix starts the store keys of cell records.
+const KeyPrefix = "cells/"
+
+var _ membership.Extension = (*Service)(nil)
+
+// A Service runs the ownership protocol of one instance: for its own cell, and
+// for cells of the region that have no instances. Set the fields before Start.
+type Service struct {
+	Changed       func([]persimmoncart.Usable) // told under Lock what this instance may use; nil is nobody
+	Configuration persimmoncart.Configuration
+	Log           zerolog.Logger
+	Members       *membership.Service // shares its Lock
+	Rand          *rand.Rand
+	Spawn         func(func()) // runs calls that wait; nil starts a goroutine
+	Store         persimmoncart.Store
+	Timer         persimmoncart.Timer
+	Transport     peer.Transport
+
+	cells    map[persimmoncart.DataCentre]*cellState
+	check    time.Time // when the view is read again; a change reads it at once
+	current  view
+	silent   map[persimmoncart.Tag]time.Time // since when a member is suspect
+	replicas regionReplicas
+	sequence uint64
+	usable   []persimmoncart.Usable
+}
+
+// A cellState is the protocol for one cell with its calls in flight.
+type cellState struct {
+	Machine
+	busy     bool // a store call is in flight
+	empty    time.Time
+	fetching bool
+	load     time.Time // when the record is read from the store next
+	missing  bool      // the store has no record
+	retry    time.Time // no proposal before
+	since    time.Time // since when the record differs from what it should be
+}
+
+// Start subscribes to the timer; the returned function ends it. It registers
+// the Service with Members, which must not run yet.
+func (s *Service) Start(ctx context.Context) (stop func()) {
+	if s.Spawn == nil {
+		s.Spawn = func(f func()) { go f() }
+	}
+	s.cells = map[persimmoncart.DataCentre]*cellState{}
+	s.silent = map[persimmoncart.Tag]time.Time{}
+	s.Members.Machine.Extensions = append(s.Members.Machine.Extensions, s)
+	s.Members.Records = s.records
+	s.cell(s.Members.Machine.Self.DataCentre)
+	stopMembers := s.Members.Subscribe(func([]persimmoncart.Member) { s.check = time.Time{} })
+	stopTicks := s.Timer.Subscribe(tickPeriod, func(now time.Time) {
+		s.Members.Lock.Lock()
+		defer s.Members.Lock.Unlock()
+		s.tick(ctx, now)
+	})
+	return func() {
+		stopTicks()
+		stopMembers()
+	}
+}
+
+// Holds reports whether this instance owns the replica now. The caller holds
+// the Lock of Members, as for all methods below.
+func (s *Service) Holds(id persimmoncart.EndpointID) bool {
+	now := s.Timer.Now()
+	for _, c := range s.cells {
+		if c.Holds(now, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// Owned returns the replicas that this instance owns now.
+func (s *Service) Owned() []persimmoncart.EndpointID {
+	now := s.Timer.Now()
+	var owned []persimmoncart.EndpointID
+	for _, c := range s.cells {
+		owned = append(owned, c.Owned(now)...)
+	}
+	slices.Sort(owned)
+	return owned
+}
+
+// Owner returns the owner of a replica by the newest epoch.
+func (s *Service) Owner(id persimmoncart.EndpointID) (persimmoncart.InstanceID, bool) {
+	for _, c := range s.cells {
+		if c.record == nil {
+			continue
+		}
+		if owner, found := c.record.Owner(id); found {
+			return owner, true
+		}
+	}
+	return "", false
+}
+
+// Static returns the number of members that share the slots of a replica
+// without a confirmed owner; zero means that this instance must not use it so.
+func (s *Service) Static(id persimmoncart.EndpointID) int {
+	now := s.Timer.Now()
+	for _, c := range s.cells {
+		n := c.Static(now, id, func(owner persimmoncart.InstanceID) bool { return s.down(now, owner) })
+		if n > 0 {
+			return n
+		}
+	}
+	return 0
+}
+
+// down reports whether an owner has been silent for longer than its holding lasts.
+func (s *Service) down(now time.Time, id persimmoncart.InstanceID) bool {
+	m, known := s.Members.Machine.Member(id)
+	if !known || m.State == persimmoncart.MemberDead {
+		return true
+	}
+	since, silent := s.silent[m.Instance.Tag()]
+	return silent && now.Sub(since) > StaticAfter
+}
+
+// Fill implements membership.Extension.
+func (s *Service) Fill(_ persimmoncart.Instance, _ bool, p *memberv1.Piggyback) {
+	for _, c := range s.cells {
+		if c.record != nil {
+			p.Epochs = append(p.Epochs, &memberv1.Epoch{Cell: string(c.Cell), Epoch: c.record.Epoch})
+		}
+	}
+}
+
+// Receive implements membership.Extension.
+func (s *Service) Receive(from persimmoncart.Instance, p *memberv1.Piggyback, sent time.Time) {
+	now := s.Timer.Now()
+	for _, e := range p.GetEpochs() {
+		c := s.cells[persimmoncart.DataCentre(e.GetCell())]
+		if c == nil || from.ID == "" {
+			continue
+		}
+		c.Ack(now, from.Tag(), e.GetEpoch(), sent)
+		if e.GetEpoch() > c.Epoch() {
+			s.fetch(c, from)
+		}
+	}
+}
+
+// records answers a request for a record.
+func (s *Service) records(r *memberv1.RecordRequest) *memberv1.RecordReply {
+	c := s.cells[persimmoncart.DataCentre(r.GetCell())]
+	if c == nil || c.Epoch() <= r.GetAfter() {
+		return &memberv1.RecordReply{}
+	}
+	return &memberv1.RecordReply{Record: c.record.Wire()}
+}
+
+// fetch reads a newer record from a peer.
+func (s *Service) fetch(c *cellState, from persimmoncart.Instance) {
+	if c.fetching {
+		return
+	}
+	c.fetching = true
+	request := &memberv1.RecordRequest{After: c.Epoch(), Cell: string(c.Cell)}
+	s.Transport.Call(from.Addr, request, recordLimit, func(reply proto.Message, err error) {
+		s.Members.Lock.Lock()
+		defer s.Members.Lock.Unlock()
+		c.fetching = false
+		if err != nil {
+			return
+		}
+		if w := reply.(*memberv1.RecordReply).GetRecord(); w != nil {
+			r := RecordFromWire(w)
+			s.learn(c, &r)
+		}
+	})
+}
+
+// learn takes a record and tells everyone concerned, so that the old epoch
+// closes without waiting for the round of probes.
+func (s *Service) learn(c *cellState, r *Record) {
+	now := s.Timer.Now()
+	if !c.Learn(now, r) {
+		return
+	}
+	c.missing = false
+	s.Log.Info().Str("cell", string(c.Cell)).Uint64("epoch", r.Epoch).Int("members", len(r.Members)).Msg("epoch learned")
+	told := map[persimmoncart.InstanceID]bool{s.Members.Machine.Self.ID: true}
+	tell := func(members []persimmoncart.Tag) {
+		for _, t := range members {
+			if !told[t.Instance] {
+				told[t.Instance] = true
+				s.Members.Probe(t.Instance)
+			}
+		}
+	}
+	tell(r.Members)
+	for i := range r.Prior {
+		tell(r.Prior[i].Members)
+	}
+}
+
+// cell returns the state for a cell and creates it when needed.
+func (s *Service) cell(name persimmoncart.DataCentre) *cellState {
+	c := s.cells[name]
+	if c == nil {
+		c = &cellState{Machine: Machine{Cell: name, Dead: s.Members.Machine.Dead, Self: s.Members.Machine.Self.Tag()}}
+		c.load = s.Timer.Now().Add(s.jitter(checkPeriod))
+		s.cells[name] = c
+	}
+	return c
+}
+
+// tick drives the protocol.
+func (s *Service) tick(ctx context.Context, now time.Time) {
+	if !now.Before(s.check) {
+		s.check = now.Add(checkPeriod)
+		s.current = s.view(now)
+		s.adopt(now, s.current)
+	}
+	for _, name := range s.names() {
+		c := s.cells[name]
+		c.Renew(s.Members.Machine.Self.Tag())
+		c.Advance(now)
+		for _, t := range c.Ask(now, s.suspect) {
+			s.Members.Probe(t.Instance)
+		}
+		if !c.busy && !now.Before(c.load) {
+			s.read(ctx, c)
+		}
+		s.propose(ctx, now, c, s.current)
+	}
+	s.tellUsable()
+}
+
+// suspect reports whether a member is silent.
+func (s *Service) suspect(id persimmoncart.InstanceID) bool {
+	m, known := s.Members.Machine.Member(id)
+	return known && m.State == persimmoncart.MemberSuspect
+}
+
+// names returns the cells that this instance takes part in, sorted.
+func (s *Service) names() []persimmoncart.DataCentre {
+	names := make([]persimmoncart.DataCentre, 0, len(s.cells))
+	for name := range s.cells {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// jitter returns a random part of d, at least a tenth.
+func (s *Service) jitter(d time.Duration) time.Duration {
+	return d/10 + time.Duration(s.Rand.Int64N(int64(d)*9/10))
+}
+
+// nonce returns an identifier for one write.
+func (s *Service) nonce() string {
+	s.sequence++
+	self := s.Members.Machine.Self
+	return fmt.Sprintf("%s/%d/%d", self.ID, self.Incarnation, s.sequence)
+}
+
+// read reads the record from the store.
+func (s *Service) read(ctx context.Context, c *cellState) {
+	c.busy = true
+	s.Spawn(func() {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		object, err := s.Store.Get(ctx, KeyPrefix+string(c.Cell))
+		s.Members.Lock.Lock()
+		defer s.Members.Lock.Unlock()
+		s.readDone(c, object, err)
+	})
+}
+
+// readDone takes an answer of the store to a read. Lock is held.
+func (s *Service) readDone(c *cellState, object persimmoncart.Object, err error) {
+	now := s.Timer.Now()
+	c.busy = false
+	c.load = now.Add(loadPeriod - s.jitter(loadPeriod/4))
+	var missing *persimmoncart.NotFoundError
+	switch {
+	case errors.As(err, &missing):
+		c.missing = true
+		return
+	case err != nil:
+		c.load = now.Add(s.jitter(backoffMax))
+		return
+	}
+	r, err := decode(object)
+	if err != nil {
+		s.Log.Error().Err(err).Msg("cell record unreadable")
+		return
+	}
+	s.learn(c, &r)
+}
+
+// write proposes a record to the store. A lost answer is settled by reading
+// back: the record in the store is the truth, whoever wrote it.
+func (s *Service) write(ctx context.Context, c *cellState, r Record, version persimmoncart.Version) {
+	value, err := r.encode()
+	if err != nil {
+		s.Log.Error().Err(err).Msg("cell record not written")
+		return
+	}
+	c.busy = true
+	key := KeyPrefix + string(c.Cell)
+	s.Spawn(func() {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		var err error
+		if version == 0 {
+			r.Version, err = s.Store.Create(ctx, key, value)
+		} else {
+			r.Version, err = s.Store.Update(ctx, key, value, version)
+		}
+		s.Members.Lock.Lock()
+		defer s.Members.Lock.Unlock()
+		c.busy = false
+		now := s.Timer.Now()
+		var unavailable *persimmoncart.UnavailableError
+		switch {
+		case err == nil:
+			c.since = time.Time{}
+			s.learn(c, &r)
+		case errors.As(err, &unavailable):
+			c.retry = now.Add(s.jitter(backoffMax))
+		default: // conflict, or the answer was lost
+			c.since, c.load = time.Time{}, now
+		}
+	})
+}
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -69,6 +69,7 @@
 	State    PortState
 	addr     netip.AddrPort
 	network  *Network
+	process  int // counts the processes that have used the port
 }
 
 // Call implements Transport.
@@ -76,6 +77,7 @@
 	n := p.network
 	body := p.count(request)
 	open := true
+	process := p.process
 	var stop func()
 	finish := func(reply proto.Message, err error) {
 		if !open {
@@ -83,8 +85,11 @@
 		}
 		open = false
 		stop()
-		// A paused or ended process does not see the result.
-		if p.State == PortOpen {
+		switch {
+		case p.process != process:
+		case p.State != PortOpen:
+			done(nil, &SilentError{Addr: to, Timeout: timeout})
+		default:
 			done(reply, err)
 		}
 	}
@@ -107,6 +112,12 @@
 	}
 }
 
+// End ends the process that uses the port: its calls in flight never return.
+func (p *Port) End(state PortState) {
+	p.process++
+	p.State = state
+}
+
 // TotalSent returns the bytes sent for all services.
 func (p *Port) TotalSent() int {
 	total := 0
