claim: record calls that may not be repeated before their dispatch

Cause: a payment or pledge must run at most once although instances die or pause, store answers get lost and callers repeat their requests. Change: internal/claim keeps records in buckets that any instance may write by conditional update; one writer for each bucket commits in groups; a lost answer is settled by the nonce found on reading back; an abandoned claim is settled as not run, also when it arrives late; grants allow a dispatch for 5 s only.

--- /dev/null
+++ b/internal/claim/bucket.go
@@ -0,0 +1,164 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+	claimv1 "github.com/persimmoncart/persimmoncart/proto/claim/v1"
+)
+
+// A bucket is one instance's copy of the records whose keys hash to it: the
+// head object and the sealed objects that the head refers to.
+type bucket struct {
+	head    *claimv1.Head
+	index   map[persimmoncart.ClaimKey]*claimv1.Record // records of the head
+	sealed  map[string]map[persimmoncart.ClaimKey]*claimv1.Record
+	version persimmoncart.Version // of the head; zero if it does not exist
+}
+
+// newBucket returns the bucket with the given head and the sealed objects that
+// are already known.
+func newBucket(head *claimv1.Head, version persimmoncart.Version, sealed map[string]map[persimmoncart.ClaimKey]*claimv1.Record) *bucket {
+	b := &bucket{head: head, index: indexRecords(head.GetRecords()), sealed: sealed, version: version}
+	return b
+}
+
+// indexRecords returns the records by key.
+func indexRecords(records []*claimv1.Record) map[persimmoncart.ClaimKey]*claimv1.Record {
+	index := make(map[persimmoncart.ClaimKey]*claimv1.Record, len(records))
+	for _, r := range records {
+		if len(r.GetKey()) == len(persimmoncart.ClaimKey{}) {
+			index[persimmoncart.ClaimKey(r.GetKey())] = r
+		}
+	}
+	return index
+}
+
+// apply evaluates o against the bucket and changes the head. It reports whether
+// the head has to be written.
+func (b *bucket) apply(o operation, now time.Time) (result, bool) {
+	if o.state == persimmoncart.ClaimClaimed {
+		return b.claim(o, now)
+	}
+	return b.settle(o, now)
+}
+
+// claim grants o unless another claim of the key stands.
+func (b *bucket) claim(o operation, now time.Time) (result, bool) {
+	current := b.find(o.key)
+	switch {
+	case current == nil:
+	case DecodeNonce(current.GetNonce()) == o.nonce:
+		// A repeat of this very claim: granted if it still stands. A claim that
+		// was settled as not run in between was abandoned by its claimant.
+		return result{granted: current.GetState() == claimv1.State_CLAIMED, record: current}, false
+	case current.GetState() != claimv1.State_NOT_RUN:
+		return result{record: current}, false
+	}
+	b.head.Fence++
+	r := &claimv1.Record{
+		At:    now.Unix(),
+		Fence: b.head.GetFence(),
+		Key:   o.key[:],
+		Nonce: EncodeNonce(o.nonce),
+		State: claimv1.State_CLAIMED,
+	}
+	b.put(o.key, r)
+	return result{granted: true, record: r}, true
+}
+
+// find returns the newest record of the key, nil if there is none.
+func (b *bucket) find(key persimmoncart.ClaimKey) *claimv1.Record {
+	if r, ok := b.index[key]; ok {
+		return r
+	}
+	segments := b.head.GetSegments()
+	for i := len(segments) - 1; i >= 0; i-- {
+		if r, ok := b.sealed[segments[i].GetName()][key]; ok {
+			return r
+		}
+	}
+	return nil
+}
+
+// prune removes records and segments older than the retention and returns the
+// names of the segments.
+func (b *bucket) prune(oldest time.Time) []string {
+	var dropped []string
+	segments := b.head.GetSegments()[:0]
+	for _, s := range b.head.GetSegments() {
+		if time.Unix(s.GetNewest(), 0).Before(oldest) {
+			dropped = append(dropped, s.GetName())
+			continue
+		}
+		segments = append(segments, s)
+	}
+	b.head.Segments = segments
+	records := b.head.GetRecords()[:0]
+	for _, r := range b.head.GetRecords() {
+		if time.Unix(r.GetAt(), 0).Before(oldest) {
+			delete(b.index, persimmoncart.ClaimKey(r.GetKey()))
+			continue
+		}
+		records = append(records, r)
+	}
+	b.head.Records = records
+	return dropped
+}
+
+// put makes r the newest record of the key.
+func (b *bucket) put(key persimmoncart.ClaimKey, r *claimv1.Record) {
+	if old, ok := b.index[key]; ok {
+		for i, current := range b.head.GetRecords() {
+			if current == old {
+				b.head.Records[i] = r
+			}
+		}
+	} else {
+		b.head.Records = append(b.head.Records, r)
+	}
+	b.index[key] = r
+}
+
+// settle records the end of the call of o. A call that is settled as not run
+// before its claim arrives leaves a record, so that the late claim is refused.
+func (b *bucket) settle(o operation, now time.Time) (result, bool) {
+	current := b.find(o.key)
+	switch {
+	case current == nil && o.state != persimmoncart.ClaimNotRun:
+		return result{err: &SettlementError{Key: o.key, State: o.state}}, false
+	case current != nil && DecodeNonce(current.GetNonce()) != o.nonce:
+		if o.state == persimmoncart.ClaimNotRun {
+			return result{record: current}, false
+		}
+		return result{err: &SettlementError{Key: o.key, State: o.state}, record: current}, false
+	case current != nil && current.GetState() != claimv1.State_CLAIMED && current.GetState() != claimv1.State_UNKNOWN:
+		// The first settlement counts; a repeat changes nothing.
+		return result{record: current}, false
+	}
+	r := &claimv1.Record{
+		Answer: EncodeAnswer(o.answer),
+		At:     now.Unix(),
+		Fence:  current.GetFence(),
+		Key:    o.key[:],
+		Nonce:  EncodeNonce(o.nonce),
+		State:  EncodeState(o.state),
+	}
+	b.put(o.key, r)
+	return result{record: r}, true
+}
+
+// An operation is one claim or settlement.
+type operation struct {
+	answer *persimmoncart.CallResponse
+	key    persimmoncart.ClaimKey
+	nonce  persimmoncart.Nonce
+	state  persimmoncart.ClaimState // ClaimClaimed for a claim
+}
+
+// A result is what became of an operation.
+type result struct {
+	err     error
+	granted bool
+	record  *claimv1.Record
+}
--- /dev/null
+++ b/internal/claim/claims.go
@@ -0,0 +1,265 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/rendezvous"
+)
+
+const (
+	// DefaultWindow is the time after the claim was sent in which the claimant
+	// may dispatch the call.
+	DefaultWindow = 5 * time.Second
+
+	// commitTimeout bounds one commit to the store, conflicts included.
+	commitTimeout = 3 * time.Second
+	// maxBatch bounds the operations of one commit, so that a full batch stays
+	// below the store's limit for a value.
+	maxBatch = 128
+	// maxUnsettled bounds the settlements that wait for the store; a settlement
+	// that is dropped leaves its key reported as unknown.
+	maxUnsettled = 4096
+	// peerTimeout bounds a call to the writer of a bucket, after which the
+	// instance writes itself.
+	peerTimeout = time.Second
+	// settleInterval is the time between two tries to settle what the store did
+	// not take.
+	settleInterval = time.Second
+)
+
+var (
+	_ persimmoncart.ClaimWriter = (*Claims)(nil)
+	_ persimmoncart.Claims      = (*Claims)(nil)
+)
+
+// Claims implements persimmoncart.Claims on the store. Its exported fields are
+// set before Run; it is safe for concurrent use.
+type Claims struct {
+	Buckets    int           // DefaultBuckets if zero
+	Interval   time.Duration // shortest time between two commits of one bucket
+	Logger     zerolog.Logger
+	Members    persimmoncart.Members    // nil if this instance writes all buckets itself
+	Peers      persimmoncart.ClaimPeers // nil if this instance writes all buckets itself
+	Registerer prometheus.Registerer    // nil registers no metrics
+	Retention  time.Duration            // DefaultRetention if zero, never below MinRetention
+	Self       persimmoncart.Tag
+	Store      persimmoncart.Store
+	Timer      persimmoncart.Timer
+	Window     time.Duration // DefaultWindow if zero
+
+	lanes     sync.Map // int to *lane
+	metrics   *metrics
+	once      sync.Once
+	sequence  atomic.Uint64
+	unsettled unsettled
+	writer    *writer
+}
+
+// Claim implements persimmoncart.Claims.
+func (c *Claims) Claim(ctx context.Context, key persimmoncart.ClaimKey) (persimmoncart.ClaimGrant, error) {
+	c.init()
+	nonce := persimmoncart.Nonce{Sequence: c.sequence.Add(1), Tag: c.Self}
+	// The window starts before the claim is sent, so that a claimant that was
+	// paused while it waited for the answer counts the pause.
+	expires := c.Timer.Now().Add(c.window())
+	grant, err := c.claim(ctx, key, nonce)
+	if err != nil {
+		c.metrics.claims.WithLabelValues("unavailable").Inc()
+		// The store may hold a claim that nobody will dispatch; settling it as
+		// not run lets the caller come back with the same key.
+		c.settleLater(persimmoncart.Settlement{Key: key, Nonce: nonce, State: persimmoncart.ClaimNotRun})
+		return persimmoncart.ClaimGrant{}, err
+	}
+	grant.Expires = expires
+	if grant.Granted {
+		c.metrics.claims.WithLabelValues("granted").Inc()
+	} else {
+		c.metrics.claims.WithLabelValues("refused").Inc()
+	}
+	return grant, nil
+}
+
+// Outcome implements persimmoncart.Claims.
+func (c *Claims) Outcome(ctx context.Context, key persimmoncart.ClaimKey) (persimmoncart.ClaimRecord, error) {
+	c.init()
+	b, err := c.writer.read(ctx, bucketOf(key, c.buckets()), nil)
+	if err != nil {
+		return persimmoncart.ClaimRecord{}, errors.Wrap(err, "read outcome")
+	}
+	r := b.find(key)
+	if r == nil {
+		return persimmoncart.ClaimRecord{}, &persimmoncart.NotFoundError{Key: fmt.Sprintf("%x", key[:])}
+	}
+	return DecodeRecord(r), nil
+}
+
+// Run settles what the store did not take at first, until ctx is done. It then
+// tries once more and returns nil.
+func (c *Claims) Run(ctx context.Context) error {
+	c.init()
+	for {
+		if err := c.Timer.Sleep(ctx, settleInterval); err != nil {
+			break
+		}
+		c.settleAll(ctx)
+	}
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), commitTimeout)
+	defer cancel()
+	c.settleAll(last)
+	return nil
+}
+
+// Settle implements persimmoncart.Claims. A settlement that the store does not
+// take is kept and tried again by Run.
+func (c *Claims) Settle(ctx context.Context, grant persimmoncart.ClaimGrant, state persimmoncart.ClaimState, answer *persimmoncart.CallResponse) error {
+	c.init()
+	s := persimmoncart.Settlement{Answer: answer, Key: grant.Key, Nonce: grant.Record.Nonce, State: state}
+	c.metrics.settlements.WithLabelValues(string(state)).Inc()
+	err := c.settle(ctx, s)
+	if refused := (*SettlementError)(nil); err != nil && !errors.As(err, &refused) {
+		c.settleLater(s)
+	}
+	return err
+}
+
+// WriteClaim implements persimmoncart.ClaimWriter.
+func (c *Claims) WriteClaim(ctx context.Context, key persimmoncart.ClaimKey, nonce persimmoncart.Nonce) (persimmoncart.ClaimGrant, error) {
+	c.init()
+	r, err := c.submit(ctx, operation{key: key, nonce: nonce, state: persimmoncart.ClaimClaimed})
+	if err != nil {
+		return persimmoncart.ClaimGrant{}, err
+	}
+	return persimmoncart.ClaimGrant{Granted: r.granted, Key: key, Record: DecodeRecord(r.record)}, nil
+}
+
+// WriteSettlement implements persimmoncart.ClaimWriter.
+func (c *Claims) WriteSettlement(ctx context.Context, s persimmoncart.Settlement) error {
+	c.init()
+	r, err := c.submit(ctx, operation{answer: s.Answer, key: s.Key, nonce: s.Nonce, state: s.State})
+	if err != nil {
+		return err
+	}
+	return r.err
+}
+
+// buckets returns the configured number of buckets.
+func (c *Claims) buckets() int {
+	if c.Buckets == 0 {
+		return DefaultBuckets
+	}
+	return c.Buckets
+}
+
+// claim records the claim through the bucket's writer or directly.
+func (c *Claims) claim(ctx context.Context, key persimmoncart.ClaimKey, nonce persimmoncart.Nonce) (persimmoncart.ClaimGrant, error) {
+	if to, ok := c.writerOf(key); ok {
+		bounded, cancel := context.WithTimeout(ctx, peerTimeout)
+		grant, err := c.Peers.Claim(bounded, to, key, nonce)
+		cancel()
+		if err == nil {
+			return grant, nil
+		}
+		c.metrics.direct.Inc()
+	}
+	return c.WriteClaim(ctx, key, nonce)
+}
+
+// init prepares the unexported fields.
+func (c *Claims) init() {
+	c.once.Do(func() {
+		c.metrics = newMetrics(c.Registerer, func() float64 { return float64(c.unsettled.len()) })
+		retention := c.Retention
+		if retention == 0 {
+			retention = DefaultRetention
+		}
+		c.writer = &writer{
+			retention: max(retention, MinRetention),
+			seal:      sealBytes,
+			store:     c.Store,
+			tag:       c.Self,
+			timer:     c.Timer,
+		}
+	})
+}
+
+// settle records the settlement through the bucket's writer or directly.
+func (c *Claims) settle(ctx context.Context, s persimmoncart.Settlement) error {
+	if to, ok := c.writerOf(s.Key); ok {
+		bounded, cancel := context.WithTimeout(ctx, peerTimeout)
+		err := c.Peers.Settle(bounded, to, s)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		c.metrics.direct.Inc()
+	}
+	return c.WriteSettlement(ctx, s)
+}
+
+// settleAll tries to settle everything that waits, and stops at the first
+// settlement that the store does not take.
+func (c *Claims) settleAll(ctx context.Context) {
+	for {
+		s, ok := c.unsettled.take()
+		if !ok {
+			return
+		}
+		err := c.settle(ctx, s)
+		if refused := (*SettlementError)(nil); err == nil || errors.As(err, &refused) {
+			continue
+		}
+		c.settleLater(s)
+		return
+	}
+}
+
+// settleLater keeps a settlement for Run.
+func (c *Claims) settleLater(s persimmoncart.Settlement) {
+	if dropped := c.unsettled.add(s); dropped {
+		c.metrics.dropped.Inc()
+		c.Logger.Warn().Int("limit", maxUnsettled).Msg("dropped the oldest settlement that waits for the store")
+	}
+}
+
+// submit adds the operation to its bucket's lane and waits for its result.
+func (c *Claims) submit(ctx context.Context, o operation) (result, error) {
+	number := bucketOf(o.key, c.buckets())
+	l, _ := c.lanes.LoadOrStore(number, &lane{claims: c, number: number})
+	return l.(*lane).submit(ctx, o)
+}
+
+// window returns the configured window.
+func (c *Claims) window() time.Duration {
+	if c.Window == 0 {
+		return DefaultWindow
+	}
+	return c.Window
+}
+
+// writerOf returns the other instance that writes the key's bucket; false if
+// this instance does.
+func (c *Claims) writerOf(key persimmoncart.ClaimKey) (persimmoncart.Instance, bool) {
+	if c.Members == nil || c.Peers == nil {
+		return persimmoncart.Instance{}, false
+	}
+	alive := map[persimmoncart.InstanceID]persimmoncart.Instance{}
+	ids := []persimmoncart.InstanceID{c.Self.Instance}
+	for _, m := range c.Members.View() {
+		if m.State == persimmoncart.MemberAlive && m.Instance.ID != c.Self.Instance {
+			alive[m.Instance.ID] = m.Instance
+			ids = append(ids, m.Instance.ID)
+		}
+	}
+	best, _ := rendezvous.Best(fmt.Sprintf("claims/%d", bucketOf(key, c.buckets())), ids)
+	to, ok := alive[best]
+	return to, ok
+}
--- /dev/null
+++ b/internal/claim/claims_test.go
@@ -0,0 +1,204 @@
+package claim_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/claim"
+	"github.com/persimmoncart/persimmoncart/internal/objectapi"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+)
+
+// newClaims returns the claims of one instance over the store.
+func newClaims(name string, store persimmoncart.Store) *claim.Claims {
+	return &claim.Claims{
+		Self:  persimmoncart.Tag{Incarnation: 1, Instance: persimmoncart.InstanceID(name)},
+		Store: store,
+		Timer: &timer.System{},
+	}
+}
+
+// keyOf returns a key whose bucket follows n.
+func keyOf(n uint64) persimmoncart.ClaimKey {
+	var key persimmoncart.ClaimKey
+	binary.BigEndian.PutUint64(key[:8], n)
+	return key
+}
+
+func ExampleClaims() {
+	ctx := context.Background()
+	store := &objectapi.Memory{Timer: &timer.System{}}
+	first, second := newClaims("entry-1", store), newClaims("entry-2", store)
+	grant, _ := first.Claim(ctx, keyOf(7))
+	fmt.Println("first", grant.Granted)
+	again, _ := second.Claim(ctx, keyOf(7))
+	fmt.Println("second", again.Granted, again.Record.State)
+	answer := &persimmoncart.CallResponse{Body: []byte("posted"), Status: http.StatusCreated}
+	_ = first.Settle(ctx, grant, persimmoncart.ClaimAnswered, answer)
+	record, _ := second.Outcome(ctx, keyOf(7))
+	fmt.Println(record.State, record.Answer.Status, string(record.Answer.Body))
+	// Output:
+	// first true
+	// second false claimed
+	// answered 201 posted
+}
+
+// Guards against records that are lost or resurrected when a head is sealed
+// into segments, and against a head that outgrows the store's limit.
+func TestSealing(t *testing.T) {
+	store := &objectapi.Memory{Timer: &timer.System{}}
+	c := newClaims("a", store)
+	c.Buckets = 1
+	body := bytes.Repeat([]byte("x"), 1500)
+	const calls = 200
+	for i := range uint64(calls) {
+		grant, err := c.Claim(t.Context(), keyOf(i))
+		assert.NilError(t, err)
+		assert.Assert(t, grant.Granted)
+		answer := &persimmoncart.CallResponse{Body: body, Status: http.StatusOK}
+		assert.NilError(t, c.Settle(t.Context(), grant, persimmoncart.ClaimAnswered, answer))
+	}
+	objects, err := store.List(t.Context(), "claims/")
+	assert.NilError(t, err)
+	assert.Assert(t, len(objects) > 3, "%d objects", len(objects))
+	other := newClaims("b", store)
+	other.Buckets = 1
+	for i := range uint64(calls) {
+		grant, err := other.Claim(t.Context(), keyOf(i))
+		assert.NilError(t, err)
+		assert.Assert(t, !grant.Granted)
+		assert.Equal(t, grant.Record.State, persimmoncart.ClaimAnswered)
+	}
+}
+
+// Guards against claims that stay open for ever although the caller was told
+// that nothing ran: after an outage the same key can be claimed again.
+func TestStoreDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &objectapi.Faulty{Store: &objectapi.Memory{Timer: &timer.System{}}, Timer: &timer.System{}}
+		c := newClaims("a", store)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- c.Run(ctx) }()
+		store.LoseAnswers(1)
+		store.Decide = downAfterWrite()
+		_, err := c.Claim(t.Context(), keyOf(1))
+		var down *persimmoncart.UnavailableError
+		assert.Assert(t, errors.As(err, &down), "%v", err)
+		store.Decide = nil
+		time.Sleep(5 * time.Second)
+		grant, err := newClaims("b", store).Claim(t.Context(), keyOf(1))
+		assert.NilError(t, err)
+		assert.Assert(t, grant.Granted)
+		cancel()
+		assert.NilError(t, <-done)
+	})
+}
+
+// downAfterWrite lets one write through and refuses every later call.
+func downAfterWrite() func(objectapi.Kind, string) objectapi.Fault {
+	down := false
+	return func(kind objectapi.Kind, _ string) objectapi.Fault {
+		f := objectapi.Fault{Down: down}
+		down = down || kind == objectapi.KindWrite
+		return f
+	}
+}
+
+// Guards against lost batching: many claims at once share few writes.
+func TestGroupCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := &objectapi.Memory{Timer: &timer.System{}}
+		c := newClaims("a", &objectapi.Faulty{
+			Decide: func(objectapi.Kind, string) objectapi.Fault {
+				return objectapi.Fault{Delay: 4 * time.Millisecond}
+			},
+			Store: memory,
+			Timer: &timer.System{},
+		})
+		c.Buckets = 4
+		const calls = 400
+		var wg sync.WaitGroup
+		for i := range uint64(calls) {
+			wg.Go(func() {
+				grant, err := c.Claim(t.Context(), keyOf(i))
+				assert.Check(t, err)
+				assert.Check(t, grant.Granted)
+			})
+		}
+		wg.Wait()
+		assert.Assert(t, memory.Counts().Writes <= calls/20, "%d writes", memory.Counts().Writes)
+	})
+}
+
+// Guards against a second dispatch by concurrent claimants on several instances
+// under random store faults, against a naive model that counts dispatches.
+func TestConcurrentClaimants(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := rapid.SliceOfN(rapid.IntRange(0, 9), 20, 60).Draw(rt, "faults")
+		keys := rapid.Uint64Range(1, 3).Draw(rt, "keys")
+		synctest.Test(t, func(t *testing.T) {
+			memory := &objectapi.Memory{Timer: &timer.System{}}
+			store := &objectapi.Faulty{Decide: scriptedFaults(faults), Store: memory, Timer: &timer.System{}}
+			var mutex sync.Mutex
+			dispatched := map[persimmoncart.ClaimKey]int{}
+			var wg sync.WaitGroup
+			for i := range uint64(4) {
+				c := newClaims(fmt.Sprintf("entry-%d", i), store)
+				c.Buckets = 2
+				for k := range keys {
+					wg.Go(func() {
+						grant, err := c.Claim(t.Context(), keyOf(k))
+						if err != nil || !grant.Granted {
+							return
+						}
+						mutex.Lock()
+						dispatched[grant.Key]++
+						mutex.Unlock()
+						_ = c.Settle(t.Context(), grant, persimmoncart.ClaimAnswered, nil)
+					})
+				}
+			}
+			wg.Wait()
+			for key, n := range dispatched {
+				assert.Equal(t, n, 1, "key %x", key[:])
+			}
+		})
+	})
+}
+
+// scriptedFaults plays a sequence of faults, one for each write.
+func scriptedFaults(script []int) func(objectapi.Kind, string) objectapi.Fault {
+	var mutex sync.Mutex
+	next := 0
+	return func(kind objectapi.Kind, _ string) objectapi.Fault {
+		f := objectapi.Fault{Delay: 2 * time.Millisecond}
+		if kind != objectapi.KindWrite {
+			return f
+		}
+		mutex.Lock()
+		defer mutex.Unlock()
+		switch script[next%len(script)] {
+		case 0:
+			f.Lost = true
+		case 1:
+			f.Dropped = true
+		case 2:
+			f.Down = true
+		}
+		next++
+		return f
+	}
+}
--- /dev/null
+++ b/internal/claim/explore_test.go
@@ -0,0 +1,207 @@
+package claim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/explore"
+	"github.com/persimmoncart/persimmoncart/internal/objectapi"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+)
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+// A schedule is one interleaving of two claimants of one key.
+type schedule struct {
+	explorer *explore.Explorer
+	faults   int // store faults that may still happen
+	crashes  int // crashes that may still happen
+	pauses   int // pauses that may still happen
+	runs     int // dispatches that the endpoint saw
+	store    *objectapi.Memory
+	timer    *timer.Virtual
+	window   time.Duration
+}
+
+// Keys of one bucket.
+var (
+	contested = persimmoncart.ClaimKey{1}
+	other     = persimmoncart.ClaimKey{2}
+)
+
+// claimant returns a process that claims the keys in turn, dispatches each call
+// whose claim is granted in time, and settles it.
+func (s *schedule) claimant(t *testing.T, name string, keys ...persimmoncart.ClaimKey) *explore.Process {
+	return explore.NewProcess(func(yield func(string) bool) {
+		stopped := false
+		faulty := &objectapi.Faulty{Store: s.store, Timer: s.timer}
+		faulty.Decide = func(kind objectapi.Kind, _ string) objectapi.Fault {
+			if stopped || !yield(fmt.Sprint("store ", kind)) {
+				stopped = true
+				return objectapi.Fault{Down: true}
+			}
+			return s.fault(kind)
+		}
+		w := &writer{
+			retention: MinRetention,
+			seal:      sealBytes,
+			store:     faulty,
+			tag:       persimmoncart.Tag{Incarnation: 1, Instance: persimmoncart.InstanceID(name)},
+			timer:     s.timer,
+		}
+		for i, key := range keys {
+			if s.timer.Now().After(start) {
+				return // the caller left during the pause
+			}
+			nonce := persimmoncart.Nonce{Sequence: uint64(i + 1), Tag: w.tag}
+			s.call(t, w, key, nonce, yield)
+			if stopped {
+				return
+			}
+		}
+	})
+}
+
+// call claims, dispatches and settles once.
+func (s *schedule) call(t *testing.T, w *writer, key persimmoncart.ClaimKey, nonce persimmoncart.Nonce, yield func(string) bool) {
+	expires := s.timer.Now().Add(s.window)
+	results, err := w.commit(t.Context(), 0, []operation{{key: key, nonce: nonce, state: persimmoncart.ClaimClaimed}})
+	if err != nil {
+		_, _ = w.commit(t.Context(), 0, []operation{{key: key, nonce: nonce, state: persimmoncart.ClaimNotRun}})
+		return
+	}
+	if !results[0].granted || !yield("dispatch") {
+		return
+	}
+	state := persimmoncart.ClaimNotRun
+	if s.timer.Now().Before(expires) {
+		s.runs++
+		state = persimmoncart.ClaimAnswered
+	}
+	_, _ = w.commit(t.Context(), 0, []operation{{key: key, nonce: nonce, state: state}})
+}
+
+// fault chooses what happens to one call to the store.
+func (s *schedule) fault(kind objectapi.Kind) objectapi.Fault {
+	if s.faults == 0 || kind != objectapi.KindWrite {
+		return objectapi.Fault{}
+	}
+	options := []objectapi.Fault{{}, {Down: true}, {Lost: true}, {Dropped: true}}
+	c := s.explorer.Choose(len(options))
+	if c > 0 {
+		s.faults--
+	}
+	return options[c]
+}
+
+// drive steps the claimants in every order, with pauses longer than the
+// retention and crashes.
+func (s *schedule) drive(t *testing.T, processes []*explore.Process) {
+	for {
+		var ready []*explore.Process
+		for _, p := range processes {
+			if !p.Done() {
+				ready = append(ready, p)
+			}
+		}
+		if len(ready) == 0 {
+			return
+		}
+		options := len(ready)
+		if s.pauses > 0 {
+			options++
+		}
+		if s.crashes > 0 {
+			options++
+		}
+		c := s.explorer.Choose(options)
+		switch {
+		case c < len(ready):
+			ready[c].Step()
+		case c == len(ready) && s.pauses > 0:
+			s.pauses--
+			s.timer.Advance(2 * MinRetention)
+			s.prune(t)
+		default:
+			s.crashes--
+			ready[0].Stop()
+		}
+	}
+}
+
+// A budget says what may go wrong in one schedule.
+type budget struct {
+	crashes int
+	faults  int
+	name    string
+	pauses  int
+}
+
+// prune lets a third instance write the bucket, which drops what is older than
+// the retention.
+func (s *schedule) prune(t *testing.T) {
+	w := &writer{retention: MinRetention, seal: sealBytes, store: s.store, timer: s.timer}
+	nonce := persimmoncart.Nonce{Sequence: uint64(s.timer.Now().Unix()), Tag: persimmoncart.Tag{Instance: "c"}}
+	_, err := w.commit(t.Context(), 0, []operation{{key: other, nonce: nonce, state: persimmoncart.ClaimClaimed}})
+	assert.NilError(t, err)
+}
+
+// exploreClaims runs all schedules and returns how many there are and the
+// choices of the first one in which the call ran twice, nil if there is none.
+func exploreClaims(t *testing.T, b budget, window time.Duration) (runs int, violation []int) {
+	e := &explore.Explorer{}
+	runs, complete := e.Run(func() bool {
+		virtual := timer.NewVirtual(start)
+		s := &schedule{
+			crashes:  b.crashes,
+			explorer: e,
+			faults:   b.faults,
+			pauses:   b.pauses,
+			store:    &objectapi.Memory{Timer: virtual},
+			timer:    virtual,
+			window:   window,
+		}
+		s.drive(t, []*explore.Process{
+			s.claimant(t, "a", contested),
+			s.claimant(t, "b", contested),
+		})
+		if s.runs > 1 {
+			violation = e.Path()
+			return false
+		}
+		return true
+	})
+	assert.Assert(t, complete || violation != nil)
+	return runs, violation
+}
+
+// Guards against a payment that runs twice: all interleavings of two instances
+// that claim the same key under each pair of a store fault
+// (refused, answer lost, request lost), a pause longer than the retention and a
+// crash.
+func TestAllInterleavings(t *testing.T) {
+	for _, b := range []budget{
+		{name: "crash and pause", crashes: 1, pauses: 1},
+		{name: "fault and crash", crashes: 1, faults: 1},
+		{name: "fault and pause", faults: 1, pauses: 1},
+		{name: "two faults", faults: 2},
+		{name: "two pauses", pauses: 2},
+	} {
+		t.Run(b.name, func(t *testing.T) {
+			runs, violation := exploreClaims(t, b, DefaultWindow)
+			assert.Assert(t, violation == nil, "the call ran twice, choices %v", violation)
+			t.Logf("%d schedules", runs)
+		})
+	}
+}
+
+// Guards against a check that cannot fail: without the window a paused claimant
+// dispatches after its key was forgotten.
+func TestAllInterleavingsWithoutWindow(t *testing.T) {
+	_, violation := exploreClaims(t, budget{pauses: 1}, 100*MinRetention)
+	assert.Assert(t, violation != nil)
+}
--- /dev/null
+++ b/internal/claim/writer.go
@@ -0,0 +1,310 @@
+// Package claim records calls that may not be repeated in the store before they
+// are dispatched, so that at most one instance dispatches each of them once.
+//
+// The records of a key live in one bucket. A bucket is a head object that every
+// change rewrites by conditional update, and sealed objects that never change.
+// Any instance may write any bucket; batching by one writer is only cheaper.
+package claim
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/persimmoncart/persimmoncart"
+	claimv1 "github.com/persimmoncart/persimmoncart/proto/claim/v1"
+)
+
+const (
+	// DefaultBuckets suits a deployment of 8 instances; docs/CAPACITY.md says
+	// how the number follows the rate of claims. It must be the same on all
+	// instances and must not change while records are kept.
+	DefaultBuckets = 16
+	// DefaultRetention is how long a key is remembered.
+	DefaultRetention = 24 * time.Hour
+	// MinRetention is far above the time for which a grant allows a dispatch,
+	// so that a paused claimant cannot dispatch after its key was forgotten.
+	MinRetention = time.Hour
+
+	// maxCopies bounds the buckets of which an instance keeps a copy. An
+	// instance writes few buckets; the others are read when their writer cannot
+	// be reached.
+	maxCopies = 32
+	// maxCommits bounds the conflicts that one commit goes through.
+	maxCommits = 16
+	// sealBytes is the size of a head above which its records are sealed. Each
+	// commit rewrites the head, so a small head keeps commits cheap; an object
+	// of the store holds up to 1 MB.
+	sealBytes = 64 << 10
+
+	keyPrefix = "claims/"
+)
+
+// A SettlementError reports the settlement of a call that was never claimed, or
+// that another claim replaced.
+type SettlementError struct {
+	Key   persimmoncart.ClaimKey
+	State persimmoncart.ClaimState
+}
+
+// Error implements error.
+func (e *SettlementError) Error() string {
+	return fmt.Sprintf("no claim of %x to settle as %s", e.Key[:], e.State)
+}
+
+// A writer commits operations on buckets to the store. Commits to one bucket
+// must not run at the same time.
+type writer struct {
+	retention time.Duration
+	seal      int // bytes
+	sequence  atomic.Uint64
+	store     persimmoncart.Store
+	tag       persimmoncart.Tag
+	timer     persimmoncart.Timer
+
+	buckets map[int]*bucket
+	mutex   sync.Mutex // guards buckets, recent
+	recent  []int      // numbers of buckets, the last used one last
+}
+
+// bucketOf returns the number of the key's bucket.
+func bucketOf(key persimmoncart.ClaimKey, buckets int) int {
+	return int(binary.BigEndian.Uint64(key[:8]) % uint64(buckets)) //nolint:gosec // Below buckets.
+}
+
+// commit evaluates the operations in order and writes the changes with one
+// conditional update. It returns an *UnavailableError if it is not known that
+// they were written.
+func (w *writer) commit(ctx context.Context, number int, operations []operation) ([]result, error) {
+	fresh := false
+	for range maxCommits {
+		b, err := w.load(ctx, number, &fresh)
+		if err != nil {
+			return nil, err
+		}
+		results, changed := w.evaluate(b, operations)
+		switch {
+		case !changed && (fresh || final(results)):
+			return results, nil
+		case !changed:
+			// Only a fresh copy may answer that a claim is still open.
+			w.forget(number)
+			continue
+		}
+		err = w.write(ctx, number, b)
+		if err == nil {
+			return results, nil
+		}
+		w.forget(number)
+		var ambiguous *persimmoncart.AmbiguousError
+		var conflict *persimmoncart.ConflictError
+		// Evaluating again settles both: a nonce that is found was written.
+		if !errors.As(err, &ambiguous) && !errors.As(err, &conflict) {
+			return nil, unavailable(err)
+		}
+	}
+	return nil, unavailable(&BusyError{Bucket: number})
+}
+
+// evaluate applies the operations to b.
+func (w *writer) evaluate(b *bucket, operations []operation) ([]result, bool) {
+	now := w.timer.Now()
+	results := make([]result, len(operations))
+	changed := false
+	for i, o := range operations {
+		r, c := b.apply(o, now)
+		results[i] = r
+		changed = changed || c
+	}
+	return results, changed
+}
+
+// final reports whether later writes cannot change the results.
+func final(results []result) bool {
+	for _, r := range results {
+		if r.err != nil || r.record.GetState() != claimv1.State_ANSWERED {
+			return false
+		}
+	}
+	return true
+}
+
+// forget drops the copy of the bucket; its sealed objects stay known.
+func (w *writer) forget(number int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if b := w.buckets[number]; b != nil {
+		b.head = nil
+	}
+}
+
+// load returns the bucket, from the store if there is no copy; it sets fresh if
+// it read the store.
+func (w *writer) load(ctx context.Context, number int, fresh *bool) (*bucket, error) {
+	known := w.use(number)
+	if known != nil && known.head != nil {
+		return known, nil
+	}
+	var sealed map[string]map[persimmoncart.ClaimKey]*claimv1.Record
+	if known != nil {
+		sealed = known.sealed
+	}
+	b, err := w.read(ctx, number, sealed)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	*fresh = true
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.buckets == nil {
+		w.buckets = make(map[int]*bucket)
+	}
+	w.buckets[number] = b
+	return b, nil
+}
+
+// use returns the copy of the bucket, nil if there is none, and drops the copy
+// that was not used for longest when there are too many.
+func (w *writer) use(number int) *bucket {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.recent = append(slices.DeleteFunc(w.recent, func(n int) bool { return n == number }), number)
+	if len(w.recent) > maxCopies {
+		delete(w.buckets, w.recent[0])
+		w.recent = w.recent[1:]
+	}
+	return w.buckets[number]
+}
+
+// read reads the head of the bucket and those sealed objects that are not known.
+func (w *writer) read(ctx context.Context, number int, known map[string]map[persimmoncart.ClaimKey]*claimv1.Record) (*bucket, error) {
+	head := &claimv1.Head{}
+	object, err := w.store.Get(ctx, headKey(number))
+	if missing := (*persimmoncart.NotFoundError)(nil); err != nil && !errors.As(err, &missing) {
+		return nil, err
+	}
+	if err := proto.Unmarshal(object.Value, head); err != nil {
+		return nil, errors.Wrapf(err, "decode head of bucket %d", number)
+	}
+	sealed := make(map[string]map[persimmoncart.ClaimKey]*claimv1.Record, len(head.GetSegments()))
+	oldest := w.timer.Now().Add(-w.retention)
+	for _, s := range head.GetSegments() {
+		if time.Unix(s.GetNewest(), 0).Before(oldest) {
+			continue // the next write drops it; it may be deleted already
+		}
+		if records, ok := known[s.GetName()]; ok {
+			sealed[s.GetName()] = records
+			continue
+		}
+		object, err := w.store.Get(ctx, sealedKey(number, s.GetName()))
+		if err != nil {
+			return nil, err
+		}
+		segment := &claimv1.Sealed{}
+		if err := proto.Unmarshal(object.Value, segment); err != nil {
+			return nil, errors.Wrapf(err, "decode segment %q of bucket %d", s.GetName(), number)
+		}
+		sealed[s.GetName()] = indexRecords(segment.GetRecords())
+	}
+	return newBucket(head, object.Version, sealed), nil
+}
+
+// sealRecords moves the records of the head into a new sealed object.
+func (w *writer) sealRecords(ctx context.Context, number int, b *bucket) error {
+	name := fmt.Sprintf("%s-%d-%d", w.tag.Instance, w.tag.Incarnation, w.sequence.Add(1))
+	segment := &claimv1.Sealed{Records: slices.Clone(b.head.GetRecords())}
+	value, err := proto.Marshal(segment)
+	if err != nil {
+		return errors.Wrap(err, "encode segment")
+	}
+	if _, err := w.store.Create(ctx, sealedKey(number, name), value); err != nil {
+		return err
+	}
+	newest := int64(0)
+	for _, r := range segment.GetRecords() {
+		newest = max(newest, r.GetAt())
+	}
+	b.head.Segments = append(b.head.Segments, &claimv1.Segment{
+		Name:    name,
+		Newest:  newest,
+		Records: int32(len(segment.GetRecords())), //nolint:gosec // Bounded by the size of the head.
+	})
+	b.sealed[name] = b.index
+	b.head.Records = nil
+	b.index = make(map[persimmoncart.ClaimKey]*claimv1.Record)
+	return nil
+}
+
+// write stores the head of b, after sealing its records if it has grown large,
+// and deletes segments that are older than the retention.
+func (w *writer) write(ctx context.Context, number int, b *bucket) error {
+	dropped := b.prune(w.timer.Now().Add(-w.retention))
+	if proto.Size(b.head) > w.seal {
+		if err := w.sealRecords(ctx, number, b); err != nil {
+			return err
+		}
+	}
+	value, err := proto.Marshal(b.head)
+	if err != nil {
+		return errors.Wrapf(err, "encode head of bucket %d", number)
+	}
+	version := b.version
+	if version == 0 {
+		version, err = w.store.Create(ctx, headKey(number), value)
+	} else {
+		version, err = w.store.Update(ctx, headKey(number), value, version)
+	}
+	if err != nil {
+		return err
+	}
+	b.version = version
+	for _, name := range dropped {
+		delete(b.sealed, name)
+		w.remove(ctx, sealedKey(number, name))
+	}
+	return nil
+}
+
+// remove deletes an object that no head refers to. An object that stays behind
+// costs space and nothing else, so errors are dropped.
+func (w *writer) remove(ctx context.Context, key string) {
+	object, err := w.store.Get(ctx, key)
+	if err != nil {
+		return
+	}
+	_ = w.store.Delete(ctx, key, object.Version)
+}
+
+// headKey returns the key of a bucket's head.
+func headKey(number int) string { return fmt.Sprintf("%s%d/head", keyPrefix, number) }
+
+// sealedKey returns the key of a sealed object.
+func sealedKey(number int, name string) string {
+	return fmt.Sprintf("%s%d/sealed/%s", keyPrefix, number, name)
+}
+
+// unavailable returns err as an *UnavailableError.
+func unavailable(err error) error {
+	var known *persimmoncart.UnavailableError
+	if errors.As(err, &known) {
+		return err
+	}
+	return &persimmoncart.UnavailableError{Err: err, Op: "commit claims"}
+}
+
+// A BusyError reports a bucket that other instances changed at each try.
+type BusyError struct {
+	Bucket int
+}
+
+// Error implements error.
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("bucket %d changed %d times during one commit", e.Bucket, maxCommits)
+}
