--- /dev/null
+++ b/internal/application/answer.go
@@ -0,0 +1,44 @@
+package application
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A Receipt is the answer of a fake to a booking, payment or pledge.
+type Receipt struct {
+	Key string `json:"key"`
+	Sum string `json:"sum"` // hash of the request's body
+}
+
+// A Value is the answer of a fake to a lookup.
+type Value struct {
+	Path  string `json:"path"` // with the query, below the route
+	Value string `json:"value"`
+}
+
+// FakeLookup returns the body that fakes answer a lookup of path with.
+func FakeLookup(path string) []byte {
+	return encode(Value{Path: path, Value: sum([]byte("value of " + path))})
+}
+
+// FakeReceipt returns the body that fakes answer a recorded call with.
+func FakeReceipt(key string, body []byte) []byte {
+	return encode(Receipt{Key: key, Sum: sum(body)})
+}
+
+// encode returns v as JSON.
+func encode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // only strings are encoded
+	}
+	return b
+}
+
+// sum returns a hash of b.
+func sum(b []byte) string {
+	return strconv.FormatUint(xxhash.Sum64(b), 16)
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -110,21 +110,11 @@
 
 // Load implements persimmoncart.Engine.
 func (c *Client) Load(ctx context.Context) (persimmoncart.LoadReport, error) {
-	var l wireLoad
+	var l transport.Load
 	if err := c.call(ctx, call{op: "load", method: http.MethodGet, path: loadPath}, &l); err != nil {
 		return persimmoncart.LoadReport{}, err
 	}
-	return persimmoncart.LoadReport{
-		At:         l.At,
-		Blocks:     l.Blocks,
-		BlocksFree: l.Free,
-		Leaving:    l.Leaving,
-		Models:     l.Models,
-		Role:       l.Role,
-		Running:    l.Running,
-		Slots:      l.Slots,
-		Waiting:    l.Waiting,
-	}, nil
+	return l.Report(), nil
 }
 
 // Order implements persimmoncart.Engine.
--- a/internal/engine/handler.go
+++ b/internal/engine/handler.go
@@ -159,17 +159,7 @@
 		writeError(w, err)
 		return
 	}
-	transport.WriteJSON(w, http.StatusOK, wireLoad{
-		At:      l.At,
-		Blocks:  l.Blocks,
-		Free:    l.BlocksFree,
-		Leaving: l.Leaving,
-		Models:  l.Models,
-		Role:    l.Role,
-		Running: l.Running,
-		Slots:   l.Slots,
-		Waiting: l.Waiting,
-	})
+	transport.WriteJSON(w, http.StatusOK, transport.NewLoad(l))
 }
 
 // order serves Order.
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -72,19 +72,6 @@
 	Tag      wireTag                 `json:"tag"`
 }
 
-// A wireLoad is a load report.
-type wireLoad struct {
-	At      time.Time                 `json:"at"`
-	Blocks  int                       `json:"blocks"`
-	Free    int                       `json:"free"`
-	Leaving bool                      `json:"leaving,omitempty"`
-	Models  []persimmoncart.ModelName `json:"models,omitempty"`
-	Role    persimmoncart.Role        `json:"role,omitzero"`
-	Running int                       `json:"running"`
-	Slots   int                       `json:"slots"`
-	Waiting int                       `json:"waiting"`
-}
-
 // A wireOrder is an order.
 type wireOrder struct {
 	Fence  uint64                   `json:"fence,omitempty"`
--- /dev/null
+++ b/internal/transport/load.go
@@ -0,0 +1,50 @@
+package transport
+
+import (
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// A Load is a load report of an endpoint as JSON.
+type Load struct {
+	At      time.Time                 `json:"at"`
+	Blocks  int                       `json:"blocks"`
+	Free    int                       `json:"free"`
+	Leaving bool                      `json:"leaving,omitempty"`
+	Models  []persimmoncart.ModelName `json:"models,omitempty"`
+	Role    persimmoncart.Role        `json:"role,omitzero"`
+	Running int                       `json:"running"`
+	Slots   int                       `json:"slots"`
+	Waiting int                       `json:"waiting"`
+}
+
+// NewLoad returns the JSON form of a load report.
+func NewLoad(r persimmoncart.LoadReport) Load {
+	return Load{
+		At:      r.At,
+		Blocks:  r.Blocks,
+		Free:    r.BlocksFree,
+		Leaving: r.Leaving,
+		Models:  r.Models,
+		Role:    r.Role,
+		Running: r.Running,
+		Slots:   r.Slots,
+		Waiting: r.Waiting,
+	}
+}
+
+// Report returns the load report.
+func (l Load) Report() persimmoncart.LoadReport {
+	return persimmoncart.LoadReport{
+		At:         l.At,
+		Blocks:     l.Blocks,
+		BlocksFree: l.Free,
+		Leaving:    l.Leaving,
+		Models:     l.Models,
+		Role:       l.Role,
+		Running:    l.Running,
+		Slots:      l.Slots,
+		Waiting:    l.Waiting,
+	}
+}
