--- /dev/null
+++ b/internal/instancelist/client.go
@@ -0,0 +1,56 @@
+// Package instancelist speaks to the platform's list of instances and endpoints.
+//
+// Client calls it over HTTP, Fake is a list in memory that lags, Handler serves
+// one over HTTP.
+package instancelist
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/transport"
+)
+
+var _ persimmoncart.InstanceList = (*Client)(nil)
+
+const (
+	listPath = "/v1/instances"
+	// maxAnswerBytes leaves about 2 kB for each of 11,400 entries.
+	maxAnswerBytes = 32 << 20
+)
+
+// A Client is an InstanceList over HTTP. Set the fields before the first call.
+type Client struct {
+	Addr   netip.AddrPort
+	HTTP   *http.Client // from transport.NewClient
+	Secure bool         // HTTPS
+}
+
+// List implements persimmoncart.InstanceList. All errors are *UnavailableError:
+// the call has no effect.
+func (c *Client) List(ctx context.Context) ([]persimmoncart.Listed, error) {
+	unavailable := func(err error) error { return &persimmoncart.UnavailableError{Err: err, Op: "list instances"} }
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, transport.URL(c.Addr, c.Secure)+listPath, nil)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	r, err := c.HTTP.Do(q)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	defer func() { _ = r.Body.Close() }()
+	if r.StatusCode != http.StatusOK {
+		p, err := transport.ReadProblem(r)
+		if err != nil {
+			return nil, unavailable(err)
+		}
+		return nil, unavailable(p)
+	}
+	var answer wireList
+	if err := transport.ReadJSON(r.Body, maxAnswerBytes, &answer); err != nil {
+		return nil, unavailable(err)
+	}
+	return answer.listed(), nil
+}
--- /dev/null
+++ b/internal/instancelist/fake.go
@@ -0,0 +1,81 @@
+package instancelist
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+var _ persimmoncart.InstanceList = (*Fake)(nil)
+
+var errDown = errors.New("instance list is down")
+
+// A Fake is an instance list in memory. Set the exported fields before the first call.
+//
+// A change shows after Lag.
+type Fake struct {
+	Lag   time.Duration
+	Timer persimmoncart.Timer
+
+	changes []timedList // oldest first; the first one shows now
+	down    bool
+	mutex   sync.Mutex
+}
+
+// A timedList is the list from one time on.
+type timedList struct {
+	at   time.Time
+	list []persimmoncart.Listed
+}
+
+// Change replaces the list by the result of change, which gets a copy of the
+// newest list.
+func (f *Fake) Change(change func([]persimmoncart.Listed) []persimmoncart.Listed) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var newest []persimmoncart.Listed
+	if n := len(f.changes); n > 0 {
+		newest = slices.Clone(f.changes[n-1].list)
+	}
+	at := f.Timer.Now().Add(f.Lag)
+	f.changes = append(f.changes, timedList{at: at, list: change(newest)})
+	f.trim()
+}
+
+// List implements persimmoncart.InstanceList.
+func (f *Fake) List(ctx context.Context) ([]persimmoncart.Listed, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	err := ctx.Err()
+	if f.down {
+		err = errDown
+	}
+	if err != nil {
+		return nil, &persimmoncart.UnavailableError{Err: err, Op: "list instances"}
+	}
+	f.trim()
+	if len(f.changes) == 0 || f.changes[0].at.After(f.Timer.Now()) {
+		return nil, nil
+	}
+	return slices.Clone(f.changes[0].list), nil
+}
+
+// SetDown starts or ends an outage.
+func (f *Fake) SetDown(down bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.down = down
+}
+
+// trim drops the lists before the one that shows now; the mutex is held.
+func (f *Fake) trim() {
+	now := f.Timer.Now()
+	for len(f.changes) > 1 && !f.changes[1].at.After(now) {
+		f.changes = slices.Delete(f.changes, 0, 1)
+	}
+}
--- a/internal/objectapi/handler.go
+++ b/internal/objectapi/handler.go
@@ -24,8 +24,10 @@
 // A write that ends with an *AmbiguousError breaks its connection, as a lost
 // answer does.
 type Handler struct {
-	Store persimmoncart.Store
-	Timer persimmoncart.Timer
+	Faulty *Faulty // its faults can be set over HTTP; may be nil
+	Memory *Memory // serves its counts; may be nil
+	Store  persimmoncart.Store
+	Timer  persimmoncart.Timer
 }
 
 // Handler returns the HTTP handler.
@@ -36,6 +38,14 @@
 	r.Get(listPath, h.list)
 	r.Get(watchPath, h.watch)
 	r.Put(objectPath+"*", h.put)
+	if h.Faulty != nil {
+		r.Put(faultsPath, h.setFaults)
+	}
+	if h.Memory != nil {
+		r.Get(countersPath, func(w http.ResponseWriter, _ *http.Request) {
+			transport.WriteJSON(w, http.StatusOK, h.Memory.Counts())
+		})
+	}
 	return r
 }
 
@@ -119,6 +129,20 @@
 	transport.WriteJSON(w, http.StatusOK, wireVersion{})
 }
 
+// setFaults sets the switchable faults.
+func (h *Handler) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f wireFaults
+	if err := transport.ReadJSON(r.Body, transport.MaxProblemBytes, &f); err != nil {
+		writeError(w, err)
+		return
+	}
+	h.Faulty.SetDelay(time.Duration(f.Delay))
+	h.Faulty.SetDown(f.Down)
+	h.Faulty.DropRequests(f.Drop)
+	h.Faulty.LoseAnswers(f.Lose)
+	transport.WriteJSON(w, http.StatusOK, f)
+}
+
 // watch serves a watch as one JSON object a line; empty lines show that the
 // watch is alive.
 func (h *Handler) watch(w http.ResponseWriter, r *http.Request) {
--- a/internal/objectapi/memory.go
+++ b/internal/objectapi/memory.go
@@ -30,11 +30,11 @@
 
 // Counts are the calls that a store has received, by kind.
 type Counts struct {
-	Limited uint64 // calls refused by a rate limit; also counted by their kind
-	Opened  uint64 // watches ever opened
-	Reads   uint64 // Get and List
-	Watches uint64 // watches open now
-	Writes  uint64 // Create, Delete and Update
+	Limited uint64 `json:"limited"` // calls refused by a rate limit; also counted by their kind
+	Opened  uint64 `json:"opened"`  // watches ever opened
+	Reads   uint64 `json:"reads"`   // Get and List
+	Watches uint64 `json:"watches"` // watches open now
+	Writes  uint64 `json:"writes"`  // Create, Delete and Update
 }
 
 // A Memory is an object API in memory. Set the fields before the first call.
--- a/internal/objectapi/wire.go
+++ b/internal/objectapi/wire.go
@@ -5,12 +5,15 @@
 	"strings"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/transport"
 )
 
 const (
-	listPath   = "/v1/list"
-	objectPath = "/v1/objects/"
-	watchPath  = "/v1/watch"
+	countersPath = "/-/counters"
+	faultsPath   = "/-/faults"
+	listPath     = "/v1/list"
+	objectPath   = "/v1/objects/"
+	watchPath    = "/v1/watch"
 )
 
 // Codes of error answers.
@@ -23,6 +26,14 @@
 	codeUnavailable = "unavailable"
 )
 
+// A wireFaults sets the faults of a Faulty.
+type wireFaults struct {
+	Delay transport.Duration `json:"delay,omitzero"` // of each call
+	Down  bool               `json:"down,omitempty"`
+	Drop  int                `json:"drop,omitempty"` // number of next writes whose requests are lost
+	Lose  int                `json:"lose,omitempty"` // number of next writes whose answers are lost
+}
+
 // A wireList is the answer to a list call.
 type wireList struct {
 	Objects []wireObject `json:"objects"`
