--- /dev/null
+++ b/cmd/persimmonfake/internal/cmd/list.go
@@ -0,0 +1,21 @@
+package cmd
+
+import (
+	"context"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart/internal/instancelist"
+)
+
+// A list runs an instance list. It starts empty; PUT /-/list replaces it.
+type list struct {
+	command
+	Addr address       `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7102" description:"Address to listen on"`
+	Lag  time.Duration `long:"lag" env:"PERSIMMONFAKE_LAG" default:"20s" description:"Delay of changes"`
+}
+
+// run implements runner.
+func (l *list) run(ctx context.Context, c common) error {
+	f := &instancelist.Fake{Lag: l.Lag, Timer: c.timer}
+	return c.serve(ctx, "list", l.Addr.AddrPort, (&instancelist.Handler{Fake: f, List: f}).Handler())
+}
--- /dev/null
+++ b/cmd/persimmonfake/internal/cmd/store.go
@@ -0,0 +1,27 @@
+package cmd
+
+import (
+	"context"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart/internal/objectapi"
+)
+
+// A store runs an object API.
+type store struct {
+	command
+	Addr    address       `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7100" description:"Address to listen on"`
+	Delay   time.Duration `long:"delay" env:"PERSIMMONFAKE_DELAY" default:"2ms" description:"Time of each call"`
+	History int           `long:"history" env:"PERSIMMONFAKE_HISTORY" default:"16384" description:"Changes that a watch can resume from"`
+	Reads   float64       `long:"reads" env:"PERSIMMONFAKE_READS" default:"2000" description:"Reads a second; zero is unlimited"`
+	Writes  float64       `long:"writes" env:"PERSIMMONFAKE_WRITES" default:"400" description:"Writes a second; zero is unlimited"`
+}
+
+// run implements runner.
+func (s *store) run(ctx context.Context, c common) error {
+	m := &objectapi.Memory{History: s.History, ReadRate: s.Reads, Timer: c.timer, WriteRate: s.Writes}
+	f := &objectapi.Faulty{Store: m, Timer: c.timer}
+	f.SetDelay(s.Delay)
+	h := &objectapi.Handler{Faulty: f, Memory: m, Store: f, Timer: c.timer}
+	return c.serve(ctx, "store", s.Addr.AddrPort, h.Handler())
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,142 @@
+package platform
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/application"
+	"github.com/persimmoncart/persimmoncart/internal/engine"
+	"github.com/persimmoncart/persimmoncart/internal/instancelist"
+	"github.com/persimmoncart/persimmoncart/internal/objectapi"
+	"github.com/persimmoncart/persimmoncart/internal/transport"
+	"github.com/persimmoncart/persimmoncart/internal/weightstore"
+)
+
+// Rates and lags of the platform's systems.
+const (
+	listLag      = 20 * time.Second
+	weightsCalls = 10  // a second
+	weightsRate  = 2e9 // bytes a second of one fetch
+)
+
+// A Platform runs the fakes of one deployment. Set the exported fields before
+// Listen; the others are set by it.
+type Platform struct {
+	Addr       netip.AddrPort // of the store; the others follow it; port zero takes free ports
+	Deployment Deployment
+	Log        zerolog.Logger
+	Timer      persimmoncart.Timer
+
+	Applications []*application.Fake
+	Endpoints    []persimmoncart.Endpoint // with their addresses
+	Engines      []*engine.Fake
+	Faulty       *objectapi.Faulty
+	List         *instancelist.Fake
+	ListAddr     netip.AddrPort
+	Memory       *objectapi.Memory
+	Records      *application.Records
+	StoreAddr    netip.AddrPort
+	Weights      *weightstore.Fake
+	WeightsAddr  netip.AddrPort
+
+	next    uint16 // port of the next listener, zero for any
+	servers []*Server
+}
+
+// Listen builds the fakes and opens their listeners.
+func (p *Platform) Listen(ctx context.Context) error {
+	p.next = p.Addr.Port()
+	p.Memory = &objectapi.Memory{ReadRate: objectapi.DefaultReadRate, Timer: p.Timer, WriteRate: objectapi.DefaultWriteRate}
+	p.Faulty = &objectapi.Faulty{Store: p.Memory, Timer: p.Timer}
+	p.Weights = &weightstore.Fake{
+		Calls: weightsCalls,
+		Rate:  weightsRate,
+		Sizes: map[persimmoncart.ModelName]int64{p.Deployment.Model: p.Deployment.Weights},
+		Timer: p.Timer,
+	}
+	p.List = &instancelist.Fake{Lag: listLag, Timer: p.Timer}
+	p.Records = &application.Records{}
+	var err error
+	store := &objectapi.Handler{Faulty: p.Faulty, Memory: p.Memory, Store: p.Faulty, Timer: p.Timer}
+	if p.StoreAddr, err = p.listen(ctx, &Server{Handler: store.Handler(), Name: "store"}); err != nil {
+		return err
+	}
+	weights := &weightstore.Handler{Store: p.Weights}
+	if p.WeightsAddr, err = p.listen(ctx, &Server{Handler: weights.Handler(), Name: "weights"}); err != nil {
+		return err
+	}
+	list := &instancelist.Handler{Fake: p.List, List: p.List}
+	if p.ListAddr, err = p.listen(ctx, &Server{Handler: list.Handler(), Name: "list"}); err != nil {
+		return err
+	}
+	return p.listenEndpoints(ctx)
+}
+
+// Run serves the fakes until ctx is done.
+func (p *Platform) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, s := range p.servers {
+		g.Go(func() error { return s.Run(ctx) })
+	}
+	return g.Wait()
+}
+
+// Counters returns the sum of what the engines have done.
+func (p *Platform) Counters() engine.Counters {
+	var sum engine.Counters
+	for _, f := range p.Engines {
+		sum = sum.Plus(f.Counters())
+	}
+	return sum
+}
+
+// listen opens the listener of s on the next port.
+func (p *Platform) listen(ctx context.Context, s *Server) (netip.AddrPort, error) {
+	s.Addr = netip.AddrPortFrom(p.Addr.Addr(), p.next)
+	s.Log = p.Log
+	addr, err := s.Listen(ctx)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	if p.next > 0 {
+		p.next++
+	}
+	p.servers = append(p.servers, s)
+	return addr, nil
+}
+
+// listenEndpoints builds the engines and application endpoints and lists them.
+func (p *Platform) listenEndpoints(ctx context.Context) error {
+	clients := &engine.Clients{HTTP: transport.NewClient(nil)}
+	var listed []persimmoncart.Listed
+	for _, e := range p.Deployment.Endpoints() {
+		s := &Server{Name: string(e.ID)}
+		var addr *netip.AddrPort
+		if e.Role == persimmoncart.RoleApplication {
+			f := application.NewFake(netip.AddrPort{}, p.Records, p.Timer)
+			s.Handler, addr = (&application.Handler{Application: f, Fake: f}).Handler(), &f.Addr
+			e.Slots = f.Slots
+			p.Applications = append(p.Applications, f)
+		} else {
+			f := engine.NewFake(netip.AddrPort{}, e.Role, p.Timer)
+			f.Exporter, f.Models = clients, e.Models
+			s.Handler, addr = (&engine.Handler{Engine: f, Fake: f}).Handler(), &f.Addr
+			e.Blocks, e.Slots = f.Blocks, f.Slots
+			p.Engines = append(p.Engines, f)
+		}
+		var err error
+		if *addr, err = p.listen(ctx, s); err != nil {
+			return err
+		}
+		e.Addr = *addr
+		p.Endpoints = append(p.Endpoints, e)
+		listed = append(listed, persimmoncart.Listed{Endpoint: &e})
+	}
+	p.List.Change(func([]persimmoncart.Listed) []persimmoncart.Listed { return listed })
+	return nil
+}
