bench: add the bench of the decision code

Change: internal/bench runs internal/policy against small fakes of engines, links and application endpoints in virtual time, with the columns naive, two_choices, ours and bound. Prefills that are overdue lower the expected rate of their replica before the first late result arrives, and the length of answers is learned.

--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,214 @@
+package bench
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/policy"
+)
+
+// parallelRuns bounds the runs at the same time.
+const parallelRuns = 4
+
+// A Bench runs cases and prints their measures as JSON lines.
+type Bench struct {
+	BorrowItems int    // most items in one borrow message; zero is the default
+	Case        string // empty means all
+	Deployment  string // empty means both
+	Nodes       int    // instances; 8 is today's size
+	Output      io.Writer
+	Replicas    int // engines at the planned size; zero is today's size
+	Seed        uint64
+	Trace       bool // also count the missed requests by reason
+	Traffic     bool // also print the control traffic of ours
+}
+
+// A Line is one line of output.
+type Line struct {
+	Case       string  `json:"case"`
+	Deployment string  `json:"deployment"`
+	Measure    string  `json:"measure"`
+	Naive      float64 `json:"naive"`
+	TwoChoices float64 `json:"two_choices"`
+	Ours       float64 `json:"ours"`
+	Bound      float64 `json:"bound"`
+	Unit       string  `json:"unit"`
+	Seed       uint64  `json:"seed"`
+}
+
+// A pair is one case on one deployment with the results of its routers.
+type pair struct {
+	deployment string
+	name       string
+	results    [columns]*result
+}
+
+// Columns of the results of a pair. The bound is the best of its variants, which
+// begin at columnBound.
+const (
+	columnNaive = iota
+	columnTwoChoices
+	columnOurs
+	columnBound
+	columns = columnBound + 4
+)
+
+// Run runs the cases and prints one line for each measure, sorted by case and
+// deployment. It returns an *UnknownError for a case or deployment that does
+// not exist.
+func (b *Bench) Run(ctx context.Context) error {
+	pairs, err := b.pairs()
+	if err != nil {
+		return err
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(parallelRuns)
+	for _, p := range pairs {
+		for column := range p.results {
+			g.Go(func() error {
+				if err := ctx.Err(); err != nil {
+					return err
+				}
+				p.results[column] = b.runOne(p.name, p.deployment, column)
+				return nil
+			})
+		}
+	}
+	if err := g.Wait(); err != nil {
+		return errors.Wrap(err, "run bench")
+	}
+	return b.print(pairs)
+}
+
+// pairs returns the selected cases and deployments.
+func (b *Bench) pairs() ([]*pair, error) {
+	cases, deployments := Cases, []string{darJaouz, peachthread}
+	planned := b.Nodes > 8 || b.Replicas > 0
+	switch {
+	case b.Case != "" && !slices.Contains(Cases, b.Case):
+		return nil, &UnknownError{Value: b.Case}
+	case b.Case != "":
+		cases = []string{b.Case}
+	case planned:
+		cases = []string{caseSteady}
+	}
+	switch {
+	case b.Deployment != "" && !slices.Contains(deployments, b.Deployment):
+		return nil, &UnknownError{Value: b.Deployment}
+	case b.Deployment != "":
+		deployments = []string{b.Deployment}
+	case planned:
+		deployments = deployments[:1]
+	}
+	var pairs []*pair
+	for _, c := range cases {
+		for _, d := range deployments {
+			pairs = append(pairs, &pair{deployment: d, name: c})
+		}
+	}
+	return pairs, nil
+}
+
+// print prints the measures.
+func (b *Bench) print(pairs []*pair) error {
+	encoder := json.NewEncoder(b.Output)
+	for _, p := range pairs {
+		best := p.results[columnBound]
+		for _, r := range p.results[columnBound+1:] {
+			if r.values["goodput"] > best.values["goodput"] {
+				best = r
+			}
+		}
+		line := Line{Case: p.name, Deployment: p.deployment, Seed: b.Seed}
+		for _, m := range Measures {
+			line.Measure, line.Unit = m.Name, m.Unit
+			line.Naive = round(p.results[columnNaive].values[m.Name])
+			line.TwoChoices = round(p.results[columnTwoChoices].values[m.Name])
+			line.Ours = round(p.results[columnOurs].values[m.Name])
+			line.Bound = round(best.values[m.Name])
+			if err := encoder.Encode(line); err != nil {
+				return errors.Wrap(err, "print measure")
+			}
+		}
+		if b.Trace {
+			for _, m := range slices.Concat(misses(p, "ours", p.results[columnOurs].jobs), misses(p, "bound", best.jobs)) {
+				if err := encoder.Encode(m); err != nil {
+					return errors.Wrap(err, "print misses")
+				}
+			}
+		}
+		if b.Traffic {
+			if err := encoder.Encode(traffic(p, b.Seed)); err != nil {
+				return errors.Wrap(err, "print traffic")
+			}
+		}
+	}
+	return nil
+}
+
+// runOne runs one case with one router.
+func (b *Bench) runOne(name, deployment string, column int) *result {
+	d := newDeployment(deployment, b.Nodes, b.Replicas)
+	w := newWorld(d, newScenario(name, b.Nodes > 8 || b.Replicas > 0), b.Seed)
+	switch column {
+	case columnNaive:
+		return w.run(newBaseline(w, func() chooser { return &roundRobin{next: make(map[int]int)} }))
+	case columnTwoChoices:
+		random := rand.New(rand.NewPCG(b.Seed, 3))
+		return w.run(newBaseline(w, func() chooser {
+			return &twoChoices{inFlight: make(map[persimmoncart.EndpointID]int), random: random}
+		}))
+	case columnOurs:
+		o := newOurs(w)
+		o.borrowItems = cmp.Or(b.BorrowItems, policy.DefaultBorrowItems)
+		return w.run(o)
+	default:
+		variant := column - columnBound
+		return w.run(newBound(w, boundOrder(variant%2), variant/2 == 1))
+	}
+}
+
+// A Traffic is the control traffic of ours in one case.
+type Traffic struct {
+	Case          string  `json:"case"`
+	Deployment    string  `json:"deployment"`
+	BorrowItems   float64 `json:"borrow_items"` // a message
+	BorrowsPerS   float64 `json:"borrows_per_s"`
+	BytesPerNodeS float64 `json:"bytes_per_node_s"`
+	Seed          uint64  `json:"seed"`
+}
+
+// traffic returns the control traffic of ours.
+func traffic(p *pair, seed uint64) Traffic {
+	r := p.results[columnOurs]
+	seconds := newScenario(p.name, false).length.Seconds()
+	return Traffic{
+		Case: p.name, Deployment: p.deployment, Seed: seed,
+		BorrowItems:   round(float64(r.borrowItems) / max(float64(r.borrows), 1)),
+		BorrowsPerS:   round(float64(r.borrows) / seconds),
+		BytesPerNodeS: round(float64(r.bytes) / seconds / max(float64(r.nodes), 1)),
+	}
+}
+
+// round keeps five digits after the point, so that lines are short.
+func round(v float64) float64 { return float64(int64(v*1e5+0.5)) / 1e5 }
+
+// sorted returns the keys of m in order.
+func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// An UnknownError names a case or deployment that does not exist.
+type UnknownError struct {
+	Value string
+}
+
+// Error implements error.
+func (e *UnknownError) Error() string { return "unknown case or deployment " + e.Value }
--- a/internal/policy/balance.go
+++ b/internal/policy/balance.go
@@ -8,10 +8,17 @@
 	"github.com/persimmoncart/persimmoncart"
 )
 
+// leastGrowth forgets the shortest latency of an endpoint that has moved away.
+const leastGrowth = 1.001
+
 // balanceGain is the weight of one new latency in an endpoint's average.
 const balanceGain = 0.1
 
-// A Balance chooses application endpoints of one pool: the better of two random
+// balanceChoices is how many random endpoints one choice compares. Pools are
+// small, so that this is often all of them.
+const balanceChoices = 4
+
+// A Balance chooses application endpoints of one pool: the best of a few random
 // ones by calls in flight and latency, stragglers left out.
 type Balance struct {
 	endpoints  []*balanced // sorted by identifier
@@ -24,6 +31,7 @@
 	average  float64 // seconds
 	endpoint persimmoncart.Endpoint
 	inFlight int
+	least    float64 // seconds; the shortest latency seen, which includes the distance
 	probing  bool
 }
 
@@ -89,9 +97,12 @@
 	if len(healthy) == 0 {
 		return persimmoncart.Endpoint{}, false
 	}
-	e := healthy[random.IntN(len(healthy))]
-	if o := healthy[random.IntN(len(healthy))]; b.cost(now, o) < b.cost(now, e) {
-		e = o
+	random.Shuffle(len(healthy), func(i, j int) { healthy[i], healthy[j] = healthy[j], healthy[i] })
+	e := healthy[0]
+	for _, o := range healthy[1:min(len(healthy), balanceChoices)] {
+		if b.cost(now, o) < b.cost(now, e) {
+			e = o
+		}
 	}
 	e.inFlight++
 	return e.endpoint, true
@@ -118,8 +129,24 @@
 	return float64(e.inFlight+1) * max(e.average, 0.001) / max(weight, 0.01)
 }
 
-// learn takes a latency.
+// learn takes a latency. Straggler detection sees it without the distance to
+// the endpoint, which is the part that even the shortest call takes.
 func (b *Balance) learn(now time.Time, e *balanced, latency time.Duration) {
-	e.average += balanceGain * (latency.Seconds() - e.average)
-	b.stragglers.Add(now, b.pool, persimmoncart.RoleApplication, e.endpoint.ID, latency)
+	seconds := latency.Seconds()
+	if e.least == 0 || seconds < e.least {
+		e.least = seconds
+	}
+	e.least *= leastGrowth
+	if e.average == 0 {
+		e.average = seconds
+	}
+	e.average += balanceGain * (seconds - e.average)
+	nearest := e.least
+	for _, o := range b.endpoints {
+		if o.least > 0 {
+			nearest = min(nearest, o.least)
+		}
+	}
+	work := latency - time.Duration((e.least-nearest)*float64(time.Second))
+	b.stragglers.Add(now, b.pool, persimmoncart.RoleApplication, e.endpoint.ID, work)
 }
--- a/internal/policy/broker.go
+++ b/internal/policy/broker.go
@@ -68,6 +68,7 @@
 	outgoing   map[uint64]*borrowing
 	peers      *peerTable
 	placement  Placement
+	pools      []PoolTargets
 	replicas   map[persimmoncart.EndpointID]*Replica
 	seats      map[persimmoncart.GrantID]*lentSeat
 	byHolding  map[uint64]persimmoncart.GrantID
@@ -132,7 +133,6 @@
 	owner    persimmoncart.InstanceID
 	replica  *Replica
 	seat     persimmoncart.GrantID // at the owner
-	tokens   int                   // prompt tokens to compute
 }
 
 // A grantState is one grant in force.
@@ -143,6 +143,7 @@
 	limit     int
 	pace      time.Duration // last seen time between tokens
 	prefill   part
+	prefilled time.Time
 	granted   time.Time
 	lane      *lane
 }
@@ -187,11 +188,8 @@
 	if !found || g.prefill.endpoint == nil {
 		return
 	}
-	took := now.Sub(g.granted)
-	if g.prefill.replica != nil {
-		g.prefill.replica.Sample(g.prefill.first, took)
-	}
-	b.releasePart(now, &g.prefill, took)
+	g.prefilled = now
+	b.releasePart(now, &g.prefill, now.Sub(g.granted))
 }
 
 // Release frees a grant. Unknown grants are ignored.
@@ -201,9 +199,7 @@
 		return
 	}
 	delete(b.grants, id)
-	if g.prefill.replica != nil {
-		g.prefill.replica.Unqueue(g.prefill.tokens)
-	}
+	g.lane.learnFill(g, now)
 	b.releasePart(now, &g.prefill, 0)
 	b.releasePart(now, &g.decode, g.pace)
 }
@@ -265,6 +261,9 @@
 	switch {
 	case p.endpoint == nil:
 	case p.holding != 0:
+		if p.replica.Endpoint.Role == persimmoncart.RolePrefill {
+			p.replica.Unqueue(p.holding, took)
+		}
 		b.ledger.Release(p.holding)
 		delete(b.byHolding, p.holding)
 	default:
@@ -275,9 +274,6 @@
 
 // releaseWaiter frees what a waiter has secured.
 func (b *Broker) releaseWaiter(now time.Time, w *waiter) {
-	if w.prefill.replica != nil {
-		w.prefill.replica.Unqueue(w.prefill.tokens)
-	}
 	b.releasePart(now, &w.prefill, 0)
 	b.releasePart(now, &w.decode, 0)
 }
--- a/internal/policy/lane.go
+++ b/internal/policy/lane.go
@@ -15,6 +15,8 @@
 	defaultPace = 45 * time.Millisecond
 	// defaultFill is the expected share of the output limit that is generated.
 	defaultFill = 0.6
+	// fillGain is the weight of one new sample of the generated share.
+	fillGain = 0.05
 	// laneBypass is how many waiting requests that do not fit now may be
 	// passed over, so that a large one does not block small ones.
 	laneBypass = 8
@@ -81,6 +83,21 @@
 	return latest
 }
 
+// learnFill learns from the time of a whole decode which share of the output
+// limit requests generate. Answers that were cancelled early count as well: a
+// slot is free at that time, whatever ended the answer.
+func (l *lane) learnFill(g *grantState, now time.Time) {
+	if g.prefilled.IsZero() || g.limit <= 0 {
+		return
+	}
+	pace := g.pace
+	if pace <= 0 {
+		pace = l.pace
+	}
+	share := float64(now.Sub(g.prefilled)) / float64(pace) / float64(g.limit)
+	l.fill += fillGain * (min(share, 1) - l.fill)
+}
+
 // prefillTime returns the time of a prefill on the fastest replica.
 func (l *lane) prefillTime(tokens int) time.Duration {
 	rate := float64(DefaultPrefillRate)
@@ -149,8 +166,7 @@
 	}
 	delete(b.byHolding, h.ID)
 	if s, lent := b.seats[id]; lent {
-		delete(b.seats, id)
-		s.holding = 0
+		b.freeSeat(id, s)
 		return
 	}
 	b.Release(now, id)
@@ -272,14 +288,8 @@
 // takePrefill reserves a prefill slot on an own replica.
 func (b *Broker) takePrefill(now time.Time, w *waiter, r *Replica) {
 	cached := r.cached
-	w.prefill = part{
-		cached:   cached,
-		endpoint: &r.Endpoint,
-		first:    r.Queue(now, w.ask.Tokens-cached),
-		holding:  b.next(),
-		replica:  r,
-		tokens:   w.ask.Tokens - cached,
-	}
+	w.prefill = part{cached: cached, endpoint: &r.Endpoint, holding: b.next(), replica: r}
+	w.prefill.first = r.Queue(now, w.prefill.holding, w.ask.Tokens-cached)
 	if err := b.ledger.Reserve(w.prefill.holding, r, 0, b.until(now, w)); err != nil {
 		panic(err) // the replica was checked in the same step
 	}
--- a/internal/policy/lend.go
+++ b/internal/policy/lend.go
@@ -21,12 +21,10 @@
 type lentSeat struct {
 	borrower  persimmoncart.InstanceID
 	deadline  time.Time
-	expected  time.Duration
 	holding   uint64
 	replica   *Replica
 	role      persimmoncart.Role
 	committed bool
-	tokens    int
 }
 
 // A loanKey identifies a borrow of another instance.
@@ -80,8 +78,8 @@
 			s.committed = true
 			b.ledger.Extend(s.holding, s.deadline.Add(b.settings.Expiry))
 		case persimmoncart.SeatReleased:
-			if s.role == persimmoncart.RolePrefill && c.Took == 0 {
-				s.replica.Unqueue(s.tokens)
+			if s.role == persimmoncart.RolePrefill {
+				s.replica.Unqueue(s.holding, c.Took)
 			}
 			b.freeSeat(c.ID, s)
 		}
@@ -109,6 +107,9 @@
 
 // freeSeat frees a lent seat.
 func (b *Broker) freeSeat(id persimmoncart.GrantID, s *lentSeat) {
+	if s.role == persimmoncart.RolePrefill {
+		s.replica.Unqueue(s.holding, 0)
+	}
 	b.ledger.Release(s.holding)
 	delete(b.byHolding, s.holding)
 	delete(b.seats, id)
@@ -116,11 +117,7 @@
 
 // learnSeat learns from the time that a borrower saw.
 func (b *Broker) learnSeat(now time.Time, s *lentSeat, c persimmoncart.SeatChange) {
-	switch {
-	case c.Took <= 0:
-	case s.role == persimmoncart.RolePrefill:
-		s.replica.Sample(s.expected, c.Took)
-	default:
+	if c.Took > 0 && s.role == persimmoncart.RoleDecode {
 		b.observe(now, &s.replica.Endpoint, c.Took)
 	}
 }
@@ -155,11 +152,9 @@
 		b.seats[id] = &lentSeat{
 			borrower: w.lend.from,
 			deadline: w.request.Deadline,
-			expected: p.first,
 			holding:  p.holding,
 			replica:  p.replica,
 			role:     role,
-			tokens:   p.tokens,
 		}
 		w.lend.loan.Seats = append(w.lend.loan.Seats, persimmoncart.Seat{
 			Blocks:   w.ask.Blocks,
--- a/internal/policy/replica.go
+++ b/internal/policy/replica.go
@@ -11,8 +11,10 @@
 const (
 	// DefaultPrefillRate is in prompt tokens a second.
 	DefaultPrefillRate = 20000
+	// prefillSlack covers messages and rounding in the time of a prefill.
+	prefillSlack = 60 * time.Millisecond
 	// rateGain is the weight of one new sample in a measured rate.
-	rateGain = 0.2
+	rateGain = 0.3
 )
 
 // A Replica is the state of one engine replica whose slots are granted here.
@@ -25,15 +27,25 @@
 	Slots    int     // slots that may be granted
 	Weight   float64 // 1 is healthy, 0 is ejected
 
-	busy       time.Time // when the granted prefills are expected to end
-	cached     int       // scratch of the current decision: prompt tokens cached
+	busy       time.Time    // when the granted prefills are expected to end
+	cached     int          // scratch of the current decision: prompt tokens cached
+	prefills   []prefilling // granted and not yet ended, oldest first
+	slowness   float64      // factor by which the oldest prefill is overdue; at least 1
 	usedBlocks int
 	usedSlots  int
 }
 
+// A prefilling is one granted prefill.
+type prefilling struct {
+	begin  time.Time
+	due    time.Time
+	id     uint64
+	tokens int
+}
+
 // NewReplica returns a healthy Replica that nothing was granted on.
 func NewReplica(endpoint persimmoncart.Endpoint, slots, blocks int) *Replica {
-	return &Replica{Blocks: blocks, Endpoint: endpoint, Rate: DefaultPrefillRate, Slots: slots, Weight: 1}
+	return &Replica{Blocks: blocks, Endpoint: endpoint, Rate: DefaultPrefillRate, Slots: slots, Weight: 1, slowness: 1}
 }
 
 // Free returns the slots and memory blocks that can still be granted; both are
@@ -42,42 +54,72 @@
 	return r.Slots - r.usedSlots, r.Blocks - r.usedBlocks
 }
 
-// Queue adds the prefill of tokens prompt tokens and returns the expected time
-// until it ends.
-func (r *Replica) Queue(now time.Time, tokens int) time.Duration {
+// Queue adds the prefill of tokens prompt tokens under the identifier of its
+// holding and returns the expected time until it ends.
+func (r *Replica) Queue(now time.Time, id uint64, tokens int) time.Duration {
 	d := r.Wait(now) + r.duration(tokens)
 	r.busy = now.Add(d)
+	r.prefills = append(r.prefills, prefilling{begin: now, due: r.busy, id: id, tokens: tokens})
 	return d
 }
 
-// Sample corrects the measured rate by a prefill that took actual where
-// expected was predicted.
-func (r *Replica) Sample(expected, actual time.Duration) {
-	if expected <= 0 || actual <= 0 {
-		return
-	}
-	ratio := min(max(float64(expected)/float64(actual), 0.25), 2)
-	r.Rate *= 1 + rateGain*(ratio-1)
-}
-
 // Serves reports whether the replica has the model loaded.
 func (r *Replica) Serves(model persimmoncart.ModelName) bool {
 	return slices.Contains(r.Endpoint.Models, model)
 }
 
-// Unqueue takes a prefill back that was cancelled before it ran.
-func (r *Replica) Unqueue(tokens int) {
-	r.busy = r.busy.Add(-r.duration(tokens))
+// Unqueue ends a prefill that took took, or that was cancelled if took is zero.
+// The measured rate is corrected by the difference to what was expected.
+func (r *Replica) Unqueue(id uint64, took time.Duration) {
+	i := slices.IndexFunc(r.prefills, func(p prefilling) bool { return p.id == id })
+	if i < 0 {
+		return
+	}
+	p := r.prefills[i]
+	r.prefills = slices.Delete(r.prefills, i, i+1)
+	if took <= 0 {
+		r.busy = r.busy.Add(-r.duration(p.tokens))
+		return
+	}
+	expected := p.due.Sub(p.begin) + prefillSlack
+	if took < expected && p.due.Sub(p.begin) < prefillSlack {
+		return // too short to tell
+	}
+	ratio := min(max(float64(expected)/float64(took+prefillSlack), 0.1), 1.5)
+	r.Rate *= 1 + rateGain*(ratio-1)
+	r.slowness = 1
 }
 
 // Wait returns the expected time until the prefills granted so far end.
 func (r *Replica) Wait(now time.Time) time.Duration {
-	return max(r.busy.Sub(now), 0)
+	wait := max(r.busy.Sub(now), 0)
+	if r.slowness <= 1 {
+		return wait
+	}
+	tokens := 0
+	for _, p := range r.prefills {
+		tokens += p.tokens
+	}
+	return max(wait, r.duration(tokens))
+}
+
+// overdue notices a prefill that should have ended long ago, so that a slow
+// replica is known before its first late result.
+func (r *Replica) overdue(now time.Time) {
+	r.slowness = 1
+	if len(r.prefills) == 0 {
+		return
+	}
+	p := r.prefills[0]
+	if late := now.Sub(p.due) - prefillSlack; late > 0 {
+		expected := max(p.due.Sub(p.begin), prefillSlack)
+		r.slowness = 1 + float64(late)/float64(expected)
+	}
 }
 
 // duration returns the expected time to prefill tokens prompt tokens.
 func (r *Replica) duration(tokens int) time.Duration {
-	return time.Duration(float64(max(tokens, 0)) / max(r.Rate*r.weight(), 1) * float64(time.Second))
+	return time.Duration(float64(max(tokens, 0)) / max(r.Rate*r.weight(), 1) * r.slowness * float64(time.Second))
 }
 
 // fits reports whether the replica can take a request now.
--- a/internal/policy/view.go
+++ b/internal/policy/view.go
@@ -23,6 +23,15 @@
 	b.placement.Prefixes.Apply(now, replica, e)
 }
 
+// DecodeOwner returns the instance whose books hold the decode slot of a grant.
+func (b *Broker) DecodeOwner(id persimmoncart.GrantID) persimmoncart.InstanceID {
+	g, found := b.grants[id]
+	if !found {
+		return ""
+	}
+	return cmp.Or(g.decode.owner, b.settings.Self)
+}
+
 // Digest returns what this instance can lend.
 func (b *Broker) Digest(now time.Time) persimmoncart.Digest {
 	rows := make([]persimmoncart.PoolDigest, 0, 2*len(b.order))
@@ -46,6 +55,7 @@
 func (b *Broker) Learn(digest persimmoncart.Digest, distance time.Duration) {
 	if digest.Instance != b.settings.Self {
 		b.peers.learn(digest, distance)
+		b.refreshPools()
 	}
 }
 
@@ -85,11 +95,8 @@
 			r.Endpoint = e
 		}
 	}
-	for _, p := range pools {
-		floor := cmp.Or(p.Pace, defaultPaceTarget)
-		others := b.peers.stragglers(p.Name, persimmoncart.RoleDecode)
-		b.stragglers.SetPool(p.Name, persimmoncart.RoleDecode, p.Size[persimmoncart.RoleDecode], others, floor)
-	}
+	b.pools = pools
+	b.refreshPools()
 	b.reassign()
 }
 
@@ -162,10 +169,22 @@
 	}
 }
 
+// refreshPools tells straggler detection the pools' sizes and how many replicas
+// others report as slow.
+func (b *Broker) refreshPools() {
+	for _, p := range b.pools {
+		floor := cmp.Or(p.Pace, defaultPaceTarget)
+		others := b.peers.stragglers(p.Name, persimmoncart.RoleDecode)
+		b.stragglers.SetPool(p.Name, persimmoncart.RoleDecode, p.Size[persimmoncart.RoleDecode], others, floor)
+	}
+}
+
 // refreshWeights applies the judgement of stragglers as time passes.
 func (b *Broker) refreshWeights(now time.Time) {
 	for _, r := range b.replicas {
-		if r.Endpoint.Role == persimmoncart.RoleDecode {
+		if r.Endpoint.Role == persimmoncart.RolePrefill {
+			r.overdue(now)
+		} else {
 			r.Weight, r.Probe = b.stragglers.Weight(now, r.Endpoint.Pool, r.Endpoint.Role, r.Endpoint.ID)
 		}
 	}
