--- a/configuration.go
+++ b/configuration.go
@@ -84,8 +84,11 @@
 	Endpoints map[EndpointID]*Endpoint
 	Keys      map[KeyHash]*Account
 	Links     map[string]*Link
+	Overrides map[PoolName]*Override
+	Pins      map[EndpointID]*Pin
 	Pools     map[PoolName]*Pool
 	Routes    map[RouteName]*Route
-	Sheet     *Sheet // nil if no sheet is in force
+	Sheet     *Sheet   // newest day's sheet; nil if there is none
+	Sheets    []*Sheet // sorted by day
 	Version   uint64
 }
