config: change sets in the store and their distribution to every instance

Cause: each accepted change has to be in force on every instance within seconds and must never revert or be applied twice.

--- a/configpeers.go
+++ b/configpeers.go
@@ -81,6 +81,7 @@
 	More    bool         // further pages or sets follow
 	Objects []ConfigObject
 	Sets    []ConfigChangeSet
+	State   ConfigHash // hash of the manifest of that version's state
 }
 
 // A ConfigServer answers the calls of ConfigPeers.
--- /dev/null
+++ b/internal/config/changeset.go
@@ -0,0 +1,99 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// A setRecord is the stored form of a change set. It is also the audit record
+// of its changes.
+type setRecord struct {
+	At      time.Time      `json:"at"`
+	Author  string         `json:"author"`
+	Changes []changeRecord `json:"changes"`
+	ID      string         `json:"id"`
+	Note    string         `json:"note,omitempty"`
+	Parent  string         `json:"parent,omitempty"`
+	State   string         `json:"state"`
+	Version uint64         `json:"version"`
+}
+
+// A changeRecord is the stored form of one change.
+type changeRecord struct {
+	After  json.RawMessage `json:"after,omitempty"`
+	Before json.RawMessage `json:"before,omitempty"`
+	Key    string          `json:"key"`
+}
+
+// EncodeSet returns the stored form of a change set; its SHA-256 is the set's hash.
+func EncodeSet(s *persimmoncart.ConfigChangeSet) []byte {
+	r := setRecord{At: s.At, Author: s.Author, ID: s.ID, Note: s.Note, State: hex.EncodeToString(s.State[:]), Version: s.Version}
+	if s.Parent != (persimmoncart.ConfigHash{}) {
+		r.Parent = hex.EncodeToString(s.Parent[:])
+	}
+	for _, c := range s.Changes {
+		r.Changes = append(r.Changes, changeRecord{After: c.After, Before: c.Before, Key: c.Key})
+	}
+	b, err := json.Marshal(r)
+	if err != nil {
+		panic(fmt.Sprintf("encode change set: %v", err)) // contents are canonical JSON
+	}
+	return b
+}
+
+// DecodeSet returns the change set with the given stored form.
+func DecodeSet(data []byte) (persimmoncart.ConfigChangeSet, error) {
+	var r setRecord
+	if err := json.Unmarshal(data, &r); err != nil {
+		return persimmoncart.ConfigChangeSet{}, errors.Wrap(err, "decode change set")
+	}
+	s := persimmoncart.ConfigChangeSet{
+		At: r.At, Author: r.Author, Hash: sha256.Sum256(data), ID: r.ID, Note: r.Note, Version: r.Version,
+	}
+	for _, c := range r.Changes {
+		s.Changes = append(s.Changes, persimmoncart.ConfigChange{After: c.After, Before: c.Before, Key: c.Key})
+	}
+	var err error
+	if s.State, err = parseHash(r.State); err != nil {
+		return s, err
+	}
+	if r.Parent != "" {
+		s.Parent, err = parseHash(r.Parent)
+	}
+	return s, err
+}
+
+// digestOf returns the digest of a version.
+func digestOf(version uint64, hash persimmoncart.ConfigHash) persimmoncart.ConfigDigest {
+	return persimmoncart.ConfigDigest{Hash: binary.BigEndian.Uint64(hash[:]), Version: version}
+}
+
+// A FieldChange is the change of one field of an object, in JSON.
+type FieldChange struct {
+	After  string `json:"after,omitempty"`
+	Before string `json:"before,omitempty"`
+	Field  string `json:"field"`
+}
+
+// Fields returns the fields in which two objects differ, sorted by name.
+func Fields(before, after []byte) []FieldChange {
+	var a, b map[string]json.RawMessage
+	// Objects that are absent or not JSON objects have no fields.
+	_ = json.Unmarshal(before, &a)
+	_ = json.Unmarshal(after, &b)
+	var out []FieldChange
+	for _, name := range sortedKeys(a, b) {
+		if x, y := string(a[name]), string(b[name]); x != y {
+			out = append(out, FieldChange{After: y, Before: x, Field: name})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/config/sync.go
@@ -0,0 +1,399 @@
+package config
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+const (
+	// copyAttempts bounds the restarts of a paged copy whose version changed.
+	copyAttempts = 10
+	// bootstrapPeers is the number of cell peers asked for their version at start.
+	bootstrapPeers = 3
+	// storePauseLow and storePauseHigh bound the pause after a failed call of
+	// the store, so that instances do not return together. The longest pause
+	// leaves 3 s of the 11 s bound for the rest of the way.
+	storePauseLow  = time.Second
+	storePauseHigh = 8 * time.Second
+)
+
+// bootstrap takes the first version from the peers or the store, whichever is
+// newer, and then reports ready.
+func (d *Distributor) bootstrap(ctx context.Context) {
+	for ctx.Err() == nil {
+		answered := d.askPeers(ctx)
+		if err := d.readHead(ctx); err == nil {
+			answered = true
+		}
+		for answered && d.held().copied.Version < d.Highest() && ctx.Err() == nil {
+			if !d.sync(ctx) {
+				break
+			}
+		}
+		if answered && d.held().copied.Version >= d.Highest() {
+			d.ready.Store(true)
+			d.Log.Info().Uint64("version", d.held().copied.Version).Msg("first configuration in force")
+			return
+		}
+		if d.Timer.Sleep(ctx, d.between(500*time.Millisecond, 1500*time.Millisecond)) != nil {
+			return
+		}
+	}
+}
+
+// askPeers asks some members for their digests and reports whether one answered.
+func (d *Distributor) askPeers(ctx context.Context) bool {
+	near, far := d.others()
+	d.shuffle(near)
+	d.shuffle(far)
+	answered := 0
+	for _, m := range append(near, far...) {
+		if answered >= bootstrapPeers || ctx.Err() != nil {
+			break
+		}
+		if d.exchange(ctx, m) == nil {
+			answered++
+		}
+	}
+	return answered > 0
+}
+
+// exchange exchanges digests with a member.
+func (d *Distributor) exchange(ctx context.Context, to persimmoncart.Instance) error {
+	return d.call(ctx, callTimeout, func(ctx context.Context) error {
+		digest, err := d.Peers.Digest(ctx, to, d.Digest())
+		if err == nil {
+			d.Heard(to, digest)
+		}
+		return err
+	})
+}
+
+// gossip exchanges digests with members of other data centres until ctx is done.
+func (d *Distributor) gossip(ctx context.Context) {
+	for d.Timer.Sleep(ctx, d.between(gossipPeriod/2, gossipPeriod*3/2)) == nil {
+		if to, ok := d.outsider(); ok {
+			err := d.exchange(ctx, to)
+			if to.Region != d.Members.Self().Region {
+				d.mark(to.Region, err)
+			}
+		}
+		d.startSync()
+	}
+}
+
+// mark remembers whether a region answered.
+func (d *Distributor) mark(region persimmoncart.Region, err error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.failed == nil {
+		d.failed = map[persimmoncart.Region]time.Time{}
+	}
+	if err == nil {
+		delete(d.failed, region)
+	} else {
+		d.failed[region] = d.Timer.Now()
+	}
+}
+
+// outsider returns a random member of another data centre.
+func (d *Distributor) outsider() (persimmoncart.Instance, bool) {
+	self := d.Members.Self()
+	_, far := d.others()
+	now := d.Timer.Now()
+	d.mutex.Lock()
+	var region, remote []persimmoncart.Instance
+	for _, m := range far {
+		if m.Region == self.Region {
+			region = append(region, m)
+		} else if at, failed := d.failed[m.Region]; !failed || now.Sub(at) > regionPause {
+			remote = append(remote, m)
+		}
+	}
+	d.mutex.Unlock()
+	if len(region) == 0 || (len(remote) > 0 && d.random() < remoteShare) {
+		region = remote
+	}
+	if len(region) == 0 {
+		return persimmoncart.Instance{}, false
+	}
+	return region[min(int(d.random()*float64(len(region))), len(region)-1)], true
+}
+
+// others returns the live members of this data centre and of others.
+func (d *Distributor) others() (near, far []persimmoncart.Instance) {
+	self := d.Members.Self()
+	for _, m := range d.Members.View() {
+		if m.Instance.ID == self.ID || m.State != persimmoncart.MemberAlive {
+			continue
+		}
+		if m.Instance.DataCentre == self.DataCentre {
+			near = append(near, m.Instance)
+		} else {
+			far = append(far, m.Instance)
+		}
+	}
+	return near, far
+}
+
+// shuffle puts members in random order.
+func (d *Distributor) shuffle(s []persimmoncart.Instance) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.Random.Shuffle(len(s), func(i, j int) { s[i], s[j] = s[j], s[i] })
+}
+
+// startSync starts a synchronisation if a newer version is known and none runs.
+func (d *Distributor) startSync() {
+	if d.Highest() <= d.held().copied.Version {
+		return
+	}
+	d.spawn(func(ctx context.Context) { d.sync(ctx) })
+}
+
+// sync takes newer versions from peers, or from the store if no peer has them.
+// It reports whether the version went forward. One sync runs at a time.
+func (d *Distributor) sync(ctx context.Context) bool {
+	d.init()
+	d.mutex.Lock()
+	if d.syncing {
+		d.mutex.Unlock()
+		return false
+	}
+	d.syncing = true
+	d.mutex.Unlock()
+	defer func() {
+		d.mutex.Lock()
+		d.syncing = false
+		d.mutex.Unlock()
+	}()
+	forward := false
+	for d.held().copied.Version < d.Highest() && ctx.Err() == nil {
+		if !d.syncPeers(ctx) && !d.syncStore(ctx) {
+			break
+		}
+		forward = true
+	}
+	return forward
+}
+
+// syncPeers pulls from the peers that were heard to have a newer version.
+func (d *Distributor) syncPeers(ctx context.Context) bool {
+	for {
+		s, ok := d.bestSource()
+		if !ok {
+			return false
+		}
+		have := d.held().copied.Version
+		err := d.pull(ctx, s.instance)
+		if d.held().copied.Version > have {
+			return true
+		}
+		if err != nil {
+			d.Log.Debug().Err(err).Str("peer", string(s.instance.ID)).Msg("pull failed")
+		}
+		d.mutex.Lock()
+		delete(d.sources, s.instance.ID)
+		d.mutex.Unlock()
+	}
+}
+
+// bestSource returns the source with the newest version.
+func (d *Distributor) bestSource() (source, bool) {
+	have := d.held().copied.Version
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var all []source
+	for _, s := range d.sources {
+		if s.version > have {
+			all = append(all, s)
+		}
+	}
+	if len(all) == 0 {
+		return source{}, false
+	}
+	return slices.MinFunc(all, compareSources), true
+}
+
+// pull takes change sets, or a full copy, from a peer.
+func (d *Distributor) pull(ctx context.Context, from persimmoncart.Instance) error {
+	for {
+		have := d.held().copied.Version
+		var got persimmoncart.ConfigPulled
+		err := d.call(ctx, pullTimeout, func(ctx context.Context) (err error) {
+			got, err = d.Peers.Pull(ctx, from, persimmoncart.ConfigPull{Have: have})
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		if d.install(got.Sets) {
+			d.metrics.sources.WithLabelValues(sourcePull).Inc()
+			if got.More {
+				continue
+			}
+			return nil
+		}
+		if got.Digest.Version <= d.held().copied.Version {
+			return nil
+		}
+		return d.pullCopy(ctx, from)
+	}
+}
+
+// pullCopy takes a full copy from a peer, page by page.
+func (d *Distributor) pullCopy(ctx context.Context, from persimmoncart.Instance) error {
+	for range copyAttempts {
+		var changes []persimmoncart.ConfigChange
+		var first persimmoncart.ConfigPulled
+		for after := ""; ; {
+			var got persimmoncart.ConfigPulled
+			err := d.call(ctx, pullTimeout, func(ctx context.Context) (err error) {
+				got, err = d.Peers.Pull(ctx, from, persimmoncart.ConfigPull{After: after, Full: true})
+				return err
+			})
+			if err != nil {
+				return err
+			}
+			if after == "" {
+				first = got
+			}
+			if got.Hash != first.Hash {
+				break // the peer went forward; pages of two versions do not fit
+			}
+			for _, o := range got.Objects {
+				changes = append(changes, persimmoncart.ConfigChange{After: o.Value, Key: o.Key})
+			}
+			if got.More && len(got.Objects) > 0 {
+				after = got.Objects[len(got.Objects)-1].Key
+				continue
+			}
+			state := (&State{}).With(changes)
+			if state.Hash() != got.State {
+				return errors.Wrapf(&CorruptError{Key: "full copy"}, "pull from %s", from.ID)
+			}
+			if d.replace(&Copy{Hash: got.Hash, State: state, Version: got.Digest.Version}) {
+				d.metrics.sources.WithLabelValues(sourceCopy).Inc()
+			}
+			return nil
+		}
+	}
+	return errors.Errorf("pull from %s: version changed %d times during the copy", from.ID, copyAttempts)
+}
+
+// syncStore takes newer versions from the store.
+func (d *Distributor) syncStore(ctx context.Context) bool {
+	have := d.held().copied
+	d.mutex.Lock()
+	h := d.head
+	d.mutex.Unlock()
+	if !d.storeAllowed() {
+		return false
+	}
+	if h == nil || h.Version < d.Highest() {
+		if d.readHead(ctx) != nil {
+			return false
+		}
+		d.mutex.Lock()
+		h = d.head
+		d.mutex.Unlock()
+	}
+	if h.Version <= have.Version {
+		return false
+	}
+	var forward bool
+	sets, err := d.Archive.Sets(ctx, h, have.Version)
+	if err == nil && len(sets) > 0 {
+		forward = d.install(sets)
+	} else if err == nil {
+		var c *Copy
+		if c, err = d.Archive.Copy(ctx, h, have); err == nil {
+			forward = d.replace(c)
+		}
+	}
+	d.noteStore(err)
+	if forward {
+		d.metrics.sources.WithLabelValues(sourceStore).Inc()
+		if d.watcherRank() >= 0 {
+			d.push(sets)
+		}
+	}
+	return forward
+}
+
+// readHead reads the head and remembers its version as seen.
+func (d *Distributor) readHead(ctx context.Context) error {
+	if !d.storeAllowed() {
+		return &persimmoncart.UnavailableError{Err: errors.New("paused after a failure"), Op: "read head"}
+	}
+	err := d.call(ctx, callTimeout, func(ctx context.Context) error {
+		h, err := d.Archive.Head(ctx)
+		if err == nil {
+			d.sawHead(h)
+		}
+		return err
+	})
+	d.noteStore(err)
+	return err
+}
+
+// sawHead remembers a head.
+func (d *Distributor) sawHead(h *Head) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.head == nil || h.Version >= d.head.Version {
+		d.head = h
+	}
+	d.highest = max(d.highest, h.Version)
+}
+
+// storeAllowed reports whether the pause after a failed call is over.
+func (d *Distributor) storeAllowed() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return !d.Timer.Now().Before(d.storeAt)
+}
+
+// noteStore starts a pause after a failed call.
+func (d *Distributor) noteStore(err error) {
+	if err == nil {
+		return
+	}
+	pause := d.between(storePauseLow, storePauseHigh)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.storeAt = d.Timer.Now().Add(pause)
+}
+
+// push gives change sets to this watcher's part of the cell. Peers that miss it
+// hear of the version with the next digest.
+func (d *Distributor) push(sets []persimmoncart.ConfigChangeSet) {
+	if len(sets) == 0 {
+		return
+	}
+	near, _ := d.others()
+	rank, count := d.watcherRank(), len(d.watchers())
+	for _, m := range near {
+		if count > 1 && int(rendezvous(m.ID, "push")%uint64(count)) != rank {
+			continue
+		}
+		d.spawn(func(ctx context.Context) {
+			err := d.call(ctx, callTimeout, func(ctx context.Context) error {
+				digest, err := d.Peers.Push(ctx, m, sets)
+				if err == nil {
+					d.Heard(m, digest)
+				}
+				return err
+			})
+			if err != nil {
+				d.Log.Debug().Err(err).Str("peer", string(m.ID)).Msg("push failed")
+			}
+			d.metrics.pushes.Inc()
+		})
+	}
+}
