--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/rendezvous"
 )
 
 const (
@@ -379,7 +380,7 @@
 	near, _ := d.others()
 	rank, count := d.watcherRank(), len(d.watchers())
 	for _, m := range near {
-		if count > 1 && int(rendezvous(m.ID, "push")%uint64(count)) != rank {
+		if count > 1 && int(rendezvous.Score("config/push", string(m.ID))%uint64(count)) != rank {
 			continue
 		}
 		d.spawn(func(ctx context.Context) {
--- a/internal/config/watch.go
+++ b/internal/config/watch.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/rendezvous"
 )
 
 const (
@@ -41,17 +39,7 @@
 			cell = append(cell, m.Instance.ID)
 		}
 	}
-	slices.SortFunc(cell, func(a, b persimmoncart.InstanceID) int {
-		x, y := rendezvous(a, string(self.DataCentre)), rendezvous(b, string(self.DataCentre))
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		default:
-			return strings.Compare(string(a), string(b))
-		}
-	})
+	cell = rendezvous.Rank("config/"+string(self.DataCentre), cell)
 	count := centreWatches
 	if len(centres)*centreWatches >= maxRegionWatches {
 		count = 1
@@ -151,8 +139,3 @@
 		}
 	}
 }
-
-// rendezvous returns the rank of an instance for a purpose; the smallest wins.
-func rendezvous(id persimmoncart.InstanceID, purpose string) uint64 {
-	return xxhash.Sum64String(purpose + "\x00" + string(id))
-}
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -18,6 +18,10 @@
 // may hold a whole configuration.
 const maxConfigBytes = 32 << 20
 
+// ConfigGzipBytes is the size from which messages are compressed. Full copies
+// are repetitive JSON, which shrinks to about a tenth.
+const ConfigGzipBytes = 1024
+
 var (
 	_ persimmoncart.ConfigPeers    = (*Config)(nil)
 	_ configv1connect.PeersHandler = (*ConfigHandler)(nil)
@@ -33,7 +37,7 @@
 // ConfigClients returns the Client of a Config that uses HTTP. Clients are
 // cheap: connections belong to the HTTP client.
 func ConfigClients(client *http.Client, secure bool, options ...connect.ClientOption) func(netip.AddrPort) configv1connect.PeersClient {
-	options = append(options, connect.WithReadMaxBytes(maxConfigBytes), connect.WithSendGzip())
+	options = append(options, connect.WithReadMaxBytes(maxConfigBytes), connect.WithSendGzip(), connect.WithCompressMinBytes(ConfigGzipBytes))
 	return func(addr netip.AddrPort) configv1connect.PeersClient {
 		return configv1connect.NewPeersClient(client, URL(addr, secure), options...)
 	}
@@ -88,7 +92,7 @@
 
 // Mount returns the path and the HTTP handler of the service.
 func (h *ConfigHandler) Mount(options ...connect.HandlerOption) (string, http.Handler) {
-	return configv1connect.NewPeersHandler(h, append(options, connect.WithReadMaxBytes(maxConfigBytes))...)
+	return configv1connect.NewPeersHandler(h, append(options, connect.WithReadMaxBytes(maxConfigBytes), connect.WithCompressMinBytes(ConfigGzipBytes))...)
 }
 
 // Digest implements configv1connect.PeersHandler.
