route: add the lifecycle of completions and plain calls

Cause: nothing took a request from its reservation to its last token. Change: add internal/route with a state machine for completions (reserve, commit, prefill, import, decode, stream), resume after a lost engine, plain calls with retries and hedges, calls that may not be repeated by claim, dispatch and settle, and the metric registry that counts refusals and retries. Result: go test -race ./internal/route passes; each failure of a phase yields the whole answer and leaves no memory held on the fakes.

--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,212 @@
+// Package metrics holds the metric registry of one instance.
+//
+// All label values come from closed sets or from the configuration, whose
+// number of names is bounded here as well.
+package metrics
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+const (
+	namespace = "persimmoncart"
+	// maxNames bounds the distinct values of a label that the configuration
+	// names, so that a large configuration cannot exhaust memory.
+	maxNames = 64
+	// otherName stands for all names beyond maxNames.
+	otherName = "other"
+)
+
+var (
+	firstBuckets = []float64{.01, .025, .05, .1, .2, .4, .8, 1.2, 1.6, 2.4, 4.8, 10, 30, 60}
+	paceBuckets  = []float64{.001, .0025, .005, .01, .02, .03, .045, .06, .09, .15, .3, 1, 5}
+)
+
+// Metrics are the metrics of the traffic through one instance. Its methods do
+// nothing on a nil Metrics.
+type Metrics struct {
+	Registry *prometheus.Registry
+
+	calls     *prometheus.HistogramVec
+	discarded prometheus.Counter
+	first     *prometheus.HistogramVec
+	names     map[string]bool
+	mutex     sync.Mutex
+	pace      prometheus.Histogram
+	refusals  map[persimmoncart.RefusalCode]prometheus.Counter
+	requests  *prometheus.CounterVec
+	retries   map[persimmoncart.RetryReason]prometheus.Counter
+	running   prometheus.Gauge
+	streams   prometheus.Gauge
+	tokens    prometheus.Counter
+	version   prometheus.Gauge
+	wasted    prometheus.Counter
+}
+
+// New returns Metrics on a registry of their own.
+func New() *Metrics {
+	r := prometheus.NewRegistry()
+	m := &Metrics{
+		Registry:  r,
+		calls:     histogram(r, "call_seconds", "Latency of answered plain calls.", firstBuckets, "route"),
+		discarded: counter(r, "discarded_answers_total", "Answers and tokens that belonged to another attempt or were repeated."),
+		first:     histogram(r, "first_token_seconds", "Time from the request to its first token.", firstBuckets, "route"),
+		names:     make(map[string]bool),
+		pace:      prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "token_gap_seconds", Help: "Mean time between tokens of one stream.", Buckets: paceBuckets}),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "requests_total", Help: "Requests by route and outcome.",
+		}, []string{"route", "outcome"}),
+		running: gauge(r, "requests_running", "Requests in flight."),
+		streams: gauge(r, "streams_running", "Completions whose tokens are being streamed."),
+		tokens:  counter(r, "tokens_total", "Tokens sent to callers."),
+		version: gauge(r, "configuration_version", "Version of the configuration in force."),
+		wasted:  counter(r, "wasted_prefill_tokens_total", "Prompt tokens whose prefill was not followed by a first token."),
+	}
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.pace, m.requests)
+	m.refusals = codes(r, "refusals_total", "Refusals by code.", "code", persimmoncart.RefusalCodes)
+	m.retries = codes(r, "retries_total", "Repeated attempts by reason.", "reason", persimmoncart.RetryReasons)
+	return m
+}
+
+// Called counts an answered plain call.
+func (m *Metrics) Called(route persimmoncart.RouteName, d time.Duration) {
+	if m != nil {
+		m.calls.WithLabelValues(m.name(string(route))).Observe(d.Seconds())
+	}
+}
+
+// Discarded counts an answer or token that belonged to another attempt.
+func (m *Metrics) Discarded() {
+	if m != nil {
+		m.discarded.Inc()
+	}
+}
+
+// FirstToken counts the first token of a completion.
+func (m *Metrics) FirstToken(route persimmoncart.RouteName, d time.Duration) {
+	if m != nil {
+		m.first.WithLabelValues(m.name(string(route))).Observe(d.Seconds())
+		m.streams.Inc()
+	}
+}
+
+// Handler returns the handler of /metrics.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{MaxRequestsInFlight: 4})
+}
+
+// Refused counts a refusal. Unknown codes count as internal ones.
+func (m *Metrics) Refused(code persimmoncart.RefusalCode) {
+	if m == nil {
+		return
+	}
+	c, ok := m.refusals[code]
+	if !ok {
+		c = m.refusals[persimmoncart.RefusalInternal]
+	}
+	c.Inc()
+}
+
+// Request counts the start of a request; the returned function counts its end.
+func (m *Metrics) Request() (end func(route persimmoncart.RouteName, outcome persimmoncart.Outcome)) {
+	if m == nil {
+		return func(persimmoncart.RouteName, persimmoncart.Outcome) {}
+	}
+	m.running.Inc()
+	return func(route persimmoncart.RouteName, outcome persimmoncart.Outcome) {
+		m.running.Dec()
+		m.requests.WithLabelValues(m.name(string(route)), outcome.String()).Inc()
+	}
+}
+
+// Retried counts a repeated attempt.
+func (m *Metrics) Retried(reason persimmoncart.RetryReason) {
+	if m == nil {
+		return
+	}
+	if c, ok := m.retries[reason]; ok {
+		c.Inc()
+	}
+}
+
+// Streamed counts the end of a stream that had its first token. Gap is the mean
+// time between its tokens.
+func (m *Metrics) Streamed(tokens int, gap time.Duration) {
+	if m == nil {
+		return
+	}
+	m.streams.Dec()
+	m.tokens.Add(float64(tokens))
+	if tokens > 1 {
+		m.pace.Observe(gap.Seconds())
+	}
+}
+
+// Version sets the version of the configuration in force.
+func (m *Metrics) Version(version uint64) {
+	if m != nil {
+		m.version.Set(float64(version))
+	}
+}
+
+// Wasted counts a prefill that was not followed by a first token.
+func (m *Metrics) Wasted(tokens int) {
+	if m != nil {
+		m.wasted.Add(float64(tokens))
+	}
+}
+
+// name returns the label value for a configured name.
+func (m *Metrics) name(s string) string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.names[s] {
+		return s
+	}
+	if len(m.names) >= maxNames {
+		return otherName
+	}
+	m.names[s] = true
+	return s
+}
+
+// codes returns one counter for each value of a closed label set, so that each
+// is visible from the start.
+func codes[T ~string](r prometheus.Registerer, name, help, label string, values []T) map[T]prometheus.Counter {
+	vec := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, []string{label})
+	r.MustRegister(vec)
+	counters := make(map[T]prometheus.Counter, len(values))
+	for _, v := range values {
+		counters[v] = vec.WithLabelValues(string(v))
+	}
+	return counters
+}
+
+// counter registers a counter without labels.
+func counter(r prometheus.Registerer, name, help string) prometheus.Counter {
+	c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+	r.MustRegister(c)
+	return c
+}
+
+// gauge registers a gauge without labels.
+func gauge(r prometheus.Registerer, name, help string) prometheus.Gauge {
+	g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+	r.MustRegister(g)
+	return g
+}
+
+// histogram registers a histogram with one label.
+func histogram(r prometheus.Registerer, name, help string, buckets []float64, label string) *prometheus.HistogramVec {
+	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, []string{label})
+	r.MustRegister(h)
+	return h
+}
--- /dev/null
+++ b/internal/route/completion_test.go
@@ -0,0 +1,240 @@
+package route_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/route"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Addresses of the fake engines: two prefill and two decode engines.
+var (
+	p1 = netip.MustParseAddrPort("10.0.0.1:1")
+	p2 = netip.MustParseAddrPort("10.0.0.2:1")
+	d1 = netip.MustParseAddrPort("10.0.1.1:1")
+	d2 = netip.MustParseAddrPort("10.0.1.2:1")
+)
+
+const whole = "0 1 2 3 4 5 6 7 8 9 "
+
+// A fixture is a router over fakes.
+type fixture struct {
+	fleet  *fleet
+	places *places
+	router *route.Router
+	sink   *sink
+}
+
+func newFixture() *fixture {
+	f := &fixture{fleet: &fleet{engines: make(map[netip.AddrPort]*engine)}, sink: &sink{}}
+	for _, a := range []netip.AddrPort{p1, p2, d1, d2} {
+		f.fleet.engines[a] = &engine{fleet: f.fleet, held: make(map[persimmoncart.AttemptID]bool)}
+	}
+	f.places = &places{granted: make(map[persimmoncart.GrantID]bool), pairs: [][2]netip.AddrPort{{p1, d1}, {p2, d2}}}
+	f.router = &route.Router{Budgets: &route.Budgets{}, Engines: f.fleet, Places: f.places, Timer: &timer.System{}}
+	return f
+}
+
+// complete serves one completion and checks that nothing is held afterwards.
+func (f *fixture) complete(ctx context.Context, t *testing.T) (route.Result, error) {
+	t.Helper()
+	now := time.Now()
+	result, err := f.router.Complete(ctx, route.Completion{
+		Account:  &persimmoncart.Account{Name: "a"},
+		Class:    persimmoncart.ClassInteractive,
+		Deadline: now.Add(30 * time.Second),
+		ID:       "r",
+		Limit:    100,
+		Pool:     &persimmoncart.Pool{Name: "p", First: time.Second},
+		Prompt:   "prompt",
+		Route:    &persimmoncart.Route{Name: "draft"},
+		Start:    now,
+	}, f.sink)
+	f.router.Wait()
+	assert.DeepEqual(t, f.fleet.held(), []string(nil))
+	assert.Equal(t, len(f.places.granted), 0)
+	return result, err
+}
+
+// Guards against answers that are cut, repeated or crossed when an engine fails
+// in any phase, and against memory that stays held after the failed attempt.
+func TestCompletionFailures(t *testing.T) {
+	broken := errors.New("connection reset")
+	refused := &persimmoncart.EndpointRefusedError{Addr: p1, Reason: "full"}
+	hang := func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	decodes := func(s stream) func(*fixture) {
+		return func(f *fixture) {
+			e := f.fleet.engines[d1]
+			e.decode = func(q persimmoncart.DecodeRequest) persimmoncart.TokenStream {
+				s.engine, s.request, s.next, s.last = e, q, q.Start, 9
+				return &s
+			}
+		}
+	}
+	tests := []struct {
+		name     string
+		set      func(*fixture)
+		reason   persimmoncart.RetryReason
+		attempts int
+	}{
+		{"no failure", func(*fixture) {}, "", 1},
+		{"grant lost", func(f *fixture) { f.places.commit = broken }, persimmoncart.RetrySlotLost, 2},
+		{"prefill refused", func(f *fixture) {
+			f.fleet.engines[p1].prefill = func(context.Context, *persimmoncart.PrefillResult) error {
+				f.fleet.engines[p1].held = map[persimmoncart.AttemptID]bool{} // it refused before acting
+				return refused
+			}
+		}, persimmoncart.RetryEndpointRefused, 2},
+		{"prefill engine dies", func(f *fixture) {
+			f.fleet.engines[p1].prefill = func(context.Context, *persimmoncart.PrefillResult) error { return broken }
+		}, persimmoncart.RetryEndpointDied, 2},
+		{"prefill answer crossed", func(f *fixture) {
+			f.fleet.engines[p1].prefill = func(_ context.Context, r *persimmoncart.PrefillResult) error {
+				return &persimmoncart.AttemptMismatchError{Want: r.Attempt}
+			}
+		}, persimmoncart.RetryEndpointDied, 2},
+		{"KV cache evicted", func(f *fixture) {
+			f.fleet.engines[d1].imports = func(context.Context) error { return &persimmoncart.KVMissingError{Handle: "h"} }
+		}, persimmoncart.RetryKVEvicted, 2},
+		{"transfer stalls", func(f *fixture) { f.fleet.engines[d1].imports = hang }, persimmoncart.RetryTransferStalled, 2},
+		{"stream ends early", decodes(stream{breakAt: 4}), persimmoncart.RetryResume, 2},
+		{"stream hangs", decodes(stream{hangAt: 4}), persimmoncart.RetryResume, 2},
+		{"stream dies before its first token", decodes(stream{hangAt: -1, breakAt: -1, twist: func(t *persimmoncart.Token) {
+			t.Index = 3
+		}}), persimmoncart.RetryEndpointDied, 2},
+		{"token skipped", decodes(stream{twist: func(t *persimmoncart.Token) {
+			if t.Index > 3 {
+				t.Index++
+			}
+		}}), persimmoncart.RetryResume, 2},
+		{"tokens of another attempt", decodes(stream{twist: func(t *persimmoncart.Token) {
+			if t.Index > 3 {
+				t.Attempt.Number = 7
+			}
+		}}), persimmoncart.RetryResume, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture()
+				test.set(f)
+				result, err := f.complete(t.Context(), t)
+				assert.NilError(t, err)
+				assert.Equal(t, f.sink.text.String(), whole)
+				assert.Equal(t, result.Reason, test.reason)
+				assert.Equal(t, result.Attempts, test.attempts)
+			})
+		})
+	}
+}
+
+// Guards against a resumed stream that generates from the wrong token.
+func TestCompletionResumesAfterSentTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		e := f.fleet.engines[d1]
+		e.decode = func(q persimmoncart.DecodeRequest) persimmoncart.TokenStream {
+			return &stream{breakAt: 3, engine: e, last: 9, request: q}
+		}
+		_, err := f.complete(t.Context(), t)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, f.fleet.engines[p2].seen[0].Generated, []string{"0 ", "1 ", "2 "})
+		assert.DeepEqual(t, f.places.requests[1].Avoid, []persimmoncart.EndpointID{"10.0.1.1:1"})
+		assert.Equal(t, f.places.requests[1].Limit, 97)
+	})
+}
+
+// Guards against refusals with a wrong code or an untrue outcome.
+func TestCompletionRefusals(t *testing.T) {
+	broken := errors.New("connection reset")
+	tests := []struct {
+		name    string
+		set     func(*fixture)
+		code    persimmoncart.RefusalCode
+		outcome persimmoncart.Outcome
+	}{
+		{"no room", func(f *fixture) { f.places.pairs = nil }, persimmoncart.RefusalCapacity, persimmoncart.OutcomeNotRun},
+		{"no budget", func(f *fixture) {
+			f.router.MaxAttempts = 1
+			f.fleet.engines[p1].prefill = func(context.Context, *persimmoncart.PrefillResult) error { return broken }
+		}, persimmoncart.RefusalEndpointFailed, persimmoncart.OutcomeUnknown},
+		{"never sent", func(f *fixture) {
+			f.router.MaxAttempts = 1
+			f.fleet.engines[p1].prefill = func(context.Context, *persimmoncart.PrefillResult) error {
+				f.fleet.engines[p1].held = map[persimmoncart.AttemptID]bool{} // it was not reached
+				return &persimmoncart.UnavailableError{Err: broken, Op: "dial"}
+			}
+		}, persimmoncart.RefusalEndpointFailed, persimmoncart.OutcomeNotRun},
+		{"stream cannot continue", func(f *fixture) {
+			f.places.pairs = f.places.pairs[:1]
+			f.fleet.engines[d1].decode = func(q persimmoncart.DecodeRequest) persimmoncart.TokenStream {
+				return &stream{breakAt: 3, engine: f.fleet.engines[d1], last: 9, request: q}
+			}
+		}, persimmoncart.RefusalStreamBroken, persimmoncart.OutcomeUnknown},
+		{"deadline", func(f *fixture) {
+			f.fleet.engines[p1].prefill = func(ctx context.Context, _ *persimmoncart.PrefillResult) error {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+		}, persimmoncart.RefusalDeadline, persimmoncart.OutcomeUnknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture()
+				test.set(f)
+				_, err := f.complete(t.Context(), t)
+				refusal := &persimmoncart.Refusal{}
+				assert.Assert(t, errors.As(err, &refusal), "%v", err)
+				assert.Equal(t, refusal.Code, test.code)
+				assert.Equal(t, refusal.Outcome, test.outcome)
+				assert.Assert(t, refusal.Retry > 0)
+			})
+		})
+	}
+}
+
+// Guards against memory that stays held when the caller leaves in any phase.
+func TestCompletionCallerLeaves(t *testing.T) {
+	hang := func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	tests := map[string]func(*fixture){
+		"in prefill": func(f *fixture) {
+			f.fleet.engines[p1].prefill = func(ctx context.Context, _ *persimmoncart.PrefillResult) error { return hang(ctx) }
+		},
+		"in transfer":   func(f *fixture) { f.fleet.engines[d1].imports = hang },
+		"in decode":     func(*fixture) {},
+		"while writing": func(f *fixture) { f.sink.limit = 2 },
+	}
+	for name, set := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture()
+				set(f)
+				ctx, cancel := context.WithTimeout(t.Context(), 55*time.Millisecond)
+				defer cancel()
+				start := time.Now()
+				_, err := f.complete(ctx, t)
+				gone := &route.CallerGoneError{}
+				assert.Assert(t, errors.As(err, &gone), "%v", err)
+				assert.Assert(t, time.Since(start) <= 55*time.Millisecond, "memory was freed late")
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/route/once.go
@@ -0,0 +1,213 @@
+package route
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+const (
+	// claimWait bounds the wait for a claim. The store answers in milliseconds;
+	// one that does not is down, and the call is refused as not run.
+	claimWait = 2 * time.Second
+	// settleWait bounds how long an answer waits for its record. A store that
+	// is slower than this does not delay the caller; settling goes on.
+	settleWait = 500 * time.Millisecond
+	// claimedRetry is when a repeated key may learn more about a running call.
+	claimedRetry = time.Second
+)
+
+// ClaimKey returns the identity of a call that may not be repeated.
+func ClaimKey(account persimmoncart.AccountID, route persimmoncart.RouteName, key string) persimmoncart.ClaimKey {
+	h := sha256.New()
+	for _, part := range []string{string(account), string(route), key} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		h.Write(size[:])
+		h.Write([]byte(part))
+	}
+	return persimmoncart.ClaimKey(h.Sum(nil)[:len(persimmoncart.ClaimKey{})])
+}
+
+// once serves a call that may not be repeated: claim, dispatch, settle. It goes
+// on when the caller leaves after the dispatch, so that the record shows the
+// real end of the call.
+func (c *call) once(ctx context.Context) (*persimmoncart.CallResponse, error) {
+	r := c.router
+	if r.Claims == nil {
+		return nil, storeDown(nil)
+	}
+	own, stop := withTimeout(context.WithoutCancel(ctx), r.Timer, c.Deadline.Sub(r.Timer.Now()), errDeadline)
+	defer stop()
+	grant, err := c.claim(own)
+	if err != nil {
+		return nil, storeDown(err)
+	}
+	if !grant.Granted {
+		return repeated(grant.Record)
+	}
+	r.Budgets.First(c.Route.Name, c.Account.Name)
+	response, err := c.dispatch(ctx, own, grant)
+	c.settle(ctx, grant, response, err)
+	return response, err
+}
+
+// claim records the call before its dispatch.
+func (c *call) claim(ctx context.Context) (persimmoncart.ClaimGrant, error) {
+	ctx, stop := withTimeout(ctx, c.router.Timer, claimWait, errDeadline)
+	defer stop()
+	grant, err := c.router.Claims.Claim(ctx, ClaimKey(c.Account.Name, c.Route.Name, c.Key))
+	if err != nil {
+		return grant, errors.Wrap(err, "claim")
+	}
+	return grant, nil
+}
+
+// dispatch attempts a granted call until an endpoint may have acted on it.
+// Another attempt follows only on proof that the one before did not run.
+func (c *call) dispatch(caller, own context.Context, grant persimmoncart.ClaimGrant) (*persimmoncart.CallResponse, error) {
+	r := c.router
+	for n := 0; ; n++ {
+		if err := r.pause(own, n); err != nil {
+			return nil, c.interrupted(own)
+		}
+		endpoint, err := c.pick(own, c.avoid)
+		if err != nil {
+			return nil, c.refusePick(own, err)
+		}
+		if err := c.mayDispatch(caller, own, grant); err != nil {
+			r.Balancer.Done(persimmoncart.CallResult{Cancelled: true, Endpoint: endpoint.ID, Pool: c.Route.Pool, Role: persimmoncart.RoleApplication})
+			return nil, err
+		}
+		p := c.note(c.send(own, endpoint, grant.Record.Fence))
+		if p.err == nil {
+			return p.response, nil
+		}
+		if c.dispatched {
+			return nil, c.unknown(own, p.err)
+		}
+		if n+1 >= r.maxAttempts() || !r.Budgets.Retry(c.Route.Name, c.Account.Name) {
+			return nil, c.refuse(final(p.err))
+		}
+		c.retried(p)
+	}
+}
+
+// mayDispatch returns the error that forbids a dispatch now. It is called
+// directly before each dispatch, because the process may have been paused.
+func (c *call) mayDispatch(caller, own context.Context, grant persimmoncart.ClaimGrant) error {
+	switch {
+	case caller.Err() != nil:
+		return &CallerGoneError{Err: context.Cause(caller)}
+	case own.Err() != nil:
+		return c.interrupted(own)
+	case !c.router.Timer.Now().Before(grant.Expires):
+		return c.refuse(persimmoncart.Refusal{Code: persimmoncart.RefusalDeadline, Message: "the claim lapsed before the call was sent", Retry: retryAfter})
+	default:
+		return nil
+	}
+}
+
+// refusePick returns the final error of a call without an endpoint.
+func (c *call) refusePick(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return c.interrupted(ctx)
+	}
+	if refusal := as[*persimmoncart.Refusal](err); refusal != nil {
+		return c.refuse(*refusal)
+	}
+	return c.refuse(final(err))
+}
+
+// settle records the end of a granted call. It waits a short time, so that a
+// caller that was answered can usually read the outcome.
+func (c *call) settle(ctx context.Context, grant persimmoncart.ClaimGrant, response *persimmoncart.CallResponse, err error) {
+	state := persimmoncart.ClaimAnswered
+	switch {
+	case err != nil && c.dispatched:
+		state = persimmoncart.ClaimUnknown
+	case err != nil:
+		state = persimmoncart.ClaimNotRun
+	}
+	r := c.router
+	done := make(chan struct{})
+	r.goBackground(ctx, func(ctx context.Context) {
+		defer close(done)
+		// A claim that stays unsettled is reported as unknown, which is true.
+		_ = r.try(ctx, func(ctx context.Context) error { return r.Claims.Settle(ctx, grant, state, response) })
+	})
+	late := make(chan struct{})
+	stop := r.Timer.After(settleWait, func(time.Time) { close(late) })
+	defer stop()
+	select {
+	case <-done:
+	case <-late:
+	}
+}
+
+// unknown returns the refusal of a call that may have run.
+func (c *call) unknown(ctx context.Context, err error) error {
+	refusal := final(err)
+	if errors.Is(context.Cause(ctx), errDeadline) {
+		refusal.Code, refusal.Message = persimmoncart.RefusalDeadline, "the application did not answer in time"
+	}
+	refusal.Retry = 0 // the same key would get the same outcome
+	return c.refuse(refusal)
+}
+
+// repeated returns what the first call with the same key came to.
+func repeated(record persimmoncart.ClaimRecord) (*persimmoncart.CallResponse, error) {
+	refusal := &persimmoncart.Refusal{Code: persimmoncart.RefusalClaimed, Outcome: persimmoncart.OutcomeUnknown}
+	switch record.State {
+	case persimmoncart.ClaimAnswered:
+		if record.Answer != nil {
+			return record.Answer, nil
+		}
+		refusal.Message, refusal.Outcome = "the call was answered; its answer is no longer kept", persimmoncart.OutcomeAnswered
+	case persimmoncart.ClaimNotRun:
+		refusal.Message, refusal.Outcome, refusal.Retry = "the call did not run", persimmoncart.OutcomeNotRun, retryAfter
+	case persimmoncart.ClaimUnknown:
+		refusal.Message = "the call was sent and its end is not known"
+	default:
+		refusal.Message, refusal.Retry = "the call with this key is not settled", claimedRetry
+	}
+	return nil, refusal
+}
+
+// storeDown returns the refusal of a call that could not be claimed.
+func storeDown(err error) error {
+	r := &persimmoncart.Refusal{
+		Code:    persimmoncart.RefusalStoreDown,
+		Err:     err,
+		Message: "the call could not be recorded and was not sent",
+		Outcome: persimmoncart.OutcomeNotRun,
+		Retry:   retryAfter,
+	}
+	if u := as[*persimmoncart.UnavailableError](err); u != nil {
+		r.Retry = positive(u.Retry, retryAfter)
+	}
+	return r
+}
+
+// Recorded returns the record of a call that may not be repeated. It returns a
+// *persimmoncart.Refusal if the store cannot be asked and a
+// *persimmoncart.NotFoundError if the key was never used.
+func (r *Router) Recorded(ctx context.Context, key persimmoncart.ClaimKey) (persimmoncart.ClaimRecord, error) {
+	if r.Claims == nil {
+		return persimmoncart.ClaimRecord{}, storeDown(nil)
+	}
+	record, err := r.Claims.Outcome(ctx, key)
+	switch {
+	case err == nil:
+		return record, nil
+	case is[*persimmoncart.NotFoundError](err):
+		return record, errors.Wrap(err, "outcome")
+	default:
+		return record, storeDown(errors.Wrap(err, "outcome"))
+	}
+}
--- /dev/null
+++ b/internal/route/plain.go
@@ -0,0 +1,244 @@
+package route
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// A Plain is a call to an application.
+type Plain struct {
+	Account  *persimmoncart.Account
+	Body     []byte
+	Deadline time.Time
+	Header   http.Header
+	ID       persimmoncart.RequestID
+	Key      string // idempotency key; required if the route's calls may not be repeated
+	Method   string
+	Path     string // with the query, below the route
+	Route    *persimmoncart.Route
+	Start    time.Time
+}
+
+// Call serves a call to an application. It returns a *persimmoncart.Refusal if
+// there is no answer, and a *CallerGoneError if the caller went away.
+func (r *Router) Call(ctx context.Context, request Plain) (*persimmoncart.CallResponse, Result, error) {
+	c := &call{Plain: request, router: r}
+	if !request.Route.Repeat {
+		response, err := c.once(ctx)
+		return response, c.outcome(), err
+	}
+	ctx, stop := withTimeout(ctx, r.Timer, request.Deadline.Sub(r.Timer.Now()), errDeadline)
+	defer stop()
+	r.Budgets.First(request.Route.Name, request.Account.Name)
+	response, err := c.repeatable(ctx)
+	return response, c.outcome(), err
+}
+
+// A call is a Plain that is being served.
+type call struct {
+	Plain
+
+	attempts   atomic.Int64
+	avoid      []persimmoncart.EndpointID
+	dispatched bool // an endpoint may have acted on the call
+	result     Result
+	router     *Router
+}
+
+// A reply is the end of one attempt.
+type reply struct {
+	endpoint persimmoncart.Endpoint
+	err      error
+	response *persimmoncart.CallResponse
+}
+
+// outcome returns the result for the log.
+func (c *call) outcome() Result {
+	c.result.Attempts = int(c.attempts.Load())
+	return c.result
+}
+
+// repeatable serves an idempotent call with retries and, if the route allows
+// it, hedges.
+func (c *call) repeatable(ctx context.Context) (*persimmoncart.CallResponse, error) {
+	for n := 0; ; n++ {
+		if err := c.router.pause(ctx, n); err != nil {
+			return nil, c.interrupted(ctx)
+		}
+		p := c.hedged(ctx)
+		if p.err == nil {
+			return p.response, nil
+		}
+		if ctx.Err() != nil {
+			return nil, c.interrupted(ctx)
+		}
+		if refusal := as[*persimmoncart.Refusal](p.err); refusal != nil {
+			return nil, c.refuse(*refusal)
+		}
+		if n+1 >= c.router.maxAttempts() || !c.router.Budgets.Retry(c.Route.Name, c.Account.Name) {
+			return nil, c.refuse(final(p.err))
+		}
+		c.retried(p)
+	}
+}
+
+// hedged makes one attempt, and a second one elsewhere if the first takes
+// longer than most calls to the pool and the budget allows it.
+func (c *call) hedged(ctx context.Context) reply {
+	delay := c.router.Budgets.HedgeDelay(c.Route.Pool)
+	endpoint, err := c.pick(ctx, c.avoid)
+	if err != nil {
+		return reply{err: err}
+	}
+	if !c.Route.Hedge || delay <= 0 {
+		return c.note(c.send(ctx, endpoint, 0))
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(errHedged)
+	replies := make(chan reply, 2)
+	c.router.background.Go(func() { replies <- c.send(ctx, endpoint, 0) })
+	due := make(chan struct{})
+	stop := c.router.Timer.After(delay, func(time.Time) { close(due) })
+	defer stop()
+	select {
+	case p := <-replies:
+		return c.note(p)
+	case <-due:
+	}
+	pending := 1
+	if second, err := c.second(ctx, endpoint.ID); err == nil {
+		pending++
+		c.router.Metrics.Retried(persimmoncart.RetryHedge)
+		c.result.Reason = persimmoncart.RetryHedge
+		c.router.background.Go(func() { replies <- c.send(ctx, second, 0) })
+	}
+	return c.firstAnswer(replies, pending)
+}
+
+// firstAnswer returns the first answer, or the last error if there is none.
+func (c *call) firstAnswer(replies <-chan reply, pending int) reply {
+	for {
+		p := c.note(<-replies)
+		if pending--; p.err == nil || pending == 0 {
+			return p
+		}
+	}
+}
+
+// second picks the endpoint of a hedge. Only another endpoint is of use.
+func (c *call) second(ctx context.Context, first persimmoncart.EndpointID) (persimmoncart.Endpoint, error) {
+	avoid := append([]persimmoncart.EndpointID{first}, c.avoid...)
+	endpoint, err := c.pick(ctx, avoid)
+	if err != nil {
+		return endpoint, err
+	}
+	if endpoint.ID != first && c.router.Budgets.Hedge(c.Route.Name, c.Account.Name) {
+		return endpoint, nil
+	}
+	c.router.Balancer.Done(persimmoncart.CallResult{Cancelled: true, Endpoint: endpoint.ID, Pool: c.Route.Pool, Role: persimmoncart.RoleApplication})
+	return endpoint, errors.New("no hedge")
+}
+
+// pick chooses an endpoint.
+func (c *call) pick(ctx context.Context, avoid []persimmoncart.EndpointID) (persimmoncart.Endpoint, error) {
+	endpoint, err := c.router.Balancer.Pick(ctx, persimmoncart.PickRequest{Avoid: avoid, Pool: c.Route.Pool, Route: c.Route.Name})
+	if err != nil {
+		return endpoint, errors.Wrap(err, "pick")
+	}
+	return endpoint, nil
+}
+
+// send makes one attempt at endpoint and reports how it went.
+func (c *call) send(ctx context.Context, endpoint persimmoncart.Endpoint, fence uint64) reply {
+	r := c.router
+	id := persimmoncart.AttemptID{Number: int(c.attempts.Add(1)), Request: c.ID}
+	start := r.Timer.Now()
+	response, err := r.Applications.Application(endpoint.Addr).Call(ctx, persimmoncart.CallRequest{
+		Attempt:  id,
+		Body:     c.Body,
+		Deadline: c.Deadline,
+		Fence:    fence,
+		Header:   c.Header,
+		Key:      c.Key,
+		Method:   c.Method,
+		Path:     c.Path,
+	})
+	if err == nil && response.Attempt != id {
+		err = &persimmoncart.AttemptMismatchError{Got: response.Attempt, Want: id}
+	}
+	if is[*persimmoncart.AttemptMismatchError](err) {
+		r.Metrics.Discarded()
+	}
+	latency := r.Timer.Now().Sub(start)
+	r.Balancer.Done(persimmoncart.CallResult{
+		Cancelled: ctx.Err() != nil,
+		Endpoint:  endpoint.ID,
+		Failed:    err != nil || response.Status >= http.StatusInternalServerError,
+		Latency:   latency,
+		Pool:      c.Route.Pool,
+		Role:      persimmoncart.RoleApplication,
+	})
+	if err != nil {
+		return reply{endpoint: endpoint, err: errors.Wrap(err, "call")}
+	}
+	r.Budgets.Latency(c.Route.Pool, latency)
+	r.Metrics.Called(c.Route.Name, latency)
+	return reply{endpoint: endpoint, response: response}
+}
+
+// note keeps what an attempt proved about the call.
+func (c *call) note(p reply) reply {
+	c.result.Decode = p.endpoint.ID
+	c.dispatched = c.dispatched || !notRun(p.err)
+	return p
+}
+
+// retried counts another attempt after p.
+func (c *call) retried(p reply) {
+	c.avoid = append(c.avoid, p.endpoint.ID)
+	c.result.Reason = persimmoncart.RetryEndpointDied
+	if is[*persimmoncart.EndpointRefusedError](p.err) {
+		c.result.Reason = persimmoncart.RetryEndpointRefused
+	}
+	c.router.Metrics.Retried(c.result.Reason)
+}
+
+// interrupted returns the final error of a call whose context ended.
+func (c *call) interrupted(ctx context.Context) error {
+	cause := context.Cause(ctx)
+	if !errors.Is(cause, errDeadline) {
+		return &CallerGoneError{Err: cause}
+	}
+	return c.refuse(persimmoncart.Refusal{Code: persimmoncart.RefusalDeadline, Err: cause, Message: "the request's deadline passed", Retry: retryAfter})
+}
+
+// refuse completes a refusal with the outcome.
+func (c *call) refuse(refusal persimmoncart.Refusal) error {
+	refusal.Outcome = persimmoncart.OutcomeNotRun
+	if c.dispatched {
+		refusal.Outcome = persimmoncart.OutcomeUnknown
+	}
+	return &refusal
+}
+
+// final returns the refusal for a failed call that is not attempted again.
+func final(err error) persimmoncart.Refusal {
+	r := persimmoncart.Refusal{Err: err, Retry: retryAfter}
+	if refused := as[*persimmoncart.EndpointRefusedError](err); refused != nil {
+		r.Code, r.Message = persimmoncart.RefusalCapacity, "the application refused the call"
+		r.Retry = positive(refused.Retry, retryAfter)
+		return r
+	}
+	if is[*persimmoncart.AttemptMismatchError](err) {
+		r.Code, r.Message = persimmoncart.RefusalEndpointInvalid, "the application gave an invalid answer"
+		return r
+	}
+	r.Code, r.Message = persimmoncart.RefusalEndpointFailed, "the application did not answer"
+	return r
+}
--- /dev/null
+++ b/internal/route/plain_test.go
@@ -0,0 +1,237 @@
+package route_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/route"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+)
+
+// newPlain returns a router over two application endpoints.
+func newPlain() (*route.Router, applications, *claims) {
+	apps := applications{p1: {}, p2: {}}
+	record := &claims{records: make(map[persimmoncart.ClaimKey]persimmoncart.ClaimRecord)}
+	endpoints := []persimmoncart.Endpoint{{Addr: p1, ID: "one"}, {Addr: p2, ID: "two"}}
+	return &route.Router{
+		Applications: apps,
+		Balancer:     &balancer{endpoints: endpoints},
+		Budgets:      &route.Budgets{},
+		Claims:       record,
+		Timer:        &timer.System{},
+	}, apps, record
+}
+
+// plain serves one call; repeat says whether it is idempotent.
+func plain(ctx context.Context, r *route.Router, repeat bool) (*persimmoncart.CallResponse, error) {
+	response, _, err := r.Call(ctx, route.Plain{
+		Account:  &persimmoncart.Account{Name: "a"},
+		Deadline: time.Now().Add(10 * time.Second),
+		ID:       "r",
+		Key:      "k",
+		Route:    &persimmoncart.Route{Hedge: true, Name: "books", Pool: "yard", Repeat: repeat},
+		Start:    time.Now(),
+	})
+	r.Wait()
+	return response, err
+}
+
+// Guards against payments and pledges that run twice, and against outcomes that
+// do not say what happened.
+func TestCallOnce(t *testing.T) {
+	broken := errors.New("connection reset")
+	tests := []struct {
+		name    string
+		first   error // of the first endpoint
+		set     func(*claims)
+		code    persimmoncart.RefusalCode // empty if answered
+		outcome persimmoncart.Outcome
+		runs    [2]int
+		state   persimmoncart.ClaimState
+	}{
+		{name: "answered", runs: [2]int{1, 0}, state: persimmoncart.ClaimAnswered},
+		{
+			name: "proven not run goes elsewhere", first: &persimmoncart.EndpointRefusedError{Addr: p1},
+			runs: [2]int{1, 1}, state: persimmoncart.ClaimAnswered,
+		},
+		{
+			name: "never sent goes elsewhere", first: &persimmoncart.UnavailableError{Err: broken, Op: "dial"},
+			runs: [2]int{1, 1}, state: persimmoncart.ClaimAnswered,
+		},
+		{
+			name: "no answer is not repeated", first: broken, code: persimmoncart.RefusalEndpointFailed,
+			outcome: persimmoncart.OutcomeUnknown, runs: [2]int{1, 0}, state: persimmoncart.ClaimUnknown,
+		},
+		{
+			name: "crossed answer is not repeated", first: &persimmoncart.AttemptMismatchError{}, code: persimmoncart.RefusalEndpointInvalid,
+			outcome: persimmoncart.OutcomeUnknown, runs: [2]int{1, 0}, state: persimmoncart.ClaimUnknown,
+		},
+		{
+			name: "store down", set: func(c *claims) { c.down = &persimmoncart.UnavailableError{Err: broken, Op: "create"} },
+			code: persimmoncart.RefusalStoreDown, outcome: persimmoncart.OutcomeNotRun,
+		},
+		{
+			name: "claim lapsed while paused", set: func(c *claims) { c.stale = time.Millisecond },
+			code: persimmoncart.RefusalDeadline, outcome: persimmoncart.OutcomeNotRun, state: persimmoncart.ClaimNotRun,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, apps, record := newPlain()
+				if test.first != nil {
+					apps[p1].call = func(context.Context, persimmoncart.CallRequest) (*persimmoncart.CallResponse, error) {
+						return nil, test.first
+					}
+				}
+				if test.set != nil {
+					test.set(record)
+				}
+				response, err := plain(t.Context(), r, false)
+				if test.code == "" {
+					assert.NilError(t, err)
+					assert.Equal(t, string(response.Body), "done")
+				} else {
+					refusal := &persimmoncart.Refusal{}
+					assert.Assert(t, errors.As(err, &refusal), "%v", err)
+					assert.Equal(t, refusal.Code, test.code)
+					assert.Equal(t, refusal.Outcome, test.outcome)
+				}
+				assert.Equal(t, [2]int{apps[p1].runs, apps[p2].runs}, test.runs)
+				assert.Equal(t, record.records[route.ClaimKey("a", "books", "k")].State, test.state)
+			})
+		})
+	}
+}
+
+// Guards against a second dispatch of a key whose first call was answered, is
+// running or has an unknown end.
+func TestCallOnceRepeatedKey(t *testing.T) {
+	tests := map[persimmoncart.ClaimState]struct {
+		answer  *persimmoncart.CallResponse
+		outcome persimmoncart.Outcome
+		runs    int
+	}{
+		persimmoncart.ClaimAnswered: {answer: &persimmoncart.CallResponse{Body: []byte("done")}},
+		persimmoncart.ClaimClaimed:  {outcome: persimmoncart.OutcomeUnknown},
+		persimmoncart.ClaimNotRun:   {answer: &persimmoncart.CallResponse{Body: []byte("done")}, runs: 1},
+		persimmoncart.ClaimUnknown:  {outcome: persimmoncart.OutcomeUnknown},
+	}
+	for state, test := range tests {
+		t.Run(string(state), func(t *testing.T) {
+			r, apps, record := newPlain()
+			record.records[route.ClaimKey("a", "books", "k")] = persimmoncart.ClaimRecord{Answer: test.answer, State: state}
+			response, err := plain(t.Context(), r, false)
+			if test.answer != nil {
+				assert.NilError(t, err)
+				assert.Equal(t, string(response.Body), "done")
+			} else {
+				refusal := &persimmoncart.Refusal{}
+				assert.Assert(t, errors.As(err, &refusal), "%v", err)
+				assert.Equal(t, refusal.Outcome, test.outcome)
+			}
+			assert.Equal(t, apps[p1].runs, test.runs)
+		})
+	}
+}
+
+// Guards against a record that says "unknown" for a call that was answered
+// after its caller had left.
+func TestCallOnceCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, apps, record := newPlain()
+		ctx, cancel := context.WithCancel(t.Context())
+		apps[p1].call = func(own context.Context, q persimmoncart.CallRequest) (*persimmoncart.CallResponse, error) {
+			cancel()
+			return &persimmoncart.CallResponse{Attempt: q.Attempt, Status: 200}, own.Err()
+		}
+		_, err := plain(ctx, r, false)
+		assert.NilError(t, err)
+		assert.Equal(t, record.records[route.ClaimKey("a", "books", "k")].State, persimmoncart.ClaimAnswered)
+		_, err = plain(ctx, r, false)
+		assert.NilError(t, err)
+		assert.Equal(t, apps[p1].runs, 1)
+	})
+}
+
+// Guards against lookups that fail with one endpoint, wait for a straggler, or
+// multiply without a budget.
+func TestCallRepeatable(t *testing.T) {
+	slow := func(ctx context.Context, _ persimmoncart.CallRequest) (*persimmoncart.CallResponse, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	fails := func(context.Context, persimmoncart.CallRequest) (*persimmoncart.CallResponse, error) {
+		return nil, errors.New("connection reset")
+	}
+	tests := []struct {
+		name   string
+		one    func(context.Context, persimmoncart.CallRequest) (*persimmoncart.CallResponse, error)
+		two    func(context.Context, persimmoncart.CallRequest) (*persimmoncart.CallResponse, error)
+		within time.Duration
+		code   persimmoncart.RefusalCode
+		runs   [2]int
+	}{
+		{"answered", nil, nil, 0, "", [2]int{1, 0}},
+		{"retried elsewhere", fails, nil, 100 * time.Millisecond, "", [2]int{1, 1}},
+		{"hedged elsewhere", slow, nil, 100 * time.Millisecond, "", [2]int{1, 1}},
+		{"both fail", fails, fails, time.Second, persimmoncart.RefusalPoolEmpty, [2]int{1, 1}},
+		{"both hang", slow, slow, 10 * time.Second, persimmoncart.RefusalDeadline, [2]int{1, 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, apps, _ := newPlain()
+				apps[p1].call, apps[p2].call = test.one, test.two
+				for range 32 {
+					r.Budgets.Latency("yard", 50*time.Millisecond)
+				}
+				start := time.Now()
+				_, err := plain(t.Context(), r, true)
+				assert.Assert(t, time.Since(start) <= test.within, "%s", time.Since(start))
+				refusal := &persimmoncart.Refusal{}
+				if errors.As(err, &refusal) {
+					assert.Equal(t, refusal.Code, test.code)
+				} else {
+					assert.NilError(t, err)
+				}
+				assert.Equal(t, [2]int{apps[p1].runs, apps[p2].runs}, test.runs)
+			})
+		})
+	}
+}
+
+// Guards against retries and hedges beyond their share when a pool fails.
+func TestBudgets(t *testing.T) {
+	b := &route.Budgets{}
+	retries, hedges := 0, 0
+	for range 1000 {
+		b.First("r", "a")
+		if b.Retry("r", "a") {
+			retries++
+		}
+		if b.Hedge("r", "a") {
+			hedges++
+		}
+	}
+	assert.Assert(t, retries <= 100+10, "%d retries of 1000 calls", retries)
+	assert.Assert(t, hedges <= 50+3, "%d hedges of 1000 calls", hedges)
+	assert.Assert(t, b.Retry("r", "another account"))
+}
+
+func TestPrefixes(t *testing.T) {
+	// Guards against prompts with equal beginnings that are not recognised, and
+	// against cache entries shared between models.
+	block := string(make([]byte, persimmoncart.BlockTokens*route.TokenBytes))
+	one, two := route.Prefixes("m", block+"x"), route.Prefixes("m", block+block)
+	assert.Equal(t, len(one), 1)
+	assert.Equal(t, len(two), 2)
+	assert.Equal(t, one[0], two[0])
+	assert.Assert(t, one[0] != route.Prefixes("n", block)[0])
+}
--- /dev/null
+++ b/internal/route/router.go
@@ -0,0 +1,123 @@
+// Package route takes each request from its reservation to its last token or
+// answer, and frees what the request held on every way out.
+package route
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/metrics"
+)
+
+// Defaults of a Router.
+const (
+	// DefaultCleanup bounds one order to free memory. An engine that does not
+	// answer within it is left to the owner's comparison of work lists.
+	DefaultCleanup = 2 * time.Second
+	// DefaultMaxAttempts bounds the attempts for one request. A prefill costs as
+	// much as many tens of output tokens, so more attempts waste more than they save.
+	DefaultMaxAttempts = 4
+	// DefaultStall is the longest wait for one token. It is far above the 60 ms
+	// target, so that only engines that hang are given up.
+	DefaultStall = 5 * time.Second
+	// DefaultTransfer bounds the import of KV cache. Exported KV cache is evicted
+	// in under a second, so a transfer that has not ended by then rarely does.
+	DefaultTransfer = 2 * time.Second
+
+	cleanupTries = 3
+	cleanupPause = 100 * time.Millisecond
+	// retryPause is the mean pause before a second attempt; it doubles with each
+	// further one and is spread by half of itself either way.
+	retryPause = 20 * time.Millisecond
+)
+
+// A Router serves completions and plain calls. Its fields are set before use.
+type Router struct {
+	Applications persimmoncart.Applications
+	Balancer     persimmoncart.Balancer
+	Budgets      persimmoncart.Budgets
+	Claims       persimmoncart.Claims // nil if there is no store
+	Cleanup      time.Duration        // zero means DefaultCleanup
+	Engines      persimmoncart.Engines
+	MaxAttempts  int // zero means DefaultMaxAttempts
+	Metrics      *metrics.Metrics
+	Places       persimmoncart.Places
+	Random       func() float64 // in [0,1); nil means math/rand/v2
+	Stall        time.Duration  // zero means DefaultStall
+	Tag          persimmoncart.Tag
+	Timer        persimmoncart.Timer
+	Transfer     time.Duration // zero means DefaultTransfer
+
+	background sync.WaitGroup
+}
+
+// Wait waits until all memory of ended requests is freed or given up and all
+// claims are settled or given up.
+func (r *Router) Wait() { r.background.Wait() }
+
+// goBackground runs f with a context that outlives the caller's.
+func (r *Router) goBackground(ctx context.Context, f func(context.Context)) {
+	ctx = context.WithoutCancel(ctx)
+	r.background.Go(func() { f(ctx) })
+}
+
+// maxAttempts returns the highest number of attempts for one request.
+func (r *Router) maxAttempts() int {
+	return positive(r.MaxAttempts, DefaultMaxAttempts)
+}
+
+// pause waits before attempt number n+1, n counting from zero.
+func (r *Router) pause(ctx context.Context, n int) error {
+	if n == 0 {
+		return nil
+	}
+	d := retryPause << min(n-1, 6)
+	return r.Timer.Sleep(ctx, d/2+time.Duration(r.random()*float64(d)))
+}
+
+// random returns a number in [0,1).
+func (r *Router) random() float64 {
+	if r.Random != nil {
+		return r.Random()
+	}
+	return rand.Float64()
+}
+
+// try calls f with a bounded context until it succeeds, at most cleanupTries times.
+func (r *Router) try(ctx context.Context, f func(context.Context) error) error {
+	var err error
+	for n := range cleanupTries {
+		if n > 0 {
+			if err := r.Timer.Sleep(ctx, cleanupPause<<n); err != nil {
+				return err
+			}
+		}
+		bounded, stop := withTimeout(ctx, r.Timer, positive(r.Cleanup, DefaultCleanup), errDeadline)
+		err = f(bounded)
+		stop()
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// positive returns v, or other if v is not set.
+func positive[T ~int | ~int64](v, other T) T {
+	if v > 0 {
+		return v
+	}
+	return other
+}
+
+// A Result describes how a request was served, for the log.
+type Result struct {
+	Attempts int
+	Decode   persimmoncart.EndpointID // or the application endpoint
+	Prefill  persimmoncart.EndpointID
+	Reason   persimmoncart.RetryReason // of the last retry; empty if there was none
+	Tokens   int                       // sent to the caller
+}
