entry: assemble an instance that serves and stops gracefully

Cause: the handlers, the router and the control state had no common process. Change: add internal/control (events on watermill topics, the goroutine that owns the control state, the supervisor tree) and internal/entry with Instance.

--- /dev/null
+++ b/internal/control/event.go
@@ -0,0 +1,102 @@
+// Package control owns the control state of one instance in a single goroutine,
+// which typed events on watermill topics feed, and runs the supervisor tree.
+package control
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
+	"github.com/go-faster/errors"
+)
+
+// Topics of events.
+const (
+	TopicConfiguration = "configuration"
+	TopicMembers       = "members"
+	TopicPhase         = "phase"
+	TopicStore         = "store"
+)
+
+// An Event is a message to the control goroutine.
+type Event interface {
+	// Topic returns the topic that the event is published on.
+	Topic() string
+}
+
+// A ConfigurationChanged reports a new version in force.
+type ConfigurationChanged struct {
+	Version uint64 `json:"version"`
+}
+
+// Topic implements Event.
+func (ConfigurationChanged) Topic() string { return TopicConfiguration }
+
+// A MembersChanged reports the number of members in each state.
+type MembersChanged struct {
+	Alive   int `json:"alive"`
+	Leaving int `json:"leaving"`
+	Suspect int `json:"suspect"`
+}
+
+// Topic implements Event.
+func (MembersChanged) Topic() string { return TopicMembers }
+
+// A PhaseChanged reports that the instance enters a phase of its life.
+type PhaseChanged struct {
+	Phase Phase `json:"phase"`
+}
+
+// Topic implements Event.
+func (PhaseChanged) Topic() string { return TopicPhase }
+
+// A StoreChanged reports whether the store answers.
+type StoreChanged struct {
+	Reached bool `json:"reached"`
+}
+
+// Topic implements Event.
+func (StoreChanged) Topic() string { return TopicStore }
+
+// A Bus carries events from any goroutine to the control goroutine.
+type Bus struct {
+	channel *gochannel.GoChannel
+}
+
+// NewBus returns a Bus. It must be closed.
+func NewBus() *Bus {
+	// Waiting for the acknowledgement keeps the events of one publisher in order.
+	return &Bus{channel: gochannel.NewGoChannel(gochannel.Config{BlockPublishUntilSubscriberAck: true}, watermill.NopLogger{})}
+}
+
+// Close ends all subscriptions.
+func (b *Bus) Close() error {
+	if err := b.channel.Close(); err != nil {
+		return errors.Wrap(err, "close bus")
+	}
+	return nil
+}
+
+// Publish sends e to the control goroutine and returns once it has been handled.
+// Without a running control goroutine the event is lost.
+func (b *Bus) Publish(e Event) error {
+	payload, err := json.Marshal(e)
+	if err != nil {
+		return errors.Wrapf(err, "encode event on %s", e.Topic())
+	}
+	if err := b.channel.Publish(e.Topic(), message.NewMessage("", payload)); err != nil {
+		return errors.Wrapf(err, "publish on %s", e.Topic())
+	}
+	return nil
+}
+
+// subscribe returns the messages of a topic.
+func (b *Bus) subscribe(ctx context.Context, topic string) (<-chan *message.Message, error) {
+	messages, err := b.channel.Subscribe(ctx, topic)
+	if err != nil {
+		return nil, errors.Wrapf(err, "subscribe to %s", topic)
+	}
+	return messages, nil
+}
--- /dev/null
+++ b/internal/control/tree.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+)
+
+// A Service is a part that runs until its context is done. One that ends earlier
+// is started again.
+type Service struct {
+	Name string
+	Run  func(context.Context) error
+}
+
+// Serve implements suture.Service.
+func (s Service) Serve(ctx context.Context) error { return s.Run(ctx) }
+
+// String returns the service's name in logs.
+func (s Service) String() string { return s.Name }
+
+// A Tree is the supervisor tree of one instance. Its fields are set before Run.
+type Tree struct {
+	Logger   zerolog.Logger
+	Name     string
+	Services []Service
+}
+
+// Run runs the services and starts those again that end, with suture's default
+// backoff, until ctx is done.
+func (t *Tree) Run(ctx context.Context) error {
+	s := suture.New(t.Name, suture.Spec{EventHook: t.hook})
+	for _, service := range t.Services {
+		s.Add(service)
+	}
+	if err := s.Serve(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		return errors.Wrap(err, "supervisor tree")
+	}
+	return nil
+}
+
+// hook logs what happened to a service, without the text of its error.
+func (t *Tree) hook(e suture.Event) {
+	switch e := e.(type) {
+	case suture.EventServicePanic:
+		t.Logger.Error().Str("service", e.ServiceName).Msg("service panicked")
+	case suture.EventServiceTerminate:
+		t.Logger.Warn().Str("service", e.ServiceName).Bool("restarting", e.Restarting).Msg("service ended")
+	case suture.EventStopTimeout:
+		t.Logger.Warn().Str("service", e.ServiceName).Msg("service did not stop in time")
+	case suture.EventBackoff:
+		t.Logger.Warn().Str("supervisor", e.SupervisorName).Msg("services end too often, backing off")
+	case suture.EventResume:
+		t.Logger.Info().Str("supervisor", e.SupervisorName).Msg("backoff ended")
+	}
+}
--- /dev/null
+++ b/internal/entry/instance.go
@@ -0,0 +1,164 @@
+// Package entry assembles one entry instance from its parts.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/caller"
+	"github.com/persimmoncart/persimmoncart/internal/control"
+	"github.com/persimmoncart/persimmoncart/internal/metrics"
+	"github.com/persimmoncart/persimmoncart/internal/route"
+)
+
+const (
+	// headerBytes bounds the header of a request; a key and a dozen usual
+	// headers need about a tenth.
+	headerBytes = 16 << 10
+	// headerTimeout bounds how long a caller may take to send its header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes connections that callers keep open without requests.
+	idleTimeout = 2 * time.Minute
+	// writeTimeout is only a backstop; handlers set deadlines for each write.
+	writeTimeout = 24 * time.Hour
+)
+
+// An Instance is one entry instance. Its fields are set before Run; those
+// without a remark are required. Several instances may run in one process.
+type Instance struct {
+	Admin         http.Handler // administration API; may be nil
+	AdminListener net.Listener // health, metrics and administration; may be nil
+	Applications  persimmoncart.Applications
+	Balancer      persimmoncart.Balancer
+	Bounds        caller.Bounds
+	Budgets       persimmoncart.Budgets // nil means budgets in memory
+	Claims        persimmoncart.Claims  // nil refuses calls that may not be repeated
+	Configuration persimmoncart.Configuration
+	Engines       persimmoncart.Engines
+	Grace         time.Duration        // wait for the load balancer after readiness went off
+	Limits        persimmoncart.Limits // nil means limits in memory
+	Listener      net.Listener         // callers
+	Logger        zerolog.Logger
+	Members       persimmoncart.Members // nil if there are no peers
+	Metrics       *metrics.Metrics      // nil means a registry of its own
+	Peer          http.Handler          // services for other instances; may be nil
+	PeerListener  net.Listener          // may be nil
+	Places        persimmoncart.Places
+	Self          persimmoncart.Instance
+	Services      []control.Service // run from start to after the last request
+	Store         persimmoncart.Store
+	Timer         persimmoncart.Timer
+}
+
+// Run serves until ctx is done and then stops gracefully: readiness goes off,
+// the load balancer gets its time, and everything in flight is finished. It
+// returns nil after a graceful stop, and an error if a listener fails.
+func (i *Instance) Run(ctx context.Context) error {
+	i.defaults()
+	a := newAssembly(i)
+	defer a.bus.Close() //nolint:errcheck // nothing is left that could be lost
+
+	// Services outlive ctx, because requests in flight need them.
+	services, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group errgroup.Group
+	group.Go(func() error { return a.tree.Run(services) })
+	<-a.started
+
+	failed := a.listen()
+	unsubscribe := a.follow()
+	a.publish(control.PhaseChanged{Phase: control.PhaseServing})
+	i.Logger.Info().Str("instance", string(i.Self.ID)).Str("callers", i.Listener.Addr().String()).Msg("serving")
+
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	a.drain()
+	unsubscribe()
+	stop()
+	return errors.Join(err, group.Wait())
+}
+
+// defaults fills the optional fields.
+func (i *Instance) defaults() {
+	if i.Metrics == nil {
+		i.Metrics = metrics.New()
+	}
+	if i.Budgets == nil {
+		i.Budgets = &route.Budgets{}
+	}
+	if i.Limits == nil {
+		i.Limits = &caller.Limits{Share: i.share, Timer: i.Timer}
+	}
+}
+
+// share returns the instance's share of each account's rate: callers are spread
+// evenly over the members that may get new work.
+func (i *Instance) share() float64 {
+	if i.Members == nil {
+		return 1
+	}
+	count := 0
+	for _, m := range i.Members.View() {
+		if m.State == persimmoncart.MemberAlive || m.State == persimmoncart.MemberSuspect {
+			count++
+		}
+	}
+	return 1 / float64(max(count, 1))
+}
+
+// An assembly is a running Instance.
+type assembly struct {
+	admin    *http.Server
+	bus      *control.Bus
+	callers  *http.Server
+	instance *Instance
+	loop     *control.Loop
+	peers    *http.Server
+	router   *route.Router
+	started  chan struct{}
+	tree     *control.Tree
+}
+
+// newAssembly connects the parts of i.
+func newAssembly(i *Instance) *assembly {
+	a := &assembly{bus: control.NewBus(), instance: i, started: make(chan struct{})}
+	a.loop = &control.Loop{Bus: a.bus, Logger: i.Logger, Started: a.startOnce()}
+	a.router = &route.Router{
+		Applications: i.Applications,
+		Balancer:     i.Balancer,
+		Budgets:      i.Budgets,
+		Claims:       i.Claims,
+		Engines:      i.Engines,
+		Metrics:      i.Metrics,
+		Places:       i.Places,
+		Tag:          i.Self.Tag(),
+		Timer:        i.Timer,
+	}
+	handler := &caller.Handler{
+		Bounds:        i.Bounds,
+		Configuration: i.Configuration,
+		Limits:        i.Limits,
+		Logger:        i.Logger,
+		Metrics:       i.Metrics,
+		Ready:         func() bool { return a.loop.State().Ready() },
+		Router:        a.router,
+		Tag:           i.Self.Tag(),
+		Timer:         i.Timer,
+	}
+	a.callers = a.server(handler.Routes())
+	a.admin = a.server(adminRoutes(i, handler.Routes()))
+	a.peers = a.peerServer()
+	services := append([]control.Service{{Name: "control", Run: a.loop.Run}, {Name: "store", Run: a.probeStore}}, i.Services...)
+	a.tree = &control.Tree{Logger: i.Logger, Name: "instance", Services: services}
+	return a
+}
