--- a/internal/control/tree.go
+++ b/internal/control/tree.go
@@ -35,7 +35,7 @@
 	for _, service := range t.Services {
 		s.Add(service)
 	}
-	if err := s.Serve(ctx); err != nil && !errors.Is(err, context.Canceled) {
+	if err := s.Serve(ctx); err != nil && ctx.Err() == nil {
 		return errors.Wrap(err, "supervisor tree")
 	}
 	return nil
--- /dev/null
+++ b/internal/tlsfiles/reloader_test.go
@@ -0,0 +1,159 @@
+package tlsfiles_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+	"github.com/persimmoncart/persimmoncart/internal/tlsfiles"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// write puts a certificate that is its own CA into dir.
+func write(t *testing.T, dir string, serial int64) tlsfiles.Files {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		BasicConstraintsValid: true,
+		DNSNames:              []string{"entry"},
+		ExtKeyUsage:           []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		IsCA:                  true,
+		NotAfter:              time.Now().Add(time.Hour),
+		NotBefore:             time.Now().Add(-time.Hour),
+		SerialNumber:          big.NewInt(serial),
+		Subject:               pkix.Name{CommonName: "entry"},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	assert.NilError(t, err)
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	assert.NilError(t, err)
+	f := tlsfiles.Files{CA: filepath.Join(dir, "cert"), Certificate: filepath.Join(dir, "cert"), Key: filepath.Join(dir, "key")}
+	assert.NilError(t, os.WriteFile(f.Certificate, pem.EncodeToMemory(&pem.Block{Bytes: der, Type: "CERTIFICATE"}), 0o600))
+	assert.NilError(t, os.WriteFile(f.Key, pem.EncodeToMemory(&pem.Block{Bytes: private, Type: "PRIVATE KEY"}), 0o600))
+	return f
+}
+
+// reloader returns a loaded Reloader over files.
+func reloader(t *testing.T, f tlsfiles.Files) *tlsfiles.Reloader {
+	t.Helper()
+	r := &tlsfiles.Reloader{Files: f, Logger: zerolog.Nop(), Timer: &timer.System{}}
+	assert.NilError(t, r.Load())
+	return r
+}
+
+// shake connects client to server and returns the serial number of the
+// server's certificate.
+func shake(t *testing.T, client, server *tls.Config) (int64, error) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	a, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer a.Close()
+	b, err := l.Accept()
+	assert.NilError(t, err)
+	defer b.Close()
+	failed := make(chan error, 1)
+	go func() { failed <- tls.Server(b, server).Handshake() }()
+	c := tls.Client(a, client)
+	if err := c.Handshake(); err != nil {
+		b.Close()
+		<-failed
+		return 0, err
+	}
+	if err := <-failed; err != nil {
+		return 0, err
+	}
+	return c.ConnectionState().PeerCertificates[0].SerialNumber.Int64(), nil
+}
+
+// Guards against certificates that need a restart, and against a broken file
+// that replaces a good one.
+func TestReload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dir := t.TempDir()
+		r := reloader(t, write(t, dir, 1))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- r.Run(ctx) }()
+		serial, err := shake(t, r.ClientConfig(), r.ServerConfig())
+		assert.NilError(t, err)
+		assert.Equal(t, serial, int64(1))
+		f := write(t, dir, 2)
+		time.Sleep(tlsfiles.DefaultPeriod + time.Second)
+		assert.NilError(t, os.WriteFile(f.Certificate, []byte("broken"), 0o600))
+		time.Sleep(tlsfiles.DefaultPeriod)
+		serial, err = shake(t, r.ClientConfig(), r.ServerConfig())
+		assert.NilError(t, err)
+		assert.Equal(t, serial, int64(2))
+		cancel()
+		assert.ErrorIs(t, <-done, context.Canceled)
+	})
+}
+
+// Guards against peers that are let in without a certificate of the CA.
+func TestMutual(t *testing.T) {
+	own, other := reloader(t, write(t, t.TempDir(), 1)), reloader(t, write(t, t.TempDir(), 2))
+	named := reloader(t, own.Files)
+	named.Name = "another"
+	tests := []struct {
+		name           string
+		client, server *tls.Config
+		ok             bool
+	}{
+		{"same CA", own.ClientConfig(), own.ServerConfig(), true},
+		{"client without certificate", &tls.Config{InsecureSkipVerify: true}, own.ServerConfig(), false},
+		{"client of another CA", &tls.Config{InsecureSkipVerify: true, GetClientCertificate: other.ClientConfig().GetClientCertificate}, own.ServerConfig(), false},
+		{"server of another CA", own.ClientConfig(), other.ServerConfig(), false},
+		{"server with another name", named.ClientConfig(), own.ServerConfig(), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := shake(t, test.client, test.server)
+			assert.Equal(t, err == nil, test.ok, "%v", err)
+		})
+	}
+}
+
+// Guards against settings that are found wrong only when the first caller connects.
+func TestCheck(t *testing.T) {
+	good := write(t, t.TempDir(), 1)
+	tests := []struct {
+		name  string
+		files tlsfiles.Files
+		ok    bool
+	}{
+		{"none", tlsfiles.Files{}, true},
+		{"good", good, true},
+		{"no key", tlsfiles.Files{Certificate: good.Certificate}, false},
+		{"no certificate", tlsfiles.Files{Key: good.Key}, false},
+		{"absent file", tlsfiles.Files{Certificate: "absent", Key: good.Key}, false},
+		{"key as CA", tlsfiles.Files{CA: good.Key, Certificate: good.Certificate, Key: good.Key}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			err := test.files.Check()
+			assert.Equal(t, err == nil, test.ok, "%v", err)
+		})
+	}
+}
