route: take budgets, limits and prefixes from policy and engine

Cause: the simple budgets and limits repeated decisions of internal/policy, and prefix hashes did not equal those that engines name in cache events. Change: Budgets and Limits wrap internal/policy; prompts are counted and hashed by internal/engine; the pace of decode engines is reported each 16 tokens.

--- a/budget.go
+++ b/budget.go
@@ -6,15 +6,18 @@
 type Budgets interface {
 	// First counts a first attempt, which earns budget for later ones.
 	First(route RouteName, account AccountID)
-	// Hedge takes one hedge from the budget and reports whether it allows one.
-	Hedge(route RouteName, account AccountID) bool
-	// HedgeDelay returns the time to wait for an answer before a hedge is sent;
-	// zero if too little is known about the pool.
+	// Hedge takes one hedge from the budget of a pool and reports whether it
+	// allows one.
+	Hedge(pool PoolName) bool
+	// HedgeDelay counts a call to a pool and returns the time to wait for its
+	// answer before a hedge is sent; zero if too little is known about the pool.
 	HedgeDelay(pool PoolName) time.Duration
 	// Latency reports how long an answered call to a pool took.
 	Latency(pool PoolName, latency time.Duration)
-	// Retry takes one retry from the budget and reports whether it allows one.
-	Retry(route RouteName, account AccountID) bool
+	// Retry takes one retry, number from 1, from the budget. It returns the pause
+	// before it, and false if the budget is used up or the pause would reach
+	// beyond the deadline.
+	Retry(route RouteName, account AccountID, number int, deadline time.Time) (pause time.Duration, ok bool)
 }
 
 // Limits bounds the requests and tokens of each account on this instance.
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -94,16 +94,16 @@
 		i.Metrics = metrics.New()
 	}
 	if i.Budgets == nil {
-		i.Budgets = &route.Budgets{}
+		i.Budgets = &route.Budgets{Timer: i.Timer}
 	}
 	if i.Limits == nil {
-		i.Limits = &caller.Limits{Share: i.share, Timer: i.Timer}
+		i.Limits = &caller.Limits{Instances: i.instances, Timer: i.Timer}
 	}
 }
 
-// share returns the instance's share of each account's rate: callers are spread
-// evenly over the members that may get new work.
-func (i *Instance) share() float64 {
+// instances returns the number of members that share the accounts' rates: those
+// that may get new work.
+func (i *Instance) instances() int {
 	if i.Members == nil {
 		return 1
 	}
@@ -113,7 +113,7 @@
 			count++
 		}
 	}
-	return 1 / float64(max(count, 1))
+	return count
 }
 
 // An assembly is a running Instance.
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -20,7 +20,8 @@
 	prefill  persimmoncart.Engine
 	result   persimmoncart.PrefillResult
 	router   *Router
-	started  time.Time // of the phase that runs
+	reported int       // tokens whose pace was reported
+	started  time.Time // of the phase that runs, or of the tokens not yet reported
 	stream   persimmoncart.TokenStream
 	tokens   int // passed on in this attempt
 }
@@ -88,7 +89,7 @@
 		a.router.Metrics.Discarded()
 		err = &persimmoncart.AttemptMismatchError{Got: result.Attempt, Want: a.id}
 	}
-	a.report(ctx, a.grant.Prefill.ID, persimmoncart.RolePrefill, a.router.Timer.Now().Sub(a.started), err)
+	a.report(ctx, a.grant.Prefill.ID, persimmoncart.RolePrefill, a.router.Timer.Now().Sub(a.started), max(result.Tokens-result.Cached, 0), err)
 	if err != nil {
 		a.exported = !notRun(err)
 		return errors.Wrap(err, "prefill")
@@ -112,10 +113,6 @@
 
 // finish releases a completed attempt. Its engines hold nothing any more.
 func (a *attempt) finish() {
-	if a.tokens > 0 {
-		gap := a.router.Timer.Now().Sub(a.started) / time.Duration(a.tokens)
-		a.report(context.Background(), a.grant.Decode.ID, persimmoncart.RoleDecode, gap, nil)
-	}
 	_ = a.stream.Close() // the generation has ended
 	a.router.Places.Release(a.grant.ID)
 }
@@ -155,9 +152,23 @@
 	})
 }
 
-// report tells the ledger how a phase went. For decode engines the latency is
-// the mean time for a token.
-func (a *attempt) report(ctx context.Context, id persimmoncart.EndpointID, role persimmoncart.Role, latency time.Duration, err error) {
+// passed counts a token that was passed on and reports the pace of the decode
+// engine now and then. The first token starts the clock.
+func (a *attempt) passed(last bool) {
+	a.tokens++
+	if a.tokens == 1 {
+		a.reported, a.started = 1, a.router.Timer.Now()
+		return
+	}
+	if n := a.tokens - a.reported; n >= reportTokens || last {
+		now := a.router.Timer.Now()
+		a.report(context.Background(), a.grant.Decode.ID, persimmoncart.RoleDecode, now.Sub(a.started), n, nil)
+		a.reported, a.started = a.tokens, now
+	}
+}
+
+// report tells the ledger how a phase went, or a part of a decode.
+func (a *attempt) report(ctx context.Context, id persimmoncart.EndpointID, role persimmoncart.Role, latency time.Duration, tokens int, err error) {
 	a.router.Places.Done(persimmoncart.CallResult{
 		Cancelled: ctx.Err() != nil,
 		Endpoint:  id,
@@ -165,5 +176,6 @@
 		Latency:   latency,
 		Pool:      a.pool,
 		Role:      role,
+		Tokens:    tokens,
 	})
 }
--- a/internal/route/completion.go
+++ b/internal/route/completion.go
@@ -40,7 +40,7 @@
 	ctx, stop := withTimeout(ctx, r.Timer, request.Deadline.Sub(r.Timer.Now()), errDeadline)
 	defer stop()
 	r.Budgets.First(request.Route.Name, request.Account.Name)
-	c := &completion{Completion: request, prefixes: Prefixes(request.Model, request.Prompt), router: r, sink: sink}
+	c := &completion{Completion: request, prefixes: Prefixes(request.Prompt), router: r, sink: sink}
 	err := c.run(ctx)
 	if !c.first.IsZero() {
 		gap := time.Duration(0)
@@ -120,9 +120,6 @@
 // reserve waits for a grant for what remains to be generated.
 func (c *completion) reserve(ctx context.Context) error {
 	r := c.router
-	if err := r.pause(ctx, c.result.Attempts); err != nil {
-		return err
-	}
 	c.result.Attempts++
 	id := persimmoncart.AttemptID{Number: c.result.Attempts, Request: c.ID}
 	grant, err := r.Places.Reserve(ctx, persimmoncart.ReserveRequest{
@@ -230,7 +227,7 @@
 		return &CallerGoneError{Err: err}
 	}
 	c.sent = append(c.sent, text)
-	c.attempt.tokens++
+	c.attempt.passed(last)
 	return nil
 }
 
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -8,6 +8,8 @@
 	"github.com/go-faster/errors"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/engine"
+	"github.com/persimmoncart/persimmoncart/internal/transport"
 )
 
 // retryAfter is the base of the retry time of refusals that name none. The
@@ -52,8 +54,10 @@
 		return "attempt_mismatch"
 	case is[*persimmoncart.NotFoundError](err):
 		return "not_found"
-	case is[*TokenGapError](err):
+	case is[*TokenGapError](err), is[*engine.TokenIndexError](err):
 		return "token_gap"
+	case is[*transport.GarbageError](err):
+		return "garbage"
 	case is[*CallerGoneError](err), errors.Is(err, context.Canceled):
 		return "caller_gone"
 	case errors.Is(err, errDeadline), errors.Is(err, context.DeadlineExceeded):
@@ -74,7 +78,7 @@
 	c.attempt = nil
 	if failed != nil {
 		if s == stateDecode || s == stateStream {
-			failed.report(ctx, failed.grant.Decode.ID, persimmoncart.RoleDecode, c.router.Timer.Now().Sub(failed.started), err)
+			failed.report(ctx, failed.grant.Decode.ID, persimmoncart.RoleDecode, c.router.Timer.Now().Sub(failed.started), 0, err)
 		}
 		failed.abandon(ctx)
 	}
@@ -87,7 +91,10 @@
 	if refusal := as[*persimmoncart.Refusal](err); refusal != nil {
 		return c.refuse(refusal)
 	}
-	if c.result.Attempts >= c.router.maxAttempts() || !c.router.Budgets.Retry(c.Route.Name, c.Account.Name) {
+	if !c.router.again(ctx, c.Route.Name, c.Account.Name, c.result.Attempts, c.Deadline) {
+		if cause := context.Cause(ctx); cause != nil {
+			return c.interrupted(cause)
+		}
 		return c.refuse(c.final(s, err))
 	}
 	c.result.Reason = c.reason(s, err)
@@ -103,7 +110,7 @@
 	r := &persimmoncart.Refusal{Err: err, Retry: retryAfter}
 	refused := as[*persimmoncart.EndpointRefusedError](err)
 	switch {
-	case is[*persimmoncart.AttemptMismatchError](err), is[*TokenGapError](err):
+	case invalid(err):
 		r.Code, r.Message = persimmoncart.RefusalEndpointInvalid, "an engine gave an invalid answer"
 	case errors.Is(err, errTransfer):
 		r.Code, r.Message = persimmoncart.RefusalTransferStalled, "the transfer to the decode engine stalled"
@@ -173,6 +180,12 @@
 	}
 }
 
+// invalid reports whether err means that an endpoint broke the protocol.
+func invalid(err error) bool {
+	return is[*persimmoncart.AttemptMismatchError](err) || is[*TokenGapError](err) || is[*engine.TokenIndexError](err) ||
+		is[*transport.GarbageError](err)
+}
+
 // notRun reports whether err proves that the endpoint did not act.
 func notRun(err error) bool {
 	return is[*persimmoncart.EndpointRefusedError](err) || is[*persimmoncart.UnavailableError](err)
--- a/internal/route/once.go
+++ b/internal/route/once.go
@@ -72,10 +72,7 @@
 // Another attempt follows only on proof that the one before did not run.
 func (c *call) dispatch(caller, own context.Context, grant persimmoncart.ClaimGrant) (*persimmoncart.CallResponse, error) {
 	r := c.router
-	for n := 0; ; n++ {
-		if err := r.pause(own, n); err != nil {
-			return nil, c.interrupted(own)
-		}
+	for n := 1; ; n++ {
 		endpoint, err := c.pick(own, c.avoid)
 		if err != nil {
 			return nil, c.refusePick(own, err)
@@ -91,7 +88,7 @@
 		if c.dispatched {
 			return nil, c.unknown(own, p.err)
 		}
-		if n+1 >= r.maxAttempts() || !r.Budgets.Retry(c.Route.Name, c.Account.Name) {
+		if !r.again(own, c.Route.Name, c.Account.Name, n, c.Deadline) {
 			return nil, c.refuse(final(p.err))
 		}
 		c.retried(p)
--- a/internal/route/plain.go
+++ b/internal/route/plain.go
@@ -67,10 +67,7 @@
 // repeatable serves an idempotent call with retries and, if the route allows
 // it, hedges.
 func (c *call) repeatable(ctx context.Context) (*persimmoncart.CallResponse, error) {
-	for n := 0; ; n++ {
-		if err := c.router.pause(ctx, n); err != nil {
-			return nil, c.interrupted(ctx)
-		}
+	for n := 1; ; n++ {
 		p := c.hedged(ctx)
 		if p.err == nil {
 			return p.response, nil
@@ -81,7 +78,10 @@
 		if refusal := as[*persimmoncart.Refusal](p.err); refusal != nil {
 			return nil, c.refuse(*refusal)
 		}
-		if n+1 >= c.router.maxAttempts() || !c.router.Budgets.Retry(c.Route.Name, c.Account.Name) {
+		if !c.router.again(ctx, c.Route.Name, c.Account.Name, n, c.Deadline) {
+			if ctx.Err() != nil {
+				return nil, c.interrupted(ctx)
+			}
 			return nil, c.refuse(final(p.err))
 		}
 		c.retried(p)
@@ -91,12 +91,15 @@
 // hedged makes one attempt, and a second one elsewhere if the first takes
 // longer than most calls to the pool and the budget allows it.
 func (c *call) hedged(ctx context.Context) reply {
-	delay := c.router.Budgets.HedgeDelay(c.Route.Pool)
+	delay := time.Duration(0)
+	if c.Route.Hedge {
+		delay = c.router.Budgets.HedgeDelay(c.Route.Pool)
+	}
 	endpoint, err := c.pick(ctx, c.avoid)
 	if err != nil {
 		return reply{err: err}
 	}
-	if !c.Route.Hedge || delay <= 0 {
+	if delay <= 0 {
 		return c.note(c.send(ctx, endpoint, 0))
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -138,7 +141,7 @@
 	if err != nil {
 		return endpoint, err
 	}
-	if endpoint.ID != first && c.router.Budgets.Hedge(c.Route.Name, c.Account.Name) {
+	if endpoint.ID != first && c.router.Budgets.Hedge(c.Route.Pool) {
 		return endpoint, nil
 	}
 	c.router.Balancer.Done(persimmoncart.CallResult{Cancelled: true, Endpoint: endpoint.ID, Pool: c.Route.Pool, Role: persimmoncart.RoleApplication})
@@ -235,7 +238,7 @@
 		r.Retry = positive(refused.Retry, retryAfter)
 		return r
 	}
-	if is[*persimmoncart.AttemptMismatchError](err) {
+	if invalid(err) {
 		r.Code, r.Message = persimmoncart.RefusalEndpointInvalid, "the application gave an invalid answer"
 		return r
 	}
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -29,9 +28,9 @@
 
 	cleanupTries = 3
 	cleanupPause = 100 * time.Millisecond
-	// retryPause is the mean pause before a second attempt; it doubles with each
-	// further one and is spread by half of itself either way.
-	retryPause = 20 * time.Millisecond
+	// reportTokens is the number of tokens after which a decode engine's pace is
+	// reported: under a second at the target, so that stragglers show early.
+	reportTokens = 16
 )
 
 // A Router serves completions and plain calls. Its fields are set before use.
@@ -45,8 +44,7 @@
 	MaxAttempts  int // zero means DefaultMaxAttempts
 	Metrics      *metrics.Metrics
 	Places       persimmoncart.Places
-	Random       func() float64 // in [0,1); nil means math/rand/v2
-	Stall        time.Duration  // zero means DefaultStall
+	Stall        time.Duration // zero means DefaultStall
 	Tag          persimmoncart.Tag
 	Timer        persimmoncart.Timer
 	Transfer     time.Duration // zero means DefaultTransfer
@@ -64,26 +62,14 @@
 	r.background.Go(func() { f(ctx) })
 }
 
-// maxAttempts returns the highest number of attempts for one request.
-func (r *Router) maxAttempts() int {
-	return positive(r.MaxAttempts, DefaultMaxAttempts)
-}
-
-// pause waits before attempt number n+1, n counting from zero.
-func (r *Router) pause(ctx context.Context, n int) error {
-	if n == 0 {
-		return nil
-	}
-	d := retryPause << min(n-1, 6)
-	return r.Timer.Sleep(ctx, d/2+time.Duration(r.random()*float64(d)))
-}
-
-// random returns a number in [0,1).
-func (r *Router) random() float64 {
-	if r.Random != nil {
-		return r.Random()
+// again waits for the pause before another attempt after attempts of them. It
+// reports false if there may be no other one.
+func (r *Router) again(ctx context.Context, route persimmoncart.RouteName, account persimmoncart.AccountID, attempts int, deadline time.Time) bool {
+	if attempts >= positive(r.MaxAttempts, DefaultMaxAttempts) {
+		return false
 	}
-	return rand.Float64()
+	pause, ok := r.Budgets.Retry(route, account, attempts, deadline)
+	return ok && r.Timer.Sleep(ctx, pause) == nil
 }
 
 // try calls f with a bounded context until it succeeds, at most cleanupTries times.
