--- /dev/null
+++ b/cmd/persimmoncart/internal/cmd/main.go
@@ -0,0 +1,87 @@
+// Package cmd is the command line of the entry instance.
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+// envPrefix starts the names of all environment variables.
+const envPrefix = "PERSIMMONCART"
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1 // the instance could not serve
+	exitSettings = 2 // the settings are wrong
+)
+
+// Main runs the program and returns its exit code.
+func Main(arguments []string, stdout, stderr io.Writer) int {
+	var s Settings
+	parser := flags.NewNamedParser("persimmoncart", flags.HelpFlag|flags.PassDoubleDash)
+	parser.EnvNamespace = envPrefix
+	parser.NamespaceDelimiter = "-"
+	if _, err := parser.AddGroup("settings", "", &s); err != nil {
+		return report(stderr, exitFailed, err)
+	}
+	rest, err := parser.ParseArgs(arguments)
+	if help := (*flags.Error)(nil); errors.As(err, &help) && help.Type == flags.ErrHelp {
+		_, _ = fmt.Fprintln(stdout, help.Message)
+		return exitOK
+	}
+	if err != nil {
+		return report(stderr, exitSettings, err)
+	}
+	if len(rest) > 0 {
+		return report(stderr, exitSettings, errors.Errorf("unexpected argument %q", rest[0]))
+	}
+	checked, wrong := s.Checked()
+	for n := range wrong {
+		report(stderr, exitSettings, &wrong[n])
+	}
+	if len(wrong) > 0 {
+		return exitSettings
+	}
+	if s.Check {
+		_, _ = fmt.Fprintln(stdout, "the settings are valid")
+		return exitOK
+	}
+	ctx, stop := untilSignal()
+	defer stop()
+	if err := run(ctx, &s, checked, stderr); err != nil {
+		return report(stderr, exitFailed, err)
+	}
+	return exitOK
+}
+
+// report writes an error and returns code.
+func report(w io.Writer, code int, err error) int {
+	_, _ = fmt.Fprintf(w, "persimmoncart: %v\n", err)
+	return code
+}
+
+// untilSignal returns a context that ends with the first signal to stop. Later
+// signals are taken and ignored, so that they do not cut what is in flight.
+func untilSignal() (context.Context, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		for range signals {
+			cancel()
+		}
+	}()
+	return ctx, func() {
+		signal.Stop(signals)
+		close(signals)
+		cancel()
+	}
+}
--- /dev/null
+++ b/cmd/persimmoncart/internal/cmd/settings.go
@@ -0,0 +1,258 @@
+package cmd
+
+import (
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/caller"
+	"github.com/persimmoncart/persimmoncart/internal/config"
+	"github.com/persimmoncart/persimmoncart/internal/tlsfiles"
+)
+
+// Settings are the flags and environment variables of the program. They are
+// text, so that a check names every wrong one and not only the first.
+type Settings struct {
+	Check         bool     `long:"check" description:"check the settings, name every wrong one and exit"`
+	Configuration []string `long:"configuration" env:"CONFIGURATION" env-delim:"," description:"YAML file (or sheet in CSV) to use in place of the store's configuration; repeatable"`
+	DataCentre    string   `long:"data-centre" env:"DATA_CENTRE" description:"data centre of this instance"`
+	Grace         string   `long:"grace" env:"GRACE" default:"5s" description:"wait for the load balancer after readiness went off"`
+	Instance      string   `long:"instance" env:"INSTANCE" description:"name of this instance, unique in the fleet"`
+	InstanceList  string   `long:"instance-list" env:"INSTANCE_LIST" description:"address and port of the platform's instance list; empty for an instance without peers"`
+	LogLevel      string   `long:"log-level" env:"LOG_LEVEL" default:"info" description:"lowest level that is logged: debug, info, warn or error"`
+	Region        string   `long:"region" env:"REGION" description:"region of this instance"`
+	Store         string   `long:"store" env:"STORE" description:"address and port of the store; empty refuses calls that may not be repeated"`
+
+	Admin     ListenerSettings `group:"administration listener" namespace:"admin" env-namespace:"ADMIN"`
+	Bounds    BoundSettings    `group:"bounds on callers" namespace:"max" env-namespace:"MAX"`
+	Callers   ListenerSettings `group:"callers' listener" namespace:"caller" env-namespace:"CALLER"`
+	Endpoints EndpointSettings `group:"endpoints" namespace:"endpoint" env-namespace:"ENDPOINT"`
+	Peers     PeerSettings     `group:"listener for other instances" namespace:"peer" env-namespace:"PEER"`
+}
+
+// A BoundSettings bounds what one caller may send.
+type BoundSettings struct {
+	Body     string `long:"body" env:"BODY" default:"4194304" description:"bytes of a request body"`
+	Prompt   string `long:"prompt" env:"PROMPT" default:"131072" description:"estimated tokens of a prompt"`
+	Read     string `long:"read" env:"READ" default:"10s" description:"time for a whole request body"`
+	Requests string `long:"requests" env:"REQUESTS" default:"4096" description:"requests in flight"`
+	Timeout  string `long:"timeout" env:"TIMEOUT" default:"60s" description:"time of a request whose route names none"`
+	Tokens   string `long:"tokens" env:"TOKENS" default:"4096" description:"output tokens of a route that names no limit"`
+	Write    string `long:"write" env:"WRITE" default:"10s" description:"time for one write to a caller that does not read"`
+}
+
+// An EndpointSettings says how endpoints and the store are called.
+type EndpointSettings struct {
+	TLS FileSettings `group:"TLS towards endpoints" namespace:"tls" env-namespace:"TLS"`
+}
+
+// A FileSettings names TLS files.
+type FileSettings struct {
+	CA          string `long:"ca" env:"CA" description:"PEM file of the CA that the other side is checked against"`
+	Certificate string `long:"certificate" env:"CERTIFICATE" description:"PEM file of the certificate chain"`
+	Key         string `long:"key" env:"KEY" description:"PEM file of the private key"`
+}
+
+// files returns the names for tlsfiles.
+func (s FileSettings) files() tlsfiles.Files { return tlsfiles.Files(s) }
+
+// A ListenerSettings describes one listener.
+type ListenerSettings struct {
+	Listen string       `long:"listen" env:"LISTEN" description:"address and port to listen on"`
+	TLS    FileSettings `group:"TLS" namespace:"tls" env-namespace:"TLS"`
+}
+
+// A PeerSettings describes the listener for other instances.
+type PeerSettings struct {
+	ListenerSettings
+	Advertise string `long:"advertise" env:"ADVERTISE" description:"address and port at which other instances reach this one; empty means the listener's"`
+	Name      string `long:"name" env:"NAME" description:"name that the certificates of other instances carry; empty accepts every one of the CA"`
+}
+
+// Checked are Settings that have been checked.
+type Checked struct {
+	Admin     netip.AddrPort // zero means none
+	Advertise netip.AddrPort
+	Bounds    caller.Bounds
+	Callers   netip.AddrPort
+	Grace     time.Duration
+	Instances netip.AddrPort // zero means no instance list
+	Level     zerolog.Level
+	Peers     netip.AddrPort // zero means none
+	Self      persimmoncart.Instance
+	Store     netip.AddrPort // zero means no store
+	Static    *config.Static // nil means the configuration in the store
+}
+
+// Checked checks the settings and returns one FieldError for each wrong
+// one, sorted by flag.
+func (s *Settings) Checked() (Checked, []FieldError) {
+	c := &checker{}
+	out := Checked{
+		Admin:     c.addr("admin-listen", s.Admin.Listen, false),
+		Advertise: c.addr("peer-advertise", s.Peers.Advertise, false),
+		Bounds: caller.Bounds{
+			Body:     int64(c.number("max-body", s.Bounds.Body)),
+			Prompt:   c.number("max-prompt", s.Bounds.Prompt),
+			Read:     c.duration("max-read", s.Bounds.Read, false),
+			Requests: c.number("max-requests", s.Bounds.Requests),
+			Timeout:  c.duration("max-timeout", s.Bounds.Timeout, false),
+			Tokens:   c.number("max-tokens", s.Bounds.Tokens),
+			Write:    c.duration("max-write", s.Bounds.Write, false),
+		},
+		Callers:   c.addr("caller-listen", s.Callers.Listen, true),
+		Grace:     c.duration("grace", s.Grace, true),
+		Instances: c.addr("instance-list", s.InstanceList, false),
+		Level:     c.level("log-level", s.LogLevel),
+		Peers:     c.addr("peer-listen", s.Peers.Listen, false),
+		Self: persimmoncart.Instance{
+			DataCentre: persimmoncart.DataCentre(c.name("data-centre", s.DataCentre)),
+			ID:         persimmoncart.InstanceID(c.name("instance", s.Instance)),
+			Region:     persimmoncart.Region(c.name("region", s.Region)),
+		},
+		Store: c.addr("store", s.Store, false),
+	}
+	if !out.Advertise.IsValid() {
+		out.Advertise = out.Peers
+	}
+	out.Self.Addr = out.Advertise
+	if out.Instances.IsValid() && !out.Peers.IsValid() && s.Peers.Listen == "" {
+		c.fail("peer-listen", "", "is needed with an instance list")
+	}
+	if s.Store == "" && len(s.Configuration) == 0 {
+		c.fail("store", "", "is needed without configuration files")
+	}
+	c.files("admin-tls", s.Admin.TLS, true)
+	c.files("caller-tls", s.Callers.TLS, true)
+	c.files("endpoint-tls", s.Endpoints.TLS, false)
+	c.files("peer-tls", s.Peers.TLS, true)
+	out.Static = c.configuration("configuration", s.Configuration)
+	slices.SortStableFunc(c.errors, func(a, b FieldError) int { return strings.Compare(a.Field, b.Field) })
+	return out, c.errors
+}
+
+// A FieldError reports one wrong setting.
+type FieldError struct {
+	Field  string // name of the flag
+	Reason string
+	Value  string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string {
+	variable := envPrefix + "_" + strings.ToUpper(strings.ReplaceAll(e.Field, "-", "_"))
+	if e.Value == "" {
+		return "--" + e.Field + " (" + variable + "): " + e.Reason
+	}
+	return "--" + e.Field + " (" + variable + "): " + strconv.Quote(e.Value) + " " + e.Reason
+}
+
+// namePattern allows what fits into request identifiers, paths and log queries.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// A checker collects the errors of settings.
+type checker struct {
+	errors []FieldError
+}
+
+// addr parses an address with a port.
+func (c *checker) addr(field, value string, required bool) netip.AddrPort {
+	if value == "" {
+		if required {
+			c.fail(field, value, "is missing")
+		}
+		return netip.AddrPort{}
+	}
+	a, err := netip.ParseAddrPort(value)
+	if err != nil {
+		c.fail(field, value, "is not an IP address with a port")
+	}
+	return a
+}
+
+// configuration reads configuration files and records each of their faults.
+func (c *checker) configuration(field string, paths []string) *config.Static {
+	if len(paths) == 0 {
+		return nil
+	}
+	static, err := config.LoadStatic(paths...)
+	if err == nil {
+		return static
+	}
+	issues := config.Issues{}
+	if !errors.As(err, &issues) {
+		c.fail(field, strings.Join(paths, ","), "cannot be read")
+	}
+	for _, i := range issues {
+		c.fail(field, "", i.String())
+	}
+	return nil
+}
+
+// duration parses a duration; only if zero is set it may be zero.
+func (c *checker) duration(field, value string, zero bool) time.Duration {
+	d, err := time.ParseDuration(value)
+	switch {
+	case err != nil:
+		c.fail(field, value, "is not a duration such as 1.5s")
+	case d < 0, d == 0 && !zero:
+		c.fail(field, value, "is not positive")
+	}
+	return d
+}
+
+// fail records an error.
+func (c *checker) fail(field, value, reason string) {
+	c.errors = append(c.errors, FieldError{Field: field, Reason: reason, Value: value})
+}
+
+// files checks TLS files. Listeners need a certificate, clients may do without.
+func (c *checker) files(field string, s FileSettings, listener bool) {
+	f := s.files()
+	switch {
+	case f.Certificate == "" && (f.Key != "" || (listener && f.CA != "")):
+		c.fail(field+"-certificate", "", "is needed with a key or CA")
+	case f.Certificate != "" && f.Key == "":
+		c.fail(field+"-key", "", "is needed with a certificate")
+	default:
+		if err := f.Check(); err != nil {
+			c.fail(field+"-certificate", f.Certificate, "cannot be used with its key and CA")
+		}
+	}
+}
+
+// level parses a log level.
+func (c *checker) level(field, value string) zerolog.Level {
+	l, err := zerolog.ParseLevel(value)
+	if err != nil || value == "" {
+		c.fail(field, value, "is not a log level")
+	}
+	return l
+}
+
+// name checks a name.
+func (c *checker) name(field, value string) string {
+	switch {
+	case value == "":
+		c.fail(field, value, "is missing")
+	case !namePattern.MatchString(value):
+		c.fail(field, value, "is not a name of at most 63 letters, digits, dots, underscores and hyphens")
+	}
+	return value
+}
+
+// number parses a positive number.
+func (c *checker) number(field, value string) int {
+	n, err := strconv.Atoi(value)
+	if err != nil || n <= 0 {
+		c.fail(field, value, "is not a positive whole number")
+	}
+	return n
+}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -51,6 +51,7 @@
 	Peer          http.Handler          // services for other instances; may be nil
 	PeerListener  net.Listener          // may be nil
 	Places        persimmoncart.Places
+	Ready         func() bool // further condition of readiness; may be nil
 	Self          persimmoncart.Instance
 	Services      []control.Service // run from start to after the last request
 	Store         persimmoncart.Store
@@ -150,7 +151,7 @@
 		Limits:        i.Limits,
 		Logger:        i.Logger,
 		Metrics:       i.Metrics,
-		Ready:         func() bool { return a.loop.State().Ready() },
+		Ready:         a.ready,
 		Router:        a.router,
 		Tag:           i.Self.Tag(),
 		Timer:         i.Timer,
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -152,6 +152,11 @@
 	}
 }
 
+// ready reports whether the load balancer should send callers here.
+func (a *assembly) ready() bool {
+	return a.loop.State().Ready() && (a.instance.Ready == nil || a.instance.Ready())
+}
+
 // server returns a server with the bounds that all listeners share.
 func (a *assembly) server(handler http.Handler) *http.Server {
 	return &http.Server{
--- a/internal/tlsfiles/reloader.go
+++ b/internal/tlsfiles/reloader.go
@@ -25,8 +25,8 @@
 // Files name the files of one listener or client.
 type Files struct {
 	CA          string // PEM certificates that peers are checked against; empty means no mutual TLS
-	Certificate string // PEM certificate chain
-	Key         string // PEM private key
+	Certificate string // PEM certificate chain; may be empty for clients
+	Key         string // PEM private key; may be empty for clients
 }
 
 // Empty reports whether no file is named.
@@ -45,10 +45,10 @@
 func (f Files) load() (*material, error) {
 	m := &material{}
 	var parts [3][]byte
+	if (f.Certificate == "") != (f.Key == "") {
+		return nil, &MissingFileError{Files: f}
+	}
 	for n, name := range []string{f.CA, f.Certificate, f.Key} {
-		if name == "" && n > 0 {
-			return nil, &MissingFileError{Files: f}
-		}
 		if name == "" {
 			continue
 		}
@@ -58,11 +58,14 @@
 		}
 		parts[n] = data
 	}
-	certificate, err := tls.X509KeyPair(parts[1], parts[2])
-	if err != nil {
-		return nil, errors.Wrapf(err, "load certificate %s", strconv.Quote(f.Certificate))
+	m.certificate = &tls.Certificate{}
+	if f.Certificate != "" {
+		certificate, err := tls.X509KeyPair(parts[1], parts[2])
+		if err != nil {
+			return nil, errors.Wrapf(err, "load certificate %s", strconv.Quote(f.Certificate))
+		}
+		m.certificate = &certificate
 	}
-	m.certificate = &certificate
 	m.content = bytes.Join(parts[:], []byte{0})
 	if f.CA != "" {
 		m.pool = x509.NewCertPool()
@@ -98,7 +101,7 @@
 
 // material is what one reading of the files gave.
 type material struct {
-	certificate *tls.Certificate
+	certificate *tls.Certificate // empty without a file
 	content     []byte
 	pool        *x509.CertPool // nil without a CA
 }
