--- /dev/null
+++ b/internal/caller/account.go
@@ -0,0 +1,121 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/policy"
+)
+
+// authenticate returns the account of the request's bearer key. The lookup is by
+// hash, so that its duration tells nothing about the keys.
+func authenticate(s *persimmoncart.Snapshot, header http.Header) (*persimmoncart.Account, error) {
+	scheme, key, _ := strings.Cut(header.Get("Authorization"), " ")
+	if strings.EqualFold(scheme, "bearer") && key != "" {
+		if account := s.Keys[sha256.Sum256([]byte(key))]; account != nil {
+			return account, nil
+		}
+	}
+	return nil, &persimmoncart.Refusal{Code: persimmoncart.RefusalAccountUnknown, Message: "no account with this key"}
+}
+
+// limit takes one request with its tokens from the account's limits.
+func (e *exchange) limit(tokens int) error {
+	retry, ok := e.handler.Limits.Allow(e.account, tokens)
+	if ok {
+		return nil
+	}
+	return &persimmoncart.Refusal{
+		Code:    persimmoncart.RefusalAccountLimited,
+		Message: "the account's rate is used up",
+		Retry:   max(retry, time.Millisecond),
+	}
+}
+
+// A catalogue is a snapshot with the routes of each model.
+type catalogue struct {
+	models   map[persimmoncart.ModelName][]*persimmoncart.Route
+	once     []*persimmoncart.Route // routes whose calls may not be repeated
+	snapshot *persimmoncart.Snapshot
+}
+
+// view returns the catalogue of the configuration in force.
+func (h *Handler) view() *catalogue {
+	s := h.Configuration.Snapshot()
+	if c := h.catalogue.Load(); c != nil && c.snapshot == s {
+		return c
+	}
+	c := newCatalogue(s)
+	h.catalogue.Store(c)
+	return c
+}
+
+// newCatalogue returns the catalogue of s.
+func newCatalogue(s *persimmoncart.Snapshot) *catalogue {
+	c := &catalogue{models: make(map[persimmoncart.ModelName][]*persimmoncart.Route), snapshot: s}
+	for _, r := range s.Routes {
+		for _, m := range r.Models {
+			c.models[m] = append(c.models[m], r)
+		}
+		if pool := s.Pools[r.Pool]; !r.Repeat && pool != nil && pool.Role == persimmoncart.RoleApplication {
+			c.once = append(c.once, r)
+		}
+	}
+	byName := func(a, b *persimmoncart.Route) int { return strings.Compare(string(a.Name), string(b.Name)) }
+	for _, routes := range c.models {
+		slices.SortFunc(routes, byName)
+	}
+	slices.SortFunc(c.once, byName)
+	return c
+}
+
+// completion returns the route of a model for an account: the first by name
+// whose class is the account's, or the first of all.
+func (c *catalogue) completion(m persimmoncart.ModelName, account *persimmoncart.Account) *persimmoncart.Route {
+	routes := c.models[m]
+	if len(routes) == 0 {
+		return nil
+	}
+	for _, r := range routes {
+		if r.Class == account.Class {
+			return r
+		}
+	}
+	return routes[0]
+}
+
+var _ persimmoncart.Limits = (*Limits)(nil)
+
+// Limits are the rate limits of accounts on one instance. Its fields are set
+// before use.
+type Limits struct {
+	Instances func() int // that share the accounts' rates; nil means 1
+	Timer     persimmoncart.Timer
+
+	limits *policy.Limits
+	mutex  sync.Mutex
+}
+
+// Allow implements persimmoncart.Limits. Accounts without a rate are unlimited.
+func (l *Limits) Allow(account *persimmoncart.Account, tokens int) (time.Duration, bool) {
+	if account.Rate <= 0 && account.Tokens <= 0 {
+		return 0, true
+	}
+	instances := 1
+	if l.Instances != nil {
+		instances = l.Instances()
+	}
+	now := l.Timer.Now()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.limits == nil {
+		l.limits = policy.NewLimits(policy.DefaultLimitAccounts)
+	}
+	ok, retry := l.limits.Allow(now, account, instances, tokens)
+	return retry, ok
+}
