Exchange load digests and lend slots between instances

Cause: instances need to know what others can lend, within the byte budget. Change: internal/load sends rows of the digest that a peer has not confirmed with probes, one sum per cell with summaries, and borrows over load.v1 with repeated borrows answered once; a governor counts bytes and leaves out far summaries, sums and digests in this order. The in-memory network can be used from several goroutines. Result: after random lost and repeated messages every instance holds the newest digest of every other within the hysteresis (TestDigests).

--- /dev/null
+++ b/internal/load/lenders.go
@@ -0,0 +1,176 @@
+package load
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/peer"
+	loadv1 "github.com/persimmoncart/persimmoncart/proto/load/v1"
+)
+
+const (
+	borrowTimeout = 250 * time.Millisecond // beyond the time that the owner may hold a borrow
+	holdChanges   = 500 * time.Millisecond // above the budget, for a borrow that takes changes along
+	settleTries   = 3                      // a lost commit would let a seat in use expire
+)
+
+var _ persimmoncart.Lenders = (*Lenders)(nil)
+
+// Lenders connects to the instances that lend. Set the fields before the first
+// call. It is safe for concurrent use.
+type Lenders struct {
+	Exchange  *Exchange // reads the digests in loans; its Members knows the addresses
+	Governor  *Governor // nil delays nothing
+	Timer     persimmoncart.Timer
+	Transport peer.Transport
+
+	changes map[persimmoncart.InstanceID][]persimmoncart.SeatChange
+	mutex   sync.Mutex
+}
+
+// Lender implements persimmoncart.Lenders.
+func (l *Lenders) Lender(instance persimmoncart.InstanceID) persimmoncart.Lender {
+	return &remote{id: instance, lenders: l}
+}
+
+// A remote is one instance that lends.
+type remote struct {
+	id      persimmoncart.InstanceID
+	lenders *Lenders
+}
+
+// Lend implements persimmoncart.Lender.
+func (r *remote) Lend(ctx context.Context, request persimmoncart.BorrowRequest) (persimmoncart.Loan, error) {
+	l := r.lenders
+	if d := l.Governor.BorrowDelay(); d > 0 {
+		if err := l.Timer.Sleep(ctx, d); err != nil {
+			return persimmoncart.Loan{}, errors.Wrapf(err, "borrow from %s", r.id)
+		}
+	}
+	owner, err := l.find(r.id)
+	if err != nil {
+		return persimmoncart.Loan{}, err
+	}
+	now := l.Timer.Now()
+	message := &loadv1.BorrowRequest{
+		Changes: changeMessages(l.takeChanges(r.id)),
+		From:    string(request.From),
+		Id:      request.ID,
+		Wait:    milliseconds(request.Wait),
+	}
+	for i := range request.Items {
+		message.Items = append(message.Items, itemMessage(now, &request.Items[i]))
+	}
+	reply, err := call(ctx, l.Transport, owner, message, request.Wait+borrowTimeout)
+	if err != nil {
+		l.putChanges(r.id, changesFrom(message.GetChanges()))
+		return persimmoncart.Loan{}, errors.Wrapf(err, "borrow from %s", r.id)
+	}
+	answer := reply.(*loadv1.BorrowReply)
+	loan := persimmoncart.Loan{ID: request.ID, Seats: seats(answer)}
+	if d := answer.GetDigest(); d.GetSequence() > 0 {
+		rows := map[uint32]*loadv1.Row{}
+		for _, w := range d.GetRows() {
+			rows[w.GetKey()] = w
+		}
+		x := l.Exchange
+		x.Members.Lock.Lock()
+		defer x.Members.Lock.Unlock()
+		loan.Digest = x.digest(r.id, d.GetSequence(), rows, owner.DataCentre, owner.Region)
+	}
+	return loan, nil
+}
+
+// Settle implements persimmoncart.Lender. Near the budget, changes wait for a
+// borrow that takes them along, well within the life of a lent seat.
+func (r *remote) Settle(ctx context.Context, from persimmoncart.InstanceID, changes []persimmoncart.SeatChange) error {
+	l := r.lenders
+	if l.Governor.BorrowDelay() > 0 {
+		l.putChanges(r.id, changes)
+		if err := l.Timer.Sleep(ctx, holdChanges); err != nil {
+			return errors.Wrapf(err, "settle with %s", r.id)
+		}
+		if changes = l.takeChanges(r.id); len(changes) == 0 {
+			return nil
+		}
+	}
+	owner, err := l.find(r.id)
+	if err != nil {
+		return err
+	}
+	message := &loadv1.ReturnRequest{Changes: changeMessages(changes), From: string(from)}
+	for try := 1; ; try++ {
+		_, err := call(ctx, l.Transport, owner, message, borrowTimeout)
+		if err == nil {
+			return nil
+		}
+		if try == settleTries || ctx.Err() != nil {
+			return errors.Wrapf(err, "settle with %s", r.id)
+		}
+	}
+}
+
+// find returns a known instance.
+func (l *Lenders) find(id persimmoncart.InstanceID) (persimmoncart.Instance, error) {
+	members := l.Exchange.Members
+	members.Lock.Lock()
+	defer members.Lock.Unlock()
+	m, known := members.Machine.Member(id)
+	if !known || m.State == persimmoncart.MemberDead {
+		return persimmoncart.Instance{}, &UnknownInstanceError{ID: id}
+	}
+	return m.Instance, nil
+}
+
+// putChanges keeps changes for the next message to an owner.
+func (l *Lenders) putChanges(owner persimmoncart.InstanceID, changes []persimmoncart.SeatChange) {
+	if len(changes) == 0 {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.changes == nil {
+		l.changes = map[persimmoncart.InstanceID][]persimmoncart.SeatChange{}
+	}
+	l.changes[owner] = append(l.changes[owner], changes...)
+}
+
+// takeChanges returns and forgets the changes kept for an owner.
+func (l *Lenders) takeChanges(owner persimmoncart.InstanceID) []persimmoncart.SeatChange {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	c := l.changes[owner]
+	delete(l.changes, owner)
+	return c
+}
+
+// call sends a request and waits for its reply.
+func call(ctx context.Context, t peer.Transport, to persimmoncart.Instance, request proto.Message, timeout time.Duration) (proto.Message, error) {
+	type result struct {
+		err   error
+		reply proto.Message
+	}
+	results := make(chan result, 1)
+	t.Call(to.Addr, request, timeout, func(reply proto.Message, err error) { results <- result{err, reply} })
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case r := <-results:
+		return r.reply, r.err
+	}
+}
+
+// An UnknownInstanceError reports an instance that is not known or has ended.
+type UnknownInstanceError struct {
+	ID persimmoncart.InstanceID
+}
+
+// Error implements error.
+func (e *UnknownInstanceError) Error() string {
+	return "unknown instance " + string(e.ID)
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,261 @@
+package load_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/load"
+	"github.com/persimmoncart/persimmoncart/internal/membership"
+	"github.com/persimmoncart/persimmoncart/internal/peer"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+	loadv1 "github.com/persimmoncart/persimmoncart/proto/load/v1"
+)
+
+// A fixed is a configuration that does not change.
+type fixed struct{ snapshot *persimmoncart.Snapshot }
+
+func (f fixed) Snapshot() *persimmoncart.Snapshot                     { return f.snapshot }
+func (f fixed) Subscribe(func(*persimmoncart.Snapshot)) (stop func()) { return func() {} }
+
+var models = []persimmoncart.ModelName{"hull", "hull:lots"}
+
+var configuration = fixed{&persimmoncart.Snapshot{
+	Pools:   map[persimmoncart.PoolName]*persimmoncart.Pool{"llm": {Models: models, Name: "llm"}},
+	Version: 1,
+}}
+
+// A places stands in for the local places.
+type places struct {
+	free     map[persimmoncart.ModelName]int
+	learned  map[persimmoncart.InstanceID]persimmoncart.Digest
+	lent     int
+	self     persimmoncart.Instance
+	sequence uint64
+	settled  []persimmoncart.SeatChange
+}
+
+func (p *places) Dead(id persimmoncart.InstanceID)   { delete(p.learned, id) }
+func (p *places) Forget(id persimmoncart.InstanceID) { delete(p.learned, id) }
+
+func (p *places) Learn(d persimmoncart.Digest, _ time.Duration) { p.learned[d.Instance] = d }
+
+func (p *places) Digest() persimmoncart.Digest {
+	p.sequence++
+	d := persimmoncart.Digest{Instance: p.self.ID, Sequence: p.sequence}
+	for _, m := range models {
+		d.Pools = append(d.Pools, persimmoncart.PoolDigest{
+			Blocks: 9 * p.free[m], DataCentre: p.self.DataCentre, Free: p.free[m], Model: m, Pool: "llm",
+			Region: p.self.Region, Role: persimmoncart.RoleDecode, Slots: 40,
+		})
+	}
+	return d
+}
+
+func (p *places) Lend(_ context.Context, r persimmoncart.BorrowRequest) (persimmoncart.Loan, error) {
+	l := persimmoncart.Loan{Digest: p.Digest(), ID: r.ID}
+	for i, item := range r.Items {
+		p.lent++
+		l.Seats = append(l.Seats, persimmoncart.Seat{
+			Blocks: persimmoncart.Blocks(item.Request.Tokens), Endpoint: "e", ID: persimmoncart.GrantID(fmt.Sprint("seat-", p.lent)), Item: i,
+		})
+	}
+	return l, nil
+}
+
+func (p *places) Settle(_ context.Context, _ persimmoncart.InstanceID, c []persimmoncart.SeatChange) error {
+	p.settled = append(p.settled, c...)
+	return nil
+}
+
+// A node is one instance with its exchange.
+type node struct {
+	exchange *load.Exchange
+	handler  *load.Handler
+	members  *membership.Service
+	places   *places
+	port     *peer.Port
+}
+
+// fleet starts instances in the given data centres of one region.
+func fleet(seed uint64, cells ...int) (*timer.Virtual, *peer.Network, []*node) {
+	v := timer.NewVirtual(time.Unix(1e9, 0))
+	network := &peer.Network{Rand: rand.New(rand.NewPCG(seed, 1)), Timer: v}
+	var nodes []*node
+	var listed list
+	for c, size := range cells {
+		for i := range size {
+			self := persimmoncart.Instance{
+				Addr:        netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(c), byte(i)}), 7000),
+				DataCentre:  persimmoncart.DataCentre(fmt.Sprint("dc-", c)),
+				ID:          persimmoncart.InstanceID(fmt.Sprintf("i-%d-%d", c, i)),
+				Incarnation: 1,
+				Region:      "r",
+			}
+			listed = append(listed, persimmoncart.Listed{Instance: &self})
+			n := &node{port: network.Port(self.Addr)}
+			n.places = &places{free: map[persimmoncart.ModelName]int{}, learned: map[persimmoncart.InstanceID]persimmoncart.Digest{}, self: self}
+			n.members = &membership.Service{
+				Machine:   &membership.Machine{Rand: rand.New(rand.NewPCG(seed, uint64(len(nodes)+2))), Self: self},
+				Spawn:     func(f func()) { f() },
+				Timer:     v,
+				Transport: n.port,
+			}
+			n.exchange = &load.Exchange{Configuration: configuration, Loads: n.places, Members: n.members, Timer: v}
+			n.handler = &load.Handler{Lender: n.places, Spawn: func(f func()) { f() }, Timer: v}
+			n.port.Handler = peer.Mux{"load": n.handler, "member": n.members}
+			nodes = append(nodes, n)
+		}
+	}
+	for _, n := range nodes {
+		n.members.List = listed
+		n.exchange.Start()
+		n.members.Start(context.Background())
+	}
+	return v, network, nodes
+}
+
+// A list is a fixed instance list.
+type list []persimmoncart.Listed
+
+func (l list) List(context.Context) ([]persimmoncart.Listed, error) { return l, nil }
+
+// Guards against a digest that differs from the owner's state after lost and
+// repeated messages, although only changed rows are sent: naively, every
+// instance holds the whole newest digest of every other.
+func TestDigests(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		v, network, nodes := fleet(rapid.Uint64().Draw(r, "seed"), rapid.IntRange(2, 4).Draw(r, "size"))
+		network.Drop, network.Duplicate = rapid.SampledFrom([]float64{0, 0.2}).Draw(r, "drop"), 0.1
+		for range rapid.IntRange(1, 6).Draw(r, "changes") {
+			n := nodes[rapid.IntRange(0, len(nodes)-1).Draw(r, "node")]
+			n.places.free[models[rapid.IntRange(0, 1).Draw(r, "model")]] = rapid.IntRange(0, 40).Draw(r, "free")
+			v.Advance(time.Duration(rapid.IntRange(0, 5).Draw(r, "wait")) * time.Second)
+		}
+		network.Drop = 0
+		v.Advance(20 * time.Second)
+		for _, n := range nodes {
+			for _, o := range nodes {
+				if o == n {
+					continue
+				}
+				got := n.places.learned[o.places.self.ID]
+				assert.Equal(r, len(got.Pools), len(models))
+				for _, p := range got.Pools {
+					want := o.places.free[p.Model]
+					// The hysteresis is a tenth of the slots; none and some differ always.
+					assert.Assert(r, max(p.Free-want, want-p.Free) <= p.Slots/10 && (p.Free == 0) == (want == 0), "%s: got %d, want %d", p.Model, p.Free, want)
+				}
+			}
+		}
+	})
+}
+
+// Guards against rows that are sent again and again although nothing changed.
+func TestDigestsQuiet(t *testing.T) {
+	v, _, nodes := fleet(1, 4)
+	v.Advance(30 * time.Second)
+	before := nodes[0].port.TotalSent()
+	v.Advance(time.Minute)
+	quiet := nodes[0].port.TotalSent() - before
+	for range 60 {
+		for _, n := range nodes {
+			n.places.free[models[0]] = 40 - n.places.free[models[0]]
+		}
+		v.Advance(time.Second)
+	}
+	busy := nodes[0].port.TotalSent() - before - quiet
+	assert.Assert(t, busy > quiet+1000, "%d quiet, %d busy", quiet, busy)
+}
+
+// Guards against borrowers that know no owner in another data centre.
+func TestSums(t *testing.T) {
+	v, _, nodes := fleet(2, 3, 3)
+	for i, n := range nodes[3:] {
+		n.places.free[models[0]] = 10 * i
+	}
+	v.Advance(90 * time.Second)
+	for _, n := range nodes[:3] {
+		d := n.places.learned["i-1-2"] // the owner with most free slots
+		assert.Equal(t, len(d.Pools), len(models))
+		assert.Equal(t, d.Pools[0].Free, 20)
+		total, known := n.exchange.Sum("dc-1")
+		assert.Assert(t, known)
+		assert.Equal(t, total[0].Free, 30)
+		assert.Equal(t, total[0].Slots, 120)
+	}
+}
+
+// Guards against a repeated borrow that takes slots twice.
+func TestBorrowRepeated(t *testing.T) {
+	v, _, nodes := fleet(4, 2)
+	request := &loadv1.BorrowRequest{From: "i-0-0", Id: 7, Items: []*loadv1.BorrowItem{{Decode: true, Tokens: 3000}}}
+	var replies []*loadv1.BorrowReply
+	for range 2 {
+		nodes[0].port.Call(nodes[1].places.self.Addr, request, time.Second, func(m proto.Message, err error) {
+			assert.NilError(t, err)
+			replies = append(replies, m.(*loadv1.BorrowReply))
+		})
+	}
+	v.Advance(time.Second)
+	assert.Equal(t, len(replies), 2)
+	assert.Assert(t, proto.Equal(replies[0], replies[1]))
+	assert.Equal(t, nodes[1].places.lent, 1)
+	assert.Equal(t, replies[0].GetSeats()[0].GetBlocks(), uint32(3))
+}
+
+// A flaky is a transport that loses the first requests.
+type flaky struct {
+	handler peer.Handler
+	lose    int
+}
+
+func (f *flaky) Call(to netip.AddrPort, request proto.Message, timeout time.Duration, done func(proto.Message, error)) {
+	if f.lose--; f.lose >= 0 {
+		done(nil, &peer.SilentError{Addr: to, Timeout: timeout})
+		return
+	}
+	f.handler.Handle(request, done)
+}
+
+// Guards against a lost change of a seat: a seat in use would expire at its owner.
+func TestSettleRetried(t *testing.T) {
+	v, _, nodes := fleet(4, 2)
+	v.Advance(5 * time.Second)
+	lenders := &load.Lenders{Exchange: nodes[0].exchange, Timer: v, Transport: &flaky{handler: nodes[1].handler, lose: 2}}
+	changes := []persimmoncart.SeatChange{{ID: "s", Kind: persimmoncart.SeatCommitted}}
+	assert.NilError(t, lenders.Lender("i-0-1").Settle(context.Background(), "i-0-0", changes))
+	assert.DeepEqual(t, nodes[1].places.settled, changes)
+	loan, err := lenders.Lender("i-0-1").Lend(context.Background(), persimmoncart.BorrowRequest{
+		From: "i-0-0", ID: 3, Items: []persimmoncart.BorrowItem{{Decode: true, Request: persimmoncart.ReserveRequest{Tokens: 5000}}},
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, loan.Seats[0].Blocks, 5)
+	assert.Equal(t, loan.Digest.Instance, persimmoncart.InstanceID("i-0-1"))
+	assert.Equal(t, len(loan.Digest.Pools), len(models))
+}
+
+func ExampleGovernor() {
+	v := timer.NewVirtual(time.Unix(1e9, 0))
+	g := &load.Governor{Limit: 100, Timer: v}
+	for _, bytes := range []int{4000, 300, 600, 600} {
+		g.Count(bytes)
+		fmt.Println(g.Rate(), g.Allow(load.KindFar), g.Allow(load.KindSum), g.Allow(load.KindDigest), g.BorrowDelay())
+	}
+	v.Advance(time.Minute)
+	fmt.Println(g.Rate())
+	// Output:
+	// 66.66666666666667 true true true 0s
+	// 71.66666666666667 false true true 0s
+	// 81.66666666666667 false false true 20ms
+	// 91.66666666666667 false false false 50ms
+	// 0
+}
--- /dev/null
+++ b/internal/load/row.go
@@ -0,0 +1,118 @@
+// Package load exchanges load digests between instances, lends and borrows
+// slots over the transport, and keeps control traffic within its budget.
+//
+// What to lend and borrow is decided by internal/policy behind
+// persimmoncart.Loads and persimmoncart.Lender; this package carries it.
+package load
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/persimmoncart/persimmoncart"
+	loadv1 "github.com/persimmoncart/persimmoncart/proto/load/v1"
+)
+
+// A key names one row of a digest.
+type key struct {
+	model persimmoncart.ModelName
+	pool  persimmoncart.PoolName
+	role  persimmoncart.Role
+}
+
+// hash returns the key as it is sent.
+func (k key) hash() uint32 {
+	var b [128]byte
+	s := append(b[:0], k.pool...)
+	s = append(s, 0)
+	s = append(s, k.model...)
+	s = append(s, 0, byte(k.role))
+	h := xxhash.Sum64(s)
+	return binary.BigEndian.Uint32(binary.BigEndian.AppendUint64(nil, h))
+}
+
+// keys returns the rows that a configuration allows, by hash.
+func keys(s *persimmoncart.Snapshot) map[uint32]key {
+	m := map[uint32]key{}
+	for _, p := range s.Pools {
+		for _, model := range p.Models {
+			for _, role := range []persimmoncart.Role{persimmoncart.RoleDecode, persimmoncart.RolePrefill} {
+				k := key{model, p.Name, role}
+				m[k.hash()] = k
+			}
+		}
+	}
+	return m
+}
+
+// row returns the message for one part of a digest.
+func row(d *persimmoncart.PoolDigest) *loadv1.Row {
+	return &loadv1.Row{
+		Blocks:     unsigned(d.Blocks),
+		Free:       unsigned(d.Free),
+		Key:        key{d.Model, d.Pool, d.Role}.hash(),
+		Slots:      unsigned(d.Slots),
+		Stragglers: unsigned(d.Stragglers),
+		Wait:       milliseconds(d.Wait),
+		Waiting:    unsigned(d.Waiting),
+	}
+}
+
+// pool returns the part of a digest that a row describes.
+func pool(k key, r *loadv1.Row, cell persimmoncart.DataCentre, region persimmoncart.Region) persimmoncart.PoolDigest {
+	return persimmoncart.PoolDigest{
+		Blocks:     int(r.GetBlocks()),
+		DataCentre: cell,
+		Free:       int(r.GetFree()),
+		Model:      k.model,
+		Pool:       k.pool,
+		Region:     region,
+		Role:       k.role,
+		Slots:      int(r.GetSlots()),
+		Stragglers: int(r.GetStragglers()),
+		Wait:       duration(r.GetWait()),
+		Waiting:    int(r.GetWaiting()),
+	}
+}
+
+// Changes below these are not sent: they would not change a choice.
+const (
+	hysteresisParts = 10 // a tenth of the slots, or a quarter of the wait below
+	hysteresisWait  = 20 // milliseconds
+)
+
+// changed reports whether a row differs beyond hysteresis. The first and the
+// last free slot always count.
+func changed(a, b *loadv1.Row) bool {
+	if a == nil || b == nil || a.GetSlots() != b.GetSlots() || a.GetStragglers() != b.GetStragglers() {
+		return true
+	}
+	if (a.GetFree() == 0) != (b.GetFree() == 0) || (a.GetWaiting() == 0) != (b.GetWaiting() == 0) {
+		return true
+	}
+	return difference(a.GetFree(), b.GetFree()) > max(1, a.GetSlots()/hysteresisParts) ||
+		difference(a.GetWaiting(), b.GetWaiting()) > max(4, a.GetWaiting()/2) ||
+		difference(a.GetWait(), b.GetWait()) > max(hysteresisWait, a.GetWait()/4)
+}
+
+// difference returns |a-b|.
+func difference(a, b uint32) uint32 {
+	return max(a, b) - min(a, b)
+}
+
+// unsigned returns n for a message; negative values become zero.
+func unsigned(n int) uint32 {
+	return uint32(min(max(n, 0), 1<<31-1))
+}
+
+// milliseconds returns a duration for a message, rounded down.
+func milliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), 1<<31-1))
+}
+
+// duration returns a time from a message.
+func duration(ms uint32) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
--- /dev/null
+++ b/internal/load/wire.go
@@ -0,0 +1,119 @@
+package load
+
+import (
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+	loadv1 "github.com/persimmoncart/persimmoncart/proto/load/v1"
+)
+
+// maxPrefixes is the number of prefix hashes sent with a borrowed item, the
+// shortest first. Eight blocks tell replicas apart at 64 bytes an item.
+const maxPrefixes = 8
+
+// itemMessage returns an item as a message. Times become durations from now.
+func itemMessage(now time.Time, i *persimmoncart.BorrowItem) *loadv1.BorrowItem {
+	r := &i.Request
+	m := &loadv1.BorrowItem{
+		Account:  string(r.Account),
+		Attempt:  unsigned(r.Attempt.Number),
+		Class:    uint32(r.Class),
+		Deadline: milliseconds(r.Deadline.Sub(now)),
+		Decode:   i.Decode,
+		Limit:    unsigned(r.Limit),
+		Model:    string(r.Model),
+		Pool:     string(r.Pool),
+		Prefill:  i.Prefill,
+		Prefixes: r.Prefixes[:min(maxPrefixes, len(r.Prefixes))],
+		Request:  string(r.Attempt.Request),
+		Tokens:   unsigned(r.Tokens),
+	}
+	if !r.First.IsZero() {
+		m.First = max(1, milliseconds(r.First.Sub(now)))
+	}
+	for _, id := range r.Avoid {
+		m.Avoid = append(m.Avoid, string(id))
+	}
+	return m
+}
+
+// itemFrom returns the item in a message that was received at now.
+func itemFrom(now time.Time, m *loadv1.BorrowItem) persimmoncart.BorrowItem {
+	r := persimmoncart.ReserveRequest{
+		Account:  persimmoncart.AccountID(m.GetAccount()),
+		Attempt:  persimmoncart.AttemptID{Number: int(m.GetAttempt()), Request: persimmoncart.RequestID(m.GetRequest())},
+		Class:    persimmoncart.Class(m.GetClass()),
+		Deadline: now.Add(duration(m.GetDeadline())),
+		Limit:    int(m.GetLimit()),
+		Model:    persimmoncart.ModelName(m.GetModel()),
+		Pool:     persimmoncart.PoolName(m.GetPool()),
+		Prefixes: m.GetPrefixes(),
+		Tokens:   int(m.GetTokens()),
+	}
+	if m.GetFirst() > 0 {
+		r.First = now.Add(duration(m.GetFirst()))
+	}
+	for _, id := range m.GetAvoid() {
+		r.Avoid = append(r.Avoid, persimmoncart.EndpointID(id))
+	}
+	return persimmoncart.BorrowItem{Decode: m.GetDecode(), Prefill: m.GetPrefill(), Request: r}
+}
+
+// loanMessage returns a loan as a message.
+func loanMessage(l *persimmoncart.Loan) *loadv1.BorrowReply {
+	m := &loadv1.BorrowReply{Digest: &loadv1.Digest{Sequence: l.Digest.Sequence}}
+	for i := range l.Digest.Pools {
+		m.Digest.Rows = append(m.Digest.Rows, row(&l.Digest.Pools[i]))
+	}
+	for _, s := range l.Seats {
+		m.Seats = append(m.Seats, &loadv1.Seat{
+			Blocks:   unsigned(s.Blocks),
+			Cached:   unsigned(s.Cached),
+			Endpoint: string(s.Endpoint),
+			First:    milliseconds(s.First),
+			Id:       string(s.ID),
+			Item:     unsigned(s.Item),
+			Role:     uint32(s.Role),
+		})
+	}
+	return m
+}
+
+// seats returns the seats in a message.
+func seats(m *loadv1.BorrowReply) []persimmoncart.Seat {
+	var seats []persimmoncart.Seat
+	for _, s := range m.GetSeats() {
+		seats = append(seats, persimmoncart.Seat{
+			Blocks:   int(s.GetBlocks()),
+			Cached:   int(s.GetCached()),
+			Endpoint: persimmoncart.EndpointID(s.GetEndpoint()),
+			First:    duration(s.GetFirst()),
+			ID:       persimmoncart.GrantID(s.GetId()),
+			Item:     int(s.GetItem()),
+			Role:     persimmoncart.Role(s.GetRole()),
+		})
+	}
+	return seats
+}
+
+// changeMessages returns changes of seats as messages.
+func changeMessages(changes []persimmoncart.SeatChange) []*loadv1.Change {
+	var m []*loadv1.Change
+	for _, c := range changes {
+		m = append(m, &loadv1.Change{Id: string(c.ID), Kind: uint32(c.Kind), Took: milliseconds(c.Took)})
+	}
+	return m
+}
+
+// changesFrom returns the changes in messages.
+func changesFrom(m []*loadv1.Change) []persimmoncart.SeatChange {
+	var changes []persimmoncart.SeatChange
+	for _, c := range m {
+		changes = append(changes, persimmoncart.SeatChange{
+			ID:   persimmoncart.GrantID(c.GetId()),
+			Kind: persimmoncart.SeatChangeKind(c.GetKind()),
+			Took: duration(c.GetTook()),
+		})
+	}
+	return changes
+}
--- a/internal/membership/harness_test.go
+++ b/internal/membership/harness_test.go
@@ -102,7 +102,7 @@
 func (f *fleet) states(id persimmoncart.InstanceID) map[persimmoncart.MemberState]int {
 	seen := map[persimmoncart.MemberState]int{}
 	for _, n := range f.nodes {
-		if n.port.State != peer.PortOpen || n.service.Machine.Self.ID == id {
+		if n.port.State() != peer.PortOpen || n.service.Machine.Self.ID == id {
 			continue
 		}
 		for _, m := range n.service.View() {
--- a/internal/ownership/service_test.go
+++ b/internal/ownership/service_test.go
@@ -97,7 +97,7 @@
 func (f *fleet) start(self persimmoncart.Instance) *node {
 	random := rand.New(rand.NewPCG(f.seed, uint64(len(f.nodes)+2)))
 	n := &node{port: f.network.Port(self.Addr), self: self}
-	n.port.State = peer.PortOpen
+	n.port.Set(peer.PortOpen)
 	n.members = &membership.Service{
 		List:      f,
 		Lock:      &sync.Mutex{},
@@ -240,7 +240,7 @@
 	f := newFleet(3, 1, 5, 20)
 	f.timer.Advance(30 * time.Second)
 	for _, n := range f.nodes[2:] { // the other two are no quorum
-		n.port.State = peer.PortSilent
+		n.port.Set(peer.PortSilent)
 	}
 	f.run(t, 20*time.Second, 0)
 	slots := map[persimmoncart.EndpointID]int{}
@@ -279,9 +279,9 @@
 				f.nodes = slices.DeleteFunc(f.nodes, func(o *node) bool { return o == n })
 				f.start(self)
 			case 1:
-				n.port.State = peer.PortSilent
+				n.port.Set(peer.PortSilent)
 				f.run(r, time.Duration(rapid.IntRange(1, 30).Draw(r, "cut"))*time.Second, 0)
-				n.port.State = peer.PortOpen
+				n.port.Set(peer.PortOpen)
 			case 2:
 				f.store.SetDown(rapid.Bool().Draw(r, "down"))
 			case 3:
--- a/internal/peer/connect_test.go
+++ b/internal/peer/connect_test.go
@@ -18,7 +18,7 @@
 	memberv1 "github.com/persimmoncart/persimmoncart/proto/member/v1"
 )
 
-// An echo answers probes with their sequence number and borrows with their count.
+// An echo answers probes with their sequence number and borrows with their number.
 type echo struct{}
 
 func (echo) Handle(request proto.Message, respond func(proto.Message, error)) {
@@ -32,9 +32,9 @@
 	case *memberv1.SummaryRequest:
 		respond(&memberv1.SummaryReply{HaveVersion: r.GetCell().GetVersion()}, nil)
 	case *loadv1.BorrowRequest:
-		respond(&loadv1.BorrowReply{Expires: r.GetCount()}, nil)
+		respond(&loadv1.BorrowReply{Digest: &loadv1.Digest{Sequence: r.GetId()}}, nil)
 	case *loadv1.ReturnRequest:
-		respond(&loadv1.ReturnReply{Lost: r.GetReleased()}, nil)
+		respond(&loadv1.ReturnReply{}, nil)
 	}
 }
 
@@ -67,8 +67,8 @@
 		{&memberv1.ProbeViaRequest{Id: "a"}, &memberv1.ProbeViaReply{Result: memberv1.Result_ANSWERED}},
 		{&memberv1.RecordRequest{After: 4}, &memberv1.RecordReply{Record: &memberv1.CellRecord{Epoch: 5}}},
 		{&memberv1.SummaryRequest{Cell: &memberv1.Cell{Version: 6}}, &memberv1.SummaryReply{HaveVersion: 6}},
-		{&loadv1.BorrowRequest{Count: 7}, &loadv1.BorrowReply{Expires: 7}},
-		{&loadv1.ReturnRequest{Released: []string{"x"}}, &loadv1.ReturnReply{Lost: []string{"x"}}},
+		{&loadv1.BorrowRequest{Id: 7}, &loadv1.BorrowReply{Digest: &loadv1.Digest{Sequence: 7}}},
+		{&loadv1.ReturnRequest{From: "x"}, &loadv1.ReturnReply{}},
 	}
 	for _, m := range messages {
 		t.Run(string(m.request.ProtoReflect().Descriptor().Name()), func(t *testing.T) {
@@ -85,10 +85,10 @@
 		})
 	}
 	for service, n := range client.Meter.Sent() {
-		assert.Equal(t, int(n), port.Sent[service])
+		assert.Equal(t, int(n), port.Sent()[service])
 	}
 	for service, n := range served.Sent() {
-		assert.Equal(t, int(n), network.Port(addr).Sent[service])
+		assert.Equal(t, int(n), network.Port(addr).Sent()[service])
 	}
 }
 
@@ -118,8 +118,8 @@
 	}{
 		{"cut", func(n *peer.Network) { n.Cut = func(_, to netip.AddrPort) bool { return to == b } }, &silent},
 		{"cut on the way back", func(n *peer.Network) { n.Cut = func(_, to netip.AddrPort) bool { return to == a } }, &silent},
-		{"paused", func(n *peer.Network) { n.Port(b).State = peer.PortSilent }, &silent},
-		{"refused", func(n *peer.Network) { n.Port(b).State = peer.PortRefused }, &refused},
+		{"paused", func(n *peer.Network) { n.Port(b).Set(peer.PortSilent) }, &silent},
+		{"refused", func(n *peer.Network) { n.Port(b).Set(peer.PortRefused) }, &refused},
 		{"late", func(n *peer.Network) {
 			n.Delay = func(netip.AddrPort, netip.AddrPort) time.Duration { return time.Minute }
 		}, &silent},
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -23,7 +25,9 @@
 // A Network carries messages between the Ports of one process, for tests and
 // harnesses. Messages are marshalled, as on a real network.
 //
-// It runs in the goroutine that drives the timer and is not safe for others.
+// Handlers and callbacks run in the goroutine that drives the timer. Ports are
+// safe for concurrent use; the fields of the Network are set before that or in
+// the driving goroutine while nothing else runs.
 type Network struct {
 	Cut       func(from, to netip.AddrPort) bool          // nil cuts nothing
 	Delay     func(from, to netip.AddrPort) time.Duration // one way; nil is 1 ms
@@ -31,17 +35,30 @@
 	Duplicate float64                                     // share of requests that arrive twice
 	Rand      *rand.Rand                                  // needed for Drop and Duplicate
 	Timer     persimmoncart.Timer
+	mutex     sync.Mutex
 	ports     map[netip.AddrPort]*Port
 }
 
+// copies returns how often a request arrives.
+func (n *Network) copies() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.Duplicate > 0 && n.Rand.Float64() < n.Duplicate {
+		return 2
+	}
+	return 1
+}
+
 // Port returns the port at addr and creates it when needed.
 func (n *Network) Port(addr netip.AddrPort) *Port {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
 	if n.ports == nil {
 		n.ports = map[netip.AddrPort]*Port{}
 	}
 	p := n.ports[addr]
 	if p == nil {
-		p = &Port{Sent: map[string]int{}, addr: addr, network: n}
+		p = &Port{addr: addr, network: n, sent: map[string]int{}}
 		n.ports[addr] = p
 	}
 	return p
@@ -49,6 +66,8 @@
 
 // delay returns the delay of a message, or false if it is lost.
 func (n *Network) delay(from, to netip.AddrPort) (time.Duration, bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
 	if n.Cut != nil && n.Cut(from, to) {
 		return 0, false
 	}
@@ -63,86 +82,105 @@
 
 // A Port is the connection of one instance to a Network.
 type Port struct {
-	Handler  Handler
-	Messages int            // messages sent
-	Sent     map[string]int // bytes sent, by service
-	State    PortState
+	Handler Handler
+
 	addr     netip.AddrPort
+	messages int
 	network  *Network
 	process  int // counts the processes that have used the port
+	sent     map[string]int
+	state    PortState
 }
 
 // Call implements Transport.
 func (p *Port) Call(to netip.AddrPort, request proto.Message, timeout time.Duration, done func(proto.Message, error)) {
 	n := p.network
 	body := p.count(request)
-	open := true
-	process := p.process
-	var stop func()
-	finish := func(reply proto.Message, err error) {
-		if !open {
-			return
-		}
-		open = false
-		stop()
-		switch {
-		case p.process != process:
-		case p.State != PortOpen:
-			done(nil, &SilentError{Addr: to, Timeout: timeout})
-		default:
-			done(reply, err)
-		}
-	}
-	stop = n.Timer.After(timeout, func(time.Time) {
-		finish(nil, &SilentError{Addr: to, Timeout: timeout})
-	})
-	if p.State != PortOpen {
+	c := &networkCall{done: done, port: p, process: p.current(), silent: &SilentError{Addr: to, Timeout: timeout}}
+	n.Timer.After(timeout, func(time.Time) { c.finish(nil, c.silent) })
+	if p.State() != PortOpen {
 		return
 	}
-	copies := 1
-	if n.Duplicate > 0 && n.Rand.Float64() < n.Duplicate {
-		copies = 2
-	}
-	for range copies {
-		d, arrives := n.delay(p.addr, to)
-		if !arrives {
-			continue
+	for range n.copies() {
+		if d, arrives := n.delay(p.addr, to); arrives {
+			n.Timer.After(d, func(time.Time) { p.deliver(to, request, body, c.finish) })
 		}
-		n.Timer.After(d, func(time.Time) { p.deliver(to, request, body, finish) })
 	}
 }
 
 // End ends the process that uses the port: its calls in flight never return.
 func (p *Port) End(state PortState) {
+	p.network.mutex.Lock()
+	defer p.network.mutex.Unlock()
 	p.process++
-	p.State = state
+	p.state = state
+}
+
+// Messages returns the number of messages sent.
+func (p *Port) Messages() int {
+	p.network.mutex.Lock()
+	defer p.network.mutex.Unlock()
+	return p.messages
+}
+
+// Sent returns the bytes sent, by service.
+func (p *Port) Sent() map[string]int {
+	p.network.mutex.Lock()
+	defer p.network.mutex.Unlock()
+	return maps.Clone(p.sent)
+}
+
+// Set sets how the port treats requests. The process that uses it goes on.
+func (p *Port) Set(state PortState) {
+	p.network.mutex.Lock()
+	defer p.network.mutex.Unlock()
+	p.state = state
+}
+
+// State returns how the port treats requests.
+func (p *Port) State() PortState {
+	p.network.mutex.Lock()
+	defer p.network.mutex.Unlock()
+	return p.state
 }
 
 // TotalSent returns the bytes sent for all services.
 func (p *Port) TotalSent() int {
+	p.network.mutex.Lock()
+	defer p.network.mutex.Unlock()
 	total := 0
-	for _, s := range p.Sent {
+	for _, s := range p.sent {
 		total += s
 	}
 	return total
 }
 
+// current returns the number of the process that uses the port.
+func (p *Port) current() int {
+	p.network.mutex.Lock()
+	defer p.network.mutex.Unlock()
+	return p.process
+}
+
 // count adds a message to the counters and returns its body.
 func (p *Port) count(message proto.Message) []byte {
 	body, err := proto.Marshal(message)
 	if err != nil {
 		panic(err) // messages are built by this program and always marshal
 	}
-	p.Messages++
-	p.Sent[ServiceOf(message)] += MessageOverhead + len(body)
+	p.network.mutex.Lock()
+	defer p.network.mutex.Unlock()
+	p.messages++
+	p.sent[ServiceOf(message)] += MessageOverhead + len(body)
 	return body
 }
 
 // deliver hands a request to the port at to.
 func (p *Port) deliver(to netip.AddrPort, request proto.Message, body []byte, finish func(proto.Message, error)) {
 	n := p.network
-	q := n.ports[to]
-	if q == nil || q.State == PortSilent {
+	q := n.Port(to)
+	state := q.State()
+	if state == PortSilent {
 		return
 	}
 	back := func(reply proto.Message, err error) {
@@ -150,12 +188,12 @@
 			n.Timer.After(d, func(time.Time) { finish(reply, err) })
 		}
 	}
-	if q.State == PortRefused || q.Handler == nil {
+	if state == PortRefused || q.Handler == nil {
 		back(nil, &RefusedError{Addr: to})
 		return
 	}
 	q.Handler.Handle(clone(request, body), func(reply proto.Message, err error) {
-		if q.State != PortOpen {
+		if q.State() != PortOpen {
 			return
 		}
 		if err != nil {
@@ -166,6 +204,30 @@
 	})
 }
 
+// A networkCall is one call in flight.
+type networkCall struct {
+	done    func(proto.Message, error)
+	ended   bool // only used in the driving goroutine
+	port    *Port
+	process int
+	silent  error
+}
+
+// finish ends the call once. A paused process sees no answer but its timeout.
+func (c *networkCall) finish(reply proto.Message, err error) {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	switch {
+	case c.port.current() != c.process:
+	case c.port.State() != PortOpen:
+		c.done(nil, c.silent)
+	default:
+		c.done(reply, err)
+	}
+}
+
 // clone returns a message of the same type as message, read from body.
 func clone(message proto.Message, body []byte) proto.Message {
 	c := message.ProtoReflect().New().Interface()
--- a/proto/load/v1/loadv1connect/load.connect.go
+++ b/proto/load/v1/loadv1connect/load.connect.go
@@ -44,7 +44,7 @@
 type LoadsClient interface {
 	// Borrow takes a batch of slots from the owner.
 	Borrow(context.Context, *connect.Request[v1.BorrowRequest]) (*connect.Response[v1.BorrowReply], error)
-	// Return gives borrowed slots back.
+	// Return tells the owner what became of borrowed slots.
 	Return(context.Context, *connect.Request[v1.ReturnRequest]) (*connect.Response[v1.ReturnReply], error)
 }
 
@@ -94,7 +94,7 @@
 type LoadsHandler interface {
 	// Borrow takes a batch of slots from the owner.
 	Borrow(context.Context, *connect.Request[v1.BorrowRequest]) (*connect.Response[v1.BorrowReply], error)
-	// Return gives borrowed slots back.
+	// Return tells the owner what became of borrowed slots.
 	Return(context.Context, *connect.Request[v1.ReturnRequest]) (*connect.Response[v1.ReturnReply], error)
 }
 
