--- /dev/null
+++ b/internal/sweep/sweep.go
@@ -0,0 +1,172 @@
+// Package sweep cancels the work that ended instances left on engines.
+package sweep
+
+import (
+	"context"
+	"maps"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// Periods; see docs/design.md section 8.9. Work of a dead instance ends within
+// 3 s of a refused connection or a newer incarnation: one period and two calls.
+const (
+	callTimeout = time.Second
+	period      = 10 * time.Second // between sweeps when no instance has ended
+	soon        = time.Second      // between sweeps of an engine after an instance has ended
+	repeats     = 5                // sweeps after a death; an engine may list work late
+	maxDead     = 4096             // ended incarnations remembered
+)
+
+// A Sweep compares the work on the replicas that this instance owns with the
+// instances that are proven dead. Set the fields before Run.
+type Sweep struct {
+	Engines persimmoncart.Engines
+	Log     zerolog.Logger
+	Members persimmoncart.Members
+	Owned   func() []persimmoncart.Endpoint // engines that this instance owns now
+	Spawn   func(func())                    // runs calls that wait; nil starts a goroutine
+	Timer   persimmoncart.Timer
+
+	busy      map[netip.AddrPort]bool
+	cancelled int
+	dead      map[persimmoncart.Tag]bool
+	mutex     sync.Mutex
+	next      time.Time
+	urgent    int // sweeps still to be made at the short period
+}
+
+// Run sweeps until ctx is done.
+func (s *Sweep) Run(ctx context.Context) error {
+	stop := s.Start(ctx)
+	defer stop()
+	<-ctx.Done()
+	return nil
+}
+
+// Start subscribes to members and time; the returned function ends it.
+func (s *Sweep) Start(ctx context.Context) (stop func()) {
+	s.busy = map[netip.AddrPort]bool{}
+	s.dead = map[persimmoncart.Tag]bool{}
+	if s.Spawn == nil {
+		s.Spawn = func(f func()) { go f() }
+	}
+	stopMembers := s.Members.Subscribe(s.changed)
+	s.changed(s.Members.View())
+	stopTimer := s.Timer.Subscribe(soon, func(now time.Time) { s.tick(ctx, now) })
+	return func() {
+		stopTimer()
+		stopMembers()
+	}
+}
+
+// Cancelled returns the number of pieces of work cancelled so far.
+func (s *Sweep) Cancelled() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.cancelled
+}
+
+// changed remembers incarnations that are proven to have ended. Suspects are
+// not among them: they may be paused and come back.
+func (s *Sweep) changed(members []persimmoncart.Member) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, m := range members {
+		if m.State != persimmoncart.MemberDead {
+			continue
+		}
+		if len(s.dead) >= maxDead {
+			maps.DeleteFunc(s.dead, func(persimmoncart.Tag, bool) bool { return true }) // deadlines end older work
+		}
+		s.dead[m.Instance.Tag()] = true
+		s.urgent = repeats
+	}
+}
+
+// tick starts a sweep when it is due.
+func (s *Sweep) tick(ctx context.Context, now time.Time) {
+	s.mutex.Lock()
+	due := s.urgent > 0 || !now.Before(s.next)
+	if due {
+		s.urgent = max(0, s.urgent-1)
+		s.next = now.Add(period)
+	}
+	s.mutex.Unlock()
+	if !due {
+		return
+	}
+	for _, e := range s.Owned() {
+		if e.Role != persimmoncart.RoleApplication && s.begin(e.Addr) {
+			s.Spawn(func() {
+				defer s.end(e.Addr)
+				if err := s.sweep(ctx, &e); err != nil {
+					s.Log.Warn().Err(err).Str("endpoint", string(e.ID)).Msg("sweep failed")
+				}
+			})
+		}
+	}
+}
+
+// begin reports whether no sweep of the engine is running.
+func (s *Sweep) begin(addr netip.AddrPort) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.busy[addr] {
+		return false
+	}
+	s.busy[addr] = true
+	return true
+}
+
+// end marks the end of a sweep.
+func (s *Sweep) end(addr netip.AddrPort) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.busy, addr)
+}
+
+// sweep cancels the work on one engine whose instance is dead or whose deadline
+// has passed.
+func (s *Sweep) sweep(ctx context.Context, e *persimmoncart.Endpoint) error {
+	engine := s.Engines.Engine(e.Addr)
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	work, err := engine.Work(bounded)
+	cancel()
+	if err != nil {
+		return errors.Wrap(err, "list work")
+	}
+	now := s.Timer.Now()
+	for _, w := range work {
+		if !s.ended(now, &w) {
+			continue
+		}
+		bounded, cancel := context.WithTimeout(ctx, callTimeout)
+		err := engine.Cancel(bounded, w.Attempt)
+		cancel()
+		if err != nil {
+			return errors.Wrapf(err, "cancel %s", w.Attempt)
+		}
+		s.mutex.Lock()
+		s.cancelled++
+		s.mutex.Unlock()
+		s.Log.Info().Str("attempt", w.Attempt.String()).Str("endpoint", string(e.ID)).Str("instance", string(w.Tag.Instance)).Msg("work cancelled")
+	}
+	return nil
+}
+
+// ended reports whether nobody waits for the work any more.
+func (s *Sweep) ended(now time.Time, w *persimmoncart.Work) bool {
+	if !w.Deadline.IsZero() && now.After(w.Deadline) {
+		return true
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.dead[w.Tag]
+}
--- /dev/null
+++ b/internal/sweep/sweep_test.go
@@ -0,0 +1,108 @@
+package sweep_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/sweep"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+)
+
+// An engine lists work and removes what is cancelled.
+type engine struct {
+	persimmoncart.Engine
+	work []persimmoncart.Work
+}
+
+// engines knows one engine.
+type engines struct{ engine *engine }
+
+func (e engines) Engine(netip.AddrPort) persimmoncart.Engine { return e.engine }
+
+func (e *engine) Work(context.Context) ([]persimmoncart.Work, error) { return e.work, nil }
+
+func (e *engine) Cancel(_ context.Context, attempt persimmoncart.AttemptID) error {
+	var left []persimmoncart.Work
+	for _, w := range e.work {
+		if w.Attempt != attempt {
+			left = append(left, w)
+		}
+	}
+	e.work = left
+	return nil
+}
+
+// A members reports changes on demand.
+type members struct {
+	persimmoncart.Members
+	notify func([]persimmoncart.Member)
+}
+
+func (m *members) Subscribe(f func([]persimmoncart.Member)) func() {
+	m.notify = f
+	return func() {}
+}
+
+func (m *members) View() []persimmoncart.Member { return nil }
+
+// start returns a sweep over one engine with one piece of work for each of the
+// instances a and b, due in a minute.
+func start() (*timer.Virtual, *engine, *members, *sweep.Sweep) {
+	v := timer.NewVirtual(time.Unix(1e9, 0))
+	e, m := &engine{}, &members{}
+	for _, id := range []persimmoncart.InstanceID{"a", "b"} {
+		e.work = append(e.work, persimmoncart.Work{
+			Attempt:  persimmoncart.AttemptID{Request: persimmoncart.RequestID(id)},
+			Deadline: v.Now().Add(time.Minute),
+			Tag:      persimmoncart.Tag{Incarnation: 2, Instance: id},
+		})
+	}
+	s := &sweep.Sweep{
+		Engines: engines{e},
+		Members: m,
+		Owned:   func() []persimmoncart.Endpoint { return []persimmoncart.Endpoint{{Role: persimmoncart.RoleDecode}} },
+		Spawn:   func(f func()) { f() },
+		Timer:   v,
+	}
+	s.Start(context.Background())
+	return v, e, m, s
+}
+
+func ExampleSweep() {
+	v, e, m, s := start()
+	m.notify([]persimmoncart.Member{{Instance: persimmoncart.Instance{ID: "a", Incarnation: 2}, State: persimmoncart.MemberDead}})
+	v.Advance(3 * time.Second)
+	fmt.Println(s.Cancelled(), e.work[0].Attempt)
+	// Output: 1 b/0
+}
+
+// Guards against work that holds memory after its caller is gone, and against
+// cancelling the work of an instance that may still be running.
+func TestSweep(t *testing.T) {
+	tests := []struct {
+		name   string
+		member persimmoncart.Member
+		after  time.Duration
+		left   int
+	}{
+		{"dead", persimmoncart.Member{Instance: persimmoncart.Instance{ID: "a", Incarnation: 2}, State: persimmoncart.MemberDead}, 3 * time.Second, 1},
+		{"old incarnation dead", persimmoncart.Member{Instance: persimmoncart.Instance{ID: "a", Incarnation: 1}, State: persimmoncart.MemberDead}, 30 * time.Second, 2},
+		{"suspect before its deadline", persimmoncart.Member{Instance: persimmoncart.Instance{ID: "a", Incarnation: 2}, State: persimmoncart.MemberSuspect}, 54 * time.Second, 2},
+		{"suspect after its deadline", persimmoncart.Member{Instance: persimmoncart.Instance{ID: "a", Incarnation: 2}, State: persimmoncart.MemberSuspect}, 70 * time.Second, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v, e, m, _ := start()
+			v.Advance(5 * time.Second)
+			m.notify([]persimmoncart.Member{tt.member})
+			v.Advance(tt.after)
+			assert.Equal(t, len(e.work), tt.left)
+		})
+	}
+}
