Measure fleets of up to 400 instances

Cause: the budgets of the plan need measured slopes instead of estimates. Change: internal/capacity runs the control code of N instances on virtual time through the events of docs/design.md section 12 and prints JSON lines, slopes and plots; cell records leave out what the reader knows, quorum members are asked in a ring, and one probe serves all cells.

--- /dev/null
+++ b/internal/capacity/cmd/main.go
@@ -0,0 +1,37 @@
+// Command cmd measures how many instances act together; see make capacity.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/persimmoncart/persimmoncart/internal/capacity"
+)
+
+// options are the settings of the command.
+type options struct {
+	Event []string `long:"event" description:"event to run; repeat for several, none runs all"`
+	Nodes []int    `long:"nodes" description:"size to run; repeat for several, none runs all"`
+	Plots string   `long:"plots" env:"PLOTS" description:"directory to draw plots into"`
+	Seed  uint64   `long:"seed" env:"SEED" default:"1" description:"seed of the run"`
+}
+
+// main parses the settings and measures.
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var f *flags.Error
+		if errors.As(err, &f) && f.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(2)
+	}
+	c := &capacity.Capacity{Events: o.Event, Output: os.Stdout, Plots: o.Plots, Seed: o.Seed, Sizes: o.Nodes}
+	if err := c.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/capacity/cost.go
@@ -0,0 +1,135 @@
+package capacity
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/persimmoncart/persimmoncart/internal/peer"
+	memberv1 "github.com/persimmoncart/persimmoncart/proto/member/v1"
+)
+
+const (
+	costCalls   = 4000
+	costServers = 32
+)
+
+// Costs are what the simulation leaves out: the real transport over loopback.
+type Costs struct {
+	Connection float64 // bytes of heap for one connection to a peer, both ends
+	Message    float64 // seconds of processor time for one message, sent or received
+}
+
+// measureCosts calls real servers on loopback, without TLS.
+func measureCosts() (Costs, error) {
+	handler := http.NewServeMux()
+	for path, h := range (&peer.Server{Handler: answerProbe{}, Meter: &peer.Meter{}}).Routes() {
+		handler.Handle(path, h)
+	}
+	client := &peer.Client{HTTP: peer.NewHTTPClient(nil), Meter: &peer.Meter{}}
+	defer client.HTTP.CloseIdleConnections()
+	var addrs []netip.AddrPort
+	for range costServers {
+		server := httptest.NewUnstartedServer(handler)
+		server.Config.Protocols = &http.Protocols{}
+		server.Config.Protocols.SetUnencryptedHTTP2(true)
+		server.Start()
+		defer server.Close()
+		addr, err := netip.ParseAddrPort(server.Listener.Addr().String())
+		if err != nil {
+			return Costs{}, errors.Wrap(err, "parse address of server")
+		}
+		addrs = append(addrs, addr)
+	}
+	before := heap()
+	if err := callAll(client, addrs, 4); err != nil {
+		return Costs{}, err
+	}
+	connection := (heap() - before) / costServers
+	begin := processorTime()
+	if err := callAll(client, addrs, costCalls/costServers); err != nil {
+		return Costs{}, err
+	}
+	// One call is two messages, each sent by one end and received by the other.
+	message := (processorTime() - begin).Seconds() / costCalls / 2
+	return Costs{Connection: max(connection, 0), Message: message}, nil
+}
+
+// callAll sends the number of probes to each address, one after the other.
+func callAll(client *peer.Client, addrs []netip.AddrPort, times int) error {
+	var mutex sync.Mutex
+	var failed error
+	for range times {
+		var group sync.WaitGroup
+		for _, addr := range addrs {
+			group.Add(1)
+			request := &memberv1.ProbeRequest{From: &memberv1.Entry{Id: "dc-00-000", Incarnation: 1764800000}, Sequence: 1}
+			client.Call(addr, request, time.Minute, func(_ proto.Message, err error) {
+				defer group.Done()
+				mutex.Lock()
+				defer mutex.Unlock()
+				failed = errors.Join(failed, err)
+			})
+		}
+		group.Wait()
+	}
+	return failed
+}
+
+// An answerProbe answers probes.
+type answerProbe struct{}
+
+// Handle implements peer.Handler.
+func (answerProbe) Handle(request proto.Message, respond func(proto.Message, error)) {
+	r, is := request.(*memberv1.ProbeRequest)
+	if !is {
+		respond(nil, fmt.Errorf("unexpected %T", request))
+		return
+	}
+	respond(&memberv1.ProbeReply{From: r.GetFrom(), Sequence: r.GetSequence()}, nil)
+}
+
+// heap returns the bytes of live objects on the heap.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return float64(s.HeapAlloc)
+}
+
+// processorTime returns the processor time of this process so far.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// measureMemory returns the heap of one node in bytes, with its own copy of the
+// configuration and its connections to peers.
+func measureMemory(nodes int, seed uint64, costs Costs) float64 {
+	before := heap()
+	snapshot := newTopology(nodes).snapshot()
+	configuration := heap() - before
+	runtime.KeepAlive(snapshot)
+	before = heap()
+	f := newFleet(nodes, seed)
+	f.timer.Advance(settleTime)
+	used := heap() - before - configuration
+	connections := 0
+	for _, n := range f.nodes {
+		connections += len(n.peers)
+	}
+	runtime.KeepAlive(f)
+	return used/float64(nodes) + configuration + costs.Connection*float64(connections)/float64(nodes)
+}
--- /dev/null
+++ b/internal/capacity/event.go
@@ -0,0 +1,168 @@
+package capacity
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/objectapi"
+)
+
+// An event is what happens to a fleet after it has settled.
+type event struct {
+	apply  func(*run)
+	length time.Duration
+	name   string
+}
+
+const (
+	lossDelay   = 5 * time.Second // from the start of the measured span
+	restartSpan = time.Minute
+	settleTime  = 45 * time.Second // before the event: epochs in effect, load level reached
+)
+
+// events returns the events of docs/design.md section 12. Outage is the length
+// of the store's outage, an hour except in runs that shorten it.
+func events(outage time.Duration) []event {
+	return []event{
+		{name: "quiet", length: 70 * time.Second, apply: func(*run) {}},
+		{name: "node-loss", length: 80 * time.Second, apply: func(r *run) { r.after(lossDelay, r.loseNodes) }},
+		{name: "rack-loss", length: 100 * time.Second, apply: func(r *run) { r.after(lossDelay, r.loseRack) }},
+		{name: "dc-loss", length: 120 * time.Second, apply: func(r *run) { r.after(lossDelay, r.loseCentre) }},
+		{name: "region-cut", length: 150 * time.Second, apply: cutRegion},
+		{name: "restart-wave", length: 110 * time.Second, apply: restartWave},
+		{name: "store-hour", length: outage + time.Minute, apply: func(r *run) { r.storeDown(outage) }},
+	}
+}
+
+// after calls f after d of the measured span.
+func (r *run) after(d time.Duration, f func()) {
+	r.fleet.timer.After(d, func(time.Time) { f() })
+}
+
+// loseNodes ends the process of one node in a hundred, at least one, in
+// different data centres. Their hosts stay up.
+func (r *run) loseNodes() {
+	for i := range max(1, r.fleet.topology.nodes/100) {
+		n := r.fleet.nodes[i%r.fleet.topology.centres]
+		r.lost = append(r.lost, n)
+		r.fleet.end(n, true)
+	}
+}
+
+// loseRack loses the hosts of a third of one data centre's nodes.
+func (r *run) loseRack() {
+	nodes := r.inCentre(r.fleet.nodes[0].self.DataCentre)
+	for _, n := range nodes[:(len(nodes)+2)/3] {
+		r.lost = append(r.lost, n)
+		r.fleet.end(n, false)
+	}
+}
+
+// loseCentre loses the hosts of one data centre.
+func (r *run) loseCentre() {
+	for _, n := range r.inCentre(r.fleet.nodes[0].self.DataCentre) {
+		r.lost = append(r.lost, n)
+		r.fleet.end(n, false)
+	}
+}
+
+// inCentre returns the nodes of a data centre.
+func (r *run) inCentre(dc persimmoncart.DataCentre) []*node {
+	var nodes []*node
+	for _, n := range r.fleet.nodes {
+		if n.self.DataCentre == dc {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
+// cutRegion cuts the last region from all others and from the store for 100 s.
+func cutRegion(r *run) {
+	f := r.fleet
+	r.after(lossDelay, func() { f.cutRegion = f.nodes[f.topology.centres-1].self.Region })
+	r.after(lossDelay+100*time.Second, func() { f.cutRegion = "" })
+}
+
+// restartWave replaces a quarter of the nodes within a minute: each announces
+// that it leaves, ends 2 s later and starts again after another second.
+func restartWave(r *run) {
+	f := r.fleet
+	count := max(1, len(f.nodes)/4)
+	for i := range count {
+		n := f.nodes[i*4%len(f.nodes)]
+		at := lossDelay + restartSpan*time.Duration(i)/time.Duration(count)
+		r.after(at, n.members.Leave)
+		r.after(at+2*time.Second, func() { f.end(n, true) })
+		r.after(at+3*time.Second, func() {
+			self := n.self
+			self.Incarnation++
+			f.replace(n, self)
+		})
+	}
+}
+
+// replace starts a new process in place of an ended one.
+func (f *fleet) replace(n *node, self persimmoncart.Instance) {
+	used := n.used
+	f.start(self, f.newRandom())
+	fresh := f.nodes[len(f.nodes)-1]
+	f.nodes = f.nodes[:len(f.nodes)-1]
+	fresh.used = used
+	for i := range f.nodes {
+		if f.nodes[i] == n {
+			f.nodes[i] = fresh
+		}
+	}
+}
+
+// storeDown takes the store away; nodes are lost near its start and near its
+// end, so that both need a change that cannot be written.
+func (r *run) storeDown(outage time.Duration) {
+	r.after(lossDelay, func() { r.fleet.store.SetDown(true) })
+	r.after(lossDelay+20*time.Second, r.loseNodes)
+	r.after(lossDelay+outage, func() { r.fleet.store.SetDown(false) })
+}
+
+// errCut is the cause of an *UnavailableError in a cut region.
+var errCut = errors.New("region is cut from the store")
+
+// A nodeStore is the store as one node reaches it: not while its region is cut.
+type nodeStore struct {
+	persimmoncart.Store
+	fleet  *fleet
+	region persimmoncart.Region
+}
+
+// Create implements persimmoncart.Store.
+func (s *nodeStore) Create(ctx context.Context, key string, value []byte) (persimmoncart.Version, error) {
+	if s.fleet.cutRegion == s.region {
+		return 0, &persimmoncart.UnavailableError{Err: errCut, Op: "create"}
+	}
+	return s.Store.Create(ctx, key, value)
+}
+
+// Get implements persimmoncart.Store.
+func (s *nodeStore) Get(ctx context.Context, key string) (persimmoncart.Object, error) {
+	if s.fleet.cutRegion == s.region {
+		return persimmoncart.Object{}, &persimmoncart.UnavailableError{Err: errCut, Op: "get"}
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// Update implements persimmoncart.Store.
+func (s *nodeStore) Update(ctx context.Context, key string, value []byte, version persimmoncart.Version) (persimmoncart.Version, error) {
+	if s.fleet.cutRegion == s.region {
+		return 0, &persimmoncart.UnavailableError{Err: errCut, Op: "update"}
+	}
+	return s.Store.Update(ctx, key, value, version)
+}
+
+// calls returns the store's reads and writes so far.
+func calls(m *objectapi.Memory) (reads, writes float64) {
+	c := m.Counts()
+	return float64(c.Reads), float64(c.Writes)
+}
--- /dev/null
+++ b/internal/capacity/topology.go
@@ -0,0 +1,112 @@
+// Package capacity measures the control code of whole fleets in one process.
+//
+// Each instance runs the real code of membership, ownership and load on virtual
+// time; only the network, the store, the instance list and the requests are
+// stand-ins. The bounds are those of docs/design.md sections 4 and 12.
+package capacity
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// The plan's size; smaller fleets are scaled down from it.
+const (
+	planAccounts = 19000
+	planCentres  = 35
+	planNodes    = 400
+	planRegions  = 10
+	planReplicas = 11000
+	poolName     = "llm"
+	slots        = 20  // of one replica
+	blocks       = 200 // of one replica
+)
+
+var modelNames = []persimmoncart.ModelName{"hull-a", "hull-b", "hull-c", "hull-d"}
+
+// A topology is the layout of one fleet.
+type topology struct {
+	centres  int
+	nodes    int
+	regions  int
+	replicas int
+}
+
+// newTopology returns the layout for a number of nodes.
+func newTopology(nodes int) topology {
+	scale := func(plan, least int) int {
+		return max(least, (plan*nodes+planNodes-1)/planNodes)
+	}
+	return topology{
+		centres:  scale(planCentres, 3),
+		nodes:    nodes,
+		regions:  scale(planRegions, 2),
+		replicas: planReplicas * nodes / planNodes,
+	}
+}
+
+// centre returns the data centre and region of the i-th of total things.
+func (t topology) centre(i int) (persimmoncart.DataCentre, persimmoncart.Region) {
+	c := i % t.centres
+	r := c * t.regions / t.centres
+	return persimmoncart.DataCentre(fmt.Sprintf("dc-%02d", c)), persimmoncart.Region(fmt.Sprintf("region-%d", r))
+}
+
+// instance returns the i-th instance.
+func (t topology) instance(i int) persimmoncart.Instance {
+	dc, region := t.centre(i)
+	return persimmoncart.Instance{
+		Addr:        netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i % t.centres), byte(i / t.centres >> 8), byte(i / t.centres)}), 7000),
+		DataCentre:  dc,
+		ID:          persimmoncart.InstanceID(fmt.Sprintf("%s-%03d", dc, i/t.centres)),
+		Incarnation: 1764800000,
+		Region:      region,
+	}
+}
+
+// snapshot returns the configuration of the fleet.
+func (t topology) snapshot() *persimmoncart.Snapshot {
+	s := &persimmoncart.Snapshot{
+		Accounts:  map[persimmoncart.AccountID]*persimmoncart.Account{},
+		Endpoints: make(map[persimmoncart.EndpointID]*persimmoncart.Endpoint, t.replicas),
+		Keys:      map[persimmoncart.KeyHash]*persimmoncart.Account{},
+		Pools:     map[persimmoncart.PoolName]*persimmoncart.Pool{poolName: {Models: modelNames, Name: poolName}},
+		Version:   1,
+	}
+	for i := range t.replicas {
+		dc, region := t.centre(i)
+		e := &persimmoncart.Endpoint{
+			Addr:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 100, byte(i >> 8), byte(i)}), 8000),
+			Blocks:     blocks,
+			DataCentre: dc,
+			ID:         persimmoncart.EndpointID(fmt.Sprintf("llm-%05d", i)),
+			Models:     modelNames[i/t.centres%len(modelNames):][:1],
+			Pool:       poolName,
+			Region:     region,
+			Role:       persimmoncart.RoleDecode,
+			Slots:      slots,
+		}
+		if i/t.centres%4 == 3 {
+			e.Role = persimmoncart.RolePrefill
+		}
+		s.Endpoints[e.ID] = e
+	}
+	for i := range planAccounts * t.nodes / planNodes {
+		a := &persimmoncart.Account{Burst: 10, Name: persimmoncart.AccountID(fmt.Sprintf("account-%05d", i)), Rate: 5, Weight: 1}
+		a.Keys = []persimmoncart.KeyHash{{byte(i), byte(i >> 8), 1}}
+		s.Accounts[a.Name] = a
+		s.Keys[a.Keys[0]] = a
+	}
+	return s
+}
+
+// A fixed is a configuration that does not change.
+type fixed struct{ snapshot *persimmoncart.Snapshot }
+
+// Snapshot implements persimmoncart.Configuration.
+func (f fixed) Snapshot() *persimmoncart.Snapshot { return f.snapshot }
+
+// Subscribe implements persimmoncart.Configuration.
+func (f fixed) Subscribe(func(*persimmoncart.Snapshot)) (stop func()) { return func() {} }
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -19,7 +19,7 @@
 	digestPeriod = time.Second // a new digest is taken at most once in it
 	farDistance  = 12 * time.Millisecond
 	nearDistance = 2 * time.Millisecond // between data centres of a region
-	offerCount   = 2                    // owners named in a sum
+	offerCount   = 1                    // owners named in a sum; a second one would double its size
 	// Bounds of the tables; the largest cell that membership allows fits.
 	maxPeers = membership.MaxCell
 	maxSums  = membership.MaxCells
--- a/internal/load/governor.go
+++ b/internal/load/governor.go
@@ -16,6 +16,15 @@
 // over a minute; see docs/design.md section 4.
 const Budget = 2048
 
+// Shares of the budget from which messages are left out.
+const (
+	firstShare = 0.85
+	shareStep  = 0.05
+)
+
+// leastSeconds is the shortest span of a rate; a start is louder than the rest.
+const leastSeconds = 15
+
 // Kinds of messages that may be left out, least important first. Probes and
 // configuration have no kind: they are never left out.
 const (
@@ -33,9 +42,10 @@
 	return [...]string{"far", "sum", "digest"}[k]
 }
 
-// A Governor keeps control traffic within the budget. Above 70%, 80% and 90% of
+// A Governor keeps control traffic within the budget. Above 85%, 90% and 95% of
 // it, far summaries, sums and digests are left out, and borrows wait for longer
-// so that more of them share a message. It is safe for concurrent use.
+// so that more of them share a message. Probes alone take about 70% in a cell of
+// eleven. It is safe for concurrent use.
 type Governor struct {
 	Limit float64 // bytes a second; zero is Budget
 	Timer persimmoncart.Timer
@@ -43,6 +53,7 @@
 	buckets [60]int64 // bytes by second
 	dropped [kinds]int64
 	mutex   sync.Mutex
+	first   int64 // second of the first count
 	second  int64 // of the newest bucket
 	total   int64
 }
@@ -54,7 +65,7 @@
 		return true
 	}
 	share := g.Rate() / g.limit()
-	if share < 0.7+0.1*float64(k) {
+	if share < firstShare+shareStep*float64(k) {
 		return true
 	}
 	g.mutex.Lock()
@@ -63,18 +74,25 @@
 	return false
 }
 
-// BorrowDelay returns how long a borrow waits for others to the same owner.
+// BorrowDelay returns the shortest time between two borrows, so that those in
+// between share a message.
 func (g *Governor) BorrowDelay() time.Duration {
 	if g == nil {
 		return 0
 	}
 	switch share := g.Rate() / g.limit(); {
-	case share < 0.8:
+	case share < firstShare-shareStep:
 		return 0
-	case share < 0.9:
-		return 20 * time.Millisecond
+	case share < firstShare:
+		return 100 * time.Millisecond
+	case share < firstShare+shareStep:
+		return 250 * time.Millisecond
+	case share < firstShare+2*shareStep:
+		return 500 * time.Millisecond
+	case share < 1:
+		return time.Second
 	default:
-		return 50 * time.Millisecond
+		return 2 * time.Second
 	}
 }
 
@@ -87,17 +105,20 @@
 	g.total += int64(bytes)
 }
 
-// Rate returns the bytes a second over the last minute.
+// Rate returns the bytes a second over the last minute, or since the first count.
 func (g *Governor) Rate() float64 {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.advance()
-	return float64(g.total) / float64(len(g.buckets))
+	return float64(g.total) / float64(min(int64(len(g.buckets)), max(g.second-g.first+1, leastSeconds)))
 }
 
 // advance clears the buckets that are older than a minute.
 func (g *Governor) advance() {
 	now := g.Timer.Now().Unix()
+	if g.first == 0 {
+		g.first = now
+	}
 	for steps := 0; g.second < now && steps < len(g.buckets); steps++ {
 		g.second++
 		i := g.second % int64(len(g.buckets))
@@ -124,7 +145,7 @@
 		}, g.Rate),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "persimmoncart_control_budget_share",
-			Help: "Share of the budget for control bytes in use; above 0.7 messages are left out.",
+			Help: "Share of the budget for control bytes in use; above 0.85 messages are left out.",
 		}, func() float64 { return g.Rate() / g.limit() }),
 	}
 	for k := range kinds {
--- a/internal/load/handler.go
+++ b/internal/load/handler.go
@@ -24,9 +24,10 @@
 // A Handler serves borrows of other instances from the local places. Set the
 // fields before the first request. It is safe for concurrent use.
 type Handler struct {
-	Lender persimmoncart.Lender
-	Spawn  func(func()) // runs calls that wait; nil starts a goroutine
-	Timer  persimmoncart.Timer
+	Configuration persimmoncart.Configuration
+	Lender        persimmoncart.Lender
+	Spawn         func(func()) // runs calls that wait; nil starts a goroutine
+	Timer         persimmoncart.Timer
 
 	answers map[borrowKey]*answer
 	mutex   sync.Mutex
@@ -88,8 +89,9 @@
 		ID:   r.GetId(),
 		Wait: min(duration(r.GetWait()), maxWait),
 	}
+	names := keys(h.Configuration.Snapshot())
 	for _, i := range r.GetItems()[:min(maxItems, len(r.GetItems()))] {
-		request.Items = append(request.Items, itemFrom(now, i))
+		request.Items = append(request.Items, itemFrom(now, i, names))
 	}
 	h.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), request.Wait+borrowTimeout)
--- a/internal/load/lenders.go
+++ b/internal/load/lenders.go
@@ -16,6 +16,7 @@
 const (
 	borrowTimeout = 250 * time.Millisecond // beyond the time that the owner may hold a borrow
 	holdChanges   = 500 * time.Millisecond // above the budget, for a borrow that takes changes along
+	maxLendDelay  = 20 * time.Millisecond  // the caller's own time-out leaves no more
 	settleTries   = 3                      // a lost commit would let a seat in use expire
 )
 
@@ -47,7 +48,7 @@
 // Lend implements persimmoncart.Lender.
 func (r *remote) Lend(ctx context.Context, request persimmoncart.BorrowRequest) (persimmoncart.Loan, error) {
 	l := r.lenders
-	if d := l.Governor.BorrowDelay(); d > 0 {
+	if d := min(l.Governor.BorrowDelay(), maxLendDelay); d > 0 {
 		if err := l.Timer.Sleep(ctx, d); err != nil {
 			return persimmoncart.Loan{}, errors.Wrapf(err, "borrow from %s", r.id)
 		}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -110,7 +110,7 @@
 				Transport: n.port,
 			}
 			n.exchange = &load.Exchange{Configuration: configuration, Loads: n.places, Members: n.members, Timer: v}
-			n.handler = &load.Handler{Lender: n.places, Spawn: func(f func()) { f() }, Timer: v}
+			n.handler = &load.Handler{Configuration: configuration, Lender: n.places, Spawn: func(f func()) { f() }, Timer: v}
 			n.port.Handler = peer.Mux{"load": n.handler, "member": n.members}
 			nodes = append(nodes, n)
 		}
@@ -246,7 +246,9 @@
 func ExampleGovernor() {
 	v := timer.NewVirtual(time.Unix(1e9, 0))
 	g := &load.Governor{Limit: 100, Timer: v}
-	for _, bytes := range []int{4000, 300, 600, 600} {
+	g.Count(0)
+	v.Advance(time.Minute)
+	for _, bytes := range []int{4000, 1200, 300, 300} {
 		g.Count(bytes)
 		fmt.Println(g.Rate(), g.Allow(load.KindFar), g.Allow(load.KindSum), g.Allow(load.KindDigest), g.BorrowDelay())
 	}
@@ -254,8 +256,8 @@
 	fmt.Println(g.Rate())
 	// Output:
 	// 66.66666666666667 true true true 0s
-	// 71.66666666666667 false true true 0s
-	// 81.66666666666667 false false true 20ms
-	// 91.66666666666667 false false false 50ms
+	// 86.66666666666667 false true true 250ms
+	// 91.66666666666667 false false true 500ms
+	// 96.66666666666667 false false false 1s
 	// 0
 }
--- a/internal/load/sum.go
+++ b/internal/load/sum.go
@@ -30,9 +30,12 @@
 	if len(x.sums) == 0 || !x.Members.Machine.Gateway() || !x.Governor.Allow(KindSum) {
 		return
 	}
+	// Every second probe has none: a sum is as large as three probes.
+	if x.turn++; x.turn%2 == 0 {
+		return
+	}
 	names := slices.Sorted(maps.Keys(x.sums))
-	x.turn++
-	p.Sums = append(p.Sums, encode(x.sums[names[x.turn%len(names)]].sum))
+	p.Sums = append(p.Sums, encode(x.sums[names[x.turn/2%len(names)]].sum))
 }
 
 // sum returns the total of the own cell with the owners that have most free slots.
@@ -115,20 +118,18 @@
 	return x.digest("", s.sum.GetSequence(), rows, cell, persimmoncart.Region(s.sum.GetRegion())).Pools, true
 }
 
-// add returns the total of two rows. The wait is the shorter one, since a
+// add returns the total of two rows, without what only a borrower of one owner
+// needs. The wait is the shorter one, since a
 // borrower may choose the owner.
 func add(a, b *loadv1.Row) *loadv1.Row {
 	if a == nil {
 		a = &loadv1.Row{Key: b.GetKey(), Wait: b.GetWait()}
 	}
 	return &loadv1.Row{
-		Blocks:     a.GetBlocks() + b.GetBlocks(),
-		Free:       a.GetFree() + b.GetFree(),
-		Key:        b.GetKey(),
-		Slots:      a.GetSlots() + b.GetSlots(),
-		Stragglers: a.GetStragglers() + b.GetStragglers(),
-		Wait:       min(a.GetWait(), b.GetWait()),
-		Waiting:    a.GetWaiting() + b.GetWaiting(),
+		Free:  a.GetFree() + b.GetFree(),
+		Key:   b.GetKey(),
+		Slots: a.GetSlots() + b.GetSlots(),
+		Wait:  min(a.GetWait(), b.GetWait()),
 	}
 }
 
--- a/internal/load/wire.go
+++ b/internal/load/wire.go
@@ -12,20 +12,18 @@
 const maxPrefixes = 8
 
 // itemMessage returns an item as a message. Times become durations from now.
+// The attempt stays here: an owner grants slots and never calls an engine for it.
 func itemMessage(now time.Time, i *persimmoncart.BorrowItem) *loadv1.BorrowItem {
 	r := &i.Request
 	m := &loadv1.BorrowItem{
 		Account:  string(r.Account),
-		Attempt:  unsigned(r.Attempt.Number),
 		Class:    uint32(r.Class),
 		Deadline: milliseconds(r.Deadline.Sub(now)),
 		Decode:   i.Decode,
+		Key:      key{r.Model, r.Pool, persimmoncart.RoleDecode}.hash(),
 		Limit:    unsigned(r.Limit),
-		Model:    string(r.Model),
-		Pool:     string(r.Pool),
 		Prefill:  i.Prefill,
 		Prefixes: r.Prefixes[:min(maxPrefixes, len(r.Prefixes))],
-		Request:  string(r.Attempt.Request),
 		Tokens:   unsigned(r.Tokens),
 	}
 	if !r.First.IsZero() {
@@ -37,16 +35,17 @@
 	return m
 }
 
-// itemFrom returns the item in a message that was received at now.
-func itemFrom(now time.Time, m *loadv1.BorrowItem) persimmoncart.BorrowItem {
+// itemFrom returns the item in a message that was received at now. An item with
+// a key that the configuration does not know names no pool and gets no slots.
+func itemFrom(now time.Time, m *loadv1.BorrowItem, names map[uint32]key) persimmoncart.BorrowItem {
+	k := names[m.GetKey()]
 	r := persimmoncart.ReserveRequest{
 		Account:  persimmoncart.AccountID(m.GetAccount()),
-		Attempt:  persimmoncart.AttemptID{Number: int(m.GetAttempt()), Request: persimmoncart.RequestID(m.GetRequest())},
 		Class:    persimmoncart.Class(m.GetClass()),
 		Deadline: now.Add(duration(m.GetDeadline())),
 		Limit:    int(m.GetLimit()),
-		Model:    persimmoncart.ModelName(m.GetModel()),
-		Pool:     persimmoncart.PoolName(m.GetPool()),
+		Model:    k.model,
+		Pool:     k.pool,
 		Prefixes: m.GetPrefixes(),
 		Tokens:   int(m.GetTokens()),
 	}
--- a/internal/membership/cells.go
+++ b/internal/membership/cells.go
@@ -138,7 +138,7 @@
 			}
 		}
 	}
-	if far {
+	if far && (m.AllowFar == nil || m.AllowFar()) {
 		m.sendFar(now, own)
 	}
 }
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/persimmoncart/persimmoncart"
-	"github.com/persimmoncart/persimmoncart/internal/rendezvous"
 )
 
 // Times of the protocol; see docs/design.md section 8.2. They hold on the
@@ -17,6 +16,7 @@
 	AckRefresh  = 1300 * time.Millisecond // age at which it is asked for again
 	EpochMargin = 500 * time.Millisecond  // allows clocks to differ in rate by a quarter
 	StaticAfter = AckTerm + EpochMargin   // without an owner, until static shares are used
+	askSilent   = time.Second             // between calls to a silent member
 	askAgain    = 300 * time.Millisecond  // a call without an answer counts as lost
 )
 
@@ -32,7 +32,8 @@
 	carried   map[persimmoncart.EndpointID]uint64 // first epoch of a holding that continues
 	closed    map[uint64]time.Time                // when an earlier epoch was seen to be closed
 	dead      map[persimmoncart.Tag]bool
-	effective bool // the newest epoch is in effect here
+	effective bool                       // the newest epoch is in effect here
+	mine      []persimmoncart.EndpointID // replicas of the newest record whose owner this instance is
 	record    *Record
 	seen      map[persimmoncart.Tag]uint64 // highest epoch acknowledged
 	unowned   time.Time                    // since when this instance has no confirmed holding
@@ -77,6 +78,13 @@
 	}
 	m.record = r
 	m.effective = false
+	m.mine = nil
+	for _, id := range r.Replicas {
+		if owner, _ := r.Owner(id); owner == m.Self.Instance {
+			m.mine = append(m.mine, id)
+		}
+	}
+	slices.Sort(m.mine)
 	epochs := map[uint64]bool{r.Epoch: true}
 	for i := range r.Prior {
 		epochs[r.Prior[i].Epoch] = true
@@ -321,21 +329,14 @@
 
 // Owned returns the replicas that this instance owns at now, sorted.
 func (m *Machine) Owned(now time.Time) []persimmoncart.EndpointID {
-	var owned []persimmoncart.EndpointID
-	if m.record == nil || (m.effective && !now.Before(m.valid)) {
+	switch {
+	case m.confirmed(now):
+		return slices.Clone(m.mine)
+	case m.effective || !now.Before(m.until):
 		return nil
+	default:
+		return slices.Sorted(maps.Keys(m.carried))
 	}
-	for _, id := range m.record.Replicas {
-		if m.effective {
-			if owner, _ := m.record.Owner(id); owner == m.Self.Instance {
-				owned = append(owned, id)
-			}
-		} else if _, continued := m.carried[id]; continued && now.Before(m.until) {
-			owned = append(owned, id)
-		}
-	}
-	slices.Sort(owned)
-	return owned
 }
 
 // confirmed reports whether the newest epoch is in effect here and acknowledged.
@@ -391,22 +392,29 @@
 	acks := m.acks[m.record.Epoch]
 	var stale []persimmoncart.Tag
 	for _, t := range m.record.Members {
-		if t == m.Self {
+		if t == m.Self || m.isDead(t) {
 			continue
 		}
 		if now.Sub(acks[t]) < AckRefresh || now.Sub(m.asked[t]) < askAgain {
 			need--
 			continue
 		}
+		if silent(t.Instance) && now.Sub(m.asked[t]) < askSilent {
+			continue
+		}
 		stale = append(stale, t)
 	}
 	if need <= 0 {
 		return nil
 	}
-	weight := func(t persimmoncart.Tag) uint64 {
-		w := rendezvous.Score(string(m.Self.Instance), string(t.Instance)) >> 1
+	// The members that follow in the order of identifiers are asked first, so
+	// that each is asked by equally many.
+	self, _ := slices.BinarySearchFunc(m.record.Members, m.Self, compareTags)
+	weight := func(t persimmoncart.Tag) int {
+		i, _ := slices.BinarySearchFunc(m.record.Members, t, compareTags)
+		w := (i - self + len(m.record.Members)) % len(m.record.Members)
 		if silent(t.Instance) || now.Sub(acks[t]) > AckTerm && !m.asked[t].IsZero() {
-			w |= 1 << 63 // did not answer lately
+			w += len(m.record.Members) // did not answer lately
 		}
 		return w
 	}
--- a/internal/ownership/propose.go
+++ b/internal/ownership/propose.go
@@ -66,27 +66,39 @@
 		}
 		c := s.cells[name]
 		if s.adopter(name, v) == own {
-			if c == nil {
-				c = s.cell(name)
-				c.empty = now
+			if s.absent[name].IsZero() {
+				s.absent[name] = now
+			}
+			if c == nil && now.Sub(s.absent[name]) >= adoptDelay {
+				s.cell(name)
 			}
 			continue
 		}
+		delete(s.absent, name)
 		// Kept until the record no longer names this instance, so that the
 		// handover closes the old epoch.
-		if c != nil && c.record != nil && !c.counts(c.Self) && c.effectiveElsewhere(now) {
+		if c != nil && !c.needed(now) {
 			delete(s.cells, name)
 		}
 	}
 }
 
-// effectiveElsewhere reports whether enough time has passed for a record that
-// does not name this instance to be in effect at its members.
-func (c *cellState) effectiveElsewhere(now time.Time) bool {
-	if c.empty.IsZero() || c.record.contains(c.Self) {
-		c.empty = now
+// needed reports whether this instance is a member, or the record is so new that
+// earlier epochs may wait for it. An instance that is asked later takes part again.
+func (c *cellState) needed(now time.Time) bool {
+	if c.record != nil && c.record.contains(c.Self) || c.empty.IsZero() || c.known != c.Epoch() {
+		c.empty, c.known = now, c.Epoch()
+	}
+	return now.Sub(c.empty) <= keepDelay
+}
+
+// names reports whether the newest record names an instance, in any epoch.
+func (c *cellState) names(id persimmoncart.InstanceID) bool {
+	named := func(t persimmoncart.Tag) bool { return t.Instance == id }
+	if slices.ContainsFunc(c.record.Members, named) {
+		return true
 	}
-	return now.Sub(c.empty) > suspectDelay
+	return slices.ContainsFunc(c.record.Prior, func(p Record) bool { return slices.ContainsFunc(p.Members, named) })
 }
 
 // adopter returns the cell whose instances own the replicas of a data centre:
--- a/internal/ownership/record.go
+++ b/internal/ownership/record.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -66,8 +67,9 @@
 	return Record{Cell: r.Cell, Epoch: r.Epoch, Members: r.Members, Replicas: r.Replicas}
 }
 
-// Wire returns the record as a message.
-func (r *Record) Wire() *memberv1.CellRecord {
+// Wire returns the record as a message. Replicas that equal those with the given
+// hash, and those of earlier epochs that equal the record's, are left out.
+func (r *Record) Wire(known uint64) *memberv1.CellRecord {
 	w := &memberv1.CellRecord{
 		Cell:    string(r.Cell),
 		Epoch:   r.Epoch,
@@ -77,17 +79,38 @@
 	for _, m := range r.Members {
 		w.Members = append(w.Members, &memberv1.RecordMember{Id: string(m.Instance), Incarnation: uint64(m.Incarnation)})
 	}
-	for _, id := range r.Replicas {
-		w.Replicas = append(w.Replicas, string(id))
+	hash := replicasHash(r.Replicas)
+	if hash == known {
+		w.ReplicasHash = hash
+	} else {
+		for _, id := range r.Replicas {
+			w.Replicas = append(w.Replicas, string(id))
+		}
 	}
 	for i := range r.Prior {
-		w.Prior = append(w.Prior, r.Prior[i].Wire())
+		w.Prior = append(w.Prior, r.Prior[i].priorWire(hash, r.Members))
+	}
+	return w
+}
+
+// priorWire returns an earlier epoch as a message inside a record with the given
+// members, to which it refers.
+func (r *Record) priorWire(known uint64, around []persimmoncart.Tag) *memberv1.CellRecord {
+	w := r.Wire(known)
+	w.Members = nil
+	for _, m := range r.Members {
+		if i := slices.Index(around, m); i >= 0 {
+			w.Shared = append(w.Shared, uint32(i))
+			continue
+		}
+		w.Members = append(w.Members, &memberv1.RecordMember{Id: string(m.Instance), Incarnation: uint64(m.Incarnation)})
 	}
 	return w
 }
 
-// RecordFromWire returns the record in a message.
-func RecordFromWire(w *memberv1.CellRecord) Record {
+// RecordFromWire returns the record in a message. Known are the replicas that
+// the sender may have left out; it is false if those were others.
+func RecordFromWire(w *memberv1.CellRecord, known []persimmoncart.EndpointID) (Record, bool) {
 	r := Record{
 		Cell:    persimmoncart.DataCentre(w.GetCell()),
 		Epoch:   w.GetEpoch(),
@@ -100,18 +123,45 @@
 			Instance:    persimmoncart.InstanceID(m.GetId()),
 		})
 	}
+	if w.GetReplicasHash() != 0 {
+		if replicasHash(known) != w.GetReplicasHash() {
+			return Record{}, false
+		}
+		r.Replicas = known
+	}
 	for _, id := range w.GetReplicas() {
 		r.Replicas = append(r.Replicas, persimmoncart.EndpointID(id))
 	}
 	for _, p := range w.GetPrior() {
-		r.Prior = append(r.Prior, RecordFromWire(p))
+		prior, complete := RecordFromWire(p, r.Replicas)
+		if !complete {
+			return Record{}, false
+		}
+		for _, i := range p.GetShared() {
+			if int(i) >= len(r.Members) {
+				return Record{}, false
+			}
+			prior.Members = append(prior.Members, r.Members[i])
+		}
+		slices.SortFunc(prior.Members, compareTags)
+		r.Prior = append(r.Prior, prior)
 	}
-	return r
+	return r, true
+}
+
+// replicasHash returns a hash over replicas; it is never zero.
+func replicasHash(replicas []persimmoncart.EndpointID) uint64 {
+	d := xxhash.New()
+	for _, id := range replicas {
+		_, _ = d.WriteString(string(id)) // never fails
+		_, _ = d.Write([]byte{0})
+	}
+	return max(d.Sum64(), 1)
 }
 
 // encode returns the value that the store keeps.
 func (r *Record) encode() ([]byte, error) {
-	w := r.Wire()
+	w := r.Wire(0)
 	w.Version = 0 // known only after the write
 	value, err := proto.Marshal(w)
 	if err != nil {
@@ -126,7 +176,10 @@
 	if err := proto.Unmarshal(object.Value, w); err != nil {
 		return Record{}, errors.Wrapf(err, "decode %q", object.Key)
 	}
-	r := RecordFromWire(w)
+	r, complete := RecordFromWire(w, nil)
+	if !complete {
+		return Record{}, errors.Errorf("replicas missing in %q", object.Key)
+	}
 	r.Version = object.Version
 	return r, nil
 }
--- a/internal/ownership/service.go
+++ b/internal/ownership/service.go
@@ -18,10 +18,12 @@
 )
 
 const (
+	adoptDelay   = 15 * time.Second // longer than a new instance takes to learn the region
 	backoffMax   = 10 * time.Second // between attempts while the store is down, with jitter
 	checkPeriod  = time.Second
-	joinDelay    = 2 * time.Second // collects instances and replicas that come together
-	loadPeriod   = 5 * time.Minute // the record is read again in case no peer told of it
+	joinDelay    = 2 * time.Second  // collects instances and replicas that come together
+	keepDelay    = 30 * time.Second // a cell that this instance is no member of any more
+	loadPeriod   = 5 * time.Minute  // the record is read again in case no peer told of it
 	proposeDelay = 200 * time.Millisecond
 	rankDelay    = time.Second     // between the first proposer and the next
 	recordLimit  = 2 * time.Second // for a record from a peer
@@ -48,21 +50,23 @@
 	Timer         persimmoncart.Timer
 	Transport     peer.Transport
 
+	absent   map[persimmoncart.DataCentre]time.Time // since when a cell has no instances
 	cells    map[persimmoncart.DataCentre]*cellState
 	check    time.Time // when the view is read again; a change reads it at once
 	current  view
 	silent   map[persimmoncart.Tag]time.Time // since when a member is suspect
 	replicas regionReplicas
 	sequence uint64
-	usable   []persimmoncart.Usable
+	told     map[persimmoncart.DataCentre]usableState
 }
 
 // A cellState is the protocol for one cell with its calls in flight.
 type cellState struct {
 	Machine
-	busy     bool // a store call is in flight
-	empty    time.Time
+	busy     bool      // a store call is in flight
+	empty    time.Time // since when the record does not name this instance
 	fetching bool
+	known    uint64    // epoch of the record at empty
 	load     time.Time // when the record is read from the store next
 	missing  bool      // the store has no record
 	retry    time.Time // no proposal before
@@ -75,6 +79,7 @@
 	if s.Spawn == nil {
 		s.Spawn = func(f func()) { go f() }
 	}
+	s.absent = map[persimmoncart.DataCentre]time.Time{}
 	s.cells = map[persimmoncart.DataCentre]*cellState{}
 	s.silent = map[persimmoncart.Tag]time.Time{}
 	s.Members.Machine.Extensions = append(s.Members.Machine.Extensions, s)
@@ -151,10 +156,13 @@
 	return silent && now.Sub(since) > StaticAfter
 }
 
-// Fill implements membership.Extension.
-func (s *Service) Fill(_ persimmoncart.Instance, _ bool, p *memberv1.Piggyback) {
+// Fill implements membership.Extension. Epochs go to the members of the cell and
+// to instances that a record names, so that whoever hears of another cell knows
+// that its own acknowledgement counts there.
+func (s *Service) Fill(to persimmoncart.Instance, _ bool, p *memberv1.Piggyback) {
+	self := s.Members.Machine.Self
 	for _, c := range s.cells {
-		if c.record != nil {
+		if c.record != nil && (c.Cell == self.DataCentre && to.DataCentre == c.Cell || c.names(to.ID)) {
 			p.Epochs = append(p.Epochs, &memberv1.Epoch{Cell: string(c.Cell), Epoch: c.record.Epoch})
 		}
 	}
@@ -164,10 +172,15 @@
 func (s *Service) Receive(from persimmoncart.Instance, p *memberv1.Piggyback, sent time.Time) {
 	now := s.Timer.Now()
 	for _, e := range p.GetEpochs() {
-		c := s.cells[persimmoncart.DataCentre(e.GetCell())]
-		if c == nil || from.ID == "" {
+		name := persimmoncart.DataCentre(e.GetCell())
+		c := s.cells[name]
+		if from.ID == "" || c == nil && len(s.configured()[name]) == 0 {
 			continue
 		}
+		if c == nil {
+			// A record names this instance, so its acknowledgement counts.
+			c = s.cell(name)
+		}
 		c.Ack(now, from.Tag(), e.GetEpoch(), sent)
 		if e.GetEpoch() > c.Epoch() {
 			s.fetch(c, from)
@@ -181,7 +194,7 @@
 	if c == nil || c.Epoch() <= r.GetAfter() {
 		return &memberv1.RecordReply{}
 	}
-	return &memberv1.RecordReply{Record: c.record.Wire()}
+	return &memberv1.RecordReply{Record: c.record.Wire(r.GetReplicasHash())}
 }
 
 // fetch reads a newer record from a peer.
@@ -190,7 +203,11 @@
 		return
 	}
 	c.fetching = true
-	request := &memberv1.RecordRequest{After: c.Epoch(), Cell: string(c.Cell)}
+	var known []persimmoncart.EndpointID
+	if c.record != nil {
+		known = c.record.Replicas
+	}
+	request := &memberv1.RecordRequest{After: c.Epoch(), Cell: string(c.Cell), ReplicasHash: replicasHash(known)}
 	s.Transport.Call(from.Addr, request, recordLimit, func(reply proto.Message, err error) {
 		s.Members.Lock.Lock()
 		defer s.Members.Lock.Unlock()
@@ -199,8 +216,9 @@
 			return
 		}
 		if w := reply.(*memberv1.RecordReply).GetRecord(); w != nil {
-			r := RecordFromWire(w)
-			s.learn(c, &r)
+			if r, complete := RecordFromWire(w, known); complete {
+				s.learn(c, &r)
+			}
 		}
 	})
 }
@@ -242,24 +260,31 @@
 
 // tick drives the protocol.
 func (s *Service) tick(ctx context.Context, now time.Time) {
-	if !now.Before(s.check) {
+	check := !now.Before(s.check)
+	if check {
 		s.check = now.Add(checkPeriod)
 		s.current = s.view(now)
 		s.adopt(now, s.current)
 	}
+	asked := map[persimmoncart.InstanceID]bool{} // one probe carries the epochs of all cells
 	for _, name := range s.names() {
 		c := s.cells[name]
 		c.Renew(s.Members.Machine.Self.Tag())
 		c.Advance(now)
 		for _, t := range c.Ask(now, s.suspect) {
-			s.Members.Probe(t.Instance)
+			if !asked[t.Instance] {
+				asked[t.Instance] = true
+				s.Members.Probe(t.Instance)
+			}
 		}
 		if !c.busy && !now.Before(c.load) {
 			s.read(ctx, c)
 		}
-		s.propose(ctx, now, c, s.current)
+		if check || !c.since.IsZero() {
+			s.propose(ctx, now, c, s.current)
+		}
 	}
-	s.tellUsable()
+	s.tellUsable(now)
 }
 
 // suspect reports whether a member is silent.
--- a/internal/ownership/usable.go
+++ b/internal/ownership/usable.go
@@ -1,9 +1,12 @@
 package ownership
 
 import (
+	"maps"
 	"slices"
+	"time"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/rendezvous"
 )
 
 // A regionReplicas caches the engines of the region from one configuration.
@@ -64,13 +67,42 @@
 	return usable
 }
 
-// tellUsable reports the usable replicas when they have changed.
-func (s *Service) tellUsable() {
+// A usableState is what the usable replicas depend on; it changes rarely and is
+// cheap to compare.
+type usableState struct {
+	configuration uint64
+	down          uint64 // over the members that are silent or dead
+	epoch         uint64
+	holds         bool
+	lost          bool
+}
+
+// tellUsable reports the usable replicas when they may have changed.
+func (s *Service) tellUsable(now time.Time) {
 	if s.Changed == nil {
 		return
 	}
-	if usable := s.Usable(); !slices.Equal(usable, s.usable) {
-		s.usable = usable
-		s.Changed(usable)
+	states := make(map[persimmoncart.DataCentre]usableState, len(s.cells))
+	for name, c := range s.cells {
+		if c.record == nil {
+			continue
+		}
+		state := usableState{
+			configuration: s.Configuration.Snapshot().Version,
+			epoch:         c.record.Epoch,
+			holds:         c.confirmed(now) || len(c.carried) > 0 && now.Before(c.until),
+			lost:          !c.unowned.IsZero() && now.Sub(c.unowned) > StaticAfter,
+		}
+		for _, t := range c.record.Members {
+			if t != c.Self && s.down(now, t.Instance) {
+				state.down ^= rendezvous.Score("down", string(t.Instance))
+			}
+		}
+		states[name] = state
+	}
+	if maps.Equal(states, s.told) {
+		return
 	}
+	s.told = states
+	s.Changed(s.Usable())
 }
