Keep the busiest instance within its byte budget

Cause: borrowing instances sent more than 2,048 bytes a second. Change: the governor spreads borrows from 75% of the budget on, items and seat changes are sent in a shorter form, and acknowledgements are refreshed every 1.5 s on a 50 ms tick.

--- a/internal/capacity/places.go
+++ b/internal/capacity/places.go
@@ -19,7 +19,8 @@
 // Demand of single nodes differs from that by up to 10% and changes every 20 s;
 // owners with few replicas must borrow.
 const (
-	borrowBatch  = 64 // slots in one message
+	borrowBatch  = 32               // slots in one message
+	readyTime    = 10 * time.Second // a node without replicas takes requests from then on
 	demandPeriod = 20 * time.Second
 	demandSpread = 0.1
 	holdTime     = 7500 * time.Millisecond
@@ -43,10 +44,12 @@
 	sequence uint64
 	turned   time.Time
 	missing  int // requests that wait for a borrow
+	ready    bool
 	requests uint64
 	returned time.Time
 	returns  map[persimmoncart.InstanceID]int // slots to give back
 	sent     time.Time                        // last borrow
+	started  time.Time
 	unserved int
 }
 
@@ -128,6 +131,13 @@
 
 // step starts and ends requests.
 func (p *places) step(now time.Time) {
+	if p.started.IsZero() {
+		p.started = now
+	}
+	if !p.ready && p.owned == 0 && now.Sub(p.started) < readyTime {
+		return // the load balancer sends requests to ready instances only
+	}
+	p.ready = true
 	if now.Sub(p.turned) > demandPeriod {
 		p.turned = now
 		p.demand = requestRate * (1 + demandSpread*(2*p.random.Float64()-1))
@@ -211,9 +221,9 @@
 	if !known || m.State == persimmoncart.MemberDead {
 		return
 	}
-	r := &loadv1.ReturnRequest{From: string(p.node.self.ID)}
+	r := &loadv1.ReturnRequest{From: string(p.node.self.ID), Prefix: string(owner) + ".1"}
 	for range n {
-		r.Changes = append(r.Changes, &loadv1.Change{Id: string(p.seat(p.requests)), Kind: uint32(persimmoncart.SeatReleased), Took: 40})
+		r.Changes = append(r.Changes, &loadv1.Change{Id: strconv.FormatUint(p.requests, 36), Kind: uint32(persimmoncart.SeatReleased), Took: 40})
 	}
 	p.node.transport.Call(m.Instance.Addr, r, 250*time.Millisecond, func(proto.Message, error) {})
 }
--- a/internal/load/governor.go
+++ b/internal/load/governor.go
@@ -18,7 +18,7 @@
 
 // Shares of the budget from which messages are left out.
 const (
-	firstShare = 0.85
+	firstShare = 0.80
 	shareStep  = 0.05
 )
 
@@ -42,9 +42,9 @@
 	return [...]string{"far", "sum", "digest"}[k]
 }
 
-// A Governor keeps control traffic within the budget. Above 85%, 90% and 95% of
+// A Governor keeps control traffic within the budget. Above 80%, 85% and 90% of
 // it, far summaries, sums and digests are left out, and borrows wait for longer
-// so that more of them share a message. Probes alone take about 70% in a cell of
+// so that more of them share a message. Probes alone take about 60% in a cell of
 // eleven. It is safe for concurrent use.
 type Governor struct {
 	Limit float64 // bytes a second; zero is Budget
@@ -84,15 +84,15 @@
 	case share < firstShare-shareStep:
 		return 0
 	case share < firstShare:
-		return 100 * time.Millisecond
-	case share < firstShare+shareStep:
 		return 250 * time.Millisecond
-	case share < firstShare+2*shareStep:
+	case share < firstShare+shareStep:
 		return 500 * time.Millisecond
-	case share < 1:
+	case share < firstShare+2*shareStep:
 		return time.Second
-	default:
+	case share < firstShare+3*shareStep:
 		return 2 * time.Second
+	default:
+		return 5 * time.Second
 	}
 }
 
@@ -145,7 +145,7 @@
 		}, g.Rate),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "persimmoncart_control_budget_share",
-			Help: "Share of the budget for control bytes in use; above 0.85 messages are left out.",
+			Help: "Share of the budget for control bytes in use; above 0.8 messages are left out.",
 		}, func() float64 { return g.Rate() / g.limit() }),
 	}
 	for k := range kinds {
--- a/internal/load/handler.go
+++ b/internal/load/handler.go
@@ -51,10 +51,10 @@
 func (h *Handler) Handle(request proto.Message, respond func(proto.Message, error)) {
 	switch r := request.(type) {
 	case *loadv1.BorrowRequest:
-		h.settle(r.GetFrom(), r.GetChanges(), func(error) {})
+		h.settle(r.GetFrom(), changesFrom(r.GetPrefix(), r.GetChanges()), func(error) {})
 		h.borrow(r, respond)
 	case *loadv1.ReturnRequest:
-		h.settle(r.GetFrom(), r.GetChanges(), func(err error) { respond(&loadv1.ReturnReply{}, err) })
+		h.settle(r.GetFrom(), changesFrom(r.GetPrefix(), r.GetChanges()), func(err error) { respond(&loadv1.ReturnReply{}, err) })
 	default:
 		respond(nil, &peer.UnknownRequestError{Name: string(request.ProtoReflect().Descriptor().FullName())})
 	}
@@ -100,7 +100,11 @@
 		if err != nil {
 			loan = persimmoncart.Loan{ID: request.ID}
 		}
-		h.finish(a, loanMessage(&loan))
+		reply := loanMessage(&loan)
+		if len(reply.GetSeats()) >= len(request.Items) {
+			reply.Digest = nil // tells the borrower nothing that it needs now
+		}
+		h.finish(a, reply)
 	})
 }
 
@@ -125,13 +129,13 @@
 }
 
 // settle passes changes of lent seats to the local places.
-func (h *Handler) settle(from string, changes []*loadv1.Change, done func(error)) {
+func (h *Handler) settle(from string, changes []persimmoncart.SeatChange, done func(error)) {
 	if len(changes) == 0 {
 		done(nil)
 		return
 	}
 	h.spawn(func() {
-		done(h.Lender.Settle(context.Background(), persimmoncart.InstanceID(from), changesFrom(changes)))
+		done(h.Lender.Settle(context.Background(), persimmoncart.InstanceID(from), changes))
 	})
 }
 
--- a/internal/load/lenders.go
+++ b/internal/load/lenders.go
@@ -58,18 +58,15 @@
 		return persimmoncart.Loan{}, err
 	}
 	now := l.Timer.Now()
-	message := &loadv1.BorrowRequest{
-		Changes: changeMessages(l.takeChanges(r.id)),
-		From:    string(request.From),
-		Id:      request.ID,
-		Wait:    milliseconds(request.Wait),
-	}
+	changes := l.takeChanges(r.id)
+	message := &loadv1.BorrowRequest{From: string(request.From), Id: request.ID, Wait: milliseconds(request.Wait)}
+	message.Prefix, message.Changes = changeMessages(changes)
 	for i := range request.Items {
 		message.Items = append(message.Items, itemMessage(now, &request.Items[i]))
 	}
 	reply, err := call(ctx, l.Transport, owner, message, request.Wait+borrowTimeout)
 	if err != nil {
-		l.putChanges(r.id, changesFrom(message.GetChanges()))
+		l.putChanges(r.id, changes)
 		return persimmoncart.Loan{}, errors.Wrapf(err, "borrow from %s", r.id)
 	}
 	answer := reply.(*loadv1.BorrowReply)
@@ -104,7 +101,8 @@
 	if err != nil {
 		return err
 	}
-	message := &loadv1.ReturnRequest{Changes: changeMessages(changes), From: string(from)}
+	message := &loadv1.ReturnRequest{From: string(from)}
+	message.Prefix, message.Changes = changeMessages(changes)
 	for try := 1; ; try++ {
 		_, err := call(ctx, l.Transport, owner, message, borrowTimeout)
 		if err == nil {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -36,6 +36,7 @@
 // A places stands in for the local places.
 type places struct {
 	free     map[persimmoncart.ModelName]int
+	full     bool
 	learned  map[persimmoncart.InstanceID]persimmoncart.Digest
 	lent     int
 	self     persimmoncart.Instance
@@ -63,6 +64,9 @@
 func (p *places) Lend(_ context.Context, r persimmoncart.BorrowRequest) (persimmoncart.Loan, error) {
 	l := persimmoncart.Loan{Digest: p.Digest(), ID: r.ID}
 	for i, item := range r.Items {
+		if p.full {
+			break
+		}
 		p.lent++
 		l.Seats = append(l.Seats, persimmoncart.Seat{
 			Blocks: persimmoncart.Blocks(item.Request.Tokens), Endpoint: "e", ID: persimmoncart.GrantID(fmt.Sprint("seat-", p.lent)), Item: i,
@@ -239,6 +243,11 @@
 	})
 	assert.NilError(t, err)
 	assert.Equal(t, loan.Seats[0].Blocks, 5)
+	assert.Equal(t, len(loan.Digest.Pools), 0) // everything was lent
+	nodes[1].places.full = true
+	loan, err = lenders.Lender("i-0-1").Lend(context.Background(), persimmoncart.BorrowRequest{From: "i-0-0", ID: 4, Items: make([]persimmoncart.BorrowItem, 1)})
+	assert.NilError(t, err)
+	assert.Equal(t, len(loan.Seats), 0)
 	assert.Equal(t, loan.Digest.Instance, persimmoncart.InstanceID("i-0-1"))
 	assert.Equal(t, len(loan.Digest.Pools), len(models))
 }
@@ -248,7 +257,7 @@
 	g := &load.Governor{Limit: 100, Timer: v}
 	g.Count(0)
 	v.Advance(time.Minute)
-	for _, bytes := range []int{4000, 1200, 300, 300} {
+	for _, bytes := range []int{4000, 900, 300, 300} {
 		g.Count(bytes)
 		fmt.Println(g.Rate(), g.Allow(load.KindFar), g.Allow(load.KindSum), g.Allow(load.KindDigest), g.BorrowDelay())
 	}
@@ -256,8 +265,8 @@
 	fmt.Println(g.Rate())
 	// Output:
 	// 66.66666666666667 true true true 0s
-	// 86.66666666666667 false true true 250ms
-	// 91.66666666666667 false false true 500ms
-	// 96.66666666666667 false false false 1s
+	// 81.66666666666667 false true true 500ms
+	// 86.66666666666667 false false true 1s
+	// 91.66666666666667 false false false 2s
 	// 0
 }
--- a/internal/load/wire.go
+++ b/internal/load/wire.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"strings"
 	"time"
 
 	"github.com/persimmoncart/persimmoncart"
@@ -95,23 +96,34 @@
 	return seats
 }
 
-// changeMessages returns changes of seats as messages.
-func changeMessages(changes []persimmoncart.SeatChange) []*loadv1.Change {
-	var m []*loadv1.Change
+// changeMessages returns changes of seats as messages, without the prefix that
+// their identifiers share: an owner gives all its seats the same one.
+func changeMessages(changes []persimmoncart.SeatChange) (prefix string, messages []*loadv1.Change) {
+	if len(changes) == 0 {
+		return "", nil
+	}
+	prefix = string(changes[0].ID)
 	for _, c := range changes {
-		m = append(m, &loadv1.Change{Id: string(c.ID), Kind: uint32(c.Kind), Took: milliseconds(c.Took)})
+		for !strings.HasPrefix(string(c.ID), prefix) {
+			prefix = prefix[:len(prefix)-1]
+		}
 	}
-	return m
+	for _, c := range changes {
+		messages = append(messages, &loadv1.Change{
+			Id: strings.TrimPrefix(string(c.ID), prefix), Kind: uint32(c.Kind), Took: milliseconds(c.Took),
+		})
+	}
+	return prefix, messages
 }
 
 // changesFrom returns the changes in messages.
-func changesFrom(m []*loadv1.Change) []persimmoncart.SeatChange {
+func changesFrom(prefix string, messages []*loadv1.Change) []persimmoncart.SeatChange {
 	var changes []persimmoncart.SeatChange
-	for _, c := range m {
+	for _, m := range messages {
 		changes = append(changes, persimmoncart.SeatChange{
-			ID:   persimmoncart.GrantID(c.GetId()),
-			Kind: persimmoncart.SeatChangeKind(c.GetKind()),
-			Took: duration(c.GetTook()),
+			ID:   persimmoncart.GrantID(prefix + m.GetId()),
+			Kind: persimmoncart.SeatChangeKind(m.GetKind()),
+			Took: duration(m.GetTook()),
 		})
 	}
 	return changes
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -13,11 +13,11 @@
 // monotonic clock of one instance each; no clocks are compared.
 const (
 	AckTerm     = 2 * time.Second         // an acknowledgement counts from the time it was asked for
-	AckRefresh  = 1300 * time.Millisecond // age at which it is asked for again
+	AckRefresh  = 1500 * time.Millisecond // age at which it is asked for again; leaves time for a second try
 	EpochMargin = 500 * time.Millisecond  // allows clocks to differ in rate by a quarter
 	StaticAfter = AckTerm + EpochMargin   // without an owner, until static shares are used
 	askSilent   = time.Second             // between calls to a silent member
-	askAgain    = 300 * time.Millisecond  // a call without an answer counts as lost
+	askAgain    = 200 * time.Millisecond  // a call without an answer counts as lost
 )
 
 // A Machine is the protocol of one instance for one cell. It is not safe for
--- a/internal/ownership/service.go
+++ b/internal/ownership/service.go
@@ -28,8 +28,8 @@
 	rankDelay    = time.Second     // between the first proposer and the next
 	recordLimit  = 2 * time.Second // for a record from a peer
 	storeTimeout = 2 * time.Second
-	suspectDelay = 10 * time.Second // a suspect then leaves the next epoch
-	tickPeriod   = 200 * time.Millisecond
+	suspectDelay = 10 * time.Second      // a suspect then leaves the next epoch
+	tickPeriod   = 50 * time.Millisecond // an answer asked for late must come within the term
 )
 
 // KeyPrefix starts the store keys of cell records.
@@ -163,7 +163,11 @@
 	self := s.Members.Machine.Self
 	for _, c := range s.cells {
 		if c.record != nil && (c.Cell == self.DataCentre && to.DataCentre == c.Cell || c.names(to.ID)) {
-			p.Epochs = append(p.Epochs, &memberv1.Epoch{Cell: string(c.Cell), Epoch: c.record.Epoch})
+			e := &memberv1.Epoch{Epoch: c.record.Epoch}
+			if c.Cell != self.DataCentre || to.DataCentre != c.Cell {
+				e.Cell = string(c.Cell)
+			}
+			p.Epochs = append(p.Epochs, e)
 		}
 	}
 }
@@ -173,6 +177,9 @@
 	now := s.Timer.Now()
 	for _, e := range p.GetEpochs() {
 		name := persimmoncart.DataCentre(e.GetCell())
+		if name == "" {
+			name = from.DataCentre
+		}
 		c := s.cells[name]
 		if from.ID == "" || c == nil && len(s.configured()[name]) == 0 {
 			continue
