Let only the writer of an epoch tell every member

Cause: each member that learned an epoch probed all others, which is quadratic in the size of the cell. Change: the writer tells everyone; members learn the rest from the probes that refresh their quorum, and ask after 400 ms for what is still missing.

--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -12,12 +12,13 @@
 // Times of the protocol; see docs/design.md section 8.2. They hold on the
 // monotonic clock of one instance each; no clocks are compared.
 const (
-	AckTerm     = 2 * time.Second         // an acknowledgement counts from the time it was asked for
-	AckRefresh  = 1500 * time.Millisecond // age at which it is asked for again; leaves time for a second try
-	EpochMargin = 500 * time.Millisecond  // allows clocks to differ in rate by a quarter
-	StaticAfter = AckTerm + EpochMargin   // without an owner, until static shares are used
-	askSilent   = time.Second             // between calls to a silent member
-	askAgain    = 200 * time.Millisecond  // a call without an answer counts as lost
+	AckTerm         = 2 * time.Second         // an acknowledgement counts from the time it was asked for
+	AckRefresh      = 1500 * time.Millisecond // age at which it is asked for again; leaves time for a second try
+	EpochMargin     = 500 * time.Millisecond  // allows clocks to differ in rate by a quarter
+	StaticAfter     = AckTerm + EpochMargin   // without an owner, until static shares are used
+	askSilent       = time.Second             // between calls to a silent member
+	askUnmovedAfter = 400 * time.Millisecond  // members state a new epoch with their own probes before that
+	askAgain        = 200 * time.Millisecond  // a call without an answer counts as lost
 )
 
 // A Machine is the protocol of one instance for one cell. It is not safe for
@@ -33,6 +34,7 @@
 	closed    map[uint64]time.Time                // when an earlier epoch was seen to be closed
 	dead      map[persimmoncart.Tag]bool
 	effective bool                       // the newest epoch is in effect here
+	learned   time.Time                  // when the newest record was learned
 	mine      []persimmoncart.EndpointID // replicas of the newest record whose owner this instance is
 	record    *Record
 	seen      map[persimmoncart.Tag]uint64 // highest epoch acknowledged
@@ -78,6 +80,7 @@
 	}
 	m.record = r
 	m.effective = false
+	m.learned = now
 	m.mine = nil
 	for _, id := range r.Replicas {
 		if owner, _ := r.Owner(id); owner == m.Self.Instance {
@@ -373,7 +376,7 @@
 	if m.record.contains(m.Self) {
 		ask = m.askMembers(now, silent)
 	}
-	if !m.effective {
+	if !m.effective && now.Sub(m.learned) >= askUnmovedAfter {
 		ask = append(ask, m.askUnmoved(now)...)
 	}
 	for _, t := range ask {
--- a/internal/ownership/service.go
+++ b/internal/ownership/service.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -224,21 +226,24 @@
 		}
 		if w := reply.(*memberv1.RecordReply).GetRecord(); w != nil {
 			if r, complete := RecordFromWire(w, known); complete {
-				s.learn(c, &r)
+				s.learn(c, &r, false)
 			}
 		}
 	})
 }
 
-// learn takes a record and tells everyone concerned, so that the old epoch
-// closes without waiting for the round of probes.
-func (s *Service) learn(c *cellState, r *Record) {
+// learn takes a record. Its writer tells everyone concerned, so that the old
+// epoch closes without waiting for the round of probes.
+func (s *Service) learn(c *cellState, r *Record, writer bool) {
 	now := s.Timer.Now()
 	if !c.Learn(now, r) {
 		return
 	}
 	c.missing = false
 	s.Log.Info().Str("cell", string(c.Cell)).Uint64("epoch", r.Epoch).Int("members", len(r.Members)).Msg("epoch learned")
+	if !writer {
+		return
+	}
 	told := map[persimmoncart.InstanceID]bool{s.Members.Machine.Self.ID: true}
 	tell := func(members []persimmoncart.Tag) {
 		for _, t := range members {
@@ -318,8 +323,13 @@
 // nonce returns an identifier for one write.
 func (s *Service) nonce() string {
 	s.sequence++
+	return s.noncePrefix() + strconv.FormatUint(s.sequence, 10)
+}
+
+// noncePrefix starts the identifiers of this incarnation's writes.
+func (s *Service) noncePrefix() string {
 	self := s.Members.Machine.Self
-	return fmt.Sprintf("%s/%d/%d", self.ID, self.Incarnation, s.sequence)
+	return fmt.Sprintf("%s/%d/", self.ID, self.Incarnation)
 }
 
 // read reads the record from the store.
@@ -354,7 +364,7 @@
 		s.Log.Error().Err(err).Msg("cell record unreadable")
 		return
 	}
-	s.learn(c, &r)
+	s.learn(c, &r, strings.HasPrefix(r.Nonce, s.noncePrefix()))
 }
 
 // write proposes a record to the store. A lost answer is settled by reading
@@ -384,7 +394,7 @@
 		switch {
 		case err == nil:
 			c.since = time.Time{}
-			s.learn(c, &r)
+			s.learn(c, &r, true)
 		case errors.As(err, &unavailable):
 			c.retry = now.Add(s.jitter(backoffMax))
 		default: // conflict, or the answer was lost
