Read new epochs from the store and leave out cells near the budget

Cause: the writer of an epoch answered every member of its cell, and restarted instances sent more than their budget. Change: members read a new record from the store, and from a peer only while the store does not answer; answers to probes carry one other cell at most and none near the budget; a digest is taken every 2 s.

--- a/internal/capacity/event.go
+++ b/internal/capacity/event.go
@@ -88,7 +88,8 @@
 }
 
 // restartWave replaces a quarter of the nodes within a minute: each announces
-// that it leaves, ends 2 s later and starts again after another second.
+// that it leaves, ends when its requests have ended, and starts again after
+// another second.
 func restartWave(r *run) {
 	f := r.fleet
 	count := max(1, len(f.nodes)/4)
@@ -96,8 +97,8 @@
 		n := f.nodes[i*4%len(f.nodes)]
 		at := lossDelay + restartSpan*time.Duration(i)/time.Duration(count)
 		r.after(at, n.members.Leave)
-		r.after(at+2*time.Second, func() { f.end(n, true) })
-		r.after(at+3*time.Second, func() {
+		r.after(at+holdTime, func() { f.end(n, true) })
+		r.after(at+holdTime+time.Second, func() {
 			self := n.self
 			self.Incarnation++
 			f.replace(n, self)
--- a/internal/capacity/node.go
+++ b/internal/capacity/node.go
@@ -53,9 +53,10 @@
 		List: f,
 		Lock: &sync.Mutex{},
 		Machine: &membership.Machine{
-			AllowFar: func() bool { return governor.Allow(load.KindFar) },
-			Rand:     random,
-			Self:     self,
+			AllowCells: func() bool { return governor.Allow(load.KindSum) },
+			AllowFar:   func() bool { return governor.Allow(load.KindFar) },
+			Rand:       random,
+			Self:       self,
 		},
 		Spawn:     func(g func()) { g() },
 		Timer:     timer,
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -16,7 +16,7 @@
 
 const (
 	cellDistance = time.Millisecond
-	digestPeriod = time.Second // a new digest is taken at most once in it
+	digestPeriod = 2 * time.Second // a new digest is taken at most once in it
 	farDistance  = 12 * time.Millisecond
 	nearDistance = 2 * time.Millisecond // between data centres of a region
 	offerCount   = 1                    // owners named in a sum; a second one would double its size
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -170,9 +170,9 @@
 	before := nodes[0].port.TotalSent()
 	v.Advance(time.Minute)
 	quiet := nodes[0].port.TotalSent() - before
-	for range 60 {
+	for i := range 60 {
 		for _, n := range nodes {
-			n.places.free[models[0]] = 40 - n.places.free[models[0]]
+			n.places.free[models[0]] = i * 13 % 41 // differs at any period between digests
 		}
 		v.Advance(time.Second)
 	}
--- a/internal/membership/cells.go
+++ b/internal/membership/cells.go
@@ -303,21 +303,19 @@
 	c.hash, c.heard, c.members, c.misses, c.region, c.updated, c.version = hash, now, members, 0, region, m.changed, version
 }
 
-// someCells returns the cell that changed last and one other by turns, which
-// bounds the size of an answer while all cells arrive in time.
+// someCells returns, in turns, the cell that changed last and one of all cells,
+// which bounds the size of an answer while all cells arrive in time.
 func (m *Machine) someCells() []*memberv1.Cell {
 	cells := m.sortedCells()
 	if len(cells) == 0 {
 		return nil
 	}
-	newest := slices.MaxFunc(cells, func(a, b *cell) int { return cmp.Compare(a.updated, b.updated) })
 	m.cursor++
-	other := cells[m.cursor%len(cells)]
-	some := []*memberv1.Cell{newest.wire(true)}
-	if other != newest {
-		some = append(some, other.wire(true))
+	c := cells[m.cursor/2%len(cells)]
+	if m.cursor%2 == 0 {
+		c = slices.MaxFunc(cells, func(a, b *cell) int { return cmp.Compare(a.updated, b.updated) })
 	}
-	return some
+	return []*memberv1.Cell{c.wire(true)}
 }
 
 // sortedCells returns the other cells, sorted by name.
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -63,6 +63,7 @@
 // A Machine is the membership protocol of one instance. It is not safe for
 // concurrent use.
 type Machine struct {
+	AllowCells func() bool // whether answers to probes may carry other cells; nil is always
 	AllowFar   func() bool // whether summaries to other regions may be sent; nil is always
 	Extensions []Extension
 	Lag        time.Duration // of the instance list; zero is DefaultLag
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -43,7 +43,7 @@
 	} else if p := m.peers[from.ID]; p != nil && p.suspect { // lets it refute the suspicion
 		reply.Updates = append(reply.Updates, p.wire(true))
 	}
-	if full && r.GetCellsHash() != m.cellsHash() {
+	if full && r.GetCellsHash() != m.cellsHash() && (m.AllowCells == nil || m.AllowCells()) {
 		reply.Cells = m.someCells()
 	}
 	for _, x := range m.Extensions {
--- a/internal/ownership/service.go
+++ b/internal/ownership/service.go
@@ -54,6 +54,7 @@
 
 	absent   map[persimmoncart.DataCentre]time.Time // since when a cell has no instances
 	cells    map[persimmoncart.DataCentre]*cellState
+	context  context.Context
 	check    time.Time // when the view is read again; a change reads it at once
 	current  view
 	silent   map[persimmoncart.Tag]time.Time // since when a member is suspect
@@ -65,14 +66,15 @@
 // A cellState is the protocol for one cell with its calls in flight.
 type cellState struct {
 	Machine
-	busy     bool      // a store call is in flight
-	empty    time.Time // since when the record does not name this instance
-	fetching bool
-	known    uint64    // epoch of the record at empty
-	load     time.Time // when the record is read from the store next
-	missing  bool      // the store has no record
-	retry    time.Time // no proposal before
-	since    time.Time // since when the record differs from what it should be
+	busy      bool      // a store call is in flight
+	empty     time.Time // since when the record does not name this instance
+	fetching  bool
+	known     uint64    // epoch of the record at empty
+	load      time.Time // when the record is read from the store next
+	missing   bool      // the store has no record
+	retry     time.Time // no proposal before
+	storeDown time.Time // until then records are read from peers
+	since     time.Time // since when the record differs from what it should be
 }
 
 // Start subscribes to the timer; the returned function ends it. It registers
@@ -81,6 +83,7 @@
 	if s.Spawn == nil {
 		s.Spawn = func(f func()) { go f() }
 	}
+	s.context = ctx
 	s.absent = map[persimmoncart.DataCentre]time.Time{}
 	s.cells = map[persimmoncart.DataCentre]*cellState{}
 	s.silent = map[persimmoncart.Tag]time.Time{}
@@ -192,7 +195,7 @@
 		}
 		c.Ack(now, from.Tag(), e.GetEpoch(), sent)
 		if e.GetEpoch() > c.Epoch() {
-			s.fetch(c, from)
+			s.update(c, from)
 		}
 	}
 }
@@ -206,6 +209,17 @@
 	return &memberv1.RecordReply{Record: c.record.Wire(r.GetReplicasHash())}
 }
 
+// update gets a newer record: from the store, which costs the peer no bytes, or
+// from the peer while the store does not answer.
+func (s *Service) update(c *cellState, from persimmoncart.Instance) {
+	switch {
+	case s.Timer.Now().Before(c.storeDown):
+		s.fetch(c, from)
+	case !c.busy:
+		s.read(s.context, c)
+	}
+}
+
 // fetch reads a newer record from a peer.
 func (s *Service) fetch(c *cellState, from persimmoncart.Instance) {
 	if c.fetching {
@@ -357,6 +371,7 @@
 		return
 	case err != nil:
 		c.load = now.Add(s.jitter(backoffMax))
+		c.storeDown = now.Add(backoffMax)
 		return
 	}
 	r, err := decode(object)
