--- /dev/null
+++ b/internal/application/fuzz_test.go
@@ -0,0 +1,54 @@
+package application
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+)
+
+// answering is an HTTP transport that gives one fixed answer.
+type answering struct {
+	body   []byte
+	header http.Header
+	status int
+}
+
+// RoundTrip implements http.RoundTripper.
+func (a answering) RoundTrip(r *http.Request) (*http.Response, error) {
+	return &http.Response{Body: io.NopCloser(bytes.NewReader(a.body)), Header: a.header, Request: r, StatusCode: a.status}, nil
+}
+
+// Guards against answers that crash the client or pass as another attempt's, and
+// against requests that crash the served fake.
+func FuzzCall(f *testing.F) {
+	f.Add("GET", "/a?b", "r/1", "", "not_run", 200, []byte("x"))
+	f.Add("POST", "//h/%zz", "r/2", "-1s", "x", 503, []byte(""))
+	f.Fuzz(func(t *testing.T, method, path, attempt, retry, outcome string, status int, body []byte) {
+		want := persimmoncart.AttemptID{Number: 1, Request: "r"}
+		c := &Client{Addr: netip.MustParseAddrPort("127.0.0.1:1"), HTTP: &http.Client{Transport: answering{
+			body:   body,
+			header: http.Header{AttemptHeader: {attempt}, OutcomeHeader: {outcome}, RetryHeader: {retry}},
+			status: status,
+		}}}
+		answer, err := c.Call(t.Context(), persimmoncart.CallRequest{Attempt: want, Body: body, Method: method, Path: path})
+		got, invalid := persimmoncart.ParseAttemptID(attempt)
+		if err == nil && (invalid != nil || got != want || answer.Attempt != want || !bytes.Equal(answer.Body, body)) {
+			t.Fatalf("answer of %q taken for %s", attempt, want)
+		}
+		r, err := http.NewRequestWithContext(t.Context(), method, path, bytes.NewReader(body))
+		if err != nil {
+			return
+		}
+		r.Header.Set(AttemptHeader, attempt)
+		r.Header.Set(FenceHeader, retry)
+		fake := NewFake(c.Addr, &Records{}, &timer.System{})
+		fake.Pace = 0
+		(&Handler{Application: fake, Fake: fake}).Handler().ServeHTTP(httptest.NewRecorder(), r)
+	})
+}
