Add the load generator: curves, mixes, checks, report and plots

Cause: goodput, tails and the promises towards callers need an open-loop load whose every answer is checked. Change: add internal/loadgen with both deployments' mixes, constant, crest and sheet curves, checks against the fakes' answers and records, histograms, a table, JSON and plots.

--- /dev/null
+++ b/internal/loadgen/curve.go
@@ -0,0 +1,128 @@
+package loadgen
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart/internal/config"
+)
+
+// Shape of a crest.
+const (
+	crestFactor = 3               // demand triples
+	crestRise   = 3 * time.Second // within seconds
+)
+
+// A Curve gives the rate of arrivals over a run.
+type Curve interface {
+	// Peak returns the highest rate, requests a second.
+	Peak() float64
+	// Rate returns the rate at offset at from the start, requests a second.
+	Rate(at time.Duration) float64
+}
+
+// A Constant is a curve of one rate, requests a second.
+type Constant float64
+
+// Peak implements Curve.
+func (c Constant) Peak() float64 { return float64(c) }
+
+// Rate implements Curve.
+func (c Constant) Rate(time.Duration) float64 { return float64(c) }
+
+// A Crest is a curve that triples within seconds, stays there and falls back as
+// fast: the middle third of the run is the crest.
+type Crest struct {
+	Base     float64       // requests a second
+	Duration time.Duration // of the run
+}
+
+// Peak implements Curve.
+func (c Crest) Peak() float64 { return c.Base * crestFactor }
+
+// Rate implements Curve.
+func (c Crest) Rate(at time.Duration) float64 {
+	rise := min(crestRise, c.Duration/6)
+	start, end := c.Duration/3, c.Duration*2/3
+	share := 0.0
+	switch {
+	case at >= start && at < start+rise:
+		share = float64(at-start) / float64(rise)
+	case at >= start+rise && at < end:
+		share = 1
+	case at >= end && at < end+rise:
+		share = 1 - float64(at-end)/float64(rise)
+	}
+	return c.Base * (1 + (crestFactor-1)*share)
+}
+
+// A Sheet is the curve of a planners' sheet, scaled in time and rate.
+type Sheet struct {
+	rows  []config.RowSpec
+	peak  float64
+	scale float64
+	speed float64
+	start time.Time
+}
+
+// NewSheet returns the curve of the sheet in data, which ParseSheet of package
+// config reads. Each second of the run stands for speed seconds of the sheet,
+// and rates are multiplied by scale. Errors are config.Issues and *ScaleError.
+func NewSheet(file string, data []byte, speed, scale float64) (*Sheet, error) {
+	for _, v := range []float64{speed, scale} {
+		if !(v > 0) || math.IsInf(v, 1) {
+			return nil, &ScaleError{Value: v}
+		}
+	}
+	entries, issues := config.ParseSheet(file, data, time.UTC)
+	if len(issues) > 0 {
+		return nil, errors.Wrap(issues, "parse sheet")
+	}
+	s := &Sheet{scale: scale, speed: speed}
+	for _, e := range entries {
+		if spec, ok := e.Spec.(*config.SheetSpec); ok {
+			s.rows = append(s.rows, spec.Rows...)
+		}
+	}
+	for i, r := range s.rows {
+		if i == 0 || r.From.Before(s.start) {
+			s.start = r.From
+		}
+	}
+	for _, r := range s.rows {
+		s.peak = max(s.peak, s.at(r.From))
+	}
+	return s, nil
+}
+
+// Peak implements Curve.
+func (s *Sheet) Peak() float64 { return s.peak }
+
+// Rate implements Curve.
+func (s *Sheet) Rate(at time.Duration) float64 {
+	return s.at(s.start.Add(time.Duration(float64(at) * s.speed)))
+}
+
+// at returns the rate at a time of the sheet.
+func (s *Sheet) at(t time.Time) float64 {
+	sum := 0.0
+	for _, r := range s.rows {
+		if !t.Before(r.From) && t.Before(r.To) {
+			sum += r.Rate
+		}
+	}
+	return sum * s.scale
+}
+
+// A ScaleError reports a speed or scale that is not above zero.
+type ScaleError struct {
+	Value float64
+}
+
+// Error implements error.
+func (e *ScaleError) Error() string {
+	return fmt.Sprintf("scale %v is not a number above zero", e.Value)
+}
--- /dev/null
+++ b/internal/loadgen/mix.go
@@ -0,0 +1,105 @@
+package loadgen
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/platform"
+)
+
+// Kinds of requests.
+const (
+	KindDraft  Kind = iota + 1 // streamed completion
+	KindLookup                 // idempotent plain call
+	KindRecord                 // plain call that may not be repeated
+)
+
+// A Kind says how a request is sent and checked.
+type Kind uint8
+
+// A Mix is the requests of one deployment.
+type Mix struct {
+	Model persimmoncart.ModelName
+	Name  string
+	Parts []Part
+}
+
+// A Part is one sort of requests in a mix.
+type Part struct {
+	Deadline time.Duration // within which the whole answer counts
+	Kind     Kind
+	Name     string
+	Output   Range   // tokens of a draft
+	Prompt   Range   // tokens of a draft
+	Repeats  float64 // share of calls that are sent a second time with the same key
+	Route    persimmoncart.RouteName
+	Share    float64 // of all requests
+}
+
+// A Range is drawn from with equal density on a logarithmic scale, because
+// prompts span orders of magnitude.
+type Range struct {
+	High int
+	Low  int
+}
+
+// Deadlines of the parts.
+const (
+	draftDeadline  = 2 * time.Minute
+	lookupDeadline = 5 * time.Second
+	recordDeadline = 10 * time.Second
+	// recordRepeats is the share of calls that clerks post twice.
+	recordRepeats = 0.1
+)
+
+// DarJaouz is the mix of dar-jaouz: long dossiers become short drafts, clerks
+// book weighings and post payments, and stock and prices are looked up.
+func DarJaouz() Mix {
+	return Mix{Model: platform.DarJaouz().Model, Name: platform.NameDarJaouz, Parts: []Part{
+		{
+			Deadline: draftDeadline, Kind: KindDraft, Name: "certificate", Output: Range{High: 160, Low: 40},
+			Prompt: Range{High: 24_000, Low: 1500}, Route: "drafts", Share: 0.15,
+		},
+		{Deadline: lookupDeadline, Kind: KindLookup, Name: "price", Route: "prices", Share: 0.25},
+		{Deadline: lookupDeadline, Kind: KindLookup, Name: "stock", Route: "stock", Share: 0.25},
+		{Deadline: recordDeadline, Kind: KindRecord, Name: "payment", Repeats: recordRepeats, Route: "payments", Share: 0.15},
+		{Deadline: recordDeadline, Kind: KindRecord, Name: "weighing", Repeats: recordRepeats, Route: "weighings", Share: 0.2},
+	}}
+}
+
+// Peachthread is the mix of peachthread: letters become match summaries, pledges
+// and shipments are recorded, and the catalogue is looked up.
+func Peachthread() Mix {
+	return Mix{Model: platform.Peachthread().Model, Name: platform.NamePeachthread, Parts: []Part{
+		{
+			Deadline: draftDeadline, Kind: KindDraft, Name: "summary", Output: Range{High: 120, Low: 30},
+			Prompt: Range{High: 8000, Low: 600}, Route: "drafts", Share: 0.15,
+		},
+		{Deadline: lookupDeadline, Kind: KindLookup, Name: "catalogue", Route: "catalogue", Share: 0.55},
+		{Deadline: recordDeadline, Kind: KindRecord, Name: "pledge", Repeats: recordRepeats, Route: "pledges", Share: 0.2},
+		{Deadline: recordDeadline, Kind: KindRecord, Name: "shipment", Repeats: recordRepeats, Route: "shipments", Share: 0.1},
+	}}
+}
+
+// MixByName returns the mix of a deployment, or a *platform.NameError.
+func MixByName(name string) (Mix, error) {
+	switch name {
+	case platform.NameDarJaouz:
+		return DarJaouz(), nil
+	case platform.NamePeachthread:
+		return Peachthread(), nil
+	default:
+		return Mix{}, &platform.NameError{Value: name}
+	}
+}
+
+// A KindError reports an unknown kind.
+type KindError struct {
+	Value Kind
+}
+
+// Error implements error.
+func (e *KindError) Error() string {
+	return fmt.Sprintf("unknown kind %d", e.Value)
+}
--- /dev/null
+++ b/internal/loadgen/runner.go
@@ -0,0 +1,185 @@
+// Package loadgen sends the load of a deployment to entry instances and checks
+// every answer.
+//
+// Arrivals are open-loop: each request is sent at its intended time, however
+// slow the answers to earlier ones are, and its latency counts from that time.
+package loadgen
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/application"
+	"github.com/persimmoncart/persimmoncart/internal/engine"
+	"github.com/persimmoncart/persimmoncart/internal/transport"
+)
+
+const (
+	// maxBody bounds the answer to a plain call.
+	maxBody = 1 << 20
+	// maxInFlight bounds the memory of a run whose answers never come.
+	maxInFlight = 20_000
+	// progressPeriod is the time between progress lines.
+	progressPeriod = 5 * time.Second
+)
+
+// errTooMany is the error of a request that was not sent because too many were
+// in flight.
+var errTooMany = errors.New("too many requests in flight")
+
+// Targets are the latency targets of goodput.
+type Targets struct {
+	First time.Duration // to the first token, and for the whole answer of plain calls
+	Gap   time.Duration // mean time between the tokens of an answer
+}
+
+// PlanTargets are the targets of the two-year plan (docs/design.md, section 4).
+var PlanTargets = Targets{First: 1600 * time.Millisecond, Gap: 60 * time.Millisecond}
+
+// A Runner sends one run. Set the fields before Run.
+type Runner struct {
+	Addrs    []netip.AddrPort // entry instances, used in turn
+	HTTP     *http.Client     // from transport.NewClient
+	Key      string           // API key of the account
+	Progress io.Writer        // gets a line every 5 s; nil gets none
+	Secure   bool             // HTTPS
+	Source   *Source
+	Targets  Targets
+	Timer    persimmoncart.Timer
+
+	group    sync.WaitGroup
+	inFlight atomic.Int64
+	next     atomic.Uint64 // number of the next instance
+	start    time.Time
+	tally    *tally
+}
+
+// Run sends all requests, waits for the answers and returns the report. It
+// returns early when ctx ends; requests in flight then count as failed.
+func (r *Runner) Run(ctx context.Context) (*Report, error) {
+	if len(r.Addrs) == 0 {
+		return nil, errors.New("no instance to send to")
+	}
+	r.tally = newTally(r.Source.Mix, r.Targets)
+	r.start = r.Timer.Now()
+	if r.Progress != nil {
+		stop := r.Timer.Subscribe(progressPeriod, func(now time.Time) {
+			// A closed terminal must not end the run.
+			_, _ = fmt.Fprintln(r.Progress, r.tally.line(now.Sub(r.start), r.inFlight.Load()))
+		})
+		defer stop()
+	}
+	for q, ok := r.Source.Next(); ok; q, ok = r.Source.Next() {
+		if r.Timer.Sleep(ctx, q.At-r.Timer.Now().Sub(r.start)) != nil {
+			break
+		}
+		r.spawn(ctx, q, q.At)
+		if q.Repeat > 0 {
+			r.spawn(ctx, q, q.At+q.Repeat)
+		}
+	}
+	r.group.Wait()
+	return r.tally.report(r.Source, r.Timer.Now().Sub(r.start)), nil
+}
+
+// spawn sends q at offset at from the start.
+func (r *Runner) spawn(ctx context.Context, q Request, at time.Duration) {
+	if r.inFlight.Add(1) > maxInFlight {
+		r.inFlight.Add(-1)
+		r.tally.add(&Result{At: at, Err: errTooMany, Request: q})
+		return
+	}
+	r.group.Go(func() {
+		defer r.inFlight.Add(-1)
+		if wait := at - r.Timer.Now().Sub(r.start); wait > 0 && r.Timer.Sleep(ctx, wait) != nil {
+			return
+		}
+		r.tally.add(r.send(ctx, q, at))
+	})
+}
+
+// send sends q and checks its answer.
+func (r *Runner) send(ctx context.Context, q Request, at time.Duration) *Result {
+	result := &Result{At: at, Request: q}
+	ctx, cancel := context.WithTimeout(ctx, q.Part.Deadline)
+	defer cancel()
+	result.Err = r.exchange(ctx, q, result)
+	result.Total = r.Timer.Now().Sub(r.start) - at
+	return result
+}
+
+// exchange sends q and reads its answer into result.
+func (r *Runner) exchange(ctx context.Context, q Request, result *Result) error {
+	addr := r.Addrs[(r.next.Add(1)-1)%uint64(len(r.Addrs))]
+	h, err := http.NewRequestWithContext(ctx, q.Method, transport.URL(addr, r.Secure)+q.Path, bytes.NewReader(q.Body))
+	if err != nil {
+		return err
+	}
+	h.Header.Set("Authorization", "Bearer "+r.Key)
+	if len(q.Body) > 0 {
+		h.Header.Set("Content-Type", "application/json")
+	}
+	if q.Key != "" {
+		// The canonical form would let net/http send the call twice by itself.
+		h.Header["idempotency-key"] = []string{q.Key}
+		h.GetBody = nil
+	}
+	response, err := r.HTTP.Do(h)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		b, err := transport.ReadAll(response.Body, maxBody)
+		if err != nil {
+			return err
+		}
+		return parseRefusal(b)
+	}
+	if q.Part.Kind == KindDraft {
+		return r.readDraft(q, response.Body, result)
+	}
+	b, err := transport.ReadAll(response.Body, maxBody)
+	if err != nil {
+		return err
+	}
+	return checkPlain(q, b)
+}
+
+// readDraft reads a streamed completion.
+func (r *Runner) readDraft(q Request, body io.Reader, result *Result) error {
+	s := &stream{
+		check:  textCheck{answer: engine.NewFakeAnswer(q.Prompt)},
+		limit:  q.Limit,
+		onText: func() { result.pace.note(r.Timer.Now()) },
+	}
+	err := s.read(body)
+	result.Tokens = s.check.tokens
+	if !result.pace.first.IsZero() {
+		result.First = result.pace.first.Sub(r.start) - result.At
+	}
+	return err
+}
+
+// checkPlain compares the answer to a plain call with that of a fake.
+func checkPlain(q Request, body []byte) error {
+	// The application gets the path below the route.
+	want := application.FakeReceipt(q.Key, q.Body)
+	if q.Part.Kind == KindLookup {
+		want = application.FakeLookup(q.Path[len("/")+len(q.Part.Route):])
+	}
+	if !bytes.Equal(body, want) {
+		return &WrongError{Reason: fmt.Sprintf("%.80q, want %q", body, want)}
+	}
+	return nil
+}
