--- /dev/null
+++ b/cmd/persimmonload/internal/cmd/run.go
@@ -0,0 +1,183 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"maps"
+	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart/internal/application"
+	"github.com/persimmoncart/persimmoncart/internal/engine"
+	"github.com/persimmoncart/persimmoncart/internal/loadgen"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+	"github.com/persimmoncart/persimmoncart/internal/transport"
+)
+
+// maxFakeBytes bounds the records of one application fake.
+const maxFakeBytes = 256 << 20
+
+// A run sends load to entry instances.
+type run struct {
+	command
+	Addrs    []address     `long:"addr" env:"PERSIMMONLOAD_ADDRS" env-delim:"," required:"true" description:"Entry instance; may be repeated"`
+	Apps     []address     `long:"application" env:"PERSIMMONLOAD_APPLICATIONS" env-delim:"," description:"Application fake whose records are compared with the answers; one of each pool; may be repeated"`
+	Curve    string        `long:"curve" env:"PERSIMMONLOAD_CURVE" default:"constant" choice:"constant" choice:"crest" choice:"sheet" description:"Curve of arrivals"`
+	Duration time.Duration `long:"duration" env:"PERSIMMONLOAD_DURATION" default:"30s" description:"Time of arrivals"`
+	Engines  []address     `long:"engine" env:"PERSIMMONLOAD_ENGINES" env-delim:"," description:"Engine fake whose counters give the wasted prefill; may be repeated"`
+	First    time.Duration `long:"first" env:"PERSIMMONLOAD_FIRST" default:"1600ms" description:"Target to the first token"`
+	Gap      time.Duration `long:"gap" env:"PERSIMMONLOAD_GAP" default:"60ms" description:"Target between tokens"`
+	JSON     bool          `long:"json" env:"PERSIMMONLOAD_JSON" description:"Print one JSON object in place of the table"`
+	Key      string        `long:"key" env:"PERSIMMONLOAD_KEY" required:"true" description:"API key of the account"`
+	Mix      string        `long:"mix" env:"PERSIMMONLOAD_MIX" default:"dar-jaouz" choice:"dar-jaouz" choice:"peachthread" description:"Mix of requests"`
+	Plot     string        `long:"plot" env:"PERSIMMONLOAD_PLOT" description:"File ending in .png or .svg to name the plots after"`
+	Rate     float64       `long:"rate" env:"PERSIMMONLOAD_RATE" default:"20" description:"Requests a second; with a sheet, the factor on its rates"`
+	Run      string        `long:"run" env:"PERSIMMONLOAD_RUN" description:"Start of the idempotency keys; the default is the start time"`
+	Seed     uint64        `long:"seed" env:"PERSIMMONLOAD_SEED" default:"1" description:"Seed of the arrivals and requests"`
+	Sheet    string        `long:"sheet" env:"PERSIMMONLOAD_SHEET" description:"Planners' sheet (CSV) for the curve"`
+	Speed    float64       `long:"speed" env:"PERSIMMONLOAD_SPEED" default:"60" description:"Seconds of the sheet in one second of the run"`
+}
+
+// run implements runner.
+func (r *run) run(ctx context.Context, stdout, stderr io.Writer) error {
+	source, err := r.source()
+	if err != nil {
+		return err
+	}
+	client := transport.NewClient(nil)
+	defer client.CloseIdleConnections()
+	l := &loadgen.Runner{
+		HTTP:     client,
+		Key:      r.Key,
+		Progress: stderr,
+		Source:   source,
+		Targets:  loadgen.Targets{First: r.First, Gap: r.Gap},
+		Timer:    &timer.System{},
+	}
+	for _, a := range r.Addrs {
+		l.Addrs = append(l.Addrs, a.AddrPort)
+	}
+	fakes := &fakes{applications: r.Apps, client: client, engines: r.Engines}
+	before, err := fakes.counters(ctx)
+	if err != nil {
+		return err
+	}
+	report, err := l.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if err := fakes.compare(context.WithoutCancel(ctx), report, before); err != nil {
+		return err
+	}
+	if r.Plot != "" {
+		if err := report.SavePlots(r.Plot); err != nil {
+			return err
+		}
+	}
+	return r.print(stdout, report)
+}
+
+// print writes the report and returns errFaulty if an answer was faulty.
+func (r *run) print(w io.Writer, report *loadgen.Report) error {
+	var err error
+	if r.JSON {
+		err = writeJSON(w, report)
+	} else {
+		err = report.WriteTable(w)
+	}
+	if err == nil && !report.Right() {
+		err = errFaulty
+	}
+	return err
+}
+
+// source returns the requests to send.
+func (r *run) source() (*loadgen.Source, error) {
+	mix, err := loadgen.MixByName(r.Mix)
+	if err != nil {
+		return nil, err
+	}
+	s := &loadgen.Source{Duration: r.Duration, Mix: mix, Run: r.Run, Seed: r.Seed}
+	if s.Run == "" {
+		// Keys of an earlier run are still recorded in the store.
+		s.Run = strconv.FormatInt((&timer.System{}).Now().UnixNano(), 36)
+	}
+	switch r.Curve {
+	case "crest":
+		s.Curve = loadgen.Crest{Base: r.Rate, Duration: r.Duration}
+	case "sheet":
+		data, err := os.ReadFile(r.Sheet)
+		if err != nil {
+			return nil, errors.Wrap(err, "read sheet")
+		}
+		if s.Curve, err = loadgen.NewSheet(r.Sheet, data, r.Speed, r.Rate); err != nil {
+			return nil, err
+		}
+	default:
+		s.Curve = loadgen.Constant(r.Rate)
+	}
+	return s, nil
+}
+
+// A fakes reads the counters and records of fakes over HTTP.
+type fakes struct {
+	applications []address
+	client       *http.Client
+	engines      []address
+}
+
+// compare checks the report against the fakes' records and counters.
+func (f *fakes) compare(ctx context.Context, report *loadgen.Report, before engine.Counters) error {
+	if len(f.engines) > 0 {
+		after, err := f.counters(ctx)
+		if err != nil {
+			return err
+		}
+		report.Waste(before, after)
+	}
+	if len(f.applications) == 0 {
+		return nil
+	}
+	all := map[string]application.Record{}
+	for _, a := range f.applications {
+		var records map[string]application.Record
+		if err := f.get(ctx, a.AddrPort, application.RecordsPath, &records); err != nil {
+			return err
+		}
+		maps.Copy(all, records)
+	}
+	report.Verify(all)
+	return nil
+}
+
+// counters returns the sum of the engines' counters.
+func (f *fakes) counters(ctx context.Context) (engine.Counters, error) {
+	var sum engine.Counters
+	for _, a := range f.engines {
+		var c engine.Counters
+		if err := f.get(ctx, a.AddrPort, engine.CountersPath, &c); err != nil {
+			return sum, err
+		}
+		sum = sum.Plus(c)
+	}
+	return sum, nil
+}
+
+// get reads one JSON object from a fake.
+func (f *fakes) get(ctx context.Context, addr netip.AddrPort, path string, v any) error {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, transport.URL(addr, false)+path, nil)
+	if err != nil {
+		return err
+	}
+	response, err := f.client.Do(q)
+	if err != nil {
+		return errors.Wrap(err, "read from fake")
+	}
+	defer func() { _ = response.Body.Close() }()
+	return errors.Wrapf(transport.ReadJSON(response.Body, maxFakeBytes, v), "read %s of %s", path, addr)
+}
--- /dev/null
+++ b/internal/demo/configuration.go
@@ -0,0 +1,100 @@
+package demo
+
+import (
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/config"
+	"github.com/persimmoncart/persimmoncart/internal/loadgen"
+	"github.com/persimmoncart/persimmoncart/internal/platform"
+)
+
+// account is the account that the load runs under.
+const account = "demo"
+
+// A file is a configuration file; YAML contains JSON.
+type file struct {
+	Accounts  []config.AccountSpec  `json:"accounts"`
+	Endpoints []config.EndpointSpec `json:"endpoints"`
+	Links     []config.LinkSpec     `json:"links"`
+	Pools     []config.PoolSpec     `json:"pools"`
+	Routes    []config.RouteSpec    `json:"routes"`
+}
+
+// regionLink is the rate of the link between two regions: 30 Mbit/s.
+const regionLink = 30e6 / 8
+
+// Configuration returns the changes that configure a deployment with the given
+// endpoints, the routes of its mix, and an account with an API key.
+func Configuration(d platform.Deployment, endpoints []persimmoncart.Endpoint, mix loadgen.Mix, key string) ([]persimmoncart.ConfigChange, error) {
+	f := file{
+		Accounts: []config.AccountSpec{{
+			Class: persimmoncart.ClassInteractive, Keys: []config.KeyHash{config.HashKey(key)}, Name: account, Rate: 1000,
+		}},
+		Pools: []config.PoolSpec{
+			{Name: string(d.Application), Role: persimmoncart.RoleApplication},
+			{Models: []string{string(d.Model)}, Name: string(d.Pool)},
+		},
+	}
+	for _, c := range d.Centres {
+		f.Pools[1].Decode += c.Decode
+		f.Pools[1].Prefill += c.Prefill
+	}
+	for _, e := range endpoints {
+		f.Endpoints = append(f.Endpoints, endpointSpec(e))
+	}
+	for _, p := range mix.Parts {
+		f.Routes = append(f.Routes, routeSpec(d, p))
+	}
+	f.Links = []config.LinkSpec{{
+		From: string(d.Centres[0].Region), Name: "regions", Rate: regionLink, To: string(d.Centres[len(d.Centres)-1].Region),
+	}}
+	data, err := json.Marshal(f)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode configuration")
+	}
+	entries, issues := config.ParseYAML("demo", data)
+	if len(issues) > 0 {
+		return nil, errors.Wrap(issues, "parse configuration")
+	}
+	return config.Diff(config.NewState(nil), config.NewState(entries)), nil
+}
+
+// endpointSpec returns the configuration of one endpoint.
+func endpointSpec(e persimmoncart.Endpoint) config.EndpointSpec {
+	s := config.EndpointSpec{
+		Addr:   e.Addr,
+		Blocks: e.Blocks,
+		Centre: string(e.DataCentre),
+		Name:   string(e.ID),
+		Pool:   string(e.Pool),
+		Region: string(e.Region),
+		Role:   e.Role,
+		Slots:  e.Slots,
+	}
+	for _, m := range e.Models {
+		s.Models = append(s.Models, string(m))
+	}
+	return s
+}
+
+// routeSpec returns the configuration of the route of one part of a mix.
+func routeSpec(d platform.Deployment, p loadgen.Part) config.RouteSpec {
+	r := config.RouteSpec{
+		Class:   persimmoncart.ClassInteractive,
+		Name:    string(p.Route),
+		Pool:    string(d.Application),
+		Timeout: config.Duration(p.Deadline),
+	}
+	switch p.Kind {
+	case loadgen.KindDraft:
+		r.Class = persimmoncart.ClassBatch
+		r.Limit, r.Models, r.Pool = p.Output.High, []string{string(d.Model)}, string(d.Pool)
+	case loadgen.KindLookup:
+		r.Hedge, r.Repeat = true, true
+	case loadgen.KindRecord:
+	}
+	return r
+}
--- a/internal/engine/handler.go
+++ b/internal/engine/handler.go
@@ -39,7 +39,7 @@
 	r.Post(prefillPath, post(h.prefill))
 	r.Post(releasePath, post(h.release))
 	if h.Fake != nil {
-		r.Get(countersPath, func(w http.ResponseWriter, _ *http.Request) {
+		r.Get(CountersPath, func(w http.ResponseWriter, _ *http.Request) {
 			transport.WriteJSON(w, http.StatusOK, h.Fake.Counters())
 		})
 		r.Get(kvPath, h.export)
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -7,19 +7,21 @@
 	"github.com/persimmoncart/persimmoncart"
 )
 
+// CountersPath serves the counters of a Fake as a JSON object.
+const CountersPath = "/-/counters"
+
 const (
-	cachePath    = "/v1/cache"
-	cancelPath   = "/v1/cancel"
-	countersPath = "/-/counters"
-	decodePath   = "/v1/decode"
-	faultsPath   = "/-/faults"
-	importPath   = "/v1/import"
-	kvPath       = "/v1/kv"
-	loadPath     = "/v1/load"
-	orderPath    = "/v1/order"
-	prefillPath  = "/v1/prefill"
-	releasePath  = "/v1/release"
-	workPath     = "/v1/work"
+	cachePath   = "/v1/cache"
+	cancelPath  = "/v1/cancel"
+	decodePath  = "/v1/decode"
+	faultsPath  = "/-/faults"
+	importPath  = "/v1/import"
+	kvPath      = "/v1/kv"
+	loadPath    = "/v1/load"
+	orderPath   = "/v1/order"
+	prefillPath = "/v1/prefill"
+	releasePath = "/v1/release"
+	workPath    = "/v1/work"
 )
 
 // Codes of error answers.
