--- a/cmd/persimmonfake/internal/cmd/all.go
+++ b/cmd/persimmonfake/internal/cmd/all.go
@@ -9,7 +9,7 @@
 // An all runs a whole deployment.
 type all struct {
 	command
-	Addr       address `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7100" description:"Address of the store; weight store, instance list and endpoints take the ports after it"`
+	Addr       address `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7100" description:"Address of the store; weight store, instance list, summary of counters and records, and endpoints take the ports after it"`
 	Deployment string  `long:"deployment" env:"PERSIMMONFAKE_DEPLOYMENT" default:"dar-jaouz" choice:"dar-jaouz" choice:"peachthread" description:"Deployment at today's sizes"`
 }
 
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -201,7 +201,7 @@
 			Op:  op,
 		}
 	case codeInvalid:
-		return &RequestError{Reason: p.Message}
+		return &persimmoncart.UnavailableError{Err: &RequestError{Reason: p.Message}, Op: op}
 	case codeNotFound:
 		return &persimmoncart.NotFoundError{Key: key}
 	case codeTooLarge:
--- a/internal/objectapi/memory.go
+++ b/internal/objectapi/memory.go
@@ -74,6 +74,9 @@
 
 // Delete implements persimmoncart.Store.
 func (m *Memory) Delete(ctx context.Context, key string, version persimmoncart.Version) error {
+	if version == 0 {
+		return &persimmoncart.ConflictError{Have: m.versionOf(key), Key: key}
+	}
 	_, err := m.write(ctx, key, nil, version, true)
 	return err
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -41,6 +43,7 @@
 	Memory       *objectapi.Memory
 	Records      *application.Records
 	StoreAddr    netip.AddrPort
+	SummaryAddr  netip.AddrPort // sums of the fakes' counters and records
 	Weights      *weightstore.Fake
 	WeightsAddr  netip.AddrPort
 
@@ -74,6 +77,9 @@
 	if p.ListAddr, err = p.listen(ctx, &Server{Handler: list.Handler(), Name: "list"}); err != nil {
 		return err
 	}
+	if p.SummaryAddr, err = p.listen(ctx, &Server{Handler: p.summary(), Name: "summary"}); err != nil {
+		return err
+	}
 	return p.listenEndpoints(ctx)
 }
 
@@ -95,6 +101,19 @@
 	return sum
 }
 
+// summary returns a handler that serves the engines' counters and the
+// application endpoints' records as one engine and one endpoint do.
+func (p *Platform) summary() http.Handler {
+	r := chi.NewRouter()
+	r.Get(engine.CountersPath, func(w http.ResponseWriter, _ *http.Request) {
+		transport.WriteJSON(w, http.StatusOK, p.Counters())
+	})
+	r.Get(application.RecordsPath, func(w http.ResponseWriter, _ *http.Request) {
+		transport.WriteJSON(w, http.StatusOK, p.Records.All())
+	})
+	return r
+}
+
 // listen opens the listener of s on the next port.
 func (p *Platform) listen(ctx context.Context, s *Server) (netip.AddrPort, error) {
 	s.Addr = netip.AddrPortFrom(p.Addr.Addr(), p.next)
