persimmonload: write the configuration of a fake deployment to its store

Cause: processes of persimmonfake and persimmoncart had no configuration in common, and reading fakes' counters failed because go-faster/errors wraps nil. Change: add persimmonload configure, show the first instance list at once, and wrap only errors.

--- a/cmd/persimmonload/internal/cmd/root.go
+++ b/cmd/persimmonload/internal/cmd/root.go
@@ -29,8 +29,9 @@
 
 // A root holds the commands.
 type root struct {
-	Demo demo `command:"demo" description:"Run both deployments with two entry instances in one process and check every answer"`
-	Run  run  `command:"run" description:"Send load to entry instances and check every answer"`
+	Configure configure `command:"configure" description:"Write the configuration of a deployment to the store"`
+	Demo      demo      `command:"demo" description:"Run both deployments with two entry instances in one process and check every answer"`
+	Run       run       `command:"run" description:"Send load to entry instances and check every answer"`
 }
 
 // Run runs the command line until ctx is done and returns the exit code: 0 when
--- a/cmd/persimmonload/internal/cmd/run.go
+++ b/cmd/persimmonload/internal/cmd/run.go
@@ -179,5 +179,8 @@
 		return errors.Wrap(err, "read from fake")
 	}
 	defer func() { _ = response.Body.Close() }()
-	return errors.Wrapf(transport.ReadJSON(response.Body, maxFakeBytes, v), "read %s of %s", path, addr)
+	if err := transport.ReadJSON(response.Body, maxFakeBytes, v); err != nil {
+		return errors.Wrapf(err, "read %s of %s", path, addr)
+	}
+	return nil
 }
--- a/internal/instancelist/fake.go
+++ b/internal/instancelist/fake.go
@@ -17,7 +17,7 @@
 
 // A Fake is an instance list in memory. Set the exported fields before the first call.
 //
-// A change shows after Lag.
+// The first list shows at once, and each later change after Lag.
 type Fake struct {
 	Lag   time.Duration
 	Timer persimmoncart.Timer
@@ -42,7 +42,10 @@
 	if n := len(f.changes); n > 0 {
 		newest = slices.Clone(f.changes[n-1].list)
 	}
-	at := f.Timer.Now().Add(f.Lag)
+	at := f.Timer.Now()
+	if len(f.changes) > 0 {
+		at = at.Add(f.Lag)
+	}
 	f.changes = append(f.changes, timedList{at: at, list: change(newest)})
 	f.trim()
 }
