route: avoid endpoints that failed lately

Cause: the balancer learns only latencies, so that an endpoint that fails fast looked like the least loaded one and used up the retry budget: of 20 lookups with one of two endpoints down, the fifth was refused.

--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -94,6 +94,7 @@
 		a.exported = !notRun(err)
 		return errors.Wrap(err, "prefill")
 	}
+	a.router.health.answered(a.grant.Prefill.ID)
 	a.result = result
 	a.router.Places.PrefillDone(a.grant.ID)
 	return nil
@@ -157,6 +158,7 @@
 func (a *attempt) passed(last bool) {
 	a.tokens++
 	if a.tokens == 1 {
+		a.router.health.answered(a.grant.Decode.ID)
 		a.reported, a.started = 1, a.router.Timer.Now()
 		return
 	}
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -91,6 +91,8 @@
 	if refusal := as[*persimmoncart.Refusal](err); refusal != nil {
 		return c.refuse(refusal)
 	}
+	bad := culprit(s, failed, err)
+	c.router.health.failed(c.router.Timer.Now(), bad, err)
 	if !c.router.again(ctx, c.Route.Name, c.Account.Name, c.result.Attempts, c.Deadline) {
 		if cause := context.Cause(ctx); cause != nil {
 			return c.interrupted(cause)
@@ -99,8 +101,8 @@
 	}
 	c.result.Reason = c.reason(s, err)
 	c.router.Metrics.Retried(c.result.Reason)
-	if id := culprit(s, failed, err); id != "" {
-		c.avoid = append(c.avoid, id)
+	if bad != "" {
+		c.avoid = append(c.avoid, bad)
 	}
 	return nil
 }
--- a/internal/route/plain.go
+++ b/internal/route/plain.go
@@ -150,7 +150,11 @@
 
 // pick chooses an endpoint.
 func (c *call) pick(ctx context.Context, avoid []persimmoncart.EndpointID) (persimmoncart.Endpoint, error) {
-	endpoint, err := c.router.Balancer.Pick(ctx, persimmoncart.PickRequest{Avoid: avoid, Pool: c.Route.Pool, Route: c.Route.Name})
+	endpoint, err := c.router.Balancer.Pick(ctx, persimmoncart.PickRequest{
+		Avoid: c.router.health.avoid(c.router.Timer.Now(), avoid),
+		Pool:  c.Route.Pool,
+		Route: c.Route.Name,
+	})
 	if err != nil {
 		return endpoint, errors.Wrap(err, "pick")
 	}
@@ -188,8 +192,12 @@
 		Role:      persimmoncart.RoleApplication,
 	})
 	if err != nil {
+		if ctx.Err() == nil {
+			r.health.failed(r.Timer.Now(), endpoint.ID, err)
+		}
 		return reply{endpoint: endpoint, err: errors.Wrap(err, "call")}
 	}
+	r.health.answered(endpoint.ID)
 	r.Budgets.Latency(c.Route.Pool, latency)
 	r.Metrics.Called(c.Route.Name, latency)
 	return reply{endpoint: endpoint, response: response}
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -50,6 +50,7 @@
 	Transfer     time.Duration // zero means DefaultTransfer
 
 	background sync.WaitGroup
+	health     health
 }
 
 // Wait waits until all memory of ended requests is freed or given up and all
