route: do not report a repeated call as not run while the store is down

Cause: a payment that ran, and whose caller repeated its key during an outage of the store, was refused as not run, from which the caller could conclude that it may pay again under a new key.

--- a/cmd/persimmoncart/internal/cmd/run.go
+++ b/cmd/persimmoncart/internal/cmd/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/application"
+	"github.com/persimmoncart/persimmoncart/internal/claim"
 	"github.com/persimmoncart/persimmoncart/internal/config"
 	"github.com/persimmoncart/persimmoncart/internal/control"
 	"github.com/persimmoncart/persimmoncart/internal/engine"
@@ -73,6 +74,9 @@
 	}
 	if c.Store.IsValid() {
 		i.Store = &objectapi.Client{Addr: c.Store, HTTP: b.client, Secure: secure, Timer: b.timer}
+		claims := &claim.Claims{Logger: b.logger, Registerer: i.Metrics.Registry, Self: c.Self.Tag(), Store: i.Store, Timer: b.timer}
+		i.Claims = claims
+		b.serve("claims", claims.Run)
 	}
 	b.configuration(i)
 	p := &places.Places{Configuration: i.Configuration, Self: c.Self, Timer: b.timer}
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -19,9 +19,11 @@
 
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/application"
+	"github.com/persimmoncart/persimmoncart/internal/claim"
 	"github.com/persimmoncart/persimmoncart/internal/control"
 	"github.com/persimmoncart/persimmoncart/internal/engine"
 	"github.com/persimmoncart/persimmoncart/internal/entry"
+	"github.com/persimmoncart/persimmoncart/internal/objectapi"
 	"github.com/persimmoncart/persimmoncart/internal/places"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
@@ -35,6 +37,7 @@
 	done         chan error   // of the instance
 	engines      []*engine.Fake
 	records      *application.Records
+	store        *objectapi.Faulty
 	stop         func() error
 }
 
@@ -67,6 +70,7 @@
 	clock := &timer.System{}
 	n := &network{listeners: make(map[string]*listener)}
 	f := &fleet{records: &application.Records{}}
+	f.store = &objectapi.Faulty{Store: &objectapi.Memory{Timer: clock}, Timer: clock}
 	snapshot := &persimmoncart.Snapshot{
 		Accounts:  map[persimmoncart.AccountID]*persimmoncart.Account{"dar": {Name: "dar", Weight: 1}},
 		Endpoints: make(map[persimmoncart.EndpointID]*persimmoncart.Endpoint),
@@ -76,6 +80,7 @@
 		},
 		Routes: map[persimmoncart.RouteName]*persimmoncart.Route{
 			"draft": {Class: persimmoncart.ClassInteractive, Limit: 100, Models: []persimmoncart.ModelName{"hull-llm"}, Name: "draft", Pool: "hull", Timeout: 30 * time.Second},
+			"post":  {Name: "post", Pool: "yard", Timeout: 10 * time.Second},
 			"stock": {Hedge: true, Name: "stock", Pool: "yard", Repeat: true, Timeout: 10 * time.Second},
 		},
 		Version: 1,
@@ -111,10 +116,12 @@
 	self := persimmoncart.Instance{DataCentre: "hall", ID: "i", Incarnation: 1, Region: "coast"}
 	p := &places.Places{Configuration: configuration, Seed: 1, Self: self, Timer: &timer.System{}}
 	owner := &entry.SoleOwner{Configuration: configuration, Region: "coast", Usables: p}
+	c := &claim.Claims{Logger: zerolog.Nop(), Self: self.Tag(), Store: f.store, Timer: &timer.System{}}
 	l := newListener()
 	i := &entry.Instance{
 		Applications:  &application.Clients{HTTP: client},
 		Balancer:      p,
+		Claims:        c,
 		Configuration: configuration,
 		Engines:       &engine.Clients{HTTP: client},
 		Grace:         time.Second,
@@ -122,7 +129,7 @@
 		Logger:        zerolog.Nop(),
 		Places:        p,
 		Self:          self,
-		Services:      []control.Service{{Name: "places", Run: p.Run}, {Name: "owner", Run: owner.Run}},
+		Services:      []control.Service{{Name: "places", Run: p.Run}, {Name: "owner", Run: owner.Run}, {Name: "claims", Run: c.Run}},
 		Timer:         &timer.System{},
 	}
 	f.client = &http.Client{Transport: &http.Transport{DialContext: l.dial}}
--- a/internal/route/once.go
+++ b/internal/route/once.go
@@ -44,11 +44,18 @@
 	}
 	own, stop := withTimeout(context.WithoutCancel(ctx), r.Timer, c.Deadline.Sub(r.Timer.Now()), errDeadline)
 	defer stop()
-	grant, err := c.claim(own)
+	key := ClaimKey(c.Account.Name, c.Route.Name, c.Key)
+	grant, err := c.claim(own, key)
 	if err != nil {
+		if r.seen.has(key) {
+			return nil, earlier(err)
+		}
 		return nil, storeDown(err)
 	}
 	if !grant.Granted {
+		if grant.Record.State != persimmoncart.ClaimNotRun {
+			r.seen.add(key)
+		}
 		return repeated(grant.Record)
 	}
 	r.Budgets.First(c.Route.Name, c.Account.Name)
@@ -58,10 +65,10 @@
 }
 
 // claim records the call before its dispatch.
-func (c *call) claim(ctx context.Context) (persimmoncart.ClaimGrant, error) {
+func (c *call) claim(ctx context.Context, key persimmoncart.ClaimKey) (persimmoncart.ClaimGrant, error) {
 	ctx, stop := withTimeout(ctx, c.router.Timer, claimWait, errDeadline)
 	defer stop()
-	grant, err := c.router.Claims.Claim(ctx, ClaimKey(c.Account.Name, c.Route.Name, c.Key))
+	grant, err := c.router.Claims.Claim(ctx, key)
 	if err != nil {
 		return grant, errors.Wrap(err, "claim")
 	}
@@ -81,6 +88,7 @@
 			r.Balancer.Done(persimmoncart.CallResult{Cancelled: true, Endpoint: endpoint.ID, Pool: c.Route.Pool, Role: persimmoncart.RoleApplication})
 			return nil, err
 		}
+		r.seen.add(grant.Key)
 		p := c.note(c.send(own, endpoint, grant.Record.Fence))
 		if p.err == nil {
 			return p.response, nil
@@ -176,6 +184,18 @@
 	return nil, refusal
 }
 
+// earlier returns the refusal of a call that could not be claimed and whose key
+// was used before.
+func earlier(err error) error {
+	return &persimmoncart.Refusal{
+		Code:    persimmoncart.RefusalStoreDown,
+		Err:     err,
+		Message: "the end of an earlier call with this key cannot be read",
+		Outcome: persimmoncart.OutcomeUnknown,
+		Retry:   retryAfter,
+	}
+}
+
 // storeDown returns the refusal of a call that could not be claimed.
 func storeDown(err error) error {
 	r := &persimmoncart.Refusal{
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -51,6 +51,7 @@
 
 	background sync.WaitGroup
 	health     health
+	seen       seen
 }
 
 // Wait waits until all memory of ended requests is freed or given up and all
