overhead: measure what an entry instance adds

Cause: nothing measured the cost of the stream path against its target. Change: add make bench-overhead, which sends the planned load of one node through an instance and to the fake engines directly in turns; the engine's token stream reports whether a token is already buffered, so that several are flushed at once.

--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,13 @@
 SEED ?= 1
 MODULES = . ./cmd/persimmoncart ./cmd/persimmonctl ./cmd/persimmonfake ./cmd/persimmonload
 
-.PHONY: all build fmt generate lint test tidy vet
+.PHONY: all bench-overhead build fmt generate lint test tidy vet
 
 all: build
 
+bench-overhead:
+	go run ./internal/overhead/run --seed=$(SEED)
+
 build:
 	go build -o bin/ ./cmd/persimmoncart ./cmd/persimmonctl ./cmd/persimmonfake ./cmd/persimmonload
 
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -76,6 +76,8 @@
 	return err == nil && bytes.IndexByte(b, '\n') >= 0
 }
 
+var _ persimmoncart.BufferedTokenStream = (*clientTokens)(nil)
+
 // A clientTokens is the answer of one generation over HTTP.
 type clientTokens struct {
 	*lines
@@ -83,6 +85,13 @@
 	parser *tokenParser
 }
 
+// Buffered implements persimmoncart.BufferedTokenStream.
+func (s *clientTokens) Buffered() bool {
+	b, err := s.reader.Peek(s.reader.Buffered())
+	// Empty lines separate the events and are not tokens.
+	return err == nil && bytes.IndexByte(bytes.TrimLeft(b, "\n"), '\n') >= 0
+}
+
 // Next implements persimmoncart.TokenStream. Besides the errors of the interface
 // it returns those of tokenParser.parse. When ctx ends, the generation is cancelled.
 func (s *clientTokens) Next(ctx context.Context) (persimmoncart.Token, error) {
