--- a/cmd/persimmoncart/internal/cmd/main_test.go
+++ b/cmd/persimmoncart/internal/cmd/main_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"gotest.tools/v3/assert"
 
 	"github.com/persimmoncart/persimmoncart/cmd/persimmoncart/internal/cmd"
+	"github.com/persimmoncart/persimmoncart/internal/config"
+	"github.com/persimmoncart/persimmoncart/internal/platform"
 )
 
 func TestMain(m *testing.M) {
@@ -18,5 +22,27 @@
 // Guards against wrong settings that are found only in service, and against
 // checks that name just the first of several.
 func TestScripts(t *testing.T) {
-	testscript.Run(t, testscript.Params{Dir: "testdata"})
+	example, err := filepath.Abs("../../../../examples/dar-jaouz.yaml")
+	assert.NilError(t, err)
+	testscript.Run(t, testscript.Params{Dir: "testdata", Setup: func(e *testscript.Env) error {
+		e.Setenv("EXAMPLE", example)
+		return nil
+	}})
+}
+
+// Guards against an example that does not name the endpoints which persimmonfake
+// serves, so that the page on running processes does not work.
+func TestExample(t *testing.T) {
+	static, err := config.LoadStatic("../../../../examples/dar-jaouz.yaml")
+	assert.NilError(t, err)
+	endpoints := platform.DarJaouz().Endpoints()
+	assert.Equal(t, len(static.Snapshot().Endpoints), len(endpoints))
+	for n, want := range endpoints {
+		have := static.Snapshot().Endpoints[want.ID]
+		assert.Assert(t, have != nil, want.ID)
+		assert.Equal(t, int(have.Addr.Port()), 7103+n)
+		assert.Equal(t, have.DataCentre, want.DataCentre)
+		assert.Equal(t, have.Pool, want.Pool)
+		assert.Equal(t, have.Role, want.Role)
+	}
 }
--- a/cmd/persimmoncart/internal/cmd/run.go
+++ b/cmd/persimmoncart/internal/cmd/run.go
@@ -30,7 +30,7 @@
 func run(ctx context.Context, s *Settings, checked Checked, logs io.Writer) error {
 	b := &builder{
 		checked:  checked,
-		logger:   zerolog.New(logs).Level(checked.Level).With().Timestamp().Str("instance", string(checked.Self.ID)).Logger(),
+		logger:   zerolog.New(logs).Level(checked.Level).With().Timestamp().Logger(),
 		settings: s,
 		timer:    &timer.System{},
 	}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -76,7 +76,7 @@
 	failed := a.listen()
 	unsubscribe := a.follow()
 	a.publish(control.PhaseChanged{Phase: control.PhaseServing})
-	i.Logger.Info().Str("instance", string(i.Self.ID)).Str("callers", i.Listener.Addr().String()).Msg("serving")
+	i.Logger.Info().Str("callers", i.Listener.Addr().String()).Msg("serving")
 
 	var err error
 	select {
@@ -91,6 +91,7 @@
 
 // defaults fills the optional fields.
 func (i *Instance) defaults() {
+	i.Logger = i.Logger.With().Str("instance", string(i.Self.ID)).Logger()
 	if i.Metrics == nil {
 		i.Metrics = metrics.New()
 	}
