policy: pass over requests of one need without blocking the other

Single slow replicas owned by one instance were not noticed either, for lack of others to compare with, and slow prefills only by late results. Change: requests that need only a prefill are counted apart. With fewer than three replicas to compare, the pool's target stands in for the median. Prefill waits in digests include the replica's speed; measured rates return to normal without samples. Deadlines are planned with a high quantile of answer lengths.

--- a/borrow.go
+++ b/borrow.go
@@ -75,10 +75,10 @@
 	Pool       PoolName
 	Region     Region
 	Role       Role
-	Slots      int // all slots
-	Stragglers int // replicas of lowered weight
-	Wait       time.Duration
-	Waiting    int // requests that wait in the owner's queue
+	Slots      int           // all slots
+	Stragglers int           // replicas of lowered weight
+	Wait       time.Duration // expected time to prefill 4,096 tokens; zero for decode
+	Waiting    int           // requests that wait in the owner's queue
 }
 
 // A Seat is one slot that an owner lent.
--- a/internal/bench/ours.go
+++ b/internal/bench/ours.go
@@ -94,7 +94,7 @@
 	o.world.after(crashDetected, func() {
 		for _, p := range o.order {
 			p.broker.Forget(id)
-			p.broker.ReleaseFrom(id)
+			p.broker.ReleaseFrom(o.world.now(), id)
 		}
 	})
 }
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -17,6 +17,9 @@
 	jobs        []*job
 	messages    int
 	nodes       int
+	held        float64 // decode slots in use, summed over samples
+	running     float64 // decode slots that generate, summed over samples
+	slots       float64 // decode slots, summed over samples
 	prefilled   float64 // tokens computed
 	values      map[string]float64
 	wasted      float64 // tokens computed in vain
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -125,7 +125,13 @@
 
 // report publishes the load of all engines after its lag.
 func (w *world) report() {
+	t := w.now().Sub(w.start)
 	for _, r := range w.replicas {
+		if r.endpoint.Role == persimmoncart.RoleDecode && t >= w.scenario.warmup() && t < w.scenario.length {
+			w.result.slots += float64(r.endpoint.Slots)
+			w.result.held += float64(r.held)
+			w.result.running += float64(len(r.running))
+		}
 		load, lag := r.load(), reportLag
 		if r.slow > 1 {
 			lag = reportLate
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -76,9 +76,9 @@
 
 // Dead implements persimmoncart.Loads.
 func (p *Places) Dead(instance persimmoncart.InstanceID) {
-	p.do(func(time.Time) {
+	p.do(func(now time.Time) {
 		p.broker.Forget(instance)
-		p.broker.ReleaseFrom(instance)
+		p.broker.ReleaseFrom(now, instance)
 	})
 }
 
--- a/internal/policy/broker.go
+++ b/internal/policy/broker.go
@@ -76,6 +76,8 @@
 	settings   BrokerSettings
 	stragglers *Stragglers
 	tickets    map[uint64]*waiter
+
+	uncommitted map[persimmoncart.GrantID]time.Time // expiry
 }
 
 // NewBroker returns a Broker without replicas. Zero settings get their defaults.
@@ -102,6 +104,8 @@
 		settings:   s,
 		stragglers: NewStragglers(),
 		tickets:    make(map[uint64]*waiter),
+
+		uncommitted: make(map[persimmoncart.GrantID]time.Time),
 	}
 }
 
@@ -177,8 +181,12 @@
 		return false
 	}
 	g.committed = true
-	b.commitPart(now, &g.decode)
-	b.commitPart(now, &g.prefill)
+	delete(b.uncommitted, id)
+	for _, p := range []*part{&g.decode, &g.prefill} {
+		if p.holding != 0 {
+			b.ledger.Commit(p.holding)
+		}
+	}
 	return true
 }
 
@@ -199,6 +207,7 @@
 		return
 	}
 	delete(b.grants, id)
+	delete(b.uncommitted, id)
 	g.lane.learnFill(g, now)
 	b.releasePart(now, &g.prefill, 0)
 	b.releasePart(now, &g.decode, g.pace)
@@ -226,17 +235,6 @@
 // Waiting returns the number of own and borrowing requests in the queues.
 func (b *Broker) Waiting() int { return len(b.tickets) }
 
-// commitPart keeps one half of a grant.
-func (b *Broker) commitPart(now time.Time, p *part) {
-	switch {
-	case p.endpoint == nil:
-	case p.holding != 0:
-		b.ledger.Commit(p.holding)
-	default:
-		b.peers.settle(now, p.owner, persimmoncart.SeatChange{ID: p.seat, Kind: persimmoncart.SeatCommitted})
-	}
-}
-
 // drop removes a waiter and whatever it has secured.
 func (b *Broker) drop(now time.Time, w *waiter) {
 	delete(b.tickets, w.ID)
@@ -262,7 +260,7 @@
 	case p.endpoint == nil:
 	case p.holding != 0:
 		if p.replica.Endpoint.Role == persimmoncart.RolePrefill {
-			p.replica.Unqueue(p.holding, took)
+			p.replica.Unqueue(now, p.holding, took)
 		}
 		b.ledger.Release(p.holding)
 		delete(b.byHolding, p.holding)
--- a/internal/policy/lane.go
+++ b/internal/policy/lane.go
@@ -14,11 +14,19 @@
 	// defaultPace is the expected time between tokens until it is measured.
 	defaultPace = 45 * time.Millisecond
 	// defaultFill is the expected share of the output limit that is generated.
-	defaultFill = 0.6
-	// fillGain is the weight of one new sample of the generated share.
-	fillGain = 0.05
+	defaultFill = 0.9
+	// clearlyBetter is the time by which another owner's prefill must end
+	// earlier before a slot is borrowed although an own one is free.
+	clearlyBetter = 200 * time.Millisecond
+	// fillQuantile is the quantile of the generated share that deadlines are
+	// planned with: most answers that start just in time must end in time, or
+	// their prefill is wasted. fillStep is the step of its estimate.
+	fillQuantile = 0.97
+	fillStep     = 0.02
 	// laneBypass is how many waiting requests that do not fit now may be
-	// passed over, so that a large one does not block small ones.
+	// passed over, so that a large one does not block small ones. Those that
+	// need only a prefill are counted apart from those that need a decode slot:
+	// one resource that is used up must not leave the other one idle.
 	laneBypass = 8
 	// promptCost is how many prompt tokens cost as much as one output token.
 	promptCost = 64
@@ -95,7 +103,11 @@
 		pace = l.pace
 	}
 	share := float64(now.Sub(g.prefilled)) / float64(pace) / float64(g.limit)
-	l.fill += fillGain * (min(share, 1) - l.fill)
+	if min(share, 1) < l.fill {
+		l.fill = max(l.fill-fillStep*(1-fillQuantile), fillStep)
+	} else {
+		l.fill = min(l.fill+fillStep*fillQuantile, 1)
+	}
 }
 
 // prefillTime returns the time of a prefill on the fastest replica.
@@ -138,7 +150,7 @@
 // Next returns when Step has something to do without another event.
 func (b *Broker) Next(now time.Time) time.Time {
 	next := b.ledger.Next()
-	if len(b.tickets) > 0 || len(b.lends) > 0 || b.peers.pending() {
+	if len(b.tickets) > 0 || len(b.lends) > 0 || len(b.uncommitted) > 0 || b.peers.pending() {
 		if tick := now.Add(brokerTick); next.IsZero() || tick.Before(next) {
 			return tick
 		}
@@ -150,6 +162,7 @@
 // borrows for the rest, answers borrows and settles lent seats.
 func (b *Broker) Step(now time.Time) {
 	b.ledger.Expire(now, func(h Holding) { b.expired(now, h) })
+	b.expireGrants(now)
 	b.refreshWeights(now)
 	for _, l := range b.order {
 		b.stepLane(now, l)
@@ -166,12 +179,22 @@
 	}
 	delete(b.byHolding, h.ID)
 	if s, lent := b.seats[id]; lent {
-		b.freeSeat(id, s)
+		b.freeSeat(now, id, s)
 		return
 	}
 	b.Release(now, id)
 }
 
+// expireGrants releases the grants that were not committed in time, wherever
+// their slots are.
+func (b *Broker) expireGrants(now time.Time) {
+	for _, id := range sortedKeys(b.uncommitted) {
+		if now.After(b.uncommitted[id]) {
+			b.Release(now, id)
+		}
+	}
+}
+
 // stepLane serves the waiting requests of one lane.
 func (b *Broker) stepLane(now time.Time, l *lane) {
 	l.served.tick(now, l.queue.Len() > 0)
@@ -180,21 +203,26 @@
 		return
 	}
 	var served, late, unplaced []*waiter
-	missed := 0
+	missed := [2]int{} // of requests that need a decode slot, and of others
 	l.queue.Order(func(e *Item) bool {
 		w := b.tickets[e.ID]
+		kind := 0
+		if !w.needDecode || w.decode.endpoint != nil {
+			kind = 1
+		}
 		switch {
 		case now.After(e.Latest):
 			late = append(late, w)
+		case missed[kind] >= laneBypass:
 		case b.secure(now, l, w):
 			served = append(served, w)
 		default:
 			if w.lend == nil {
 				unplaced = append(unplaced, w)
 			}
-			missed++
+			missed[kind]++
 		}
-		return missed < laneBypass
+		return missed[0] < laneBypass || missed[1] < laneBypass
 	})
 	for _, w := range late {
 		b.refuse(now, l, w)
@@ -220,7 +248,7 @@
 	needDecode := w.needDecode && w.decode.endpoint == nil
 	needPrefill := w.needPrefill && w.prefill.endpoint == nil
 	if needDecode && needPrefill {
-		if c, found := b.placement.Choose(now, &w.ask, l.prefills, l.decodes); found {
+		if c, found := b.placement.Choose(now, &w.ask, l.prefills, l.decodes); found && !b.prefillElsewhere(now, l, w, c.Wait) {
 			b.takeDecode(now, w, c.Decode)
 			b.takePrefill(now, w, c.Prefill)
 			b.placement.reserveTransfer(now, &c, w.ask.Tokens)
@@ -239,7 +267,7 @@
 
 // secureDecode takes a decode slot from the stock or the own replicas.
 func (b *Broker) secureDecode(now time.Time, l *lane, w *waiter) bool {
-	if b.takeStock(l, w, persimmoncart.RoleDecode, &w.decode) {
+	if b.takeStock(now, l, w, persimmoncart.RoleDecode, &w.decode) {
 		return true
 	}
 	if w.lend == nil && !b.prefillNear(now, l, w) {
@@ -255,17 +283,31 @@
 // securePrefill takes a prefill slot from the stock or the own replicas, in the
 // region of the decode slot.
 func (b *Broker) securePrefill(now time.Time, l *lane, w *waiter) bool {
-	if b.takeStock(l, w, persimmoncart.RolePrefill, &w.prefill) {
+	if b.takeStock(now, l, w, persimmoncart.RolePrefill, &w.prefill) {
 		return true
 	}
 	if w.decode.endpoint != nil {
 		w.ask.Home, w.ask.Region = w.decode.endpoint.DataCentre, w.decode.endpoint.Region
 	}
 	r, found := b.placement.ChoosePrefill(now, &w.ask, l.prefills)
-	if found {
-		b.takePrefill(now, w, r)
+	if !found || b.prefillElsewhere(now, l, w, r.Wait(now)+r.duration(w.ask.Tokens-r.cached)) {
+		return false
+	}
+	b.takePrefill(now, w, r)
+	return true
+}
+
+// prefillElsewhere reports whether another owner would prefill clearly earlier
+// than wait from now, and can be asked.
+func (b *Broker) prefillElsewhere(now time.Time, l *lane, w *waiter, wait time.Duration) bool {
+	if w.lend != nil || wait < clearlyBetter || now.Before(l.borrowAfter) {
+		return false
+	}
+	other := b.peers.prefillWait(l.key, cmp.Or(w.ask.Region, b.settings.Region))
+	if other > b.settings.MaxWait {
+		return false
 	}
-	return found
+	return wait > other+l.prefillTime(w.ask.Tokens)+clearlyBetter
 }
 
 // prefillNear reports whether a prefill slot can be expected, so that a decode
@@ -326,6 +368,7 @@
 	}
 	id := b.id(w.ID)
 	b.grants[id] = g
+	b.uncommitted[id] = g.expires
 	for _, p := range []*part{&g.decode, &g.prefill} {
 		if p.holding != 0 {
 			b.ledger.Extend(p.holding, g.expires)
@@ -352,7 +395,7 @@
 }
 
 // takeStock gives a waiter a borrowed seat that fits it.
-func (b *Broker) takeStock(l *lane, w *waiter, role persimmoncart.Role, p *part) bool {
+func (b *Broker) takeStock(now time.Time, l *lane, w *waiter, role persimmoncart.Role, p *part) bool {
 	for i, s := range l.stock {
 		if s.seat.Role != role || w.lend != nil || slices.Contains(w.ask.Avoid, s.endpoint.ID) {
 			continue
@@ -364,6 +407,8 @@
 			continue
 		}
 		*p = part{cached: s.seat.Cached, endpoint: s.endpoint, first: s.seat.First, owner: s.owner, seat: s.seat.ID}
+		// The seat stays at the owner while the other half is looked for.
+		b.peers.settle(now, s.owner, persimmoncart.SeatChange{ID: s.seat.ID, Kind: persimmoncart.SeatCommitted})
 		l.stock = slices.Delete(l.stock, i, i+1)
 		return true
 	}
--- a/internal/policy/lend.go
+++ b/internal/policy/lend.go
@@ -57,10 +57,10 @@
 }
 
 // ReleaseFrom frees all seats lent to an instance that has ended.
-func (b *Broker) ReleaseFrom(instance persimmoncart.InstanceID) {
+func (b *Broker) ReleaseFrom(now time.Time, instance persimmoncart.InstanceID) {
 	for id, s := range b.seats {
 		if s.borrower == instance {
-			b.freeSeat(id, s)
+			b.freeSeat(now, id, s)
 		}
 	}
 }
@@ -79,9 +79,9 @@
 			b.ledger.Extend(s.holding, s.deadline.Add(b.settings.Expiry))
 		case persimmoncart.SeatReleased:
 			if s.role == persimmoncart.RolePrefill {
-				s.replica.Unqueue(s.holding, c.Took)
+				s.replica.Unqueue(now, s.holding, c.Took)
 			}
-			b.freeSeat(c.ID, s)
+			b.freeSeat(now, c.ID, s)
 		}
 	}
 }
@@ -106,9 +106,9 @@
 }
 
 // freeSeat frees a lent seat.
-func (b *Broker) freeSeat(id persimmoncart.GrantID, s *lentSeat) {
+func (b *Broker) freeSeat(now time.Time, id persimmoncart.GrantID, s *lentSeat) {
 	if s.role == persimmoncart.RolePrefill {
-		s.replica.Unqueue(s.holding, 0)
+		s.replica.Unqueue(now, s.holding, 0)
 	}
 	b.ledger.Release(s.holding)
 	delete(b.byHolding, s.holding)
--- a/internal/policy/replica.go
+++ b/internal/policy/replica.go
@@ -13,6 +13,14 @@
 	DefaultPrefillRate = 20000
 	// prefillSlack covers messages and rounding in the time of a prefill.
 	prefillSlack = 60 * time.Millisecond
+	// rateReturn is the time in which a rate without samples returns to normal,
+	// from rateStale after the last sample on.
+	rateReturn = 8 * time.Second
+	rateStale  = 2 * time.Second
+	// normalGain is the weight of one new sample in the normal rate.
+	normalGain = 0.02
+	// typicalPrompt is the prompt length that waits are compared with.
+	typicalPrompt = 4096
 	// rateGain is the weight of one new sample in a measured rate.
 	rateGain = 0.3
 )
@@ -29,7 +37,10 @@
 
 	busy       time.Time    // when the granted prefills are expected to end
 	cached     int          // scratch of the current decision: prompt tokens cached
+	drifted    time.Time    // last call of drift
+	normal     float64      // rate over a longer time
 	prefills   []prefilling // granted and not yet ended, oldest first
+	sampled    time.Time    // last sample of the rate
 	slowness   float64      // factor by which the oldest prefill is overdue; at least 1
 	usedBlocks int
 	usedSlots  int
@@ -45,7 +56,7 @@
 
 // NewReplica returns a healthy Replica that nothing was granted on.
 func NewReplica(endpoint persimmoncart.Endpoint, slots, blocks int) *Replica {
-	return &Replica{Blocks: blocks, Endpoint: endpoint, Rate: DefaultPrefillRate, Slots: slots, Weight: 1, slowness: 1}
+	return &Replica{Blocks: blocks, Endpoint: endpoint, Rate: DefaultPrefillRate, Slots: slots, Weight: 1, normal: DefaultPrefillRate, slowness: 1}
 }
 
 // Free returns the slots and memory blocks that can still be granted; both are
@@ -70,7 +81,7 @@
 
 // Unqueue ends a prefill that took took, or that was cancelled if took is zero.
 // The measured rate is corrected by the difference to what was expected.
-func (r *Replica) Unqueue(id uint64, took time.Duration) {
+func (r *Replica) Unqueue(now time.Time, id uint64, took time.Duration) {
 	i := slices.IndexFunc(r.prefills, func(p prefilling) bool { return p.id == id })
 	if i < 0 {
 		return
@@ -85,8 +96,10 @@
 	if took < expected && p.due.Sub(p.begin) < prefillSlack {
 		return // too short to tell
 	}
-	ratio := min(max(float64(expected)/float64(took+prefillSlack), 0.1), 1.5)
+	ratio := min(max(float64(expected)/float64(took+prefillSlack), 0.1), 2)
 	r.Rate *= 1 + rateGain*(ratio-1)
+	r.normal += normalGain * (r.Rate - r.normal)
+	r.sampled = now
 	r.slowness = 1
 }
 
@@ -103,6 +116,24 @@
 	return max(wait, r.duration(tokens))
 }
 
+// typical returns the expected time until a prompt of typicalPrompt tokens would
+// be prefilled, which compares replicas of different speed; zero for decode.
+func (r *Replica) typical(now time.Time) time.Duration {
+	if r.Endpoint.Role != persimmoncart.RolePrefill {
+		return 0
+	}
+	return r.Wait(now) + r.duration(typicalPrompt)
+}
+
+// drift moves a rate that was measured during a slow phase back to normal: a
+// replica that gets no work gives no samples of its recovery.
+func (r *Replica) drift(now time.Time) {
+	if d := now.Sub(r.sampled); r.Rate < r.normal && d > rateStale && len(r.prefills) == 0 {
+		r.Rate += (r.normal - r.Rate) * min(float64(now.Sub(r.drifted))/float64(rateReturn), 1)
+	}
+	r.drifted = now
+}
+
 // overdue notices a prefill that should have ended long ago, so that a slow
 // replica is known before its first late result.
 func (r *Replica) overdue(now time.Time) {
--- a/internal/policy/straggler.go
+++ b/internal/policy/straggler.go
@@ -9,6 +9,8 @@
 
 // Constants of straggler detection.
 const (
+	// targetShare is the latency of a healthy endpoint relative to its target.
+	targetShare = 0.75
 	// stragglerEject is the ratio to the pool's median at which an endpoint is
 	// ejected, if enough of the pool stays.
 	stragglerEject = 2.5
@@ -89,6 +91,12 @@
 	return s.group(pool, role).ejected()
 }
 
+// Median returns the median latency of a pool and role, and whether it is known.
+func (s *Stragglers) Median(now time.Time, pool persimmoncart.PoolName, role persimmoncart.Role) (time.Duration, bool) {
+	m, known := s.group(pool, role).median(now)
+	return time.Duration(m * float64(time.Second)), known
+}
+
 // SetPool states the number of endpoints of a pool and role, how many of them
 // other instances report as slow, and the latency that never counts as slow.
 func (s *Stragglers) SetPool(pool persimmoncart.PoolName, role persimmoncart.Role, size, others int, floor time.Duration) {
@@ -104,7 +112,8 @@
 	case !found:
 		return 1, false
 	case e.ejected:
-		return 0, !now.Before(e.probe)
+		// Requests that still run there show a recovery by themselves.
+		return 0, !now.Before(e.probe) && now.Sub(e.at) >= stragglerProbe
 	case now.Sub(e.at) > stragglerWindow:
 		return 1, false
 	default:
@@ -162,8 +171,9 @@
 	}
 }
 
-// median returns the median of the endpoints with samples; it needs three of
-// them, or the slower of two would be judged by its own latency.
+// median returns the median of the endpoints with samples. With fewer than
+// three, the slower one would be judged by its own latency; the pool's target
+// stands in for the median then, if there is one.
 func (g *stragglerGroup) median(now time.Time) (float64, bool) {
 	values := make([]float64, 0, len(g.states))
 	for _, e := range g.states {
@@ -172,7 +182,7 @@
 		}
 	}
 	if len(values) < 3 {
-		return 0, false
+		return targetShare * g.floor.Seconds(), g.floor > 0
 	}
 	slices.Sort(values)
 	return values[(len(values)-1)/2], true
--- a/internal/policy/view.go
+++ b/internal/policy/view.go
@@ -77,8 +77,10 @@
 		return
 	}
 	g.pace = pace
-	g.lane.pace += (pace - g.lane.pace) / 32
 	b.observe(now, g.decode.endpoint, pace)
+	if m, known := b.stragglers.Median(now, g.lane.key.pool, persimmoncart.RoleDecode); known {
+		g.lane.pace += (m - g.lane.pace) / 32
+	}
 	if g.decode.holding == 0 && pace > defaultPaceTarget {
 		b.peers.settle(now, g.decode.owner, persimmoncart.SeatChange{ID: g.decode.seat, Kind: persimmoncart.SeatCommitted, Took: pace})
 	}
@@ -184,6 +186,7 @@
 	for _, r := range b.replicas {
 		if r.Endpoint.Role == persimmoncart.RolePrefill {
 			r.overdue(now)
+			r.drift(now)
 		} else {
 			r.Weight, r.Probe = b.stragglers.Weight(now, r.Endpoint.Pool, r.Endpoint.Role, r.Endpoint.ID)
 		}
@@ -203,7 +206,7 @@
 		rows = append(rows, persimmoncart.PoolDigest{
 			DataCentre: r.Endpoint.DataCentre, Model: l.key.model, Pool: l.key.pool,
 			Region: r.Endpoint.Region, Role: r.Endpoint.Role, Waiting: l.queue.Len(),
-			Wait: r.Wait(now),
+			Wait: r.typical(now),
 		})
 	}
 	d := &rows[i]
@@ -217,6 +220,6 @@
 	d.Blocks += max(blocks, 0)
 	d.Free += max(slots, 0)
 	d.Slots += r.Slots
-	d.Wait = min(d.Wait, r.Wait(now))
+	d.Wait = min(d.Wait, r.typical(now))
 	return rows
 }
