--- /dev/null
+++ b/internal/route/budget.go
@@ -0,0 +1,97 @@
+package route
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/policy"
+)
+
+// maxHedgedPools bounds the pools whose latencies are kept. Calls to further
+// pools are not hedged.
+const maxHedgedPools = 256
+
+var _ persimmoncart.Budgets = (*Budgets)(nil)
+
+// Budgets are the retry and hedge budgets of one instance, kept in memory. Its
+// fields are set before use.
+type Budgets struct {
+	Seed  uint64 // of the spread of pauses; zero takes a random one
+	Timer persimmoncart.Timer
+
+	hedges  map[persimmoncart.PoolName]*policy.Hedge
+	mutex   sync.Mutex
+	once    sync.Once
+	random  *rand.Rand
+	retries *policy.Retries
+}
+
+// First implements persimmoncart.Budgets.
+func (b *Budgets) First(route persimmoncart.RouteName, account persimmoncart.AccountID) {
+	b.lock()
+	defer b.mutex.Unlock()
+	b.retries.First(policy.RetryKey{Account: account, Route: route})
+}
+
+// Hedge implements persimmoncart.Budgets.
+func (b *Budgets) Hedge(pool persimmoncart.PoolName) bool {
+	b.lock()
+	defer b.mutex.Unlock()
+	h := b.hedge(pool)
+	return h != nil && h.Take()
+}
+
+// HedgeDelay implements persimmoncart.Budgets.
+func (b *Budgets) HedgeDelay(pool persimmoncart.PoolName) time.Duration {
+	b.lock()
+	defer b.mutex.Unlock()
+	if h := b.hedge(pool); h != nil {
+		if delay, ok := h.Delay(); ok {
+			return delay
+		}
+	}
+	return 0
+}
+
+// Latency implements persimmoncart.Budgets.
+func (b *Budgets) Latency(pool persimmoncart.PoolName, latency time.Duration) {
+	b.lock()
+	defer b.mutex.Unlock()
+	if h := b.hedge(pool); h != nil {
+		h.Add(latency)
+	}
+}
+
+// Retry implements persimmoncart.Budgets.
+func (b *Budgets) Retry(route persimmoncart.RouteName, account persimmoncart.AccountID, number int, deadline time.Time) (time.Duration, bool) {
+	now := b.Timer.Now()
+	b.lock()
+	defer b.mutex.Unlock()
+	return b.retries.Retry(now, b.random, policy.RetryKey{Account: account, Route: route}, number, deadline, 0)
+}
+
+// hedge returns the latencies of a pool, or nil beyond the bound; the mutex is held.
+func (b *Budgets) hedge(pool persimmoncart.PoolName) *policy.Hedge {
+	h := b.hedges[pool]
+	if h == nil && len(b.hedges) < maxHedgedPools {
+		h = policy.NewHedge()
+		b.hedges[pool] = h
+	}
+	return h
+}
+
+// lock takes the mutex, after building the state on first use.
+func (b *Budgets) lock() {
+	b.once.Do(func() {
+		seed := b.Seed
+		if seed == 0 {
+			seed = rand.Uint64()
+		}
+		b.hedges = make(map[persimmoncart.PoolName]*policy.Hedge)
+		b.random = rand.New(rand.NewPCG(seed, seed))
+		b.retries = policy.NewRetries()
+	})
+	b.mutex.Lock()
+}
