--- a/internal/bench/node.go
+++ b/internal/bench/node.go
@@ -22,8 +22,6 @@
 		Prefixes: j.prefixes, Tokens: j.prompt,
 	}, 1)
 	if refusal != nil {
-				println(n.ours.world.now().Sub(n.ours.world.start).String(), string(n.instance.ID), j.id, j.class.String(), j.prompt, refusal.Message, n.broker.DebugWaiter(0))
-		}
 		w.refuse(j)
 		return
 	}
@@ -192,9 +190,6 @@
 // Refuse implements policy.Effects.
 func (e *nodeEffects) Refuse(ticket uint64, _ *persimmoncart.Refusal) {
 	n := (*node)(e)
-		j := n.tickets[ticket]
-		println(n.ours.world.now().Sub(n.ours.world.start).String(), string(n.instance.ID), j.id, j.class.String(), j.prompt, x.Message, n.ours.world.now().Sub(j.arrive).String(), n.broker.DebugWaiter(ticket))
-	}
 	n.ours.world.refuse(n.tickets[ticket])
 	delete(n.tickets, ticket)
 	delete(n.starts, ticket)
