policy: add differential tests

Cause: the decision code had no tests of its own. Retry budgets count in whole tenths: ten tenths of a float are less than one, which the twin showed.

--- /dev/null
+++ b/internal/policy/budget_test.go
@@ -0,0 +1,127 @@
+package policy
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// Guards against an account that gets more than its share, or less than it is
+// entitled to: the twin is one bucket in floating point.
+func TestLimitsDifferential(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := NewLimits(10)
+		instances := rapid.IntRange(1, 4).Draw(t, "instances")
+		account := &persimmoncart.Account{Name: "a", Rate: float64(rapid.IntRange(1, 8).Draw(t, "rate")), Burst: rapid.IntRange(1, 20).Draw(t, "burst")}
+		rate := account.Rate / float64(instances)
+		burst := math.Max(float64(account.Burst/instances), 1)
+		tokens, now, seen := burst-math.Floor(burst/2), testStart, false
+		for range rapid.IntRange(1, 60).Draw(t, "n") {
+			d := time.Duration(rapid.IntRange(0, 8).Draw(t, "eighths")) * time.Second / 8
+			now = now.Add(d)
+			if seen { // the bucket exists from the first request on
+				tokens = math.Min(burst, tokens+d.Seconds()*rate)
+			}
+			seen = true
+			ok, wait := limits.Allow(now, account, instances, 100)
+			if math.Abs(tokens-1) > 1e-6 {
+				assert.Equal(t, ok, tokens > 1, "bucket %v", tokens)
+			}
+			if ok {
+				tokens--
+			} else {
+				want := (1 - tokens) / rate
+				assert.Assert(t, math.Abs(wait.Seconds()-want) < 1e-3, "wait %v, want %v", wait, want)
+			}
+		}
+	})
+}
+
+// Guards against memory that grows with the number of accounts.
+func TestLimitsBounded(t *testing.T) {
+	limits := NewLimits(50)
+	for i := range 19000 {
+		limits.Allow(testStart, &persimmoncart.Account{Name: persimmoncart.AccountID(strconv.Itoa(i)), Rate: 1, Burst: 4, Tokens: 10}, 8, 100)
+		assert.Assert(t, limits.Len() <= 50)
+	}
+}
+
+// Guards against retries beyond the budget or the deadline, and without jitter.
+func TestRetriesDifferential(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		retries, random := NewRetries(), rand.New(rand.NewPCG(1, 2))
+		budgets := map[RetryKey]int{} // in tenths
+		for range rapid.IntRange(1, 80).Draw(t, "n") {
+			k := RetryKey{Account: rapid.SampledFrom([]persimmoncart.AccountID{"a", "b"}).Draw(t, "account")}
+			if _, found := budgets[k]; !found {
+				budgets[k] = 30
+			}
+			if rapid.Bool().Draw(t, "first") {
+				retries.First(k)
+				budgets[k] = min(budgets[k]+1, 30)
+				continue
+			}
+			number := rapid.IntRange(1, 9).Draw(t, "number")
+			late := rapid.IntRange(0, 4).Draw(t, "late") == 0
+			deadline := testStart.Add(10 * time.Second)
+			if late {
+				deadline = testStart.Add(time.Second)
+			}
+			delay, ok := retries.Retry(testStart, random, k, number, deadline, time.Second)
+			assert.Equal(t, ok, !late && budgets[k] >= 10, "budget %d", budgets[k])
+			if ok {
+				budgets[k] -= 10
+				base := min(RetryBase<<(number-1), RetryCap)
+				assert.Assert(t, delay >= base/2 && delay <= base*3/2)
+			}
+		}
+	})
+}
+
+// Guards against a hedge before the p95 latency and against more than 5% hedges.
+func TestHedgeDifferential(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := NewHedge()
+		var all []time.Duration
+		calls, hedged := 0, 0
+		for range rapid.IntRange(1, 600).Draw(t, "n") {
+			latency := time.Duration(rapid.IntRange(1, 1000).Draw(t, "us")) * time.Microsecond
+			h.Add(latency)
+			all = append(all, latency)
+			calls++
+			delay, known := h.Delay()
+			full := len(all) / hedgeSamples * hedgeSamples
+			assert.Equal(t, known, full > 0)
+			if known {
+				window := slices.Sorted(slices.Values(all[max(full-hedgeWindow, 0):full]))
+				assert.Equal(t, delay, window[int(float64(len(window)-1)*hedgeQuantile)])
+			}
+			if h.Take() {
+				hedged++
+			}
+			assert.Assert(t, float64(hedged) <= hedgeShare*float64(calls)+1e-9)
+		}
+	})
+}
+
+// Guards against callers that come back together.
+func TestSpreadRetry(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	seen := map[time.Duration]bool{}
+	for range 100 {
+		d := SpreadRetry(random, 4*time.Second)
+		assert.Assert(t, d >= 4*time.Second && d < 8*time.Second)
+		seen[d.Round(100*time.Millisecond)] = true
+	}
+	assert.Assert(t, len(seen) > 20)
+	assert.Assert(t, SpreadRetry(random, 0) >= retryMinimum)
+	assert.Assert(t, SpreadRetry(random, time.Hour) <= 2*retryMaximum)
+}
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -12,9 +12,12 @@
 	// RetryBase is the mean delay before the first retry, RetryCap the longest.
 	RetryBase = 25 * time.Millisecond
 	RetryCap  = time.Second
-	// retryBurst lets rare callers retry; retryShare is earned by each first attempt.
-	retryBurst = 3.0
-	retryShare = 0.1
+	// retryCost is the price of one retry in units of which each first attempt
+	// earns one, so that a tenth of the first attempts may be retried. They are
+	// whole numbers, because ten tenths do not add up to one in floating point.
+	retryCost = 10
+	// retryBurst lets rare callers retry.
+	retryBurst = 3 * retryCost
 	// retryKeys bounds the remembered pairs of route and account.
 	retryKeys = 8192
 )
@@ -28,12 +31,12 @@
 // Retries keeps a retry budget for each route and account: a tenth of the first
 // attempts plus a small burst. A budget that is forgotten starts at the burst.
 type Retries struct {
-	budgets map[RetryKey]float64
+	budgets map[RetryKey]int
 }
 
 // NewRetries returns Retries with full bursts.
 func NewRetries() *Retries {
-	return &Retries{budgets: make(map[RetryKey]float64)}
+	return &Retries{budgets: make(map[RetryKey]int)}
 }
 
 // First counts the first attempt of a request.
@@ -42,7 +45,7 @@
 	if !found {
 		return // a full burst needs no memory
 	}
-	if b += retryShare; b >= retryBurst {
+	if b++; b >= retryBurst {
 		delete(r.budgets, k)
 		return
 	}
@@ -61,20 +64,20 @@
 	if !found {
 		b = retryBurst
 	}
-	if b < 1 {
+	if b < retryCost {
 		return 0, false
 	}
 	if !found && len(r.budgets) >= retryKeys {
 		r.shrink()
 	}
-	r.budgets[k] = b - 1
+	r.budgets[k] = b - retryCost
 	return delay, true
 }
 
 // shrink drops the fullest half of the budgets, which lose the least by
 // starting at the burst again.
 func (r *Retries) shrink() {
-	for _, least := range []float64{2, 1, 0} {
+	for _, least := range []int{2 * retryCost, retryCost, 0} {
 		for k, b := range r.budgets {
 			if b >= least {
 				delete(r.budgets, k)
