--- a/configpeers.go
+++ b/configpeers.go
@@ -22,7 +22,7 @@
 	ID      string     // chosen by the author's client; the same for a retry
 	Note    string
 	Parent  ConfigHash // hash of the set of the version before
-	State   ConfigHash // hash of the manifest of the whole state after the set
+	State   ConfigHash // hash of the whole state after the set
 	Version uint64
 }
 
@@ -81,7 +81,7 @@
 	More    bool         // further pages or sets follow
 	Objects []ConfigObject
 	Sets    []ConfigChangeSet
-	State   ConfigHash // hash of the manifest of that version's state
+	State   ConfigHash // hash of that version's state
 }
 
 // A ConfigServer answers the calls of ConfigPeers.
--- a/internal/config/archive.go
+++ b/internal/config/archive.go
@@ -181,7 +181,7 @@
 	s := &State{shards: make(map[string]*shard, len(m))}
 	for _, part := range slices.Sorted(maps.Keys(m)) {
 		if base != nil && base.shards[part] != nil && base.shards[part].hash == m[part] {
-			s.shards[part] = base.shards[part]
+			s.put(part, base.shards[part])
 			continue
 		}
 		h := m[part]
@@ -189,9 +189,11 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "read shard %s", part)
 		}
-		if s.shards[part], err = decodeShard(o.Value); err != nil {
+		p, err := decodeShard(o.Value)
+		if err != nil {
 			return nil, err
 		}
+		s.put(part, p)
 	}
 	if s.Hash() != hash {
 		return nil, &CorruptError{Key: manifestsKey + name}
--- a/internal/config/distributor.go
+++ b/internal/config/distributor.go
@@ -65,6 +65,7 @@
 	failed    map[persimmoncart.Region]time.Time // when a region last did not answer
 	head      *Head                              // newest head read from the store
 	highest   uint64                             // highest version seen
+	lagging   time.Time                          // since when a newer version is known; zero if none is
 	listeners map[int]func(*persimmoncart.Snapshot)
 	log       []loggedSet
 	logged    int             // bytes
@@ -201,7 +202,7 @@
 		return
 	}
 	d.mutex.Lock()
-	d.highest = max(d.highest, digest.Version)
+	d.saw(digest.Version)
 	if d.sources == nil {
 		d.sources = map[persimmoncart.InstanceID]source{}
 	}
@@ -210,6 +211,14 @@
 	d.startSync()
 }
 
+// saw remembers that a version exists; the mutex is held.
+func (d *Distributor) saw(version uint64) {
+	if version > d.held().copied.Version && d.lagging.IsZero() {
+		d.lagging = d.Timer.Now()
+	}
+	d.highest = max(d.highest, version)
+}
+
 // init prepares what the exported fields leave out.
 func (d *Distributor) init() {
 	d.once.Do(func() {
@@ -309,6 +318,9 @@
 func (d *Distributor) publish(c *Copy, snapshot *persimmoncart.Snapshot, taken []loggedSet) {
 	d.current.Store(newHeld(c, snapshot))
 	d.mutex.Lock()
+	if d.highest <= c.Version {
+		d.lagging = time.Time{}
+	}
 	if taken == nil {
 		d.log, d.logged = nil, 0
 	}
--- /dev/null
+++ b/internal/config/editor_test.go
@@ -0,0 +1,210 @@
+package config_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/config"
+	"github.com/persimmoncart/persimmoncart/internal/objectapi"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+)
+
+// instant is virtual time that passes by itself in Sleep.
+type instant struct{ *timer.Virtual }
+
+func (i instant) Sleep(ctx context.Context, d time.Duration) error {
+	i.Advance(d)
+	return ctx.Err()
+}
+
+// newEditor returns an editor on a store that a test can break.
+func newEditor() (*config.Editor, *objectapi.Faulty) {
+	clock := instant{timer.NewVirtual(time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC))}
+	s := &objectapi.Faulty{Store: &objectapi.Memory{Timer: clock}, Timer: clock}
+	return &config.Editor{Archive: &config.Archive{Store: s}, Timer: clock}, s
+}
+
+// account returns the canonical JSON of an account; nil for a zero rate.
+func account(name string, rate int) []byte {
+	if rate == 0 {
+		return nil
+	}
+	return config.Encode(&config.AccountSpec{
+		Name: name, Burst: 1, Class: persimmoncart.ClassBatch, Keys: []config.KeyHash{config.HashKey(fmt.Sprint(name, rate%3))}, Rate: float64(rate), Weight: 1,
+	})
+}
+
+// A history runs random edits against the editor and a naive full copy.
+type history struct {
+	applied map[string]uint64 // version of each edit
+	authors map[string]string // who changed each object last
+	editor  *config.Editor
+	naive   map[string][]byte
+	old     []map[string][]byte // naive copies by version
+	state   *config.State
+	store   *objectapi.Faulty
+	view    *persimmoncart.Snapshot
+}
+
+// Edit applies an edit that was made from the current content or from an older one.
+func (h *history) Edit(t *rapid.T) {
+	base := h.naive
+	if len(h.old) > 0 && rapid.Bool().Draw(t, "stale") {
+		base = h.old[rapid.IntRange(max(0, len(h.old)-3), len(h.old)-1).Draw(t, "base")]
+	}
+	edit := config.Edit{Author: "ann", Force: rapid.IntRange(0, 9).Draw(t, "force") == 0, ID: fmt.Sprint("id", len(h.applied))}
+	for _, n := range rapid.SliceOfNDistinct(rapid.IntRange(0, 5), 1, 3, rapid.ID).Draw(t, "names") {
+		name := fmt.Sprint("a", n)
+		key := "account/" + name
+		edit.Changes = append(edit.Changes, persimmoncart.ConfigChange{
+			After: account(name, rapid.IntRange(0, 4).Draw(t, "rate")), Before: base[key], Key: key,
+		})
+	}
+	h.store.LoseAnswers(rapid.IntRange(0, 3).Draw(t, "lost"))
+	h.store.DropRequests(rapid.IntRange(0, 2).Draw(t, "dropped"))
+	r, err := h.editor.Apply(t.Context(), edit)
+	h.store.LoseAnswers(0)
+	h.store.DropRequests(0)
+	conflict := ""
+	next := maps.Clone(h.naive)
+	for _, c := range edit.Changes {
+		now := h.naive[c.Key]
+		if conflict == "" && !edit.Force && !bytes.Equal(now, c.Before) && !bytes.Equal(now, c.After) {
+			conflict = c.Key
+		}
+		if next[c.Key] = c.After; c.After == nil {
+			delete(next, c.Key)
+		}
+	}
+	if conflict != "" {
+		var e *config.EditConflictError
+		assert.Assert(t, errors.As(err, &e), "%v", err)
+		assert.Equal(t, e.Key, conflict)
+		assert.Equal(t, e.Author, h.authors[conflict])
+		return
+	}
+	if unavailable := (&persimmoncart.UnavailableError{}); errors.As(err, &unavailable) {
+		return // several lost answers in a row end an edit that is not applied
+	}
+	assert.NilError(t, err)
+	h.took(t, edit, r, next)
+}
+
+// took notes an applied edit and repeats it, which must change nothing.
+func (h *history) took(t *rapid.T, edit config.Edit, r config.Result, next map[string][]byte) {
+	if len(r.Changes) > 0 {
+		assert.Equal(t, r.Version, uint64(len(h.old)+1))
+		h.naive, h.old = next, append(h.old, next)
+		h.applied[edit.ID] = r.Version
+		for _, c := range r.Changes {
+			h.authors[c.Key] = edit.Author
+		}
+		again, err := h.editor.Apply(t.Context(), edit)
+		assert.NilError(t, err)
+		assert.Equal(t, again.Version, r.Version)
+		assert.Equal(t, again.Head.Version, r.Version)
+	}
+	var err error
+	h.state = h.state.With(r.Changes)
+	h.view, err = config.Apply(h.view, r.Changes, r.Version)
+	assert.NilError(t, err)
+}
+
+// Rollback makes an older version the next one.
+func (h *history) Rollback(t *rapid.T) {
+	if len(h.old) == 0 {
+		t.Skip("no version yet")
+	}
+	version := rapid.IntRange(1, len(h.old)).Draw(t, "version")
+	edit := config.Edit{Author: "bob", ID: fmt.Sprint("rollback", len(h.old))}
+	r, err := h.editor.Rollback(t.Context(), edit, uint64(version), nil)
+	assert.NilError(t, err)
+	edit.Changes = r.Changes
+	h.took(t, edit, r, h.old[version-1])
+}
+
+// Check compares the merged view with the naive copy.
+func (h *history) Check(t *rapid.T) {
+	assert.DeepEqual(t, h.state.Keys(), append([]string(nil), slices.Sorted(maps.Keys(h.naive))...))
+	full := &config.State{}
+	var changes []persimmoncart.ConfigChange
+	for k, v := range h.naive {
+		assert.DeepEqual(t, h.state.Get(k), v)
+		changes = append(changes, persimmoncart.ConfigChange{After: v, Key: k})
+	}
+	full = full.With(changes)
+	assert.Equal(t, full.Hash(), h.state.Hash())
+	snapshot, err := config.Apply(config.EmptySnapshot(), changes, h.view.Version)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, snapshot, h.view)
+	head, err := h.editor.Archive.Head(t.Context())
+	assert.NilError(t, err)
+	c, err := h.editor.Archive.Copy(t.Context(), head, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, c.State.Hash(), full.Hash())
+}
+
+// Guards against a merged view that differs from a naive full copy, and against
+// edits that are lost, applied twice or applied over another author's change.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &history{applied: map[string]uint64{}, authors: map[string]string{}, naive: map[string][]byte{}, state: &config.State{}, view: config.EmptySnapshot()}
+		h.editor, h.store = newEditor()
+		t.Repeat(map[string]func(*rapid.T){"": h.Check, "edit": h.Edit, "rollback": h.Rollback})
+	})
+}
+
+// Guards against an edit that is reported as refused although it was applied.
+func TestUnsettled(t *testing.T) {
+	e, s := newEditor()
+	_, err := e.Apply(t.Context(), config.Edit{Author: "ann", Changes: []persimmoncart.ConfigChange{{After: account("a", 1), Key: "account/a"}}})
+	assert.NilError(t, err)
+	edit := config.Edit{Author: "ann", Changes: []persimmoncart.ConfigChange{{After: account("a", 2), Before: account("a", 1), Key: "account/a"}}, ID: "x"}
+	written := false
+	s.Decide = func(kind objectapi.Kind, key string) objectapi.Fault {
+		lost := key == "config/head" && kind == objectapi.KindWrite && !written
+		written = written || lost
+		return objectapi.Fault{Down: written && !lost, Lost: lost}
+	}
+	_, err = e.Apply(t.Context(), edit)
+	var unsettled *config.UnsettledError
+	assert.Assert(t, errors.As(err, &unsettled), "%v", err)
+	s.Decide = nil
+	_, err = e.Apply(t.Context(), edit)
+	assert.NilError(t, err)
+	h, err := e.Archive.Head(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, h.Version, uint64(2))
+}
+
+// Guards against history that ends where the head's list of versions begins,
+// and against versions of lost races among the versions that came into force.
+func TestFindOld(t *testing.T) {
+	e, s := newEditor()
+	for i := range 150 {
+		_, err := e.Apply(t.Context(), config.Edit{Author: "ann", Changes: []persimmoncart.ConfigChange{{After: account("a", i+1), Key: "account/a"}}, Force: true})
+		assert.NilError(t, err)
+	}
+	h, err := e.Archive.Head(t.Context())
+	assert.NilError(t, err)
+	objects, err := s.List(t.Context(), "config/sets/00000000000000000003-")
+	assert.NilError(t, err)
+	_, err = s.Create(t.Context(), fmt.Sprintf("config/sets/%020d-%064x", 3, 1), objects[0].Value)
+	assert.NilError(t, err)
+	set, err := e.Archive.Find(t.Context(), h, 3)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, set.Changes[0].After, account("a", 3))
+	sets, err := e.Archive.History(t.Context(), h, 0, 1000)
+	assert.NilError(t, err)
+	assert.Equal(t, len(sets), 150)
+}
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -27,6 +27,7 @@
 // Objects are kept as canonical JSON in shards; a change copies only the shards
 // that it touches.
 type State struct {
+	hash   persimmoncart.ConfigHash
 	shards map[string]*shard
 }
 
@@ -53,8 +54,27 @@
 	return nil
 }
 
-// Hash returns the hash of the manifest.
-func (s *State) Hash() persimmoncart.ConfigHash { return sha256.Sum256(s.Manifest()) }
+// Hash returns the hash of the whole state: the exclusive or of the hashes of
+// its shards with their names. A change costs only the shards that it touches.
+func (s *State) Hash() persimmoncart.ConfigHash { return s.hash }
+
+// put replaces a shard while the State is being built; nil removes it.
+func (s *State) put(name string, p *shard) {
+	for _, x := range []*shard{s.shards[name], p} {
+		if x == nil {
+			continue
+		}
+		h := sha256.Sum256(append([]byte(name), x.hash[:]...))
+		for i := range h {
+			s.hash[i] ^= h[i]
+		}
+	}
+	if p == nil {
+		delete(s.shards, name)
+	} else {
+		s.shards[name] = p
+	}
+}
 
 // Keys returns the keys of all objects, sorted.
 func (s *State) Keys() []string {
@@ -81,7 +101,7 @@
 
 // With returns the State after the changes.
 func (s *State) With(changes []persimmoncart.ConfigChange) *State {
-	next := &State{shards: maps.Clone(s.shards)}
+	next := &State{hash: s.hash, shards: maps.Clone(s.shards)}
 	if next.shards == nil {
 		next.shards = map[string]*shard{}
 	}
@@ -104,26 +124,30 @@
 	}
 	for name, p := range own {
 		if len(p.objects) == 0 {
-			delete(next.shards, name)
+			next.put(name, nil)
 			continue
 		}
 		p.hash = sha256.Sum256(p.encode())
-		next.shards[name] = p
+		next.put(name, p)
 	}
 	return next
 }
 
-// encode returns the stored form of a shard.
+// encode returns the stored form of a shard, a JSON object. Objects are
+// canonical JSON already, so they are copied as they are.
 func (p *shard) encode() []byte {
-	m := make(map[string]json.RawMessage, len(p.objects))
-	for k, v := range p.objects {
-		m[k] = v
-	}
-	b, err := json.Marshal(m)
-	if err != nil {
-		panic(fmt.Sprintf("encode shard: %v", err)) // objects are canonical JSON
+	b := []byte{'{'}
+	for i, k := range slices.Sorted(maps.Keys(p.objects)) {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		key, err := json.Marshal(k)
+		if err != nil {
+			panic(fmt.Sprintf("encode key: %v", err)) // a string always encodes
+		}
+		b = append(append(append(b, key...), ':'), p.objects[k]...)
 	}
-	return b
+	return append(b, '}')
 }
 
 // Diff returns the changes that lead from one State to another, sorted by key.
--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -8,7 +8,6 @@
 	"github.com/go-faster/errors"
 
 	"github.com/persimmoncart/persimmoncart"
-	"github.com/persimmoncart/persimmoncart/internal/rendezvous"
 )
 
 const (
@@ -16,6 +15,12 @@
 	copyAttempts = 10
 	// bootstrapPeers is the number of cell peers asked for their version at start.
 	bootstrapPeers = 3
+	// pushPeers is the number of cell peers to which a watcher pushes. At 10,000
+	// changes a day of 700 bytes, a push to all ten would take 800 B/s.
+	pushPeers = 3
+	// storeGrace is the time in which instances that do not watch leave new
+	// versions to the watchers.
+	storeGrace = 4 * time.Second
 	// storePauseLow and storePauseHigh bound the pause after a failed call of
 	// the store, so that instances do not return together. The longest pause
 	// leaves 3 s of the 11 s bound for the rest of the way.
@@ -293,7 +298,7 @@
 	d.mutex.Lock()
 	h := d.head
 	d.mutex.Unlock()
-	if !d.storeAllowed() {
+	if !d.storeAllowed() || !d.storeTurn() {
 		return false
 	}
 	if h == nil || h.Version < d.Highest() {
@@ -350,7 +355,7 @@
 	if d.head == nil || h.Version >= d.head.Version {
 		d.head = h
 	}
-	d.highest = max(d.highest, h.Version)
+	d.saw(h.Version)
 }
 
 // storeAllowed reports whether the pause after a failed call is over.
@@ -360,6 +365,18 @@
 	return !d.Timer.Now().Before(d.storeAt)
 }
 
+// storeTurn reports whether this instance may read versions from the store:
+// watchers at once, others only when the peers have not had them for a while.
+// Without it, all instances would read everything when all start together.
+func (d *Distributor) storeTurn() bool {
+	if d.watcherRank() >= 0 {
+		return true
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.Timer.Now().Sub(d.lagging) >= storeGrace
+}
+
 // noteStore starts a pause after a failed call.
 func (d *Distributor) noteStore(err error) {
 	if err == nil {
@@ -371,18 +388,16 @@
 	d.storeAt = d.Timer.Now().Add(pause)
 }
 
-// push gives change sets to this watcher's part of the cell. Peers that miss it
-// hear of the version with the next digest.
+// push gives change sets to some cell peers. The others hear of the version with
+// the digests of probes and pull it from whoever has it, which spreads the
+// bytes over the cell instead of loading the watcher.
 func (d *Distributor) push(sets []persimmoncart.ConfigChangeSet) {
 	if len(sets) == 0 {
 		return
 	}
 	near, _ := d.others()
-	rank, count := d.watcherRank(), len(d.watchers())
-	for _, m := range near {
-		if count > 1 && int(rendezvous.Score("config/push", string(m.ID))%uint64(count)) != rank {
-			continue
-		}
+	d.shuffle(near)
+	for _, m := range near[:min(pushPeers, len(near))] {
 		d.spawn(func(ctx context.Context) {
 			err := d.call(ctx, callTimeout, func(ctx context.Context) error {
 				digest, err := d.Peers.Push(ctx, m, sets)
--- a/internal/config/watch.go
+++ b/internal/config/watch.go
@@ -26,14 +26,14 @@
 // watchers returns the watchers of this data centre, by rank.
 func (d *Distributor) watchers() []persimmoncart.InstanceID {
 	self := d.Members.Self()
-	centres := map[persimmoncart.DataCentre]bool{self.DataCentre: true}
+	centres := []persimmoncart.DataCentre{self.DataCentre}
 	cell := []persimmoncart.InstanceID{}
 	if !self.Leaving {
 		cell = append(cell, self.ID)
 	}
 	for _, m := range d.Members.View() {
-		if m.Instance.Region == self.Region {
-			centres[m.Instance.DataCentre] = true
+		if m.Instance.Region == self.Region && !slices.Contains(centres, m.Instance.DataCentre) {
+			centres = append(centres, m.Instance.DataCentre)
 		}
 		if m.Instance.DataCentre == self.DataCentre && m.Instance.ID != self.ID && m.State == persimmoncart.MemberAlive {
 			cell = append(cell, m.Instance.ID)
--- a/internal/configbench/bench.go
+++ b/internal/configbench/bench.go
@@ -85,10 +85,12 @@
 	if err := b.seedStore(ctx, scheduler); err != nil {
 		return err
 	}
+	b.world.warm = true
 	for i := range b.Nodes {
 		b.world.start(i)
 	}
 	scheduler.Advance(warmTime)
+	b.world.warm = false
 	b.measure.bytes, b.measure.delays = make([]int64, b.Nodes), nil
 	b.measure.endMinute()
 	b.measure.peak = 0
--- a/internal/configbench/network.go
+++ b/internal/configbench/network.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/persimmoncart/persimmoncart/internal/peer"
@@ -99,6 +100,9 @@
 	return connect.NewError(connect.CodeUnavailable, errUnreachable)
 }
 
+// sizes keeps the compressed sizes of messages, which go to many peers.
+var sizes = map[uint64]int{}
+
 // size returns the bytes of a message as the transport sends it.
 func size(m proto.Message) int {
 	n := proto.Size(m)
@@ -109,9 +113,14 @@
 	if err != nil {
 		return n
 	}
+	key := xxhash.Sum64(data)
+	if known := sizes[key]; known > 0 {
+		return known
+	}
 	var b bytes.Buffer
 	z := gzip.NewWriter(&b)
 	_, _ = z.Write(data) // a bytes.Buffer does not fail
 	_ = z.Close()
+	sizes[key] = b.Len()
 	return b.Len()
 }
--- a/internal/configbench/world.go
+++ b/internal/configbench/world.go
@@ -45,6 +45,7 @@
 	storeRegion persimmoncart.Region
 	platform    *platform
 	views       map[persimmoncart.DataCentre][]persimmoncart.Member
+	warm        bool // the first start of all instances
 	watchPeak   int
 	watchReads  int
 	measure     *measure
@@ -113,18 +114,24 @@
 	n.distributor.Subscribe(func(s *persimmoncart.Snapshot) { w.measure.installed(n, s.Version) })
 	w.nodes[slot] = n
 	w.byAddr[n.self.Addr] = n
-	w.scheduler.Go(func() { _ = n.distributor.Run(ctx) }) // ends with the context's error
 	w.scheduler.After(time.Duration(w.random.Int64N(int64(time.Second))), func(time.Time) {
 		if n.alive {
 			n.stops = append(n.stops, w.scheduler.Subscribe(time.Second, func(time.Time) { n.probe() }))
 		}
 	})
-	w.scheduler.After(joinDelay, func(time.Time) {
+	delay := joinDelay
+	if w.warm {
+		delay = 0 // the instance list names all instances of a first start
+	}
+	w.scheduler.After(delay, func(time.Time) {
 		if n.alive {
 			w.known = append(w.known, &known{member: persimmoncart.Member{Instance: n.self, State: persimmoncart.MemberAlive}, node: n})
 			w.views = nil
 		}
 	})
+	w.scheduler.After(time.Duration(w.random.Int64N(int64(time.Second))), func(time.Time) {
+		w.scheduler.Go(func() { _ = n.distributor.Run(ctx) }) // ends with the context's error
+	})
 }
 
 // stop ends an instance; a planned stop is announced, a failure is noticed late.
