admin: add the administration API with its client and OpenAPI document

Cause: operators apply, compare, roll back and inspect configuration on running instances, and scripts need stable codes. Change: a service interface with an implementation on the store and the peers, an HTTP server with roles by hashed tokens, and a client. Result: tables of codes and roles, conflicts that name the other author, waits that name lagging instances, and the document's paths are tested.

--- /dev/null
+++ b/internal/admin/fleet.go
@@ -0,0 +1,87 @@
+package admin
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+const (
+	// fleetCalls bounds the calls that are open at the same time.
+	fleetCalls   = 32
+	fleetTimeout = 2 * time.Second
+)
+
+// A Fleet asks the live instances for their versions.
+type Fleet struct {
+	Config    persimmoncart.ConfigDigests
+	Instances persimmoncart.InstanceList // nil asks only the known members
+	Members   persimmoncart.Members
+	Peers     persimmoncart.ConfigPeers
+	Timer     persimmoncart.Timer
+}
+
+// Versions returns the version in force on each live instance, by name.
+func (f *Fleet) Versions(ctx context.Context) []InstanceStatus {
+	self := f.Members.Self()
+	own := f.Config.Digest()
+	out := []InstanceStatus{{Centre: string(self.DataCentre), ID: string(self.ID), Region: string(self.Region), Version: own.Version}}
+	var mutex sync.Mutex
+	var g errgroup.Group
+	g.SetLimit(fleetCalls)
+	for _, i := range f.live(ctx) {
+		g.Go(func() error {
+			s := InstanceStatus{Centre: string(i.DataCentre), ID: string(i.ID), Region: string(i.Region)}
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
+			defer f.Timer.After(fleetTimeout, func(time.Time) { cancel() })()
+			d, err := f.Peers.Digest(ctx, i, own)
+			if err != nil {
+				s.Error = err.Error()
+			}
+			s.Version = d.Version
+			mutex.Lock()
+			defer mutex.Unlock()
+			out = append(out, s)
+			return nil
+		})
+	}
+	_ = g.Wait() // the functions return no errors
+	slices.SortFunc(out, func(a, b InstanceStatus) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// live returns the other instances that are not leaving: the platform's list
+// and the known members together, because the list lags.
+func (f *Fleet) live(ctx context.Context) []persimmoncart.Instance {
+	found := map[persimmoncart.InstanceID]persimmoncart.Instance{}
+	if f.Instances != nil {
+		// Without the list, the known members are asked.
+		listed, _ := f.Instances.List(ctx)
+		for _, l := range listed {
+			if l.Instance != nil && !l.Instance.Leaving {
+				found[l.Instance.ID] = *l.Instance
+			}
+		}
+	}
+	for _, m := range f.Members.View() {
+		switch m.State {
+		case persimmoncart.MemberDead, persimmoncart.MemberLeaving:
+			delete(found, m.Instance.ID)
+		default:
+			found[m.Instance.ID] = m.Instance
+		}
+	}
+	delete(found, f.Members.Self().ID)
+	out := make([]persimmoncart.Instance, 0, len(found))
+	for _, i := range found {
+		out = append(out, i)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/admin/local.go
@@ -0,0 +1,326 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/config"
+	"github.com/persimmoncart/persimmoncart/internal/route"
+)
+
+const (
+	maxHistory = 500
+	maxWait    = time.Minute
+	waitPoll   = 500 * time.Millisecond
+)
+
+var _ Service = (*Local)(nil)
+
+// A Local serves operators from the store and, on an instance, from its peers.
+type Local struct {
+	Claims persimmoncart.Claims // nil without claims
+	Editor *config.Editor
+	Fleet  *Fleet // nil without instances to ask
+	Timer  persimmoncart.Timer
+}
+
+// Apply implements Service.
+func (l *Local) Apply(ctx context.Context, request ApplyRequest) (ApplyReply, error) {
+	changes, _, err := l.changes(ctx, request)
+	if err != nil {
+		return ApplyReply{}, toError(err)
+	}
+	r, err := l.Editor.Apply(ctx, config.Edit{Author: request.Author, Changes: changes, ID: request.ID, Note: request.Note})
+	if err != nil {
+		return ApplyReply{}, toError(err)
+	}
+	return l.applied(ctx, r, time.Duration(request.Wait)), nil
+}
+
+// Diff implements Service.
+func (l *Local) Diff(ctx context.Context, request ApplyRequest) (DiffReply, error) {
+	changes, c, err := l.changes(ctx, request)
+	if err != nil {
+		return DiffReply{}, toError(err)
+	}
+	return DiffReply{Changes: changesOf(changes), Version: c.Version}, nil
+}
+
+// History implements Service.
+func (l *Local) History(ctx context.Context, from uint64, count int) (HistoryReply, error) {
+	h, err := l.Editor.Archive.Head(ctx)
+	if err != nil {
+		return HistoryReply{}, toError(err)
+	}
+	sets, err := l.Editor.Archive.History(ctx, h, from, min(max(count, 1), maxHistory))
+	if err != nil {
+		return HistoryReply{}, toError(err)
+	}
+	out := HistoryReply{Versions: []VersionRecord{}}
+	for _, s := range sets {
+		out.Versions = append(out.Versions, VersionRecord{
+			At: s.At, Author: s.Author, Changes: changesOf(s.Changes), ID: s.ID, Note: s.Note, Version: s.Version,
+		})
+	}
+	return out, nil
+}
+
+// Objects implements Service.
+func (l *Local) Objects(ctx context.Context, kind, name string) (ObjectsReply, error) {
+	prefix := ""
+	if kind != "" {
+		k, err := config.ParseKind(kind)
+		if err != nil {
+			return ObjectsReply{}, &Error{Code: CodeBadRequest, Message: err.Error()}
+		}
+		prefix = string(k) + "/"
+	}
+	c, err := l.read(ctx)
+	if err != nil {
+		return ObjectsReply{}, toError(err)
+	}
+	out := ObjectsReply{Objects: []Object{}, Version: c.Version}
+	for _, k := range c.State.Keys() {
+		if (name == "" && strings.HasPrefix(k, prefix)) || (name != "" && k == prefix+name) {
+			out.Objects = append(out.Objects, Object{Key: k, Value: c.State.Get(k)})
+		}
+	}
+	if name != "" && len(out.Objects) == 0 {
+		return out, &Error{Code: CodeNotFound, Message: fmt.Sprintf("no %s%s in version %d", prefix, name, c.Version)}
+	}
+	return out, nil
+}
+
+// Outcome implements Service.
+func (l *Local) Outcome(ctx context.Context, account, path, key string) (OutcomeReply, error) {
+	if l.Claims == nil {
+		return OutcomeReply{}, &Error{Code: CodeNotFound, Message: "this service has no access to claims"}
+	}
+	r, err := l.Claims.Outcome(ctx, route.ClaimKey(persimmoncart.AccountID(account), persimmoncart.RouteName(path), key))
+	if err != nil {
+		return OutcomeReply{}, toError(err)
+	}
+	out := OutcomeReply{At: r.At, State: string(r.State)}
+	switch r.State {
+	case persimmoncart.ClaimAnswered:
+		out.Outcome = persimmoncart.OutcomeAnswered.String()
+	case persimmoncart.ClaimNotRun:
+		out.Outcome = persimmoncart.OutcomeNotRun.String()
+	default:
+		out.Outcome = persimmoncart.OutcomeUnknown.String()
+	}
+	if r.Answer != nil {
+		out.Status = r.Answer.Status
+	}
+	return out, nil
+}
+
+// Rollback implements Service.
+func (l *Local) Rollback(ctx context.Context, request RollbackRequest) (ApplyReply, error) {
+	edit := config.Edit{Author: request.Author, ID: request.ID, Note: request.Note}
+	r, err := l.Editor.Rollback(ctx, edit, request.Version, request.Only)
+	if err != nil {
+		return ApplyReply{}, toError(err)
+	}
+	return l.applied(ctx, r, time.Duration(request.Wait)), nil
+}
+
+// Status implements Service.
+func (l *Local) Status(ctx context.Context) (StatusReply, error) {
+	out := StatusReply{Store: "up"}
+	h, err := l.Editor.Archive.Head(ctx)
+	if err != nil {
+		out.Store = "down"
+	} else {
+		out.Version = h.Version
+	}
+	if l.Editor.Local != nil {
+		c := l.Editor.Local()
+		out.Version = max(out.Version, c.Version)
+		for _, k := range c.State.Keys() {
+			if day, ok := strings.CutPrefix(k, string(config.KindSheet)+"/"); ok {
+				out.Sheet = max(out.Sheet, day)
+			}
+		}
+	}
+	if l.Fleet != nil {
+		out.Instances = l.Fleet.Versions(ctx)
+	} else if err != nil {
+		return out, toError(err)
+	}
+	for _, i := range out.Instances {
+		out.Version = max(out.Version, i.Version)
+	}
+	out.Lagging = lagging(out.Instances, out.Version)
+	return out, nil
+}
+
+// applied waits until a version is in force, and returns the reply.
+func (l *Local) applied(ctx context.Context, r config.Result, wait time.Duration) ApplyReply {
+	out := ApplyReply{Changes: changesOf(r.Changes), Version: r.Version}
+	if wait <= 0 || l.Fleet == nil {
+		return out
+	}
+	end := l.Timer.Now().Add(min(wait, maxWait))
+	for {
+		out.Lagging = lagging(l.Fleet.Versions(ctx), r.Version)
+		out.Waited = len(out.Lagging) == 0
+		if out.Waited || !l.Timer.Now().Before(end) || l.Timer.Sleep(ctx, waitPoll) != nil {
+			return out
+		}
+	}
+}
+
+// lagging returns the names of the instances below a version.
+func lagging(instances []InstanceStatus, version uint64) []string {
+	var out []string
+	for _, i := range instances {
+		if i.Version < version {
+			out = append(out, i.ID)
+		}
+	}
+	return out
+}
+
+// read returns the newest configuration.
+func (l *Local) read(ctx context.Context) (*config.Copy, error) {
+	var base *config.Copy
+	if l.Editor.Local != nil {
+		base = l.Editor.Local()
+	}
+	h, err := l.Editor.Archive.Head(ctx)
+	if err != nil {
+		if base != nil && base.Version > 0 {
+			return base, nil // what is in force here can be shown without the store
+		}
+		return nil, err
+	}
+	return l.Editor.Archive.Copy(ctx, h, base)
+}
+
+// changes returns the changes that the request's files make.
+func (l *Local) changes(ctx context.Context, request ApplyRequest) ([]persimmoncart.ConfigChange, *config.Copy, error) {
+	entries, issues := parse(request.Files)
+	if len(entries)+len(issues)+len(request.Delete) == 0 {
+		return nil, nil, &Error{Code: CodeBadRequest, Message: "nothing to apply: no objects in the files and nothing to delete"}
+	}
+	for _, k := range request.Delete {
+		if _, err := config.ParseKey(k); err != nil {
+			return nil, nil, &Error{Code: CodeBadRequest, Message: err.Error()}
+		}
+	}
+	c, err := l.read(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	rest, err := c.State.Entries()
+	if err != nil {
+		return nil, nil, err
+	}
+	given := map[string]bool{}
+	for _, e := range entries {
+		given[e.Key.String()] = true
+	}
+	for _, e := range rest {
+		if k := e.Key.String(); !given[k] && !slices.Contains(request.Delete, k) {
+			entries = append(entries, e)
+		}
+	}
+	if err := config.Problems(issues, entries); err != nil {
+		return nil, nil, err
+	}
+	base, err := l.base(ctx, request.Base, c)
+	if err != nil {
+		return nil, nil, err
+	}
+	var out []persimmoncart.ConfigChange
+	for _, e := range entries {
+		k := e.Key.String()
+		if after := config.Encode(e.Spec); given[k] && !bytes.Equal(after, base.Get(k)) {
+			out = append(out, persimmoncart.ConfigChange{After: after, Before: base.Get(k), Key: k})
+		}
+	}
+	for _, k := range request.Delete {
+		if before := base.Get(k); before != nil {
+			out = append(out, persimmoncart.ConfigChange{Before: before, Key: k})
+		}
+	}
+	return out, c, nil
+}
+
+// base returns the state of the version that the files were made from.
+func (l *Local) base(ctx context.Context, version uint64, c *config.Copy) (*config.State, error) {
+	if version == 0 || version == c.Version {
+		return c.State, nil
+	}
+	h, err := l.Editor.Archive.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	set, err := l.Editor.Archive.Find(ctx, h, version)
+	if err != nil {
+		return nil, err
+	}
+	return l.Editor.Archive.State(ctx, set.State, c.State)
+}
+
+// parse reads the objects of files.
+func parse(files []File) ([]*config.Entry, config.Issues) {
+	var entries []*config.Entry
+	var issues config.Issues
+	for _, f := range files {
+		zone, err := time.LoadLocation(f.Zone)
+		if err != nil {
+			issues = append(issues, config.Issue{File: f.Name, Message: fmt.Sprintf("unknown time zone %q", f.Zone), Want: "a name such as Africa/Tunis"})
+			continue
+		}
+		var e []*config.Entry
+		var i config.Issues
+		if strings.HasSuffix(strings.ToLower(f.Name), ".csv") {
+			e, i = config.ParseSheet(f.Name, []byte(f.Data), zone)
+		} else {
+			e, i = config.ParseYAML(f.Name, []byte(f.Data))
+		}
+		entries, issues = append(entries, e...), append(issues, i...)
+	}
+	return entries, issues
+}
+
+// toError returns the API's error of err.
+func toError(err error) error {
+	var (
+		ambiguous   *persimmoncart.AmbiguousError
+		conflict    *config.EditConflictError
+		issues      config.Issues
+		known       *Error
+		missing     *persimmoncart.NotFoundError
+		unavailable *persimmoncart.UnavailableError
+		unsettled   *config.UnsettledError
+	)
+	switch {
+	case errors.As(err, &known):
+		return known
+	case errors.As(err, &issues):
+		return &Error{Code: CodeInvalid, Issues: issues, Message: fmt.Sprintf("%d faults in the configuration", len(issues))}
+	case errors.As(err, &conflict):
+		return &Error{Code: CodeConflict, Message: conflict.Error(), Conflict: &Conflict{
+			At: conflict.At, Author: conflict.Author, Fields: config.Fields(conflict.Base, conflict.Theirs), Key: conflict.Key,
+			Ours: config.Fields(conflict.Theirs, conflict.Ours), Version: conflict.Version,
+		}}
+	case errors.As(err, &unsettled):
+		return &Error{Code: CodeUnsettled, ID: unsettled.ID, Message: unsettled.Error()}
+	case errors.As(err, &missing):
+		return &Error{Code: CodeNotFound, Message: missing.Error()}
+	case errors.As(err, &unavailable), errors.As(err, &ambiguous):
+		return &Error{Code: CodeStoreDown, Message: err.Error()}
+	default:
+		return &Error{Code: CodeInternal, Message: err.Error()}
+	}
+}
--- /dev/null
+++ b/internal/admin/server_test.go
@@ -0,0 +1,252 @@
+package admin_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/admin"
+	"github.com/persimmoncart/persimmoncart/internal/config"
+	"github.com/persimmoncart/persimmoncart/internal/objectapi"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+)
+
+const files = `
+pools: [{name: hull, models: [m], prefill: 1}]
+endpoints: [{name: h1, addr: "10.0.0.1:80", blocks: 64, centre: hall1, region: coast, pool: hull, role: prefill}]
+routes: [{name: drafts, pool: hull, models: [m], timeout: 5m}]
+`
+
+// peers answers digests for instances of some versions.
+type peers map[persimmoncart.InstanceID]uint64
+
+func (p peers) Digest(_ context.Context, to persimmoncart.Instance, _ persimmoncart.ConfigDigest) (persimmoncart.ConfigDigest, error) {
+	if v, found := p[to.ID]; found {
+		return persimmoncart.ConfigDigest{Version: v}, nil
+	}
+	return persimmoncart.ConfigDigest{}, errors.New("connection refused")
+}
+
+func (peers) Pull(context.Context, persimmoncart.Instance, persimmoncart.ConfigPull) (persimmoncart.ConfigPulled, error) {
+	return persimmoncart.ConfigPulled{}, errors.New("not used")
+}
+
+func (peers) Push(context.Context, persimmoncart.Instance, []persimmoncart.ConfigChangeSet) (persimmoncart.ConfigDigest, error) {
+	return persimmoncart.ConfigDigest{}, errors.New("not used")
+}
+
+// members are the instances a, which is this one, b and c.
+type members struct{}
+
+func (members) Self() persimmoncart.Instance { return persimmoncart.Instance{ID: "a"} }
+
+func (members) Subscribe(func([]persimmoncart.Member)) (stop func()) { return func() {} }
+
+func (members) View() []persimmoncart.Member {
+	var out []persimmoncart.Member
+	for _, id := range []persimmoncart.InstanceID{"b", "c"} {
+		out = append(out, persimmoncart.Member{Instance: persimmoncart.Instance{Addr: netip.MustParseAddrPort("10.0.0.2:1"), ID: id}, State: persimmoncart.MemberAlive})
+	}
+	return out
+}
+
+// digests is the own version.
+type digests uint64
+
+func (d digests) Digest() persimmoncart.ConfigDigest {
+	return persimmoncart.ConfigDigest{Version: uint64(d)}
+}
+
+func (digests) Heard(persimmoncart.Instance, persimmoncart.ConfigDigest) {}
+
+// newServer returns a server on an empty store and a client for each role.
+func newServer(t *testing.T, versions peers) (admin.Service, map[string]*admin.Client, *objectapi.Faulty, http.Handler) {
+	clock := &timer.System{}
+	store := &objectapi.Faulty{Store: &objectapi.Memory{Timer: clock}, Timer: clock}
+	local := &admin.Local{
+		Editor: &config.Editor{Archive: &config.Archive{Store: store}, Timer: clock},
+		Fleet:  &admin.Fleet{Config: digests(9), Members: members{}, Peers: versions, Timer: clock},
+		Timer:  clock,
+	}
+	s := &admin.Server{Log: zerolog.Nop(), Service: local}
+	clients := map[string]*admin.Client{"": {Token: "wrong"}}
+	for _, role := range []string{"viewer", "operator", "admin"} {
+		token, err := admin.ParseToken(fmt.Sprintf("%s-1:%s:%s", role, role, config.HashKey("secret-"+role)))
+		assert.NilError(t, err)
+		s.Tokens = append(s.Tokens, token)
+		clients[role] = &admin.Client{Token: "secret-" + role}
+	}
+	h := s.Handler()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	for _, c := range clients {
+		c.Base, c.HTTP = server.URL, server.Client()
+	}
+	return local, clients, store, h
+}
+
+// code returns the code of an API error.
+func code(err error) string {
+	var e *admin.Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return fmt.Sprint(err)
+}
+
+// Guards against calls that need no token or a lower role than stated, and
+// against codes that scripts rely on and that change.
+func TestCodes(t *testing.T) {
+	_, c, store, _ := newServer(t, peers{"b": 9, "c": 9})
+	ctx := t.Context()
+	request := admin.ApplyRequest{Files: []admin.File{{Data: files, Name: "f.yaml"}}}
+	account := admin.ApplyRequest{Files: []admin.File{{Data: "accounts: [{name: a, rate: 1}]", Name: "a.yaml"}}}
+	apply := func(role string, r admin.ApplyRequest) error {
+		_, err := c[role].Apply(ctx, r)
+		return err
+	}
+	for _, x := range []struct {
+		name string
+		err  error
+		want string
+	}{
+		{"no token", apply("", request), "token_unknown"},
+		{"viewer applies", apply("viewer", request), "forbidden"},
+		{"operator changes account", apply("operator", account), "forbidden"},
+		{"operator", apply("operator", request), "<nil>"},
+		{"admin changes account", apply("admin", account), "<nil>"},
+		{"invalid", apply("operator", admin.ApplyRequest{Files: []admin.File{{Data: "pools: 1", Name: "f.yaml"}}}), "invalid"},
+		{"nothing", apply("operator", admin.ApplyRequest{}), "bad_request"},
+		{"bad key", apply("operator", admin.ApplyRequest{Delete: []string{"x"}}), "bad_request"},
+		{"reference", apply("operator", admin.ApplyRequest{Delete: []string{"pool/hull"}}), "invalid"},
+		{"zone", apply("operator", admin.ApplyRequest{Files: []admin.File{{Name: "s.csv", Zone: "Moon/Sea"}}}), "invalid"},
+		{"stale base", apply("operator", admin.ApplyRequest{Base: 7, Files: request.Files}), "not_found"},
+	} {
+		assert.Equal(t, code(x.err), x.want, x.name)
+	}
+	_, err := c["operator"].Rollback(ctx, admin.RollbackRequest{Version: 1})
+	assert.Equal(t, code(err), "forbidden")
+	_, err = c["viewer"].Objects(ctx, "pool", "none")
+	assert.Equal(t, code(err), "not_found")
+	_, err = c["viewer"].Objects(ctx, "ship", "")
+	assert.Equal(t, code(err), "bad_request")
+	_, err = c["viewer"].Outcome(ctx, "", "", "k")
+	assert.Equal(t, code(err), "bad_request")
+	store.SetDown(true)
+	assert.Equal(t, code(apply("admin", account)), "store_down")
+	s, err := c["viewer"].Status(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, s.Store, "down")
+	assert.Equal(t, len(s.Instances), 3)
+}
+
+// Guards against a change made from an old version that overwrites another
+// operator's, and against a conflict that does not name him.
+func TestConflict(t *testing.T) {
+	_, c, _, _ := newServer(t, peers{"b": 9, "c": 9})
+	ctx := t.Context()
+	first, err := c["admin"].Apply(ctx, admin.ApplyRequest{Files: []admin.File{{Data: files, Name: "f.yaml"}}, ID: "one"})
+	assert.NilError(t, err)
+	again, err := c["admin"].Apply(ctx, admin.ApplyRequest{Files: []admin.File{{Data: files, Name: "f.yaml"}}, ID: "one"})
+	assert.NilError(t, err)
+	assert.Equal(t, again.Version, first.Version)
+	later := strings.Replace(files, "5m", "6m", 1)
+	_, err = c["operator"].Apply(ctx, admin.ApplyRequest{Base: first.Version, Files: []admin.File{{Data: later, Name: "f.yaml"}}})
+	assert.NilError(t, err)
+	_, err = c["admin"].Apply(ctx, admin.ApplyRequest{Base: first.Version, Files: []admin.File{{Data: strings.Replace(files, "5m", "7m", 1), Name: "f.yaml"}}})
+	var e *admin.Error
+	assert.Assert(t, errors.As(err, &e))
+	assert.Equal(t, e.Code, "conflict")
+	assert.Equal(t, e.Conflict.Author, "operator-1")
+	assert.DeepEqual(t, e.Conflict.Fields, []config.FieldChange{{After: `"6m0s"`, Before: `"5m0s"`, Field: "timeout"}})
+	back, err := c["admin"].Rollback(ctx, admin.RollbackRequest{Version: first.Version})
+	assert.NilError(t, err)
+	assert.Equal(t, back.Version, uint64(3))
+	h, err := c["viewer"].History(ctx, 0, 10)
+	assert.NilError(t, err)
+	var authors []string
+	for _, v := range h.Versions {
+		authors = append(authors, v.Author)
+	}
+	assert.DeepEqual(t, authors, []string{"admin-1", "operator-1", "admin-1"})
+	got, err := c["viewer"].Objects(ctx, "routes", "drafts")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(got.Objects[0].Value), `"5m0s"`))
+}
+
+// Guards against a wait that ends while instances lag, or that does not name them.
+func TestWait(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		peers peers
+		want  []string
+	}{
+		{"all", peers{"b": 1, "c": 5}, nil},
+		{"behind and silent", peers{"b": 0}, []string{"b", "c"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, clients, _, _ := newServer(t, c.peers)
+			r, err := clients["admin"].Apply(t.Context(), admin.ApplyRequest{
+				Files: []admin.File{{Data: files, Name: "f.yaml"}}, Wait: config.Duration(time.Millisecond),
+			})
+			assert.NilError(t, err)
+			assert.DeepEqual(t, r.Lagging, c.want)
+			assert.Equal(t, r.Waited, c.want == nil)
+		})
+	}
+}
+
+// Guards against an OpenAPI document that lacks a path.
+func TestOpenAPI(t *testing.T) {
+	_, _, _, h := newServer(t, nil)
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/admin/v1/openapi.json", nil))
+	var doc struct {
+		Paths map[string]map[string]any `json:"paths"`
+	}
+	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &doc))
+	var served, described []string
+	err := chi.Walk(h.(chi.Router), func(method, path string, _ http.Handler, _ ...func(http.Handler) http.Handler) error {
+		served = append(served, strings.ToLower(method)+" "+path)
+		return nil
+	})
+	assert.NilError(t, err)
+	for path, methods := range doc.Paths {
+		for m := range methods {
+			described = append(described, m+" "+path)
+		}
+	}
+	slices.Sort(served)
+	slices.Sort(described)
+	assert.DeepEqual(t, served, described)
+}
+
+func FuzzBody(f *testing.F) {
+	f.Add([]byte(`{"files":[{"name":"f.yaml","data":"pools: []"}],"delete":["pool/a"]}`))
+	f.Add([]byte(`{"version":1,"only":["a"]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		_, _, _, h := newServer(t, nil)
+		for _, path := range []string{"/diff", "/apply", "/rollback"} {
+			r := httptest.NewRequest(http.MethodPost, "/admin/v1"+path, strings.NewReader(string(body)))
+			r.Header.Set("Authorization", "Bearer secret-admin")
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, r)
+			if w.Code == http.StatusInternalServerError {
+				t.Errorf("%s: %s", path, w.Body)
+			}
+		}
+	})
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -368,3 +368,9 @@
 		c.add(e, field, fmt.Sprintf("%v to %v", low, high), "%v is out of range", d)
 	}
 }
+
+// Problems returns the faults of form together with those that Check finds, as
+// Issues, or nil.
+func Problems(form Issues, entries []*Entry) error {
+	return append(slices.Clone(form), Check(entries)...).sorted()
+}
--- a/internal/config/distributor_test.go
+++ b/internal/config/distributor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,16 +19,18 @@
 )
 
 // A cell connects distributors directly.
-type cell map[persimmoncart.InstanceID]*config.Distributor
+type cell struct {
+	peers sync.Map // by persimmoncart.InstanceID
+}
 
-func (c cell) peer(to persimmoncart.Instance) (*config.Distributor, error) {
-	if d := c[to.ID]; d != nil {
-		return d, nil
+func (c *cell) peer(to persimmoncart.Instance) (*config.Distributor, error) {
+	if d, found := c.peers.Load(to.ID); found {
+		return d.(*config.Distributor), nil
 	}
 	return nil, &persimmoncart.UnavailableError{Err: errors.New("no peer"), Op: "call"}
 }
 
-func (c cell) Digest(_ context.Context, to persimmoncart.Instance, _ persimmoncart.ConfigDigest) (persimmoncart.ConfigDigest, error) {
+func (c *cell) Digest(_ context.Context, to persimmoncart.Instance, _ persimmoncart.ConfigDigest) (persimmoncart.ConfigDigest, error) {
 	d, err := c.peer(to)
 	if err != nil {
 		return persimmoncart.ConfigDigest{}, err
@@ -35,7 +38,7 @@
 	return d.Digest(), nil
 }
 
-func (c cell) Pull(_ context.Context, to persimmoncart.Instance, r persimmoncart.ConfigPull) (persimmoncart.ConfigPulled, error) {
+func (c *cell) Pull(_ context.Context, to persimmoncart.Instance, r persimmoncart.ConfigPull) (persimmoncart.ConfigPulled, error) {
 	d, err := c.peer(to)
 	if err != nil {
 		return persimmoncart.ConfigPulled{}, err
@@ -43,7 +46,7 @@
 	return d.Answer(r), nil
 }
 
-func (c cell) Push(_ context.Context, to persimmoncart.Instance, sets []persimmoncart.ConfigChangeSet) (persimmoncart.ConfigDigest, error) {
+func (c *cell) Push(_ context.Context, to persimmoncart.Instance, sets []persimmoncart.ConfigChangeSet) (persimmoncart.ConfigDigest, error) {
 	d, err := c.peer(to)
 	if err != nil {
 		return persimmoncart.ConfigDigest{}, err
@@ -74,12 +77,12 @@
 }
 
 // newDistributor adds an instance to the cell.
-func (c cell) newDistributor(s persimmoncart.Store, id persimmoncart.InstanceID) *config.Distributor {
+func (c *cell) newDistributor(s persimmoncart.Store, id persimmoncart.InstanceID) *config.Distributor {
 	d := &config.Distributor{
 		Archive: &config.Archive{Store: s}, Log: zerolog.Nop(), Members: roster{self: id, ids: []persimmoncart.InstanceID{"a", "b", "c", "d"}},
 		Peers: c, Timer: &timer.System{},
 	}
-	c[id] = d
+	c.peers.Store(id, d)
 	return d
 }
 
@@ -90,7 +93,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		s := &objectapi.Faulty{Store: &objectapi.Memory{Timer: &timer.System{}}, Timer: &timer.System{}}
-		c := cell{}
+		c := &cell{}
 		ended := make(chan error)
 		run := func(id persimmoncart.InstanceID) *config.Distributor {
 			d := c.newDistributor(s, id)
@@ -116,9 +119,7 @@
 		time.Sleep(5 * time.Second)
 		assert.Assert(t, d.Ready())
 		assert.Equal(t, d.Snapshot().Version, uint64(3))
-		delete(c, "a")
-		delete(c, "b")
-		delete(c, "c")
+		c.peers.Clear()
 		alone := run("d")
 		time.Sleep(time.Minute)
 		assert.Assert(t, !alone.Ready())
@@ -161,7 +162,7 @@
 		{"fork", [][]persimmoncart.ConfigChangeSet{sets[:1], {{Version: 2, Changes: sets[1].Changes, State: sets[1].State}}}, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			d := cell{}.newDistributor(s, "a")
+			d := (&cell{}).newDistributor(s, "a")
 			for _, x := range c.sets {
 				d.Accept(from, x)
 			}
--- a/internal/config/editor_test.go
+++ b/internal/config/editor_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
@@ -135,18 +136,18 @@
 
 // Check compares the merged view with the naive copy.
 func (h *history) Check(t *rapid.T) {
-	assert.DeepEqual(t, h.state.Keys(), append([]string(nil), slices.Sorted(maps.Keys(h.naive))...))
+	assert.Assert(t, slices.Equal(h.state.Keys(), slices.Sorted(maps.Keys(h.naive))))
 	full := &config.State{}
 	var changes []persimmoncart.ConfigChange
 	for k, v := range h.naive {
-		assert.DeepEqual(t, h.state.Get(k), v)
+		assert.Assert(t, bytes.Equal(h.state.Get(k), v), k)
 		changes = append(changes, persimmoncart.ConfigChange{After: v, Key: k})
 	}
 	full = full.With(changes)
 	assert.Equal(t, full.Hash(), h.state.Hash())
 	snapshot, err := config.Apply(config.EmptySnapshot(), changes, h.view.Version)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, snapshot, h.view)
+	assert.Assert(t, reflect.DeepEqual(snapshot, h.view))
 	head, err := h.editor.Archive.Head(t.Context())
 	assert.NilError(t, err)
 	c, err := h.editor.Archive.Copy(t.Context(), head, nil)
--- a/internal/config/static.go
+++ b/internal/config/static.go
@@ -28,7 +28,7 @@
 		e, i := ParseFile(p, data)
 		entries, issues = append(entries, e...), append(issues, i...)
 	}
-	if err := append(issues, Check(entries)...).sorted(); err != nil {
+	if err := Problems(issues, entries); err != nil {
 		return nil, err
 	}
 	return NewStatic(entries)
--- a/internal/config/yaml.go
+++ b/internal/config/yaml.go
@@ -19,12 +19,12 @@
 
 // An Issue is one fault in the configuration.
 type Issue struct {
-	Column  int // zero if the fault has no place in a file
-	Field   string
-	File    string
-	Line    int
-	Message string
-	Want    string // what would be right
+	Column  int    `json:"column,omitempty"` // zero if the fault has no place in a file
+	Field   string `json:"field,omitempty"`
+	File    string `json:"file,omitempty"`
+	Line    int    `json:"line,omitempty"`
+	Message string `json:"message"`
+	Want    string `json:"want,omitempty"` // what would be right
 }
 
 // String returns the issue as "file:line:column: field: message; want …".
