persimmonctl: add the operators' tool

Cause: operators need one tool for files, sheets, races, rollback and outcomes, on an instance or on the store alone. Change: one file a command in internal/cmd, table and JSON output, documented exit codes, help with examples, completion. Result: scripts cover each command with its error cases and pass.

--- /dev/null
+++ b/cmd/persimmonctl/internal/cmd/history.go
@@ -0,0 +1,34 @@
+package cmd
+
+import "time"
+
+const historyHelp = `Shows versions, newest first, with author, time, reason and changes.
+
+    persimmonctl history
+    persimmonctl history --from 120 --count 5`
+
+// A history is the command that shows versions.
+type history struct {
+	app   *app
+	Count int    `long:"count" short:"n" default:"20" description:"number of versions, at most 500"`
+	From  uint64 `long:"from" description:"newest version to show; zero is the one in force"`
+}
+
+// Execute implements flags.Commander.
+func (c *history) Execute([]string) error {
+	s, err := c.app.service()
+	if err != nil {
+		return err
+	}
+	r, err := s.History(c.app.ctx, c.From, c.Count)
+	if err != nil {
+		return err
+	}
+	return c.app.show(r, func(row func(...any)) {
+		row("VERSION", "TIME", "AUTHOR", "NOTE")
+		for _, v := range r.Versions {
+			row(v.Version, v.At.Format(time.RFC3339), v.Author, v.Note)
+			showChanges(func(cells ...any) { row(append([]any{""}, cells...)...) }, v.Changes)
+		}
+	})
+}
--- /dev/null
+++ b/cmd/persimmonctl/internal/cmd/main_test.go
@@ -0,0 +1,129 @@
+package cmd_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/cmd/persimmonctl/internal/cmd"
+	"github.com/persimmoncart/persimmoncart/internal/admin"
+	"github.com/persimmoncart/persimmoncart/internal/claim"
+	"github.com/persimmoncart/persimmoncart/internal/config"
+	"github.com/persimmoncart/persimmoncart/internal/objectapi"
+	"github.com/persimmoncart/persimmoncart/internal/route"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"persimmonctl": func() { os.Exit(cmd.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) },
+	})
+}
+
+// A lagging is a fleet whose second instance never goes beyond version 1.
+type lagging struct{ editor *config.Editor }
+
+func (l *lagging) Digest() persimmoncart.ConfigDigest {
+	h, err := l.editor.Archive.Head(context.Background())
+	if err != nil {
+		return persimmoncart.ConfigDigest{}
+	}
+	return persimmoncart.ConfigDigest{Version: h.Version}
+}
+
+func (*lagging) Heard(persimmoncart.Instance, persimmoncart.ConfigDigest) {}
+
+func (*lagging) Self() persimmoncart.Instance { return persimmoncart.Instance{ID: "entry-1"} }
+
+func (*lagging) Subscribe(func([]persimmoncart.Member)) (stop func()) { return func() {} }
+
+func (*lagging) View() []persimmoncart.Member {
+	return []persimmoncart.Member{{Instance: persimmoncart.Instance{ID: "entry-2"}, State: persimmoncart.MemberAlive}}
+}
+
+// slow answers digests with version 1.
+type slow struct{ persimmoncart.ConfigPeers }
+
+func (slow) Digest(context.Context, persimmoncart.Instance, persimmoncart.ConfigDigest) (persimmoncart.ConfigDigest, error) {
+	return persimmoncart.ConfigDigest{Version: 1}, nil
+}
+
+// setup starts a store and the administration API of one instance for a script.
+func setup(e *testscript.Env) error {
+	clock := &timer.System{}
+	store := &objectapi.Faulty{Store: &objectapi.Memory{Timer: clock}, Timer: clock}
+	claims := &claim.Claims{Self: persimmoncart.Tag{Instance: "entry-1"}, Store: store, Timer: clock}
+	if _, err := claims.Claim(context.Background(), route.ClaimKey("gate", "payments", "pay-1")); err != nil {
+		return errors.Wrap(err, "claim")
+	}
+	editor := &config.Editor{Archive: &config.Archive{Store: store}, Timer: clock}
+	fleet := &lagging{editor: editor}
+	s := &admin.Server{Log: zerolog.Nop(), Service: &admin.Local{
+		Claims: claims, Editor: editor, Timer: clock,
+		Fleet: &admin.Fleet{Config: fleet, Members: fleet, Peers: slow{}, Timer: clock},
+	}}
+	for _, t := range []string{"ann:admin", "bob:operator", "vic:viewer"} {
+		name, _, _ := strings.Cut(t, ":")
+		token, err := admin.ParseToken(t + ":" + config.HashKey("token-"+name).String())
+		if err != nil {
+			return errors.Wrap(err, "token")
+		}
+		s.Tokens = append(s.Tokens, token)
+	}
+	api := httptest.NewServer(s.Handler())
+	objects := httptest.NewServer((&objectapi.Handler{Store: store, Timer: clock}).Handler())
+	e.Defer(api.Close)
+	e.Defer(objects.Close)
+	e.Values["store"] = store
+	e.Setenv("PERSIMMONCTL_ADMIN", api.Listener.Addr().String())
+	e.Setenv("PERSIMMONCTL_TOKEN", "token-ann")
+	e.Setenv("STORE", objects.Listener.Addr().String())
+	return nil
+}
+
+// Guards against commands whose output, exit code or refusal changes, which
+// operators' scripts rely on.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			// code runs persimmonctl and compares its exit code: code 4 apply -f x
+			"code": func(ts *testscript.TestScript, _ bool, args []string) {
+				err := ts.Exec("persimmonctl", args[1:]...)
+				got := "0"
+				if exit := (interface{ ExitCode() int })(nil); errors.As(err, &exit) {
+					got = fmt.Sprint(exit.ExitCode())
+				}
+				if got != args[0] {
+					ts.Fatalf("exit code %s, want %s", got, args[0])
+				}
+			},
+			// store takes the store down or up
+			"store": func(ts *testscript.TestScript, _ bool, args []string) {
+				ts.Value("store").(*objectapi.Faulty).SetDown(args[0] == "down")
+			},
+		},
+		Dir:   "testdata",
+		Setup: setup,
+	})
+}
+
+// Guards against an instance that is gone and looks like a failed command.
+func TestUnreachable(t *testing.T) {
+	server := httptest.NewServer(nil)
+	addr := netip.MustParseAddrPort(server.Listener.Addr().String())
+	server.Close()
+	var out, err strings.Builder
+	code := cmd.Main([]string{"--admin", addr.String(), "--token=x", "status"}, strings.NewReader(""), &out, &err)
+	if code != 5 || !strings.Contains(err.String(), "no answer from http://"+addr.String()) {
+		t.Errorf("exit code %d: %s", code, &err)
+	}
+}
--- /dev/null
+++ b/cmd/persimmonctl/internal/cmd/sheet.go
@@ -0,0 +1,212 @@
+package cmd
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/persimmoncart/persimmoncart/internal/admin"
+	"github.com/persimmoncart/persimmoncart/internal/config"
+)
+
+const (
+	sheetHelp = `Works with the planners' sheet: the expected demand, pool sizes and models of
+one day, exported as CSV with the columns
+day, pool, model, from, to, rate, prefill, decode.`
+
+	sheetCheckHelp = `Checks a sheet on its own and against the configuration in force, and names
+every fault with its line and column. Nothing is changed.
+
+    persimmonctl sheet check monday.csv --zone Africa/Tunis`
+
+	sheetPlanHelp = `Shows the sizes that a sheet asks for over its day, and how they differ from
+those of the sheet before it. Nothing is changed.
+
+    persimmonctl sheet plan monday.csv --zone Africa/Tunis`
+
+	sheetApplyHelp = `Checks a sheet and takes it into force. A sheet of the same day is replaced.
+
+    persimmonctl sheet apply monday.csv --zone Africa/Tunis --wait 15s`
+)
+
+// A sheet holds the settings of the commands for sheets.
+type sheet struct {
+	app       *app
+	Zone      string `long:"zone" env:"ZONE" description:"time zone of the sheet, such as Africa/Tunis; UTC if absent"`
+	Arguments struct {
+		File string `positional-arg-name:"FILE" description:"CSV file"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// addSheet adds the commands for sheets.
+func (a *app) addSheet(parser *flags.Parser) error {
+	group, err := parser.AddCommand("sheet", "check, show or apply the planners' sheet", sheetHelp, &struct{}{})
+	if err != nil {
+		return errors.Wrap(err, "sheet")
+	}
+	for _, c := range []struct {
+		name, short, long string
+		data              any
+	}{
+		{"apply", "check a sheet and take it into force", sheetApplyHelp, &sheetApply{sheet: sheet{app: a}}},
+		{"check", "check a sheet", sheetCheckHelp, &sheetCheck{sheet: sheet{app: a}}},
+		{"plan", "show the sizes that a sheet asks for", sheetPlanHelp, &sheetPlan{sheet: sheet{app: a}}},
+	} {
+		if _, err := group.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			return errors.Wrap(err, c.name)
+		}
+	}
+	return nil
+}
+
+// read returns the sheet's file and content.
+func (c *sheet) read() ([]admin.File, *config.SheetSpec, error) {
+	files, err := c.app.read([]string{c.Arguments.File}, c.Zone)
+	if err != nil {
+		return nil, nil, err
+	}
+	zone, err := time.LoadLocation(c.Zone)
+	if err != nil {
+		return nil, nil, &settingError{fmt.Sprintf("--zone: unknown time zone %q", c.Zone)}
+	}
+	entries, issues := config.ParseSheet(c.Arguments.File, []byte(files[0].Data), zone)
+	if len(issues) > 0 {
+		return nil, nil, &admin.Error{Code: admin.CodeInvalid, Issues: issues, Message: fmt.Sprintf("%d faults in the sheet", len(issues))}
+	}
+	files[0].Name = c.Arguments.File + ".csv" // the service tells a sheet by this ending
+	if n := c.Arguments.File; len(n) > 4 && n[len(n)-4:] == ".csv" {
+		files[0].Name = n
+	}
+	return files, entries[0].Spec.(*config.SheetSpec), nil
+}
+
+// A sheetApply is the command that takes a sheet into force.
+type sheetApply struct {
+	change
+	sheet
+}
+
+// Execute implements flags.Commander.
+func (c *sheetApply) Execute([]string) error {
+	files, spec, err := c.read()
+	if err != nil {
+		return err
+	}
+	note := c.Note
+	if note == "" {
+		note = "sheet of " + spec.Name
+	}
+	return c.app.change(admin.ApplyRequest{Files: files, ID: c.ID, Note: note, Wait: config.Duration(c.Wait)})
+}
+
+// A sheetCheck is the command that checks a sheet.
+type sheetCheck struct {
+	sheet
+}
+
+// Execute implements flags.Commander.
+func (c *sheetCheck) Execute([]string) error {
+	files, spec, err := c.read()
+	if err != nil {
+		return err
+	}
+	s, err := c.app.service()
+	if err != nil {
+		return err
+	}
+	r, err := s.Diff(c.app.ctx, admin.ApplyRequest{Files: files})
+	if err != nil {
+		return err
+	}
+	return c.app.show(r, func(row func(...any)) {
+		row(fmt.Sprintf("sheet of %s is valid: %d rows, %d changes against version %d", spec.Name, len(spec.Rows), len(r.Changes), r.Version))
+	})
+}
+
+// A sheetPlan is the command that shows what a sheet asks for.
+type sheetPlan struct {
+	sheet
+}
+
+// A plannedRow is one row of the output.
+type plannedRow struct {
+	Before *config.RowSpec `json:"before,omitempty"` // row of the sheet before, at the same time of day
+	Row    config.RowSpec  `json:"row"`
+}
+
+// Execute implements flags.Commander.
+func (c *sheetPlan) Execute([]string) error {
+	_, spec, err := c.read()
+	if err != nil {
+		return err
+	}
+	s, err := c.app.service()
+	if err != nil {
+		return err
+	}
+	r, err := s.Objects(c.app.ctx, string(config.KindSheet), "")
+	if err != nil {
+		return err
+	}
+	before, err := sheetBefore(r.Objects, spec.Name)
+	if err != nil {
+		return err
+	}
+	rows := make([]plannedRow, len(spec.Rows))
+	for i, x := range spec.Rows {
+		rows[i] = plannedRow{Before: sameTime(before, spec, x), Row: x}
+	}
+	return c.app.show(rows, func(row func(...any)) {
+		row("FROM", "TO", "POOL", "MODEL", "RATE", "PREFILL", "DECODE", "BEFORE")
+		for _, x := range rows {
+			old := "(none)"
+			if x.Before != nil {
+				old = fmt.Sprintf("%v/s, %d prefill, %d decode", x.Before.Rate, x.Before.Prefill, x.Before.Decode)
+			}
+			row(x.Row.From.Format(time.RFC3339), x.Row.To.Format(time.RFC3339), x.Row.Pool, x.Row.Model, x.Row.Rate, x.Row.Prefill, x.Row.Decode, old)
+		}
+	})
+}
+
+// sheetBefore returns the newest sheet before a day, or nil.
+func sheetBefore(objects []admin.Object, day string) (*config.SheetSpec, error) {
+	found := slices.DeleteFunc(days(objects), func(d string) bool { return d >= day })
+	if len(found) == 0 {
+		return nil, nil //nolint:nilnil // there is none
+	}
+	newest := slices.Max(found)
+	for _, o := range objects {
+		if o.Key == (config.Key{Kind: config.KindSheet, Name: newest}).String() {
+			s := &config.SheetSpec{}
+			if err := json.Unmarshal(o.Value, s); err != nil {
+				return nil, errors.Wrap(err, "decode sheet")
+			}
+			return s, nil
+		}
+	}
+	return nil, nil //nolint:nilnil // there is none
+}
+
+// sameTime returns the row of an earlier sheet for the same pool, model and
+// time of day, or nil.
+func sameTime(before, now *config.SheetSpec, x config.RowSpec) *config.RowSpec {
+	if before == nil {
+		return nil
+	}
+	a, errA := time.Parse(time.DateOnly, before.Name)
+	b, errB := time.Parse(time.DateOnly, now.Name)
+	if errA != nil || errB != nil {
+		return nil // names of sheets are checked dates
+	}
+	at := x.From.Add(a.Sub(b))
+	for i, y := range before.Rows {
+		if y.Pool == x.Pool && y.Model == x.Model && !at.Before(y.From) && at.Before(y.To) {
+			return &before.Rows[i]
+		}
+	}
+	return nil
+}
--- a/cmd/persimmonctl/main.go
+++ b/cmd/persimmonctl/main.go
@@ -1,8 +1,13 @@
-// Command persimmonctl is described in docs/design.md.
+// Command persimmonctl is the operators' tool: it compares, applies, inspects
+// and rolls back the configuration of a deployment.
 package main
 
-import "os"
+import (
+	"os"
+
+	"github.com/persimmoncart/persimmoncart/cmd/persimmonctl/internal/cmd"
+)
 
 func main() {
-	os.Exit(0)
+	os.Exit(cmd.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
 }
--- a/internal/admin/local.go
+++ b/internal/admin/local.go
@@ -141,8 +141,7 @@
 	} else {
 		out.Version = h.Version
 	}
-	if l.Editor.Local != nil {
-		c := l.Editor.Local()
+	if c, err := l.read(ctx); err == nil {
 		out.Version = max(out.Version, c.Version)
 		for _, k := range c.State.Keys() {
 			if day, ok := strings.CutPrefix(k, string(config.KindSheet)+"/"); ok {
