make: one line for each phony target

Cause: a single list of phony targets conflicted with every merge. Change: each target declares itself; the sizes' defaults stand with their target.

--- a/Makefile
+++ b/Makefile
@@ -1,35 +1,57 @@
 # Commands for contributors and operators; README.md explains them.
 
 SEED ?= 1
-NODES ?= 400
-CHANGES ?= 200
-MODULES = . ./cmd/persimmoncart ./cmd/persimmonctl ./cmd/persimmonfake ./cmd/persimmonload
 
-.PHONY: # $(NODES),8) $(REPLICAS),0) --seed=$(SEED) ./internal/bench/cmd ./internal/overhead/run @SEED=$(SEED) CASE, CASE=$(CASE) DEPLOYMENT, DEPLOYMENT=$(DEPLOYMENT) Measures NODES, NODES=$(or REPLICAS, REPLICAS=$(or TRACE TRAFFIC all all: and are as bench bench-overhead bench-overhead: bench: build code config-bench decision demo environment fmt from generate go lint load; run taken test the tidy under vet well.
+.PHONY: all
+all: build
 
+# Measures the decision code under load; CASE, DEPLOYMENT, NODES, REPLICAS,
+# TRACE and TRAFFIC are taken from the environment as well.
+.PHONY: bench
+bench:
+	@SEED=$(SEED) CASE=$(CASE) DEPLOYMENT=$(DEPLOYMENT) NODES=$(or $(NODES),8) REPLICAS=$(or $(REPLICAS),0) go run ./internal/bench/cmd
+
+.PHONY: bench-overhead
+bench-overhead:
+	@go run ./internal/overhead/run --seed=$(SEED)
+
+.PHONY: build
 build:
 	go build -o bin/ ./cmd/persimmoncart ./cmd/persimmonctl ./cmd/persimmonfake ./cmd/persimmonload
 
+.PHONY: config-bench
+config-bench:
+	@go run ./internal/configbench/run --nodes=$(or $(NODES),400) --changes=$(or $(CHANGES),200) --seed=$(SEED)
+
+.PHONY: demo
 demo:
 	@go run ./cmd/persimmonload demo --seed=$(SEED)
 
-config-bench:
-	go run ./internal/configbench/run --nodes=$(NODES) --changes=$(CHANGES) --seed=$(SEED)
+# Runs schedules of faults; BREAK=promise switches off the guard behind it.
+.PHONY: faults
+faults:
+	@go test -count=1 -timeout=10m ./internal/faults -run '^TestMatrix$$' -args -report -seed=$(SEED) -runs=$(or $(RUNS),$(if $(BREAK),8,70)) -break=$(BREAK)
 
+.PHONY: fmt
 fmt:
 	tools/lint fmt
 
+.PHONY: generate
 generate:
 	tools/generate
 
+.PHONY: lint
 lint:
 	tools/lint run
 
+.PHONY: test
 test:
 	go test -race work
 
+.PHONY: tidy
 tidy:
 	tools/tidy
 
+.PHONY: vet
 vet:
 	go vet work
