faults: run the real parts under tables of faults and check the promises

Cause: the eight promises have to hold under any fault, two at once or one twice; nothing checked them together.

--- /dev/null
+++ b/internal/faults/applicationview.go
@@ -0,0 +1,83 @@
+package faults
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+var (
+	_ persimmoncart.Application  = (*applicationView)(nil)
+	_ persimmoncart.Applications = (*applicationsView)(nil)
+)
+
+// An applicationsView is one instance's access to the application endpoints.
+type applicationsView struct {
+	node *node
+}
+
+// Application implements persimmoncart.Applications.
+func (v *applicationsView) Application(addr netip.AddrPort) persimmoncart.Application {
+	return &applicationView{Application: v.node.world.applications.Application(addr), addr: addr, node: v.node}
+}
+
+// An applicationView is one instance's access to one application endpoint.
+type applicationView struct {
+	persimmoncart.Application
+
+	addr netip.AddrPort
+	node *node
+}
+
+// Call implements persimmoncart.Application.
+func (v *applicationView) Call(ctx context.Context, request persimmoncart.CallRequest) (*persimmoncart.CallResponse, error) {
+	w := v.node.world
+	region := w.regionOf(v.addr)
+	if err := v.node.send("call", region); err != nil {
+		return nil, err
+	}
+	w.noteWork(v.addr)
+	response, err := v.Application.Call(ctx, request)
+	if ran(err) {
+		w.noteRun(request)
+	}
+	if late := w.late(); late > 0 {
+		time.Sleep(late)
+	}
+	if err := v.node.receive(region, err); err != nil {
+		if w.broken == NotRunTrue {
+			return nil, &persimmoncart.EndpointRefusedError{Addr: v.addr, Reason: "guard is off"}
+		}
+		return nil, err
+	}
+	if response != nil && w.crossed() {
+		if w.broken == AnsweredOnce || w.broken == WholeAnswer {
+			response.Body = []byte("answer to another call")
+			return response, nil
+		}
+		response.Attempt.Number++
+	}
+	return response, nil
+}
+
+// Load implements persimmoncart.Application.
+func (v *applicationView) Load(ctx context.Context) (persimmoncart.LoadReport, error) {
+	region := v.node.world.regionOf(v.addr)
+	if err := v.node.send("load", region); err != nil {
+		return persimmoncart.LoadReport{}, err
+	}
+	report, err := v.Application.Load(ctx)
+	return report, v.node.receive(region, err)
+}
+
+// ran reports whether a call may have acted.
+func ran(err error) bool {
+	switch err.(type) { //nolint:errorlint // The fake returns these errors unwrapped.
+	case *persimmoncart.EndpointRefusedError, *persimmoncart.UnavailableError:
+		return false
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/faults/engineview.go
@@ -0,0 +1,214 @@
+package faults
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+var (
+	errCut = errors.New("region is cut off")
+
+	_ persimmoncart.Engine      = (*engineView)(nil)
+	_ persimmoncart.Engines     = (*enginesView)(nil)
+	_ persimmoncart.TokenStream = (*streamView)(nil)
+)
+
+// An enginesView is one instance's access to the engines.
+type enginesView struct {
+	node *node
+}
+
+// Engine implements persimmoncart.Engines.
+func (v *enginesView) Engine(addr netip.AddrPort) persimmoncart.Engine {
+	return &engineView{Engine: v.node.world.engines.Engine(addr), addr: addr, node: v.node}
+}
+
+// An engineView is one instance's access to one engine.
+type engineView struct {
+	persimmoncart.Engine
+
+	addr netip.AddrPort
+	node *node
+}
+
+// Cancel implements persimmoncart.Engine.
+func (v *engineView) Cancel(ctx context.Context, attempt persimmoncart.AttemptID) error {
+	if v.node.world.broken == MemoryReleased {
+		return nil
+	}
+	return v.call("cancel", func() error { return v.Engine.Cancel(ctx, attempt) })
+}
+
+// Decode implements persimmoncart.Engine.
+func (v *engineView) Decode(ctx context.Context, request persimmoncart.DecodeRequest) (persimmoncart.TokenStream, error) {
+	var stream persimmoncart.TokenStream
+	err := v.call("decode", func() (err error) {
+		// Engines need not notice that a connection ended.
+		stream, err = v.Engine.Decode(context.WithoutCancel(ctx), request)
+		return err
+	})
+	if err != nil {
+		if stream != nil {
+			// The answer was lost; the connection is gone with it.
+			_ = stream.Close()
+		}
+		return nil, err
+	}
+	return &streamView{TokenStream: stream, request: request, view: v}, nil
+}
+
+// Import implements persimmoncart.Engine.
+func (v *engineView) Import(ctx context.Context, request persimmoncart.ImportRequest) error {
+	v.node.world.noteWork(v.addr)
+	return v.call("import", func() error {
+		return detached(ctx, func(ctx context.Context) error { return v.Engine.Import(ctx, request) })
+	})
+}
+
+// Load implements persimmoncart.Engine.
+func (v *engineView) Load(ctx context.Context) (report persimmoncart.LoadReport, err error) {
+	err = v.call("load", func() (err error) {
+		report, err = v.Engine.Load(ctx)
+		return err
+	})
+	return report, err
+}
+
+// Order implements persimmoncart.Engine.
+func (v *engineView) Order(ctx context.Context, order persimmoncart.Order) error {
+	return v.call("order", func() error { return v.Engine.Order(ctx, order) })
+}
+
+// Prefill implements persimmoncart.Engine.
+func (v *engineView) Prefill(ctx context.Context, request persimmoncart.PrefillRequest) (result persimmoncart.PrefillResult, err error) {
+	v.node.world.noteWork(v.addr)
+	answer := make(chan persimmoncart.PrefillResult, 1)
+	err = v.call("prefill", func() error {
+		return detached(ctx, func(ctx context.Context) error {
+			r, err := v.Engine.Prefill(ctx, request)
+			answer <- r
+			return err
+		})
+	})
+	if err == nil {
+		result = <-answer
+	}
+	return result, err
+}
+
+// Release implements persimmoncart.Engine.
+func (v *engineView) Release(ctx context.Context, attempt persimmoncart.AttemptID) error {
+	if v.node.world.broken == MemoryReleased {
+		return nil
+	}
+	return v.call("release", func() error { return v.Engine.Release(ctx, attempt) })
+}
+
+// Work implements persimmoncart.Engine.
+func (v *engineView) Work(ctx context.Context) (work []persimmoncart.Work, err error) {
+	err = v.call("work", func() (err error) {
+		work, err = v.Engine.Work(ctx)
+		return err
+	})
+	return work, err
+}
+
+// call passes a call and its answer between the instance and the engine.
+func (v *engineView) call(op string, f func() error) error {
+	if err := v.node.send(op, v.node.world.regionOf(v.addr)); err != nil {
+		return err
+	}
+	err := f()
+	if late := v.node.world.late(); late > 0 {
+		time.Sleep(late)
+	}
+	return v.node.receive(v.node.world.regionOf(v.addr), err)
+}
+
+// detached runs f, which goes on when ctx ends: engines need not notice that a
+// connection ended.
+func detached(ctx context.Context, f func(context.Context) error) error {
+	done := make(chan error, 1)
+	go func() { done <- f(context.WithoutCancel(ctx)) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// A streamView is one instance's end of a token stream.
+type streamView struct {
+	persimmoncart.TokenStream
+
+	mutex   sync.Mutex
+	next    int // index that the guard expects, when it is switched off
+	pending *persimmoncart.Token
+	request persimmoncart.DecodeRequest
+	view    *engineView
+}
+
+// Close implements persimmoncart.TokenStream.
+func (s *streamView) Close() error {
+	n := s.view.node
+	if n.world.broken == MemoryReleased {
+		return nil
+	}
+	// The engine does not notice the end of a dead instance or of a cut path.
+	if err := n.send("close", n.world.regionOf(s.view.addr)); err != nil {
+		return err
+	}
+	return s.TokenStream.Close()
+}
+
+// Next implements persimmoncart.TokenStream.
+func (s *streamView) Next(ctx context.Context) (persimmoncart.Token, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	n := s.view.node
+	token, err := s.token(ctx)
+	if late := n.world.late(); late > 0 {
+		time.Sleep(late)
+	}
+	if err := n.receive(n.world.regionOf(s.view.addr), err); err != nil {
+		if n.world.broken == WholeAnswer && errors.Is(err, io.ErrUnexpectedEOF) {
+			return persimmoncart.Token{Attempt: s.request.Attempt, Index: s.next, Last: true}, nil
+		}
+		return persimmoncart.Token{}, err
+	}
+	if n.world.broken == AnsweredOnce {
+		token.Attempt, token.Index = s.request.Attempt, s.request.Start+s.next
+	}
+	s.next++
+	return token, nil
+}
+
+// token returns the next token, or a crossed or repeated one before it.
+func (s *streamView) token(ctx context.Context) (persimmoncart.Token, error) {
+	if s.pending != nil {
+		t := *s.pending
+		s.pending = nil
+		return t, nil
+	}
+	t, err := s.TokenStream.Next(ctx)
+	if err != nil || !s.view.node.world.crossed() {
+		return t, err
+	}
+	s.pending = &t
+	foreign := t
+	if t.Index%2 == 0 {
+		foreign.Attempt.Number++
+	} else {
+		foreign.Index--
+	}
+	foreign.Last = false
+	return foreign, nil
+}
--- /dev/null
+++ b/internal/faults/node.go
@@ -0,0 +1,199 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/claim"
+	"github.com/persimmoncart/persimmoncart/internal/config"
+	"github.com/persimmoncart/persimmoncart/internal/control"
+	"github.com/persimmoncart/persimmoncart/internal/entry"
+	"github.com/persimmoncart/persimmoncart/internal/objectapi"
+	"github.com/persimmoncart/persimmoncart/internal/places"
+	"github.com/persimmoncart/persimmoncart/internal/sweep"
+)
+
+// A node is one entry instance of the world, built from the real parts.
+type node struct {
+	cancel      context.CancelFunc
+	claims      *claim.Claims
+	client      *http.Client
+	crashed     bool // killed, not stopped gracefully
+	distributor *config.Distributor
+	done        chan struct{} // closed when Run has returned
+	gate        *gate
+	listener    *listener
+	members     *members
+	places      *places.Places
+	self        persimmoncart.Instance
+	stopping    bool
+	store       *objectapi.Faulty
+	timer       *gatedTimer
+	versions    []uint64 // in force, in order
+	world       *world
+
+	mutex sync.Mutex // guards versions
+}
+
+// newNode returns a node that is not running yet.
+func newNode(w *world, number int, incarnation persimmoncart.Incarnation) *node {
+	place := sites[number]
+	n := &node{
+		done:     make(chan struct{}),
+		gate:     &gate{},
+		listener: newListener(),
+		self: persimmoncart.Instance{
+			Addr:        netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(number), 1}), 1),
+			DataCentre:  place.centre,
+			ID:          persimmoncart.InstanceID(fmt.Sprintf("entry-%d", number)),
+			Incarnation: incarnation,
+			Region:      place.region,
+		},
+		world: w,
+	}
+	n.timer = &gatedTimer{Timer: w.timer, gate: n.gate}
+	n.members = &members{node: n}
+	n.store = &objectapi.Faulty{Decide: n.storeFault, Store: w.store, Timer: w.timer}
+	n.client = &http.Client{Transport: &http.Transport{DialContext: n.listener.dial, DisableKeepAlives: true}}
+	return n
+}
+
+// run starts the node's parts and its instance.
+func (n *node) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.distributor = &config.Distributor{
+		Archive: &config.Archive{Store: n.store},
+		Log:     zerolog.Nop(),
+		Members: n.members,
+		Peers:   &configPeers{node: n},
+		Random:  rand.New(rand.NewPCG(n.world.random.Uint64(), 1)),
+		Timer:   n.timer,
+	}
+	var configuration persimmoncart.Configuration = n.distributor
+	if n.world.broken == Leaving {
+		configuration = &undrained{Configuration: n.distributor}
+	}
+	if n.world.broken == ConfigKept {
+		configuration = &stale{Configuration: n.distributor, first: n.distributor.Snapshot()}
+	}
+	n.claims = &claim.Claims{Members: n.members, Peers: &claimPeers{node: n}, Self: n.self.Tag(), Store: n.store, Timer: n.timer}
+	n.places = &places.Places{
+		Configuration: configuration,
+		Lenders:       &lenders{node: n},
+		Seed:          n.world.random.Uint64(),
+		Self:          n.self,
+		Timer:         n.timer,
+	}
+	var claims persimmoncart.Claims = n.claims
+	if n.world.broken == AtMostOnce {
+		claims = &unguarded{Claims: n.claims}
+	}
+	i := &entry.Instance{
+		Applications:  &applicationsView{node: n},
+		Balancer:      n.places,
+		Claims:        claims,
+		Configuration: configuration,
+		Engines:       &enginesView{node: n},
+		Grace:         graceTime,
+		Listener:      n.listener,
+		Logger:        zerolog.Nop(),
+		Members:       n.members,
+		Places:        n.places,
+		Ready:         n.distributor.Ready,
+		Self:          n.self,
+		Services: []control.Service{
+			{Name: "configuration", Run: n.distributor.Run},
+			{Name: "claims", Run: n.claims.Run},
+			{Name: "places", Run: n.places.Run},
+			{Name: "sweep", Run: n.sweep().Run},
+		},
+		Store: n.store,
+		Timer: n.timer,
+	}
+	configuration.Subscribe(n.inForce)
+	go func() {
+		defer close(n.done)
+		_ = i.Run(ctx) // it fails only with its listener, which the callers see
+	}()
+}
+
+// crash ends the node as the death of its process does.
+func (n *node) crash() {
+	if n.crashed {
+		return
+	}
+	n.crashed = true
+	n.gate.kill()
+	n.listener.cut()
+	n.cancel()
+}
+
+// inForce notes the version that came into force.
+func (n *node) inForce(s *persimmoncart.Snapshot) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.versions = append(n.versions, s.Version)
+}
+
+// receive returns the answer err of a call to the region as the node sees it.
+func (n *node) receive(region persimmoncart.Region, err error) error {
+	if err := n.gate.pass(); err != nil {
+		return err
+	}
+	if n.world.separated(n.self.Region, region) {
+		return errCut
+	}
+	return err
+}
+
+// sweep returns the node's sweep over the engines that it owns.
+func (n *node) sweep() *sweep.Sweep {
+	return &sweep.Sweep{
+		Engines: &enginesView{node: n},
+		Log:     zerolog.Nop(),
+		Members: n.members,
+		Owned: func() []persimmoncart.Endpoint {
+			return sweep.Share(n.self, n.members.View(), n.distributor.Snapshot())
+		},
+		Timer: n.timer,
+	}
+}
+
+// send returns the error of a call that does not reach the region.
+func (n *node) send(op string, region persimmoncart.Region) error {
+	if err := n.gate.pass(); err != nil {
+		return &persimmoncart.UnavailableError{Err: err, Op: op}
+	}
+	if n.world.separated(n.self.Region, region) {
+		return &persimmoncart.UnavailableError{Err: errCut, Op: op}
+	}
+	return nil
+}
+
+// stop ends the node as the platform's planned replacement does.
+func (n *node) stop() {
+	if n.world.broken == GracefulStop {
+		n.crash()
+		n.crashed = false // the harness counts it as a planned stop
+		n.stopping = true
+		return
+	}
+	n.stopping = true
+	n.cancel()
+}
+
+// storeFault returns what happens to the node's next call to the store.
+func (n *node) storeFault(kind objectapi.Kind, _ string) objectapi.Fault {
+	if err := n.gate.pass(); err != nil || n.world.separated(n.self.Region, storeRegion) {
+		return objectapi.Fault{Down: true}
+	}
+	return n.world.storeFault(kind)
+}
--- /dev/null
+++ b/internal/faults/peers.go
@@ -0,0 +1,115 @@
+package faults
+
+import (
+	"context"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+var (
+	_ persimmoncart.ClaimPeers  = (*claimPeers)(nil)
+	_ persimmoncart.ConfigPeers = (*configPeers)(nil)
+	_ persimmoncart.Lender      = (*lender)(nil)
+	_ persimmoncart.Lenders     = (*lenders)(nil)
+)
+
+// exchange passes a call from one node to another and its answer back.
+func exchange(from *node, to persimmoncart.InstanceID, op string, f func(*node) error) error {
+	peer := from.world.current(to)
+	if peer == nil {
+		return &persimmoncart.UnavailableError{Err: errDead, Op: op}
+	}
+	if err := from.send(op, peer.self.Region); err != nil {
+		return err
+	}
+	if err := peer.gate.pass(); err != nil {
+		return &persimmoncart.UnavailableError{Err: err, Op: op}
+	}
+	err := f(peer)
+	if err := peer.gate.pass(); err != nil {
+		return err
+	}
+	return from.receive(peer.self.Region, err)
+}
+
+// A claimPeers is one node's access to the writers of claims.
+type claimPeers struct {
+	node *node
+}
+
+// Claim implements persimmoncart.ClaimPeers.
+func (p *claimPeers) Claim(ctx context.Context, to persimmoncart.Instance, key persimmoncart.ClaimKey, nonce persimmoncart.Nonce) (grant persimmoncart.ClaimGrant, err error) {
+	err = exchange(p.node, to.ID, "claim", func(peer *node) (err error) {
+		grant, err = peer.claims.WriteClaim(ctx, key, nonce)
+		return err
+	})
+	return grant, err
+}
+
+// Settle implements persimmoncart.ClaimPeers.
+func (p *claimPeers) Settle(ctx context.Context, to persimmoncart.Instance, s persimmoncart.Settlement) error {
+	return exchange(p.node, to.ID, "settle", func(peer *node) error { return peer.claims.WriteSettlement(ctx, s) })
+}
+
+// A configPeers is one node's access to the configuration of the others.
+type configPeers struct {
+	node *node
+}
+
+// Digest implements persimmoncart.ConfigPeers.
+func (p *configPeers) Digest(_ context.Context, to persimmoncart.Instance, own persimmoncart.ConfigDigest) (digest persimmoncart.ConfigDigest, err error) {
+	err = exchange(p.node, to.ID, "digest", func(peer *node) error {
+		peer.distributor.Heard(p.node.self, own)
+		digest = peer.distributor.Digest()
+		return nil
+	})
+	return digest, err
+}
+
+// Pull implements persimmoncart.ConfigPeers.
+func (p *configPeers) Pull(_ context.Context, to persimmoncart.Instance, request persimmoncart.ConfigPull) (pulled persimmoncart.ConfigPulled, err error) {
+	err = exchange(p.node, to.ID, "pull", func(peer *node) error {
+		pulled = peer.distributor.Answer(request)
+		return nil
+	})
+	return pulled, err
+}
+
+// Push implements persimmoncart.ConfigPeers.
+func (p *configPeers) Push(_ context.Context, to persimmoncart.Instance, sets []persimmoncart.ConfigChangeSet) (digest persimmoncart.ConfigDigest, err error) {
+	err = exchange(p.node, to.ID, "push", func(peer *node) error {
+		digest = peer.distributor.Accept(p.node.self, sets)
+		return nil
+	})
+	return digest, err
+}
+
+// A lender is one node's access to the slots of another.
+type lender struct {
+	node *node
+	to   persimmoncart.InstanceID
+}
+
+// Lend implements persimmoncart.Lender.
+func (l *lender) Lend(ctx context.Context, request persimmoncart.BorrowRequest) (loan persimmoncart.Loan, err error) {
+	err = exchange(l.node, l.to, "lend", func(peer *node) (err error) {
+		loan, err = peer.places.Lend(ctx, request)
+		return err
+	})
+	return loan, err
+}
+
+// Settle implements persimmoncart.Lender.
+func (l *lender) Settle(ctx context.Context, from persimmoncart.InstanceID, changes []persimmoncart.SeatChange) error {
+	return exchange(l.node, l.to, "settle", func(peer *node) error { return peer.places.Settle(ctx, from, changes) })
+}
+
+// A lenders is one node's access to the other owners.
+type lenders struct {
+	node *node
+}
+
+// Lender implements persimmoncart.Lenders.
+func (l *lenders) Lender(to persimmoncart.InstanceID) persimmoncart.Lender {
+	return &lender{node: l.node, to: to}
+}
--- /dev/null
+++ b/internal/sweep/share.go
@@ -0,0 +1,42 @@
+package sweep
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/rendezvous"
+)
+
+// Share returns the engines whose work self sweeps, sorted by identifier: those
+// for which it ranks first among the live instances of the engine's region, or
+// among all live instances if the region has none left.
+//
+// It needs no agreement: when views differ, two instances sweep one engine and
+// cancel the same work.
+func Share(self persimmoncart.Instance, members []persimmoncart.Member, snapshot *persimmoncart.Snapshot) []persimmoncart.Endpoint {
+	all := []persimmoncart.InstanceID{self.ID}
+	regions := map[persimmoncart.Region][]persimmoncart.InstanceID{self.Region: {self.ID}}
+	for _, m := range members {
+		if m.State != persimmoncart.MemberAlive || m.Instance.ID == self.ID {
+			continue
+		}
+		all = append(all, m.Instance.ID)
+		regions[m.Instance.Region] = append(regions[m.Instance.Region], m.Instance.ID)
+	}
+	var share []persimmoncart.Endpoint
+	for id, e := range snapshot.Endpoints {
+		if e.Role == persimmoncart.RoleApplication {
+			continue
+		}
+		candidates := regions[e.Region]
+		if len(candidates) == 0 {
+			candidates = all
+		}
+		if best, _ := rendezvous.Best(string(id), candidates); best == self.ID {
+			share = append(share, *e)
+		}
+	}
+	slices.SortFunc(share, func(a, b persimmoncart.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return share
+}
--- a/internal/sweep/sweep.go
+++ b/internal/sweep/sweep.go
@@ -79,6 +79,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, m := range members {
+		if m.State == persimmoncart.MemberAlive {
+			s.urgent = repeats // it may have replaced an earlier incarnation
+		}
 		if m.State != persimmoncart.MemberDead {
 			continue
 		}
@@ -142,9 +145,9 @@
 	if err != nil {
 		return errors.Wrap(err, "list work")
 	}
-	now := s.Timer.Now()
+	now, newest := s.Timer.Now(), s.newest()
 	for _, w := range work {
-		if !s.ended(now, &w) {
+		if w.Tag.Incarnation >= newest[w.Tag.Instance] && !s.ended(now, &w) {
 			continue
 		}
 		bounded, cancel := context.WithTimeout(ctx, callTimeout)
@@ -161,6 +164,18 @@
 	return nil
 }
 
+// newest returns the newest incarnation of each instance. An instance that was
+// replaced under its identifier proves by itself that its predecessor has ended,
+// also to itself, when it is the only one left to own the replica.
+func (s *Sweep) newest() map[persimmoncart.InstanceID]persimmoncart.Incarnation {
+	self := s.Members.Self()
+	newest := map[persimmoncart.InstanceID]persimmoncart.Incarnation{self.ID: self.Incarnation}
+	for _, m := range s.Members.View() {
+		newest[m.Instance.ID] = max(newest[m.Instance.ID], m.Instance.Incarnation)
+	}
+	return newest
+}
+
 // ended reports whether nobody waits for the work any more.
 func (s *Sweep) ended(now time.Time, w *persimmoncart.Work) bool {
 	if !w.Deadline.IsZero() && now.After(w.Deadline) {
--- a/internal/sweep/sweep_test.go
+++ b/internal/sweep/sweep_test.go
@@ -42,14 +42,18 @@
 type members struct {
 	persimmoncart.Members
 	notify func([]persimmoncart.Member)
+	self   persimmoncart.Instance
+	view   []persimmoncart.Member
 }
 
+func (m *members) Self() persimmoncart.Instance { return m.self }
+
 func (m *members) Subscribe(f func([]persimmoncart.Member)) func() {
 	m.notify = f
 	return func() {}
 }
 
-func (m *members) View() []persimmoncart.Member { return nil }
+func (m *members) View() []persimmoncart.Member { return m.view }
 
 // start returns a sweep over one engine with one piece of work for each of the
 // instances a and b, due in a minute.
@@ -92,6 +96,7 @@
 		left   int
 	}{
 		{"dead", persimmoncart.Member{Instance: persimmoncart.Instance{ID: "a", Incarnation: 2}, State: persimmoncart.MemberDead}, 3 * time.Second, 1},
+		{"replaced", persimmoncart.Member{Instance: persimmoncart.Instance{ID: "a", Incarnation: 3}, State: persimmoncart.MemberAlive}, 3 * time.Second, 1},
 		{"old incarnation dead", persimmoncart.Member{Instance: persimmoncart.Instance{ID: "a", Incarnation: 1}, State: persimmoncart.MemberDead}, 30 * time.Second, 2},
 		{"suspect before its deadline", persimmoncart.Member{Instance: persimmoncart.Instance{ID: "a", Incarnation: 2}, State: persimmoncart.MemberSuspect}, 54 * time.Second, 2},
 		{"suspect after its deadline", persimmoncart.Member{Instance: persimmoncart.Instance{ID: "a", Incarnation: 2}, State: persimmoncart.MemberSuspect}, 70 * time.Second, 0},
@@ -100,9 +105,19 @@
 		t.Run(tt.name, func(t *testing.T) {
 			v, e, m, _ := start()
 			v.Advance(5 * time.Second)
-			m.notify([]persimmoncart.Member{tt.member})
+			m.view = []persimmoncart.Member{tt.member}
+			m.notify(m.view)
 			v.Advance(tt.after)
 			assert.Equal(t, len(e.work), tt.left)
 		})
 	}
 }
+
+// Guards against memory that the predecessor of the only owner left behind: no
+// other instance is there to see it dead.
+func TestSweepAfterOwnRestart(t *testing.T) {
+	v, e, m, _ := start()
+	m.self = persimmoncart.Instance{ID: "b", Incarnation: 3}
+	v.Advance(15 * time.Second)
+	assert.Equal(t, len(e.work), 1)
+}
