--- a/cmd/persimmonload/internal/cmd/demo.go
+++ b/cmd/persimmonload/internal/cmd/demo.go
@@ -20,6 +20,7 @@
 // A demo runs both deployments in one process.
 type demo struct {
 	command
+	Drill    bool          `long:"drill" env:"DEMO_DRILL" description:"Let engines, applications and the store fail during the run"`
 	Duration time.Duration `long:"duration" env:"DEMO_DURATION" default:"12s" description:"Time of arrivals"`
 	JSON     bool          `long:"json" env:"DEMO_JSON" description:"Print one JSON object in place of tables"`
 	Level    string        `long:"log-level" env:"DEMO_LOG_LEVEL" default:"error" description:"Lowest level that the instances and fakes log"`
@@ -56,6 +57,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	for n, name := range platform.Names {
 		one := &demos.Deployment{
+			Drill:    d.Drill,
 			Duration: d.Duration,
 			Log:      log.With().Str("deployment", name).Logger(),
 			Name:     name,
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -38,6 +38,7 @@
 
 // A Deployment runs the demo of one deployment. Set the fields before Run.
 type Deployment struct {
+	Drill    bool          // disturbs the fakes during the run
 	Duration time.Duration // of the arrivals
 	Log      zerolog.Logger
 	Name     string
@@ -159,10 +160,17 @@
 		Targets: loadgen.PlanTargets,
 		Timer:   d.Timer,
 	}
+	var group errgroup.Group
+	if d.Drill {
+		group.Go(func() error { return drill(ctx, d.platform, d.Duration, d.Timer) })
+	}
 	report, err := r.Run(ctx)
 	if err != nil {
 		return nil, err
 	}
+	if err := group.Wait(); err != nil {
+		return nil, errors.Wrap(err, "drill")
+	}
 	held, err := d.awaitReleased(ctx)
 	if err != nil {
 		return nil, err
