--- a/internal/engine/fakedecode.go
+++ b/internal/engine/fakedecode.go
@@ -46,6 +46,9 @@
 	if request.Start != w.kv.Generated || request.Limit <= request.Start {
 		return nil, f.refuse(ReasonStart, 0)
 	}
+	if persimmoncart.Blocks(Tokens(w.kv.Prompt)+request.Limit) > w.blocks {
+		return nil, f.refuse(ReasonMemory, 0)
+	}
 	w.class, w.limit, w.next = request.Class, request.Limit, request.Start
 	w.stream = &fakeStream{fake: f, ready: make(chan struct{}, 1), work: w}
 	w.stream.stop = context.AfterFunc(ctx, func() { _ = w.stream.Close() })
@@ -143,7 +146,7 @@
 	if f.imports[request.Attempt] != nil {
 		return nil, f.refuse(ReasonBusy, 0)
 	}
-	if request.Blocks > f.Blocks-f.used {
+	if request.Blocks < 1 || request.Blocks > f.Blocks-f.used {
 		return nil, f.refuse(ReasonMemory, f.slow(f.Pace))
 	}
 	w := &decodeWork{
--- a/internal/engine/sse_test.go
+++ b/internal/engine/sse_test.go
@@ -5,12 +5,18 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+	"github.com/persimmoncart/persimmoncart/internal/transport"
 )
 
 // Guards against a fast parser that reads a line differently from encoding/json.
@@ -95,3 +101,75 @@
 	}
 	_ = s.Close()
 }
+
+// A tokenMill is an engine that generates without pause.
+type tokenMill struct {
+	persimmoncart.Engine
+	tokens int
+}
+
+// Decode implements persimmoncart.Engine.
+func (m *tokenMill) Decode(_ context.Context, request persimmoncart.DecodeRequest) (persimmoncart.TokenStream, error) {
+	return &milledStream{attempt: request.Attempt, tokens: m.tokens}, nil
+}
+
+// A milledStream is a stream of tokens without pause.
+type milledStream struct {
+	attempt persimmoncart.AttemptID
+	next    int
+	tokens  int
+}
+
+// Close implements persimmoncart.TokenStream.
+func (*milledStream) Close() error { return nil }
+
+// Next implements persimmoncart.TokenStream.
+func (s *milledStream) Next(context.Context) (persimmoncart.Token, error) {
+	if s.next == s.tokens {
+		return persimmoncart.Token{}, io.EOF
+	}
+	s.next++
+	return persimmoncart.Token{Attempt: s.attempt, Index: s.next - 1, Last: s.next == s.tokens, Text: " word"}, nil
+}
+
+// Measures one token through handler and client over loopback, with one write
+// of the handler for each token.
+func BenchmarkStream(b *testing.B) {
+	mill := &tokenMill{tokens: 1 << 40}
+	server := httptest.NewServer((&Handler{Engine: mill}).Handler())
+	defer server.Close()
+	clients := &Clients{HTTP: transport.NewClient(nil)}
+	e := clients.Engine(netip.MustParseAddrPort(server.Listener.Addr().String()))
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	s, err := e.Decode(ctx, persimmoncart.DecodeRequest{Attempt: persimmoncart.AttemptID{Request: "e1-4711"}, Limit: 1 << 40})
+	assert.NilError(b, err)
+	defer func() { _ = s.Close() }()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := s.Next(ctx); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// Guards against requests that crash the served engine.
+func FuzzHandler(f *testing.F) {
+	f.Add(prefillPath, []byte(`{"attempt":"r/1","class":"batch","model":"m","prompt":"p","tag":{"instance":"i"}}`))
+	f.Add(importPath, []byte(`{"attempt":"r/1","blocks":-1,"from":"127.0.0.1:1"}`))
+	f.Add(decodePath, []byte(`{"attempt":"r/1","limit":-1,"start":-5}`))
+	f.Add(orderPath, []byte(`{"kind":"role","role":"decode"}`))
+	f.Fuzz(func(t *testing.T, path string, body []byte) {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, path, bytes.NewReader(body))
+		if err != nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
+		defer cancel()
+		all := &Fakes{}
+		fake := NewFake(netip.MustParseAddrPort("127.0.0.1:1"), persimmoncart.RolePrefill, &timer.System{})
+		fake.LoadTime, fake.Models = 0, []persimmoncart.ModelName{"m"}
+		all.Add(fake)
+		(&Handler{Engine: fake, Fake: fake}).Handler().ServeHTTP(httptest.NewRecorder(), r.WithContext(ctx))
+	})
+}
