--- a/internal/demo/configuration.go
+++ b/internal/demo/configuration.go
@@ -74,6 +74,9 @@
 		Role:   e.Role,
 		Slots:  e.Slots,
 	}
+	if e.Capabilities.Fences {
+		s.Checks = append(s.Checks, "fence")
+	}
 	for _, m := range e.Models {
 		s.Models = append(s.Models, string(m))
 	}
--- a/internal/objectapi/logging.go
+++ b/internal/objectapi/logging.go
@@ -10,7 +10,8 @@
 
 var _ persimmoncart.Store = (*Logging)(nil)
 
-// A Logging is a Store that logs failed calls as warnings and all calls at debug level.
+// A Logging is a Store that logs failed calls as warnings and all calls at debug
+// level. Conflicts and missing objects are answers that callers expect, not failures.
 type Logging struct {
 	Log   zerolog.Logger
 	Store persimmoncart.Store
@@ -70,7 +71,11 @@
 	start := l.Timer.Now()
 	return func(err error) {
 		e := l.Log.Debug()
-		if err != nil {
+		switch result(err) {
+		case resultOK:
+		case resultConflict, resultNotFound:
+			e = e.Err(err)
+		default:
 			e = l.Log.Warn().Err(err)
 		}
 		e.Str("op", op).Str("key", key).Dur("took", l.Timer.Now().Sub(start)).Msg("store call")
--- a/internal/objectapi/metered.go
+++ b/internal/objectapi/metered.go
@@ -102,6 +102,16 @@
 	}
 }
 
+// Results of calls.
+const (
+	resultAmbiguous   = "ambiguous"
+	resultConflict    = "conflict"
+	resultNotFound    = "not_found"
+	resultOK          = "ok"
+	resultOther       = "other"
+	resultUnavailable = "unavailable"
+)
+
 // result returns the label of a call's end.
 func result(err error) string {
 	var (
@@ -112,16 +122,16 @@
 	)
 	switch {
 	case err == nil:
-		return "ok"
+		return resultOK
 	case errors.As(err, &ambiguous):
-		return "ambiguous"
+		return resultAmbiguous
 	case errors.As(err, &conflict):
-		return "conflict"
+		return resultConflict
 	case errors.As(err, &missing):
-		return "not_found"
+		return resultNotFound
 	case errors.As(err, &unavailable):
-		return "unavailable"
+		return resultUnavailable
 	default:
-		return "other"
+		return resultOther
 	}
 }
--- a/internal/platform/deployment.go
+++ b/internal/platform/deployment.go
@@ -106,11 +106,13 @@
 // endpoint returns one endpoint.
 func (d Deployment) endpoint(c Centre, role persimmoncart.Role, number int) persimmoncart.Endpoint {
 	e := persimmoncart.Endpoint{
-		DataCentre: c.Name,
-		ID:         persimmoncart.EndpointID(string(c.Name) + "-" + role.String() + "-" + strconv.Itoa(number)),
-		Pool:       d.Pool,
-		Region:     c.Region,
-		Role:       role,
+		// Some endpoints refuse old fencing tokens and others ignore them.
+		Capabilities: persimmoncart.Capabilities{Fences: number%2 == 0},
+		DataCentre:   c.Name,
+		ID:           persimmoncart.EndpointID(string(c.Name) + "-" + role.String() + "-" + strconv.Itoa(number)),
+		Pool:         d.Pool,
+		Region:       c.Region,
+		Role:         role,
 	}
 	if role == persimmoncart.RoleApplication {
 		e.Pool = d.Application
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -138,12 +138,13 @@
 		var addr *netip.AddrPort
 		if e.Role == persimmoncart.RoleApplication {
 			f := application.NewFake(netip.AddrPort{}, p.Records, p.Timer)
+			f.Fences = e.Capabilities.Fences
 			s.Handler, addr = (&application.Handler{Application: f, Fake: f}).Handler(), &f.Addr
 			e.Slots = f.Slots
 			p.Applications = append(p.Applications, f)
 		} else {
 			f := engine.NewFake(netip.AddrPort{}, e.Role, p.Timer)
-			f.Exporter, f.Models = clients, e.Models
+			f.Exporter, f.Fences, f.Models = clients, e.Capabilities.Fences, e.Models
 			s.Handler, addr = (&engine.Handler{Engine: f, Fake: f}).Handler(), &f.Addr
 			e.Blocks, e.Slots = f.Blocks, f.Slots
 			p.Engines = append(p.Engines, f)
