--- a/internal/engine/sse_test.go
+++ b/internal/engine/sse_test.go
@@ -173,3 +173,28 @@
 		(&Handler{Engine: fake, Fake: fake}).Handler().ServeHTTP(httptest.NewRecorder(), r.WithContext(ctx))
 	})
 }
+
+// answering is an HTTP transport that gives one fixed answer.
+type answering []byte
+
+// RoundTrip implements http.RoundTripper.
+func (a answering) RoundTrip(r *http.Request) (*http.Response, error) {
+	return &http.Response{Body: io.NopCloser(bytes.NewReader(a)), Request: r, StatusCode: http.StatusOK}, nil
+}
+
+// Guards against answers that crash the client or pass as another attempt's.
+func FuzzAnswers(f *testing.F) {
+	f.Add([]byte(`{"attempt":"r/1","cached":1,"handle":"h","size":5,"tokens":3}`))
+	f.Add([]byte(`{"work":[{"attempt":"r/1","blocks":2,"tag":{"instance":"i"}}]}`))
+	f.Add([]byte(`{"at":"2026-12-04T00:00:00Z","role":"decode","slots":20}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		attempt := persimmoncart.AttemptID{Request: "r", Number: 1}
+		e := (&Clients{HTTP: &http.Client{Transport: answering(body)}}).Engine(netip.MustParseAddrPort("127.0.0.1:1"))
+		r, err := e.Prefill(t.Context(), persimmoncart.PrefillRequest{Attempt: attempt})
+		if err == nil && (r.Attempt != attempt || r.Cached > r.Tokens || r.Handle == "") {
+			t.Fatalf("result %+v", r)
+		}
+		_, _ = e.Load(t.Context())
+		_, _ = e.Work(t.Context())
+	})
+}
--- a/internal/loadgen/check.go
+++ b/internal/loadgen/check.go
@@ -80,14 +80,41 @@
 	return nil
 }
 
-// A chunk is one event of a streamed completion.
+// A chunk is one event of a streamed completion, or a whole completion.
 type chunk struct {
 	Choices []struct {
-		Finish *string `json:"finish_reason"`
-		Text   string  `json:"text"`
+		Delta   message `json:"delta"` // of a streamed conversation
+		Finish  *string `json:"finish_reason"`
+		Message message `json:"message"` // of a whole conversation
+		Text    string  `json:"text"`
 	} `json:"choices"`
 }
 
+// parseChunk returns the text of a chunk and whether it gives a finish reason.
+func parseChunk(data []byte) (text string, finished bool, err error) {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil || len(c.Choices) != 1 {
+		return "", false, &WrongError{Reason: fmt.Sprintf("no chunk: %.80q", data)}
+	}
+	o := c.Choices[0]
+	return o.Text + o.Delta.Content + o.Message.Content, o.Finish != nil, nil
+}
+
+// checkWhole checks a completion without streaming.
+func checkWhole(check *textCheck, limit int, data []byte) error {
+	text, finished, err := parseChunk(data)
+	if err != nil {
+		return err
+	}
+	if !finished {
+		return &WrongError{Reason: "no finish reason"}
+	}
+	if err := check.feed(text); err != nil {
+		return err
+	}
+	return check.end(limit)
+}
+
 // A stream reads and checks one streamed completion.
 type stream struct {
 	check  textCheck
@@ -132,17 +159,15 @@
 
 // event checks one event.
 func (s *stream) event(data []byte) error {
-	var c chunk
-	if err := json.Unmarshal(data, &c); err != nil || len(c.Choices) != 1 {
-		return &WrongError{Reason: fmt.Sprintf("no chunk: %.80q", data)}
+	text, finished, err := parseChunk(data)
+	if err != nil {
+		return err
 	}
-	if c.Choices[0].Text != "" {
+	if text != "" {
 		s.onText()
 	}
-	if c.Choices[0].Finish != nil {
-		s.reason = true
-	}
-	return s.check.feed(c.Choices[0].Text)
+	s.reason = s.reason || finished
+	return s.check.feed(text)
 }
 
 // A pace notes the times of the tokens of one answer.
--- a/internal/loadgen/mix.go
+++ b/internal/loadgen/mix.go
@@ -27,6 +27,7 @@
 
 // A Part is one sort of requests in a mix.
 type Part struct {
+	Chat     float64       // share of drafts that are asked for as a conversation
 	Deadline time.Duration // within which the whole answer counts
 	Kind     Kind
 	Name     string
@@ -35,6 +36,7 @@
 	Repeats  float64 // share of calls that are sent a second time with the same key
 	Route    persimmoncart.RouteName
 	Share    float64 // of all requests
+	Whole    float64 // share of drafts that are asked for without streaming
 }
 
 // A Range is drawn from with equal density on a logarithmic scale, because
@@ -44,9 +46,12 @@
 	Low  int
 }
 
-// Deadlines of the parts.
+// Deadlines of the parts, and the shares of drafts in other forms, so that each
+// form of answer is checked in every run.
 const (
+	draftChat      = 0.2
 	draftDeadline  = 2 * time.Minute
+	draftWhole     = 0.1
 	lookupDeadline = 5 * time.Second
 	recordDeadline = 10 * time.Second
 	// recordRepeats is the share of calls that clerks post twice.
@@ -58,8 +63,8 @@
 func DarJaouz() Mix {
 	return Mix{Model: platform.DarJaouz().Model, Name: platform.NameDarJaouz, Parts: []Part{
 		{
-			Deadline: draftDeadline, Kind: KindDraft, Name: "certificate", Output: Range{High: 160, Low: 40},
-			Prompt: Range{High: 24_000, Low: 1500}, Route: "drafts", Share: 0.15,
+			Chat: draftChat, Deadline: draftDeadline, Kind: KindDraft, Name: "certificate", Output: Range{High: 160, Low: 40},
+			Prompt: Range{High: 24_000, Low: 1500}, Route: "drafts", Share: 0.15, Whole: draftWhole,
 		},
 		{Deadline: lookupDeadline, Kind: KindLookup, Name: "price", Route: "prices", Share: 0.25},
 		{Deadline: lookupDeadline, Kind: KindLookup, Name: "stock", Route: "stock", Share: 0.25},
@@ -73,8 +78,8 @@
 func Peachthread() Mix {
 	return Mix{Model: platform.Peachthread().Model, Name: platform.NamePeachthread, Parts: []Part{
 		{
-			Deadline: draftDeadline, Kind: KindDraft, Name: "summary", Output: Range{High: 120, Low: 30},
-			Prompt: Range{High: 8000, Low: 600}, Route: "drafts", Share: 0.15,
+			Chat: draftChat, Deadline: draftDeadline, Kind: KindDraft, Name: "summary", Output: Range{High: 120, Low: 30},
+			Prompt: Range{High: 8000, Low: 600}, Route: "drafts", Share: 0.15, Whole: draftWhole,
 		},
 		{Deadline: lookupDeadline, Kind: KindLookup, Name: "catalogue", Route: "catalogue", Share: 0.55},
 		{Deadline: recordDeadline, Kind: KindRecord, Name: "pledge", Repeats: recordRepeats, Route: "pledges", Share: 0.2},
--- a/internal/loadgen/runner.go
+++ b/internal/loadgen/runner.go
@@ -150,13 +150,19 @@
 		}
 		return parseRefusal(b)
 	}
-	if q.Part.Kind == KindDraft {
+	if q.Part.Kind == KindDraft && !q.Whole {
 		return r.readDraft(q, response.Body, result)
 	}
 	b, err := transport.ReadAll(response.Body, maxBody)
 	if err != nil {
 		return err
 	}
+	if q.Whole {
+		check := textCheck{answer: engine.NewFakeAnswer(q.Prompt)}
+		err := checkWhole(&check, q.Limit, b)
+		result.Tokens = check.tokens
+		return err
+	}
 	return checkPlain(q, b)
 }
 
--- a/internal/loadgen/runner_test.go
+++ b/internal/loadgen/runner_test.go
@@ -41,7 +41,7 @@
 	}
 	_, path, _ := strings.Cut(strings.TrimPrefix(r.URL.RequestURI(), "/"), "/")
 	switch {
-	case r.URL.Path == "/v1/completions":
+	case strings.HasSuffix(r.URL.Path, "/completions"):
 		s.complete(w, body)
 	case r.Method == http.MethodGet:
 		w.Write(application.FakeLookup("/" + path))
@@ -53,10 +53,21 @@
 // complete streams the answer to a completion request.
 func (s *router) complete(w http.ResponseWriter, body []byte) {
 	var q struct {
-		Limit  int `json:"max_tokens"`
-		Prompt string
+		Limit    int `json:"max_tokens"`
+		Messages []struct{ Content string }
+		Prompt   string
+		Stream   bool
 	}
 	json.Unmarshal(body, &q)
+	form := `"text":%q`
+	if len(q.Messages) > 0 {
+		q.Prompt = "user: " + q.Messages[0].Content + "\nassistant: "
+		form = `"delta":{"content":%q}`
+	}
+	if !q.Stream {
+		s.whole(w, q.Prompt, q.Limit)
+		return
+	}
 	for i := range q.Limit {
 		reason := "null"
 		switch {
@@ -71,11 +82,20 @@
 			fmt.Fprint(w, "event: error\ndata: {\"error\":{\"code\":\"stream_broken\",\"message\":\"m\",\"outcome\":\"unknown\"}}\n\n")
 			return
 		}
-		fmt.Fprintf(w, "data: {\"id\":\"r\",\"choices\":[{\"index\":0,\"text\":%q,\"finish_reason\":%s}]}\n\n", engine.FakeToken(q.Prompt, i), reason)
+		fmt.Fprintf(w, `data: {"id":"r","choices":[{"index":0,`+form+`,"finish_reason":%s}]}`+"\n\n", engine.FakeToken(q.Prompt, i), reason)
 	}
 	fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
+// whole answers a completion request without streaming.
+func (*router) whole(w http.ResponseWriter, prompt string, limit int) {
+	var text strings.Builder
+	for i := range limit {
+		text.WriteString(engine.FakeToken(prompt, i))
+	}
+	fmt.Fprintf(w, `{"choices":[{"index":0,"text":%q,"finish_reason":"length"}]}`, text.String())
+}
+
 // run runs a short mix against a router.
 func run(t *testing.T, s *router) *loadgen.Report {
 	t.Helper()
--- a/internal/loadgen/source.go
+++ b/internal/loadgen/source.go
@@ -37,6 +37,7 @@
 type Request struct {
 	At     time.Duration // intended start, from the start of the run
 	Body   []byte
+	Chat   bool   // a conversation
 	Key    string // idempotency key; empty if the request has none
 	Limit  int    // output tokens of a draft
 	Method string
@@ -44,6 +45,7 @@
 	Path   string
 	Prompt string
 	Repeat time.Duration // to a second call with the same key; zero if there is none
+	Whole  bool          // a draft without streaming
 }
 
 // A Source draws the requests of a run. Equal fields give equal requests.
@@ -121,10 +123,7 @@
 	id := strconv.Itoa(s.number)
 	switch p.Kind {
 	case KindDraft:
-		r.Path = "/v1/completions"
-		r.Limit = s.draw(p.Output)
-		r.Prompt = s.prompt(s.draw(p.Prompt) * engine.BytesPerToken)
-		r.Body = encode(completionBody{Limit: r.Limit, Model: string(s.Mix.Model), Prompt: r.Prompt, Stream: true})
+		s.draft(p, &r)
 	case KindLookup:
 		r.Method = http.MethodGet
 		r.Path = "/" + string(p.Route) + "/" + promptWords[s.random.IntN(len(promptWords))] + "?lot=" + id
@@ -139,6 +138,23 @@
 	return r
 }
 
+// draft draws a draft. A conversation of one message reaches the engines as
+// "user: <message>\nassistant: ".
+func (s *Source) draft(p *Part, r *Request) {
+	r.Path = "/v1/completions"
+	r.Limit = s.draw(p.Output)
+	r.Prompt = s.prompt(s.draw(p.Prompt) * engine.BytesPerToken)
+	r.Chat = s.random.Float64() < p.Chat
+	r.Whole = s.random.Float64() < p.Whole
+	body := completionBody{Limit: r.Limit, Model: string(s.Mix.Model), Prompt: r.Prompt, Stream: !r.Whole}
+	if r.Chat {
+		r.Path = "/v1/chat/completions"
+		body.Messages, body.Prompt = []message{{Content: r.Prompt, Role: "user"}}, ""
+		r.Prompt = "user: " + r.Prompt + "\nassistant: "
+	}
+	r.Body = encode(body)
+}
+
 // draw draws a number from a range.
 func (s *Source) draw(r Range) int {
 	low, high := math.Log(float64(r.Low)), math.Log(float64(r.High))
@@ -167,10 +183,17 @@
 
 // A completionBody is the body of a completion request.
 type completionBody struct {
-	Limit  int    `json:"max_tokens"`
-	Model  string `json:"model"`
-	Prompt string `json:"prompt"`
-	Stream bool   `json:"stream"`
+	Limit    int       `json:"max_tokens"`
+	Messages []message `json:"messages,omitempty"`
+	Model    string    `json:"model"`
+	Prompt   string    `json:"prompt,omitempty"`
+	Stream   bool      `json:"stream"`
+}
+
+// A message is one message of a conversation.
+type message struct {
+	Content string `json:"content"`
+	Role    string `json:"role"`
 }
 
 // A recordBody is the body of a booking, payment or pledge.
--- a/internal/loadgen/tally.go
+++ b/internal/loadgen/tally.go
@@ -56,6 +56,11 @@
 	}
 }
 
+// streamed reports whether the answer has times of single tokens.
+func (r *Result) streamed() bool {
+	return r.Request.Part.Kind == KindDraft && !r.Request.Whole
+}
+
 // Ends of requests.
 const (
 	endAnswered end = iota
@@ -135,7 +140,7 @@
 		return
 	}
 	record(p.total, r.Total)
-	if r.Request.Part.Kind == KindDraft {
+	if r.streamed() {
 		record(p.first, r.First)
 		for _, g := range r.pace.gaps {
 			record(p.gap, g)
@@ -148,7 +153,11 @@
 
 // good reports whether an answer met both targets and its deadline.
 func (t *tally) good(r *Result) bool {
-	if r.Request.Part.Kind != KindDraft {
+	switch {
+	case r.streamed():
+	case r.Request.Whole:
+		return r.Total <= r.Request.Part.Deadline
+	default:
 		return r.Total <= t.targets.First
 	}
 	return r.First <= t.targets.First && r.pace.mean() <= t.targets.Gap && r.Total <= r.Request.Part.Deadline
