entry: join members, ownership and configuration with peers

Cause: an instance owned all replicas of its region, and callbacks of members would have blocked under the lock of their caller. A publisher could also hold the lock of the event bus while the control goroutine subscribed, which blocked both for good. Change: Peers.Join builds claims, members, ownership, configuration and places; callbacks only wake a service; the bus subscribes to all topics when it is made. Result: go test -race ./internal/control ./internal/entry passes; before, the tests of entry did not end.

--- a/cmd/persimmoncart/internal/cmd/run.go
+++ b/cmd/persimmoncart/internal/cmd/run.go
@@ -13,14 +13,13 @@
 
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/application"
-	"github.com/persimmoncart/persimmoncart/internal/claim"
-	"github.com/persimmoncart/persimmoncart/internal/config"
 	"github.com/persimmoncart/persimmoncart/internal/control"
 	"github.com/persimmoncart/persimmoncart/internal/engine"
 	"github.com/persimmoncart/persimmoncart/internal/entry"
+	"github.com/persimmoncart/persimmoncart/internal/instancelist"
 	"github.com/persimmoncart/persimmoncart/internal/metrics"
 	"github.com/persimmoncart/persimmoncart/internal/objectapi"
-	"github.com/persimmoncart/persimmoncart/internal/places"
+	"github.com/persimmoncart/persimmoncart/internal/peer"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 	"github.com/persimmoncart/persimmoncart/internal/tlsfiles"
 	"github.com/persimmoncart/persimmoncart/internal/transport"
@@ -67,30 +66,31 @@
 		Engines:      &engine.Clients{HTTP: b.client, Secure: secure},
 		Grace:        c.Grace,
 		Logger:       b.logger,
-		Members:      &entry.Alone{Instance: c.Self},
 		Metrics:      metrics.New(),
 		Self:         c.Self,
 		Timer:        b.timer,
 	}
+	if c.Static != nil {
+		i.Configuration = c.Static
+	}
 	if c.Store.IsValid() {
 		i.Store = &objectapi.Client{Addr: c.Store, HTTP: b.client, Secure: secure, Timer: b.timer}
-		claims := &claim.Claims{Logger: b.logger, Registerer: i.Metrics.Registry, Self: c.Self.Tag(), Store: i.Store, Timer: b.timer}
-		i.Claims = claims
-		b.serve("claims", claims.Run)
-	}
-	b.configuration(i)
-	p := &places.Places{Configuration: i.Configuration, Self: c.Self, Timer: b.timer}
-	i.Places, i.Balancer = p, p
-	owner := &entry.SoleOwner{Configuration: i.Configuration, Region: c.Self.Region, Usables: p}
-	b.serve("places", p.Run)
-	b.serve("owner", owner.Run)
+	}
+	peers, err := b.peers(secure)
+	if err != nil {
+		return nil, err
+	}
+	peers.Join(i)
 	if i.Listener, err = b.listen(ctx, c.Callers, b.settings.Callers.TLS); err != nil {
 		return nil, err
 	}
 	if i.AdminListener, err = b.listen(ctx, c.Admin, b.settings.Admin.TLS); err != nil {
 		return nil, err
 	}
-	i.Services = b.services
+	if i.PeerListener, err = b.listen(ctx, c.Peers, b.settings.Peers.TLS); err != nil {
+		return nil, err
+	}
+	i.Services = append(b.services, i.Services...)
 	return i, nil
 }
 
@@ -107,21 +107,25 @@
 	return r.ClientConfig(), nil
 }
 
-// configuration sets where the configuration comes from.
-func (b *builder) configuration(i *entry.Instance) {
-	if b.checked.Static != nil {
-		i.Configuration = b.checked.Static
-		return
-	}
-	d := &config.Distributor{
-		Archive:    &config.Archive{Store: i.Store},
-		Log:        b.logger,
-		Members:    i.Members,
-		Registerer: i.Metrics.Registry,
-		Timer:      b.timer,
-	}
-	i.Configuration, i.Ready = d, d.Ready
-	b.serve("configuration", d.Run)
+// peers returns the connection to other instances.
+func (b *builder) peers(secure bool) (*entry.Peers, error) {
+	p := &entry.Peers{}
+	if !b.checked.Instances.IsValid() {
+		return p, nil
+	}
+	p.List = &instancelist.Client{Addr: b.checked.Instances, HTTP: b.client, Secure: secure}
+	files := b.settings.Peers.TLS.files()
+	if files.Empty() {
+		p.HTTP = peer.NewHTTPClient(nil)
+		return p, nil
+	}
+	r, err := b.reloader("peers", files)
+	if err != nil {
+		return nil, err
+	}
+	r.Name = b.settings.Peers.Name
+	p.HTTP, p.Secure = peer.NewHTTPClient(r.ClientConfig()), true
+	return p, nil
 }
 
 // listen opens a listener, or returns nil without an address.
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -19,12 +19,15 @@
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 func ExampleLoop() {
-	bus, started := control.NewBus(), make(chan struct{})
-	loop := &control.Loop{Bus: bus, Started: func() { close(started) }}
+	bus, err := control.NewBus()
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	loop := &control.Loop{Bus: bus}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() { done <- loop.Run(ctx) }()
-	<-started
 	for _, e := range []control.Event{control.ConfigurationChanged{Version: 7}, control.PhaseChanged{Phase: control.PhaseServing}} {
 		if err := bus.Publish(e); err != nil {
 			fmt.Println(err)
@@ -53,7 +56,8 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				bus := control.NewBus()
+				bus, err := control.NewBus()
+				assert.NilError(t, err)
 				loop := &control.Loop{Bus: bus, Logger: zerolog.Nop()}
 				ctx, cancel := context.WithCancel(t.Context())
 				done := make(chan error)
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -60,18 +60,37 @@
 // Topic implements Event.
 func (StoreChanged) Topic() string { return TopicStore }
 
+// topics are the topics of all events.
+var topics = []string{TopicConfiguration, TopicMembers, TopicPhase, TopicStore}
+
 // A Bus carries events from any goroutine to the control goroutine.
 type Bus struct {
 	channel *gochannel.GoChannel
+	sources map[string]<-chan *message.Message // by topic
 }
 
 // NewBus returns a Bus. It must be closed.
-func NewBus() *Bus {
-	// Waiting for the acknowledgement keeps the events of one publisher in order.
-	return &Bus{channel: gochannel.NewGoChannel(gochannel.Config{BlockPublishUntilSubscriberAck: true}, watermill.NopLogger{})}
+//
+// It subscribes to all topics at once: gochannel holds a lock while a publisher
+// waits, on which a later subscription would block forever, and events that are
+// published while the control goroutine starts again would be lost.
+func NewBus() (*Bus, error) {
+	b := &Bus{
+		// Waiting for the acknowledgement keeps the events of one publisher in order.
+		channel: gochannel.NewGoChannel(gochannel.Config{BlockPublishUntilSubscriberAck: true}, watermill.NopLogger{}),
+		sources: make(map[string]<-chan *message.Message, len(topics)),
+	}
+	for _, topic := range topics {
+		source, err := b.channel.Subscribe(context.Background(), topic)
+		if err != nil {
+			return nil, errors.Wrapf(err, "subscribe to %s", topic)
+		}
+		b.sources[topic] = source
+	}
+	return b, nil
 }
 
-// Close ends all subscriptions.
+// Close ends all subscriptions and all waiting calls of Publish.
 func (b *Bus) Close() error {
 	if err := b.channel.Close(); err != nil {
 		return errors.Wrap(err, "close bus")
@@ -79,8 +98,8 @@
 	return nil
 }
 
-// Publish sends e to the control goroutine and returns once it has been handled.
-// Without a running control goroutine the event is lost.
+// Publish sends e to the control goroutine and returns once it has been handled
+// or the bus is closed.
 func (b *Bus) Publish(e Event) error {
 	payload, err := json.Marshal(e)
 	if err != nil {
@@ -91,12 +110,3 @@
 	}
 	return nil
 }
-
-// subscribe returns the messages of a topic.
-func (b *Bus) subscribe(ctx context.Context, topic string) (<-chan *message.Message, error) {
-	messages, err := b.channel.Subscribe(ctx, topic)
-	if err != nil {
-		return nil, errors.Wrapf(err, "subscribe to %s", topic)
-	}
-	return messages, nil
-}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -56,36 +56,24 @@
 	Bus     *Bus
 	Changed func(*State) // called after each change in the control goroutine; it must not publish
 	Logger  zerolog.Logger
-	Started func() // called once the loop receives events
 
 	state atomic.Pointer[State]
 }
 
 // Run owns the control state until ctx is done.
 func (l *Loop) Run(ctx context.Context) error {
-	topics := []string{TopicConfiguration, TopicMembers, TopicPhase, TopicStore}
-	sources := make([]<-chan *message.Message, len(topics))
-	for n, topic := range topics {
-		source, err := l.Bus.subscribe(ctx, topic)
-		if err != nil {
-			return err
-		}
-		sources[n] = source
-	}
-	if l.Started != nil {
-		l.Started()
-	}
+	sources := l.Bus.sources
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case m := <-sources[0]:
+		case m := <-sources[TopicConfiguration]:
 			handle(l, m, l.configurationChanged)
-		case m := <-sources[1]:
+		case m := <-sources[TopicMembers]:
 			handle(l, m, l.membersChanged)
-		case m := <-sources[2]:
+		case m := <-sources[TopicPhase]:
 			handle(l, m, l.phaseChanged)
-		case m := <-sources[3]:
+		case m := <-sources[TopicStore]:
 			handle(l, m, l.storeChanged)
 		}
 	}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -43,6 +43,7 @@
 	Configuration persimmoncart.Configuration
 	Engines       persimmoncart.Engines
 	Grace         time.Duration        // wait for the load balancer after readiness went off
+	Leave         func()               // tells peers of the planned stop; may be nil
 	Limits        persimmoncart.Limits // nil means limits in memory
 	Listener      net.Listener         // callers
 	Logger        zerolog.Logger
@@ -63,30 +64,28 @@
 // returns nil after a graceful stop, and an error if a listener fails.
 func (i *Instance) Run(ctx context.Context) error {
 	i.defaults()
-	a := newAssembly(i)
-	defer a.bus.Close() //nolint:errcheck // nothing is left that could be lost
+	a, err := newAssembly(i)
+	if err != nil {
+		return err
+	}
 
 	// Services outlive ctx, because requests in flight need them.
 	services, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group errgroup.Group
 	group.Go(func() error { return a.tree.Run(services) })
-	<-a.started
-
 	failed := a.listen()
-	unsubscribe := a.follow()
+	a.observe()
 	a.publish(control.PhaseChanged{Phase: control.PhaseServing})
 	i.Logger.Info().Str("callers", i.Listener.Addr().String()).Msg("serving")
 
-	var err error
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
 	}
 	a.drain()
-	unsubscribe()
 	stop()
-	return errors.Join(err, group.Wait())
+	return errors.Join(err, a.bus.Close(), group.Wait())
 }
 
 // defaults fills the optional fields.
@@ -127,14 +126,17 @@
 	loop     *control.Loop
 	peers    *http.Server
 	router   *route.Router
-	started  chan struct{}
 	tree     *control.Tree
 }
 
 // newAssembly connects the parts of i.
-func newAssembly(i *Instance) *assembly {
-	a := &assembly{bus: control.NewBus(), instance: i, started: make(chan struct{})}
-	a.loop = &control.Loop{Bus: a.bus, Logger: i.Logger, Started: a.startOnce()}
+func newAssembly(i *Instance) (*assembly, error) {
+	bus, err := control.NewBus()
+	if err != nil {
+		return nil, errors.Wrap(err, "control events")
+	}
+	a := &assembly{bus: bus, instance: i}
+	a.loop = &control.Loop{Bus: a.bus, Logger: i.Logger}
 	a.router = &route.Router{
 		Applications: i.Applications,
 		Balancer:     i.Balancer,
@@ -160,7 +162,11 @@
 	a.callers = a.server(handler.Routes())
 	a.admin = a.server(adminRoutes(i, handler.Routes()))
 	a.peers = a.peerServer()
-	services := append([]control.Service{{Name: "control", Run: a.loop.Run}, {Name: "store", Run: a.probeStore}}, i.Services...)
+	services := append([]control.Service{
+		{Name: "control", Run: a.loop.Run},
+		{Name: "follow", Run: a.follow},
+		{Name: "store", Run: a.probeStore},
+	}, i.Services...)
 	a.tree = &control.Tree{Logger: i.Logger, Name: "instance", Services: services}
-	return a
+	return a, nil
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -6,7 +6,6 @@
 	"log"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -42,6 +41,9 @@
 func (a *assembly) drain() {
 	i := a.instance
 	a.publish(control.PhaseChanged{Phase: control.PhaseDraining})
+	if i.Leave != nil {
+		i.Leave()
+	}
 	ctx := context.Background()
 	_ = i.Timer.Sleep(ctx, i.Grace) // the context never ends
 	a.shutdown(ctx, a.callers, "callers")
@@ -53,23 +55,38 @@
 }
 
 // follow feeds changes of the configuration and of the members to the control
-// goroutine. The returned function ends that.
-func (a *assembly) follow() (stop func()) {
-	i := a.instance
-	version := func(s *persimmoncart.Snapshot) {
-		i.Metrics.Version(s.Version)
-		a.publish(control.ConfigurationChanged{Version: s.Version})
+// goroutine. The callbacks only wake it, because they run under locks of those
+// that call them.
+func (a *assembly) follow(ctx context.Context) error {
+	changed := make(chan struct{}, 1)
+	wake := func() {
+		select {
+		case changed <- struct{}{}:
+		default: // a change that is not yet handled covers this one
+		}
 	}
-	stopConfiguration := i.Configuration.Subscribe(version)
-	version(i.Configuration.Snapshot())
-	if i.Members == nil {
-		return stopConfiguration
+	defer a.instance.Configuration.Subscribe(func(*persimmoncart.Snapshot) { wake() })()
+	if a.instance.Members != nil {
+		defer a.instance.Members.Subscribe(func([]persimmoncart.Member) { wake() })()
+	}
+	for {
+		a.observe()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
 	}
-	stopMembers := i.Members.Subscribe(func([]persimmoncart.Member) { a.publish(count(i.Members.View())) })
-	a.publish(count(i.Members.View()))
-	return func() {
-		stopMembers()
-		stopConfiguration()
+}
+
+// observe publishes the configuration in force and the members.
+func (a *assembly) observe() {
+	i := a.instance
+	version := i.Configuration.Snapshot().Version
+	i.Metrics.Version(version)
+	a.publish(control.ConfigurationChanged{Version: version})
+	if i.Members != nil {
+		a.publish(count(i.Members.View()))
 	}
 }
 
@@ -148,7 +165,8 @@
 // publish sends an event to the control goroutine.
 func (a *assembly) publish(e control.Event) {
 	if err := a.bus.Publish(e); err != nil {
-		a.instance.Logger.Error().Str("topic", e.Topic()).Msg("event could not be published")
+		// Only a bus that is closed at the end of the stop refuses events.
+		a.instance.Logger.Debug().Str("topic", e.Topic()).Msg("event after the stop")
 	}
 }
 
@@ -176,12 +194,6 @@
 	}
 }
 
-// startOnce returns the function that closes a.started on its first call; a
-// restarted loop calls it again.
-func (a *assembly) startOnce() func() {
-	return sync.OnceFunc(func() { close(a.started) })
-}
-
 // count counts members by state.
 func count(members []persimmoncart.Member) control.MembersChanged {
 	var e control.MembersChanged
