--- a/internal/engine/sse_test.go
+++ b/internal/engine/sse_test.go
@@ -5,12 +5,18 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+	"github.com/persimmoncart/persimmoncart/internal/transport"
 )
 
 // Guards against a fast parser that reads a line differently from encoding/json.
@@ -95,3 +101,100 @@
 	}
 	_ = s.Close()
 }
+
+// A tokenMill is an engine that generates without pause.
+type tokenMill struct {
+	persimmoncart.Engine
+	tokens int
+}
+
+// Decode implements persimmoncart.Engine.
+func (m *tokenMill) Decode(_ context.Context, request persimmoncart.DecodeRequest) (persimmoncart.TokenStream, error) {
+	return &milledStream{attempt: request.Attempt, tokens: m.tokens}, nil
+}
+
+// A milledStream is a stream of tokens without pause.
+type milledStream struct {
+	attempt persimmoncart.AttemptID
+	next    int
+	tokens  int
+}
+
+// Close implements persimmoncart.TokenStream.
+func (*milledStream) Close() error { return nil }
+
+// Next implements persimmoncart.TokenStream.
+func (s *milledStream) Next(context.Context) (persimmoncart.Token, error) {
+	if s.next == s.tokens {
+		return persimmoncart.Token{}, io.EOF
+	}
+	s.next++
+	return persimmoncart.Token{Attempt: s.attempt, Index: s.next - 1, Last: s.next == s.tokens, Text: " word"}, nil
+}
+
+// Measures one token through handler and client over loopback, with one write
+// of the handler for each token.
+func BenchmarkStream(b *testing.B) {
+	mill := &tokenMill{tokens: 1 << 40}
+	server := httptest.NewServer((&Handler{Engine: mill}).Handler())
+	defer server.Close()
+	clients := &Clients{HTTP: transport.NewClient(nil)}
+	e := clients.Engine(netip.MustParseAddrPort(server.Listener.Addr().String()))
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	s, err := e.Decode(ctx, persimmoncart.DecodeRequest{Attempt: persimmoncart.AttemptID{Request: "e1-4711"}, Limit: 1 << 40})
+	assert.NilError(b, err)
+	defer func() { _ = s.Close() }()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := s.Next(ctx); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// Guards against requests that crash the served engine.
+func FuzzHandler(f *testing.F) {
+	f.Add(prefillPath, []byte(`{"attempt":"r/1","class":"batch","model":"m","prompt":"p","tag":{"instance":"i"}}`))
+	f.Add(importPath, []byte(`{"attempt":"r/1","blocks":-1,"from":"127.0.0.1:1"}`))
+	f.Add(decodePath, []byte(`{"attempt":"r/1","limit":-1,"start":-5}`))
+	f.Add(orderPath, []byte(`{"kind":"role","role":"decode"}`))
+	f.Fuzz(func(t *testing.T, path string, body []byte) {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, path, bytes.NewReader(body))
+		if err != nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
+		defer cancel()
+		all := &Fakes{}
+		fake := NewFake(netip.MustParseAddrPort("127.0.0.1:1"), persimmoncart.RolePrefill, &timer.System{})
+		fake.LoadTime, fake.Models = 0, []persimmoncart.ModelName{"m"}
+		all.Add(fake)
+		(&Handler{Engine: fake, Fake: fake}).Handler().ServeHTTP(httptest.NewRecorder(), r.WithContext(ctx))
+	})
+}
+
+// answering is an HTTP transport that gives one fixed answer.
+type answering []byte
+
+// RoundTrip implements http.RoundTripper.
+func (a answering) RoundTrip(r *http.Request) (*http.Response, error) {
+	return &http.Response{Body: io.NopCloser(bytes.NewReader(a)), Request: r, StatusCode: http.StatusOK}, nil
+}
+
+// Guards against answers that crash the client or pass as another attempt's.
+func FuzzAnswers(f *testing.F) {
+	f.Add([]byte(`{"attempt":"r/1","cached":1,"handle":"h","size":5,"tokens":3}`))
+	f.Add([]byte(`{"work":[{"attempt":"r/1","blocks":2,"tag":{"instance":"i"}}]}`))
+	f.Add([]byte(`{"at":"2026-12-04T00:00:00Z","role":"decode","slots":20}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		attempt := persimmoncart.AttemptID{Request: "r", Number: 1}
+		e := (&Clients{HTTP: &http.Client{Transport: answering(body)}}).Engine(netip.MustParseAddrPort("127.0.0.1:1"))
+		r, err := e.Prefill(t.Context(), persimmoncart.PrefillRequest{Attempt: attempt})
+		if err == nil && (r.Attempt != attempt || r.Cached > r.Tokens || r.Handle == "") {
+			t.Fatalf("result %+v", r)
+		}
+		_, _ = e.Load(t.Context())
+		_, _ = e.Work(t.Context())
+	})
+}
