--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -19,6 +19,7 @@
 	nodes       int
 	held        float64 // decode slots in use, summed over samples
 	running     float64 // decode slots that generate, summed over samples
+	seconds     float64 // with arrivals
 	slots       float64 // decode slots, summed over samples
 	prefilled   float64 // tokens computed
 	values      map[string]float64
@@ -45,6 +46,7 @@
 // finish computes the measures over the requests after the warm-up.
 func (r *result) finish(w *world) {
 	r.jobs = w.jobs
+	r.seconds = (w.scenario.length + w.scenario.tail()).Seconds()
 	var completions, good, drafts, late, claimed, refused float64
 	lookups := hdrhistogram.New(1, int64(2*callDeadline/time.Microsecond), 3)
 	for _, j := range w.jobs {
--- a/internal/policy/straggler.go
+++ b/internal/policy/straggler.go
@@ -9,6 +9,9 @@
 
 // Constants of straggler detection.
 const (
+	// medianPeriod is how often the median is computed: samples come with every
+	// few tokens, and a sort for each of them costs more than the decisions.
+	medianPeriod = 100 * time.Millisecond
 	// targetShare is the latency of a healthy endpoint relative to its target.
 	targetShare = 0.75
 	// stragglerEject is the ratio to the pool's median at which an endpoint is
@@ -43,10 +46,14 @@
 
 // A stragglerGroup is one role of a pool.
 type stragglerGroup struct {
-	floor  time.Duration
-	others int
-	size   int
-	states map[persimmoncart.EndpointID]*latencyState
+	computed time.Time // of the median
+	floor    time.Duration
+	known    bool
+	middle   float64 // median
+	others   int
+	scratch  []float64
+	size     int
+	states   map[persimmoncart.EndpointID]*latencyState
 }
 
 // A latencyState is what is known about one endpoint.
@@ -175,12 +182,22 @@
 // three, the slower one would be judged by its own latency; the pool's target
 // stands in for the median then, if there is one.
 func (g *stragglerGroup) median(now time.Time) (float64, bool) {
-	values := make([]float64, 0, len(g.states))
+	if now.Sub(g.computed) >= medianPeriod || g.computed.IsZero() {
+		g.computed = now
+		g.middle, g.known = g.compute(now)
+	}
+	return g.middle, g.known
+}
+
+// compute computes the median.
+func (g *stragglerGroup) compute(now time.Time) (float64, bool) {
+	values := g.scratch[:0]
 	for _, e := range g.states {
 		if now.Sub(e.at) <= stragglerWindow {
 			values = append(values, e.average)
 		}
 	}
+	g.scratch = values
 	if len(values) < 3 {
 		return targetShare * g.floor.Seconds(), g.floor > 0
 	}
