policy: borrow a decode slot when another owner's batches are much smaller

Cause: instances used their own replicas first whatever their batches, which slows down every request in a full batch while other owners' are half empty. Change: an own slot is passed over when a digest shows a share of used slots that is lower by 0.2. Owners of slow replicas are told at most four times a second, whoever reports the pace.

--- a/internal/policy/broker.go
+++ b/internal/policy/broker.go
@@ -58,6 +58,7 @@
 // It grants slots of its own replicas, lends them to other instances, borrows
 // from other owners, and refuses what cannot be served in time.
 type Broker struct {
+	borrowed   map[persimmoncart.EndpointID]*borrowedSeat
 	endpoints  map[persimmoncart.EndpointID]*persimmoncart.Endpoint
 	grants     map[persimmoncart.GrantID]*grantState
 	lanes      map[laneKey]*lane
@@ -84,6 +85,7 @@
 func NewBroker(s BrokerSettings) *Broker {
 	s = s.withDefaults()
 	return &Broker{
+		borrowed:  make(map[persimmoncart.EndpointID]*borrowedSeat),
 		byHolding: make(map[uint64]persimmoncart.GrantID),
 		endpoints: make(map[persimmoncart.EndpointID]*persimmoncart.Endpoint),
 		grants:    make(map[persimmoncart.GrantID]*grantState),
@@ -209,6 +211,11 @@
 	delete(b.grants, id)
 	delete(b.uncommitted, id)
 	g.lane.learnFill(g, now)
+	if g.decode.endpoint != nil && g.decode.holding == 0 {
+		if s, kept := b.borrowed[g.decode.endpoint.ID]; kept && s.seat == g.decode.seat {
+			delete(b.borrowed, g.decode.endpoint.ID)
+		}
+	}
 	b.releasePart(now, &g.prefill, 0)
 	b.releasePart(now, &g.decode, g.pace)
 }
--- a/internal/policy/lane.go
+++ b/internal/policy/lane.go
@@ -18,6 +18,9 @@
 	// clearlyBetter is the time by which another owner's prefill must end
 	// earlier before a slot is borrowed although an own one is free.
 	clearlyBetter = 200 * time.Millisecond
+	// clearlyEmptier is the difference in the share of used slots from which a
+	// decode slot is borrowed although an own one is free.
+	clearlyEmptier = 0.2
 	// fillQuantile is the quantile of the generated share that deadlines are
 	// planned with: most answers that start just in time must end in time, or
 	// their prefill is wasted. fillStep is the step of its estimate.
@@ -198,6 +201,9 @@
 // stepLane serves the waiting requests of one lane.
 func (b *Broker) stepLane(now time.Time, l *lane) {
 	l.served.tick(now, l.queue.Len() > 0)
+	if pace, known := b.stragglers.Median(now, l.key.pool, persimmoncart.RoleDecode); known {
+		l.pace = pace
+	}
 	if l.queue.Len() == 0 {
 		b.returnStock(now, l)
 		return
@@ -248,7 +254,8 @@
 	needDecode := w.needDecode && w.decode.endpoint == nil
 	needPrefill := w.needPrefill && w.prefill.endpoint == nil
 	if needDecode && needPrefill {
-		if c, found := b.placement.Choose(now, &w.ask, l.prefills, l.decodes); found && !b.prefillElsewhere(now, l, w, c.Wait) {
+		if c, found := b.placement.Choose(now, &w.ask, l.prefills, l.decodes); found &&
+			!b.prefillElsewhere(now, l, w, c.Wait) && !b.decodeElsewhere(now, l, w, c.Decode) {
 			b.takeDecode(now, w, c.Decode)
 			b.takePrefill(now, w, c.Prefill)
 			b.placement.reserveTransfer(now, &c, w.ask.Tokens)
@@ -273,7 +280,7 @@
 	if w.lend == nil && !b.prefillNear(now, l, w) {
 		return false
 	}
-	if r, found := b.placement.ChooseDecode(&w.ask, l.decodes); found {
+	if r, found := b.placement.ChooseDecode(&w.ask, l.decodes); found && !b.decodeElsewhere(now, l, w, r) {
 		b.takeDecode(now, w, r)
 		return true
 	}
@@ -297,6 +304,17 @@
 	return true
 }
 
+// decodeElsewhere reports whether another owner's batches are so much smaller
+// than that of the own replica that a slot is borrowed although an own one is
+// free: every request in a batch slows down all others.
+func (b *Broker) decodeElsewhere(now time.Time, l *lane, w *waiter, r *Replica) bool {
+	if w.lend != nil || r.Weight <= 0 || now.Before(l.borrowAfter) {
+		return false
+	}
+	own := float64(r.usedSlots) / float64(r.Slots)
+	return own > b.peers.decodeLoad(l.key, b.settings.Region)+clearlyEmptier
+}
+
 // prefillElsewhere reports whether another owner would prefill clearly earlier
 // than wait from now, and can be asked.
 func (b *Broker) prefillElsewhere(now time.Time, l *lane, w *waiter, wait time.Duration) bool {
@@ -375,6 +393,9 @@
 			b.byHolding[p.holding] = id
 		}
 	}
+	if g.decode.holding == 0 {
+		b.borrowed[g.decode.endpoint.ID] = &borrowedSeat{owner: g.decode.owner, seat: g.decode.seat}
+	}
 	b.settings.Effects.Grant(w.ID, persimmoncart.Grant{
 		Blocks:  w.ask.Blocks,
 		Cached:  g.prefill.cached,
--- a/internal/policy/peers.go
+++ b/internal/policy/peers.go
@@ -77,6 +77,16 @@
 	return preferred
 }
 
+// decodeLoad returns the smallest share of used decode slots that any digest
+// shows; 1 if there is none.
+func (t *peerTable) decodeLoad(key laneKey, region persimmoncart.Region) float64 {
+	load := 1.0
+	t.each(key, persimmoncart.RoleDecode, region, func(_ persimmoncart.InstanceID, _ *peerState, d *persimmoncart.PoolDigest) {
+		load = min(load, 1-float64(d.Free)/float64(d.Slots))
+	})
+	return load
+}
+
 // each calls f with every row for the lane and role; an empty region means all.
 func (t *peerTable) each(key laneKey, role persimmoncart.Role, region persimmoncart.Region, f func(persimmoncart.InstanceID, *peerState, *persimmoncart.PoolDigest)) {
 	for _, id := range t.order {
--- a/internal/policy/view.go
+++ b/internal/policy/view.go
@@ -18,6 +18,16 @@
 // defaultPaceTarget is the pool's target between tokens if none is configured.
 const defaultPaceTarget = 60 * time.Millisecond
 
+// slowPeriod is how often an owner is told about a slow replica.
+const slowPeriod = 250 * time.Millisecond
+
+// A borrowedSeat is the newest decode seat in use on a replica of another owner.
+type borrowedSeat struct {
+	owner persimmoncart.InstanceID
+	seat  persimmoncart.GrantID
+	told  time.Time // when the owner was last told that the replica is slow
+}
+
 // CacheEvent takes one change of a prefill replica's cache.
 func (b *Broker) CacheEvent(now time.Time, replica persimmoncart.EndpointID, e persimmoncart.CacheEvent) {
 	b.placement.Prefixes.Apply(now, replica, e)
@@ -66,24 +76,30 @@
 	if !found || result.Cancelled || result.Role != persimmoncart.RoleDecode || result.Tokens <= 0 {
 		return
 	}
-	b.observe(now, e, result.Latency/time.Duration(result.Tokens))
+	b.observePace(now, e, result.Latency/time.Duration(result.Tokens))
 }
 
-// ObservePace learns the time between tokens on the decode replica of a grant;
-// a lent seat's owner learns it with the release.
+// ObservePace learns the time between tokens on the decode replica of a grant.
 func (b *Broker) ObservePace(now time.Time, id persimmoncart.GrantID, pace time.Duration) {
 	g, found := b.grants[id]
 	if !found || g.decode.endpoint == nil || pace <= 0 {
 		return
 	}
 	g.pace = pace
-	b.observe(now, g.decode.endpoint, pace)
-	if m, known := b.stragglers.Median(now, g.lane.key.pool, persimmoncart.RoleDecode); known {
-		g.lane.pace += (m - g.lane.pace) / 32
-	}
-	if g.decode.holding == 0 && pace > defaultPaceTarget {
-		b.peers.settle(now, g.decode.owner, persimmoncart.SeatChange{ID: g.decode.seat, Kind: persimmoncart.SeatCommitted, Took: pace})
+	b.observePace(now, g.decode.endpoint, pace)
+}
+
+// observePace learns the time between tokens on a replica. If the replica is
+// slow and another instance owns it, the owner is told, because it may have no
+// requests of its own there.
+func (b *Broker) observePace(now time.Time, e *persimmoncart.Endpoint, pace time.Duration) {
+	b.observe(now, e, pace)
+	s, found := b.borrowed[e.ID]
+	if !found || pace <= defaultPaceTarget || now.Sub(s.told) < slowPeriod {
+		return
 	}
+	s.told = now
+	b.peers.settle(now, s.owner, persimmoncart.SeatChange{ID: s.seat, Kind: persimmoncart.SeatCommitted, Took: pace})
 }
 
 // SetEndpoints replaces the records of all engines that the configuration
