--- /dev/null
+++ b/internal/order/roles.go
@@ -0,0 +1,82 @@
+package order
+
+import (
+	"slices"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/policy"
+)
+
+const (
+	// DefaultFetch is the time that a move of a replica is taken to last.
+	DefaultFetch = time.Minute
+	// DefaultLoads is the number of weight fetches at the same time.
+	DefaultLoads = 4
+	// sizeUse turns a size in replicas into the work that the planner of
+	// internal/policy provides that many replicas for.
+	sizeUse = 0.75
+)
+
+var _ persimmoncart.RolePlanner = (*Roles)(nil)
+
+// A Roles plans the roles of the engines of one pool with the decision code of
+// internal/policy. It remembers recent moves, so each pool has its own.
+type Roles struct {
+	Fetch   time.Duration // DefaultFetch if zero
+	Planner *policy.Planner
+}
+
+// Plan implements persimmoncart.RolePlanner.
+func (r *Roles) Plan(request persimmoncart.PlanRequest) []persimmoncart.Desired {
+	fetch := r.Fetch
+	if fetch == 0 {
+		fetch = DefaultFetch
+	}
+	out := make([]persimmoncart.Desired, len(request.Endpoints))
+	planned := make([]policy.Planned, len(request.Endpoints))
+	index := map[persimmoncart.EndpointID]int{}
+	for i, e := range request.Endpoints {
+		d, found := request.Last[e.ID]
+		if !found {
+			d = persimmoncart.Desired{Endpoint: e.ID, Models: e.Models, Role: e.Role}
+		}
+		pin := request.Pins[e.ID]
+		d = pinned(d, pin, request.Now)
+		planned[i] = policy.Planned{ID: e.ID, Moving: request.Now.Sub(d.Since) < fetch, Pinned: pin != nil, Role: d.Role}
+		if len(d.Models) > 0 {
+			planned[i].Model = d.Models[0]
+		}
+		out[i], index[e.ID] = d, i
+	}
+	var needs []policy.Need
+	for _, s := range request.Sizes {
+		needs = append(needs,
+			policy.Need{Model: s.Model, Role: persimmoncart.RoleDecode, Work: float64(s.Decode) * sizeUse},
+			policy.Need{Model: s.Model, Role: persimmoncart.RolePrefill, Work: float64(s.Prefill) * sizeUse})
+	}
+	for _, m := range r.Planner.Plan(request.Now, planned, needs) {
+		out[index[m.ID]] = persimmoncart.Desired{
+			Endpoint: m.ID, Models: []persimmoncart.ModelName{m.Model}, Role: m.Role, Since: request.Now,
+		}
+	}
+	return out
+}
+
+// pinned returns the desired state with a pin applied.
+func pinned(d persimmoncart.Desired, pin *persimmoncart.Pin, now time.Time) persimmoncart.Desired {
+	if pin == nil {
+		return d
+	}
+	next := d
+	if pin.Role != 0 {
+		next.Role = pin.Role
+	}
+	if len(pin.Models) > 0 {
+		next.Models = pin.Models
+	}
+	if next.Role != d.Role || !slices.Equal(next.Models, d.Models) {
+		next.Since = now
+	}
+	return next
+}
