--- a/Makefile
+++ b/Makefile
@@ -1,34 +1,57 @@
 # Commands for contributors and operators; README.md explains them.
 
 SEED ?= 1
-NODES ?= 400
-CHANGES ?= 200
-MODULES = . ./cmd/persimmoncart ./cmd/persimmonctl ./cmd/persimmonfake ./cmd/persimmonload
-
-.PHONY: all build config-bench fmt generate lint test tidy vet
 
+.PHONY: all
 all: build
 
+# Measures the decision code under load; CASE, DEPLOYMENT, NODES, REPLICAS,
+# TRACE and TRAFFIC are taken from the environment as well.
+.PHONY: bench
+bench:
+	@SEED=$(SEED) CASE=$(CASE) DEPLOYMENT=$(DEPLOYMENT) NODES=$(or $(NODES),8) REPLICAS=$(or $(REPLICAS),0) go run ./internal/bench/cmd
+
+.PHONY: bench-overhead
+bench-overhead:
+	@go run ./internal/overhead/run --seed=$(SEED)
+
+.PHONY: build
 build:
 	go build -o bin/ ./cmd/persimmoncart ./cmd/persimmonctl ./cmd/persimmonfake ./cmd/persimmonload
 
+.PHONY: config-bench
 config-bench:
-	go run ./internal/configbench/run --nodes=$(NODES) --changes=$(CHANGES) --seed=$(SEED)
+	@go run ./internal/configbench/run --nodes=$(or $(NODES),400) --changes=$(or $(CHANGES),200) --seed=$(SEED)
+
+.PHONY: demo
+demo:
+	@go run ./cmd/persimmonload demo --seed=$(SEED)
+
+# Runs schedules of faults; BREAK=promise switches off the guard behind it.
+.PHONY: faults
+faults:
+	@go test -count=1 -timeout=10m ./internal/faults -run '^TestMatrix$$' -args -report -seed=$(SEED) -runs=$(or $(RUNS),$(if $(BREAK),8,70)) -break=$(BREAK)
 
+.PHONY: fmt
 fmt:
 	tools/lint fmt
 
+.PHONY: generate
 generate:
 	tools/generate
 
+.PHONY: lint
 lint:
 	tools/lint run
 
+.PHONY: test
 test:
 	go test -race work
 
+.PHONY: tidy
 tidy:
 	tools/tidy
 
+.PHONY: vet
 vet:
 	go vet work
--- a/internal/membership/harness_test.go
+++ b/internal/membership/harness_test.go
@@ -92,9 +92,9 @@
 // kill ends n; its host stays up if refused is true.
 func (f *fleet) kill(n *node, refused bool) {
 	n.stop()
-	n.port.State = peer.PortSilent
+	n.port.End(peer.PortSilent)
 	if refused {
-		n.port.State = peer.PortRefused
+		n.port.End(peer.PortRefused)
 	}
 }
 
@@ -102,7 +102,7 @@
 func (f *fleet) states(id persimmoncart.InstanceID) map[persimmoncart.MemberState]int {
 	seen := map[persimmoncart.MemberState]int{}
 	for _, n := range f.nodes {
-		if n.port.State != peer.PortOpen || n.service.Machine.Self.ID == id {
+		if n.port.State() != peer.PortOpen || n.service.Machine.Self.ID == id {
 			continue
 		}
 		for _, m := range n.service.View() {
