order, admin: hold leases with few calls, show the plan in force

Cause: with every instance trying for every lease every two seconds, 400 nodes would read the store 200 times a second; and a fallback sheet must be seen. Change: two candidates of a cell try, renewal at half a term; the plan and its warnings in the administration API, in status and in sheet plan.

--- a/cmd/persimmonctl/internal/cmd/main_test.go
+++ b/cmd/persimmonctl/internal/cmd/main_test.go
@@ -65,6 +65,11 @@
 	if _, err := claims.Claim(context.Background(), route.ClaimKey("gate", "payments", "pay-1")); err != nil {
 		return errors.Wrap(err, "claim")
 	}
+	plan := `{"at":"2026-12-09T06:00:00Z","desired":{"h1":{"models":["m"],"role":"prefill"},"h2":{"models":["m"],"role":"decode"},"h3":{"models":["m"],"role":"decode"}},` +
+		`"warning":"there is no sheet of 2026-12-09; the sheet of 2026-12-05 is in force"}`
+	if _, err := store.Create(context.Background(), "plan/hull", []byte(plan)); err != nil {
+		return errors.Wrap(err, "plan")
+	}
 	editor := &config.Editor{Archive: &config.Archive{Store: store}, Timer: clock}
 	fleet := &lagging{editor: editor}
 	s := &admin.Server{Log: zerolog.Nop(), Service: &admin.Local{
--- a/cmd/persimmonctl/internal/cmd/status.go
+++ b/cmd/persimmonctl/internal/cmd/status.go
@@ -30,6 +30,9 @@
 		row("version", r.Version)
 		row("store", r.Store)
 		row("newest sheet", orNone(r.Sheet))
+		for _, w := range r.Warnings {
+			row("WARNING", w)
+		}
 		if len(r.Instances) == 0 {
 			return
 		}
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -57,6 +57,11 @@
 	return send[OutcomeReply](ctx, c, http.MethodGet, "/outcomes?"+q.Encode(), nil)
 }
 
+// Plan implements Service.
+func (c *Client) Plan(ctx context.Context) (PlanReply, error) {
+	return send[PlanReply](ctx, c, http.MethodGet, "/plan", nil)
+}
+
 // Rollback implements Service. The author comes from the token.
 func (c *Client) Rollback(ctx context.Context, request RollbackRequest) (ApplyReply, error) {
 	return send[ApplyReply](ctx, c, http.MethodPost, "/rollback", request)
--- a/internal/admin/local.go
+++ b/internal/admin/local.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/config"
+	"github.com/persimmoncart/persimmoncart/internal/order"
 	"github.com/persimmoncart/persimmoncart/internal/route"
 )
 
@@ -122,6 +124,50 @@
 	return out, nil
 }
 
+// Plan implements Service.
+func (l *Local) Plan(ctx context.Context) (PlanReply, error) {
+	out := PlanReply{Pools: []PoolPlan{}}
+	objects, err := l.Objects(ctx, string(config.KindPool), "")
+	if err != nil {
+		return out, err
+	}
+	for _, o := range objects.Objects {
+		name := strings.TrimPrefix(o.Key, string(config.KindPool)+"/")
+		r, version, err := order.ReadRecord(ctx, l.Editor.Archive.Store, persimmoncart.PoolName(name))
+		if err != nil {
+			return out, toError(err)
+		}
+		if version != 0 {
+			out.Pools = append(out.Pools, PoolPlan{At: r.At, Pool: name, Shares: shares(r), Version: r.Version, Warning: r.Warning})
+		}
+	}
+	return out, nil
+}
+
+// shares counts the engines of a plan by their first model.
+func shares(r order.Record) []ModelShare {
+	counts := map[string]*ModelShare{}
+	for _, d := range r.Desired {
+		model := ""
+		if len(d.Models) > 0 {
+			model = string(d.Models[0])
+		}
+		if counts[model] == nil {
+			counts[model] = &ModelShare{Model: model}
+		}
+		if d.Role == persimmoncart.RolePrefill {
+			counts[model].Prefill++
+		} else {
+			counts[model].Decode++
+		}
+	}
+	out := []ModelShare{}
+	for _, model := range slices.Sorted(maps.Keys(counts)) {
+		out = append(out, *counts[model])
+	}
+	return out
+}
+
 // Rollback implements Service.
 func (l *Local) Rollback(ctx context.Context, request RollbackRequest) (ApplyReply, error) {
 	edit := config.Edit{Author: request.Author, ID: request.ID, Note: request.Note}
@@ -149,6 +195,13 @@
 			}
 		}
 	}
+	if plan, err := l.Plan(ctx); err == nil {
+		for _, p := range plan.Pools {
+			if p.Warning != "" {
+				out.Warnings = append(out.Warnings, "pool "+p.Pool+": "+p.Warning)
+			}
+		}
+	}
 	if l.Fleet != nil {
 		out.Instances = l.Fleet.Versions(ctx)
 	} else if err != nil {
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -50,6 +50,7 @@
 		r.Get("/objects/{kind}", s.serve(RoleViewer, s.objects))
 		r.Get("/objects/{kind}/{name}", s.serve(RoleViewer, s.objects))
 		r.Get("/outcomes", s.serve(RoleViewer, s.outcome))
+		r.Get("/plan", s.serve(RoleViewer, s.plan))
 		r.Get("/status", s.serve(RoleViewer, s.status))
 		r.Post("/apply", s.serve(RoleOperator, s.apply))
 		r.Post("/diff", s.serve(RoleViewer, s.diff))
@@ -151,6 +152,10 @@
 	return s.Service.Outcome(r.Context(), q.Get("account"), q.Get("route"), q.Get("key"))
 }
 
+func (s *Server) plan(r *http.Request, _ *Token) (any, error) {
+	return s.Service.Plan(r.Context())
+}
+
 func (s *Server) rollback(r *http.Request, t *Token) (any, error) {
 	request, err := decode[RollbackRequest](r.Body)
 	if err != nil {
--- a/internal/admin/service.go
+++ b/internal/admin/service.go
@@ -24,6 +24,8 @@
 	Objects(ctx context.Context, kind, name string) (ObjectsReply, error)
 	// Outcome returns what is known of a call that may not be repeated.
 	Outcome(ctx context.Context, account, route, key string) (OutcomeReply, error)
+	// Plan returns the recorded plan of each pool.
+	Plan(ctx context.Context) (PlanReply, error)
 	// Rollback makes the content of an earlier version the next version.
 	Rollback(ctx context.Context, request RollbackRequest) (ApplyReply, error)
 	// Status returns the version in force on each live instance.
@@ -104,6 +106,27 @@
 	Status  int       `json:"status,omitempty"`
 }
 
+// A PlanReply lists the recorded plans of pools.
+type PlanReply struct {
+	Pools []PoolPlan `json:"pools"`
+}
+
+// A PoolPlan is the recorded plan of one pool.
+type PoolPlan struct {
+	At      time.Time    `json:"at,omitzero"`
+	Pool    string       `json:"pool"`
+	Shares  []ModelShare `json:"shares"`
+	Version uint64       `json:"version"`           // of the configuration
+	Warning string       `json:"warning,omitempty"` // why today's sheet is not in force
+}
+
+// A ModelShare counts the engines planned for a model.
+type ModelShare struct {
+	Decode  int    `json:"decode"`
+	Model   string `json:"model"`
+	Prefill int    `json:"prefill"`
+}
+
 // A RollbackRequest asks for the content of an earlier version.
 type RollbackRequest struct {
 	Author  string          `json:"-"`
@@ -121,6 +144,7 @@
 	Sheet     string           `json:"sheet,omitempty"`   // day of the newest sheet
 	Store     string           `json:"store"`             // up or down
 	Version   uint64           `json:"version"`           // newest version known
+	Warnings  []string         `json:"warnings,omitempty"`
 }
 
 // An InstanceStatus is the version in force on one instance.
--- a/internal/order/orders.go
+++ b/internal/order/orders.go
@@ -42,6 +42,7 @@
 	Engines       persimmoncart.Engines
 	Leases        persimmoncart.Leases
 	Log           zerolog.Logger
+	Members       persimmoncart.Members // nil if this instance always tries for the lease
 	Registerer    prometheus.Registerer // nil registers no metrics
 	Self          persimmoncart.InstanceID
 	Store         persimmoncart.Store
@@ -50,7 +51,8 @@
 	checks  map[persimmoncart.EndpointID]time.Time // when to look next
 	fence   uint64                                 // of the lease in the last tick
 	first   time.Time                              // no order before
-	mutex   sync.Mutex                             // guards checks during a tick
+	held    tenure
+	mutex   sync.Mutex // guards checks during a tick
 	records map[persimmoncart.PoolName]Record
 	readAt  time.Time
 	sent    *prometheus.CounterVec
@@ -73,9 +75,9 @@
 // that differ from their desired state.
 func (o *Orders) Tick(ctx context.Context) error {
 	o.init()
-	lease, err := o.Leases.Acquire(ctx, "orders/"+string(o.Centre))
+	lease, err := o.held.hold(ctx, o.Leases, o.Members, o.Timer, "orders/"+string(o.Centre))
 	if err != nil {
-		o.fence = 0
+		o.fence = 0 // the wait starts anew with the next holding
 		return errors.Wrap(err, "orders")
 	}
 	now := o.Timer.Now()
--- a/internal/order/plan.go
+++ b/internal/order/plan.go
@@ -44,6 +44,7 @@
 	Configuration persimmoncart.Configuration
 	Leases        persimmoncart.Leases
 	Log           zerolog.Logger
+	Members       persimmoncart.Members // nil if this instance always tries for the lease
 	// Planner returns the planner of a pool; nil uses Roles.
 	Planner    func(persimmoncart.PoolName) persimmoncart.RolePlanner
 	Registerer prometheus.Registerer // nil registers no metrics
@@ -51,6 +52,7 @@
 	Timer      persimmoncart.Timer
 
 	fallback *prometheus.GaugeVec
+	held     tenure
 	planners map[persimmoncart.PoolName]persimmoncart.RolePlanner
 	warned   map[persimmoncart.PoolName]string
 }
@@ -71,7 +73,7 @@
 // Tick plans all pools once if this instance holds the lease.
 func (p *Plan) Tick(ctx context.Context) error {
 	p.init()
-	lease, err := p.Leases.Acquire(ctx, planLease)
+	lease, err := p.held.hold(ctx, p.Leases, p.Members, p.Timer, planLease)
 	if err != nil {
 		return errors.Wrap(err, "plan")
 	}
