config: take full copies from many peers; bound the YAML parser's work

Change: pages of 64 KB from the cell's members in turn, a random source among the newest; lines above 64 KiB and nesting above 128 levels are refused.

--- a/internal/admin/local.go
+++ b/internal/admin/local.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"time"
+	_ "time/tzdata" // zones of sheets on machines without zone files
 
 	"github.com/go-faster/errors"
 
--- a/internal/config/distributor.go
+++ b/internal/config/distributor.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,7 +25,7 @@
 	logBytes = 2 << 20
 	logSets  = 256
 	// pageBytes bounds one page of a full copy.
-	pageBytes = 256 << 10
+	pageBytes = 64 << 10
 
 	callTimeout = 2 * time.Second
 	pullTimeout = 10 * time.Second
@@ -170,6 +169,9 @@
 	out := persimmoncart.ConfigPulled{
 		Digest: digestOf(h.copied.Version, h.copied.Hash), Hash: h.copied.Hash, State: h.copied.State.Hash(),
 	}
+	if request.Have == 0 && !request.Full {
+		return out // a new instance takes a full copy, whose pages many peers share
+	}
 	if request.Full {
 		out.Objects, out.More = h.page(request.After)
 		return out
@@ -402,14 +404,3 @@
 	slices.Sort(keys)
 	return keys
 }
-
-// compareSources orders sources by version, newest first, then by name.
-func compareSources(a, b source) int {
-	if a.version != b.version {
-		if a.version > b.version {
-			return -1
-		}
-		return 1
-	}
-	return strings.Compare(string(a.instance.ID), string(b.instance.ID))
-}
--- a/internal/config/static_test.go
+++ b/internal/config/static_test.go
@@ -95,6 +95,21 @@
 	assert.Equal(t, len(issues), 4, "%v", err)
 }
 
+// Guards against small files that keep the parser busy for minutes or exhaust
+// its stack.
+func TestUnreadable(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{strings.Repeat("[", 1<<20), "f:1:1: line of 1048576 bytes; want lines of at most 65536 bytes"},
+		{strings.Repeat("[\n", 1<<20), "f:129:1: content is nested too deeply; want at most 128 levels"},
+		{strings.Repeat("- ", 1<<10), "f:1:257: content is nested too deeply"},
+		{strings.Repeat("a", config.MaxFileBytes+1), "f: file of 16777217 bytes; want at most 16777216 bytes"},
+	} {
+		_, issues := config.ParseYAML("f", []byte(c.text))
+		assert.Equal(t, len(issues), 1)
+		assert.Assert(t, strings.HasPrefix(issues[0].String(), c.want), issues[0].String())
+	}
+}
+
 // Guards against sheets whose spreadsheet dialect or faults are misread.
 func TestParseSheet(t *testing.T) {
 	const head = "day,pool,model,from,to,rate,prefill,decode\n"
--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -209,21 +210,28 @@
 	}
 }
 
-// bestSource returns the source with the newest version.
+// bestSource returns one of the sources with the newest version, at random, so
+// that instances that start together do not all ask the same peer.
 func (d *Distributor) bestSource() (source, bool) {
 	have := d.held().copied.Version
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	var all []source
+	var best []source
 	for _, s := range d.sources {
-		if s.version > have {
-			all = append(all, s)
+		if s.version <= have || (len(best) > 0 && s.version < best[0].version) {
+			continue
+		}
+		if len(best) > 0 && s.version > best[0].version {
+			best = best[:0]
 		}
+		best = append(best, s)
 	}
-	if len(all) == 0 {
+	if len(best) == 0 {
 		return source{}, false
 	}
-	return slices.MinFunc(all, compareSources), true
+	// The order of a map must not show in a run with a seed.
+	slices.SortFunc(best, func(a, b source) int { return strings.Compare(string(a.instance.ID), string(b.instance.ID)) })
+	return best[d.Random.IntN(len(best))], true
 }
 
 // pull takes change sets, or a full copy, from a peer.
@@ -252,44 +260,72 @@
 	}
 }
 
-// pullCopy takes a full copy from a peer, page by page.
+// pullCopy takes a full copy, page by page. The pages come from all cell peers in
+// turn, because a copy of the plan's size from one peer would exceed that peer's
+// bound on control traffic for some minutes. Pages of another version than the
+// first one's are asked from the first peer again.
 func (d *Distributor) pullCopy(ctx context.Context, from persimmoncart.Instance) error {
+	near, far := d.others()
+	if len(near) == 0 {
+		near = far // the whole data centre starts anew
+	}
+	d.shuffle(near)
 	for range copyAttempts {
-		var changes []persimmoncart.ConfigChange
-		var first persimmoncart.ConfigPulled
-		for after := ""; ; {
-			var got persimmoncart.ConfigPulled
-			err := d.call(ctx, pullTimeout, func(ctx context.Context) (err error) {
-				got, err = d.Peers.Pull(ctx, from, persimmoncart.ConfigPull{After: after, Full: true})
-				return err
-			})
-			if err != nil {
-				return err
-			}
-			if after == "" {
-				first = got
-			}
-			if got.Hash != first.Hash {
-				break // the peer went forward; pages of two versions do not fit
-			}
-			for _, o := range got.Objects {
-				changes = append(changes, persimmoncart.ConfigChange{After: o.Value, Key: o.Key})
-			}
-			if got.More && len(got.Objects) > 0 {
-				after = got.Objects[len(got.Objects)-1].Key
-				continue
-			}
-			state := (&State{}).With(changes)
-			if state.Hash() != got.State {
-				return errors.Wrapf(&CorruptError{Key: "full copy"}, "pull from %s", from.ID)
-			}
-			if d.replace(&Copy{Hash: got.Hash, State: state, Version: got.Digest.Version}) {
-				d.metrics.sources.WithLabelValues(sourceCopy).Inc()
-			}
-			return nil
+		first, err := d.page(ctx, from, "")
+		if err != nil {
+			return err
+		}
+		changes, complete := d.pages(ctx, from, near, first)
+		if !complete {
+			continue // the first peer went forward or left
+		}
+		state := (&State{}).With(changes)
+		if state.Hash() != first.State {
+			return errors.Wrapf(&CorruptError{Key: "full copy"}, "pull from %s", from.ID)
+		}
+		if d.replace(&Copy{Hash: first.Hash, State: state, Version: first.Digest.Version}) {
+			d.metrics.sources.WithLabelValues(sourceCopy).Inc()
+		}
+		return nil
+	}
+	return errors.Errorf("pull from %s: no copy of one version in %d attempts", from.ID, copyAttempts)
+}
+
+// pages takes the pages after the first one. It reports whether all of them
+// belong to the first one's version.
+func (d *Distributor) pages(ctx context.Context, from persimmoncart.Instance, near []persimmoncart.Instance, first persimmoncart.ConfigPulled) ([]persimmoncart.ConfigChange, bool) {
+	var changes []persimmoncart.ConfigChange
+	got := first
+	for turn := 0; ; turn++ {
+		for _, o := range got.Objects {
+			changes = append(changes, persimmoncart.ConfigChange{After: o.Value, Key: o.Key})
 		}
+		if !got.More || len(got.Objects) == 0 {
+			return changes, true
+		}
+		after := got.Objects[len(got.Objects)-1].Key
+		peer := from
+		if len(near) > 0 {
+			peer = near[turn%len(near)]
+		}
+		next, err := d.page(ctx, peer, after)
+		if (err != nil || next.Hash != first.Hash) && peer.ID != from.ID {
+			next, err = d.page(ctx, from, after)
+		}
+		if err != nil || next.Hash != first.Hash {
+			return nil, false
+		}
+		got = next
 	}
-	return errors.Errorf("pull from %s: version changed %d times during the copy", from.ID, copyAttempts)
+}
+
+// page asks a peer for the page after a key.
+func (d *Distributor) page(ctx context.Context, from persimmoncart.Instance, after string) (got persimmoncart.ConfigPulled, err error) {
+	err = d.call(ctx, pullTimeout, func(ctx context.Context) (err error) {
+		got, err = d.Peers.Pull(ctx, from, persimmoncart.ConfigPull{After: after, Full: true})
+		return err
+	})
+	return got, err
 }
 
 // syncStore takes newer versions from the store.
@@ -313,7 +349,11 @@
 		return false
 	}
 	var forward bool
-	sets, err := d.Archive.Sets(ctx, h, have.Version)
+	var sets []persimmoncart.ConfigChangeSet
+	var err error
+	if have.Version > 0 {
+		sets, err = d.Archive.Sets(ctx, h, have.Version)
+	}
 	if err == nil && len(sets) > 0 {
 		forward = d.install(sets)
 	} else if err == nil {
--- a/internal/config/yaml.go
+++ b/internal/config/yaml.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"encoding"
 	"fmt"
 	"math"
@@ -17,6 +18,13 @@
 // MaxFileBytes bounds one configuration file or API body, in bytes.
 const MaxFileBytes = 16 << 20
 
+const (
+	// maxDepth is far above the four levels that the format has. Brackets in
+	// texts count too; an unmatched one in a note does no harm.
+	maxDepth     = 128
+	maxLineBytes = 64 << 10
+)
+
 // An Issue is one fault in the configuration.
 type Issue struct {
 	Column  int    `json:"column,omitempty"` // zero if the fault has no place in a file
@@ -122,6 +130,9 @@
 	if len(data) > MaxFileBytes {
 		return nil, Issues{{File: file, Message: fmt.Sprintf("file of %d bytes", len(data)), Want: fmt.Sprintf("at most %d bytes", MaxFileBytes)}}
 	}
+	if i, bad := r.unreadable(data); bad {
+		return nil, Issues{i}
+	}
 	defer func() {
 		// The library's parser panics on some malformed input.
 		if p := recover(); p != nil {
@@ -145,6 +156,36 @@
 	issues  Issues
 }
 
+// unreadable finds what would cost the library's parser too much: its time grows
+// with the square of a line's length, and its stack with the depth of nesting.
+func (r *reader) unreadable(data []byte) (Issue, bool) {
+	depth, line := 0, 0
+	for text := range bytes.Lines(data) {
+		line++
+		if len(text) > maxLineBytes {
+			return Issue{File: r.file, Line: line, Column: 1, Message: fmt.Sprintf("line of %d bytes", len(text)), Want: fmt.Sprintf("lines of at most %d bytes", maxLineBytes)}, true
+		}
+		markers := 0
+		for i, b := range text {
+			switch b {
+			case '[', '{':
+				depth++
+			case ']', '}':
+				depth = max(0, depth-1)
+			case '-', '?', '&', '!':
+				markers++
+			case ' ':
+			default:
+				markers = 0
+			}
+			if depth > maxDepth || markers > maxDepth {
+				return Issue{File: r.file, Line: line, Column: i + 1, Message: "content is nested too deeply", Want: fmt.Sprintf("at most %d levels", maxDepth)}, true
+			}
+		}
+	}
+	return Issue{}, false
+}
+
 // syntax returns the issue of a parser's error.
 func (r *reader) syntax(err error) Issue {
 	i := Issue{File: r.file, Message: err.Error(), Want: "valid YAML"}
