admin: check the author's role on the changes that are applied

Cause: the role was checked on a comparison made before the one that is applied, so that an account changed in between could slip through; a wait asked every instance again each half second; and nobody told planners beforehand that a sheet would not be used. Change: the role travels with the request; instances that have the version are asked no more; sheet check warns of a sheet that cannot be meant.

--- a/cmd/persimmonctl/internal/cmd/apply.go
+++ b/cmd/persimmonctl/internal/cmd/apply.go
@@ -62,6 +62,7 @@
 	if request.Author, err = a.author(); err != nil {
 		return err
 	}
+	request.Role = admin.RoleAdmin // whoever reaches the store may change everything; an instance goes by the token
 	r, err := s.Apply(a.ctx, request)
 	if err != nil {
 		return err
--- a/cmd/persimmonctl/internal/cmd/sheet.go
+++ b/cmd/persimmonctl/internal/cmd/sheet.go
@@ -9,8 +9,10 @@
 	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
 
+	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/admin"
 	"github.com/persimmoncart/persimmoncart/internal/config"
+	"github.com/persimmoncart/persimmoncart/internal/order"
 )
 
 const (
@@ -125,11 +127,46 @@
 	if err != nil {
 		return err
 	}
-	return c.app.show(r, func(row func(...any)) {
+	objects, err := s.Objects(c.app.ctx, string(config.KindSheet), "")
+	if err != nil {
+		return err
+	}
+	warning, err := absurd(objects.Objects, spec)
+	if err != nil {
+		return err
+	}
+	reply := struct {
+		admin.DiffReply
+		Warning string `json:"warning,omitempty"`
+	}{r, warning}
+	return c.app.show(reply, func(row func(...any)) {
+		if warning != "" {
+			defer row("WARNING: it will not be used: " + warning)
+		}
 		row(fmt.Sprintf("sheet of %s is valid: %d rows, %d changes against version %d", spec.Name, len(spec.Rows), len(r.Changes), r.Version))
 	})
 }
 
+// absurd says why a sheet will not be used once it is applied, if so.
+func absurd(objects []admin.Object, spec *config.SheetSpec) (string, error) {
+	key := config.Key{Kind: config.KindSheet, Name: spec.Name}.String()
+	changes := []persimmoncart.ConfigChange{{After: config.Encode(spec), Key: key}}
+	for _, o := range objects {
+		if o.Key != key {
+			changes = append(changes, persimmoncart.ConfigChange{After: o.Value, Key: o.Key})
+		}
+	}
+	view, err := config.Apply(config.EmptySnapshot(), changes, 1)
+	if err != nil {
+		return "", errors.Wrap(err, "read sheets")
+	}
+	i := slices.IndexFunc(view.Sheets, func(x *persimmoncart.Sheet) bool { return x.Day.Format(time.DateOnly) == spec.Name })
+	if i < 1 {
+		return "", nil
+	}
+	return order.Absurd(view.Sheets[i], view.Sheets[i-1]), nil
+}
+
 // A sheetPlan is the command that shows what a sheet asks for, or the plan in force.
 type sheetPlan struct {
 	app       *app
--- a/internal/admin/fleet.go
+++ b/internal/admin/fleet.go
@@ -27,8 +27,9 @@
 	Timer     persimmoncart.Timer
 }
 
-// Versions returns the version in force on each live instance, by name.
-func (f *Fleet) Versions(ctx context.Context) []InstanceStatus {
+// Versions returns the version in force on each live instance that is not to be
+// skipped, by name.
+func (f *Fleet) Versions(ctx context.Context, skip map[string]bool) []InstanceStatus {
 	self := f.Members.Self()
 	own := f.Config.Digest()
 	out := []InstanceStatus{{Centre: string(self.DataCentre), ID: string(self.ID), Region: string(self.Region), Version: own.Version}}
@@ -36,6 +37,9 @@
 	var g errgroup.Group
 	g.SetLimit(fleetCalls)
 	for _, i := range f.live(ctx) {
+		if skip[string(i.ID)] {
+			continue
+		}
 		g.Go(func() error {
 			s := InstanceStatus{Centre: string(i.DataCentre), ID: string(i.ID), Region: string(i.Region)}
 			ctx, cancel := context.WithCancel(ctx)
--- a/internal/admin/local.go
+++ b/internal/admin/local.go
@@ -40,6 +40,11 @@
 	if err != nil {
 		return ApplyReply{}, toError(err)
 	}
+	for _, c := range changes {
+		if request.Role < RoleAdmin && strings.HasPrefix(c.Key, string(config.KindAccount)+"/") {
+			return ApplyReply{}, &Error{Code: CodeForbidden, Message: "changes of accounts need role admin: " + c.Key}
+		}
+	}
 	r, err := l.Editor.Apply(ctx, config.Edit{Author: request.Author, Changes: changes, ID: request.ID, Note: request.Note})
 	if err != nil {
 		return ApplyReply{}, toError(err)
@@ -204,7 +209,7 @@
 		}
 	}
 	if l.Fleet != nil {
-		out.Instances = l.Fleet.Versions(ctx)
+		out.Instances = l.Fleet.Versions(ctx, nil)
 	} else if err != nil {
 		return out, toError(err)
 	}
@@ -222,8 +227,13 @@
 		return out
 	}
 	end := l.Timer.Now().Add(min(wait, maxWait))
+	current := map[string]bool{} // asked no more
 	for {
-		out.Lagging = lagging(l.Fleet.Versions(ctx), r.Version)
+		versions := l.Fleet.Versions(ctx, current)
+		for _, i := range versions {
+			current[i.ID] = i.Version >= r.Version
+		}
+		out.Lagging = lagging(versions, r.Version)
 		out.Waited = len(out.Lagging) == 0
 		if out.Waited || !l.Timer.Now().Before(end) || l.Timer.Sleep(ctx, waitPoll) != nil {
 			return out
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -1,13 +1,11 @@
 package admin
 
 import (
-	"context"
 	_ "embed" // for the OpenAPI document
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/go-faster/errors"
@@ -97,29 +95,10 @@
 	if err != nil {
 		return nil, err
 	}
-	request.Author = t.Name
-	if t.Role < RoleAdmin {
-		if err := s.refuseAccounts(r.Context(), request); err != nil {
-			return nil, err
-		}
-	}
+	request.Author, request.Role = t.Name, t.Role
 	return s.Service.Apply(r.Context(), request)
 }
 
-// refuseAccounts refuses changes of accounts, which need another role.
-func (s *Server) refuseAccounts(ctx context.Context, request ApplyRequest) error {
-	d, err := s.Service.Diff(ctx, request)
-	if err != nil {
-		return err
-	}
-	for _, c := range d.Changes {
-		if strings.HasPrefix(c.Key, string(config.KindAccount)+"/") {
-			return &Error{Code: CodeForbidden, Message: "changes of accounts need role admin: " + c.Key}
-		}
-	}
-	return nil
-}
-
 func (s *Server) diff(r *http.Request, _ *Token) (any, error) {
 	request, err := decode[ApplyRequest](r.Body)
 	if err != nil {
--- a/internal/admin/service.go
+++ b/internal/admin/service.go
@@ -47,6 +47,7 @@
 	Files  []File          `json:"files,omitempty"`
 	ID     string          `json:"id,omitempty"` // the same for each retry
 	Note   string          `json:"note,omitempty"`
+	Role   Role            `json:"-"`              // of the author
 	Wait   config.Duration `json:"wait,omitempty"` // how long to wait until it is in force everywhere
 }
 
--- a/internal/config/distributor.go
+++ b/internal/config/distributor.go
@@ -48,8 +48,8 @@
 	Go         func(func()) // starts a goroutine; nil uses the go statement and makes Run wait for them
 	Log        zerolog.Logger
 	Members    persimmoncart.Members
-	Peers      persimmoncart.ConfigPeers
-	Random     *rand.Rand // guarded by the Distributor; nil takes a random seed
+	Peers      persimmoncart.ConfigPeers // nil for an instance on its own
+	Random     *rand.Rand                // guarded by the Distributor; nil takes a random seed
 	Registerer prometheus.Registerer
 	Timer      persimmoncart.Timer
 
--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -134,6 +134,9 @@
 
 // others returns the live members of this data centre and of others.
 func (d *Distributor) others() (near, far []persimmoncart.Instance) {
+	if d.Peers == nil {
+		return nil, nil // an instance on its own
+	}
 	self := d.Members.Self()
 	for _, m := range d.Members.View() {
 		if m.Instance.ID == self.ID || m.State != persimmoncart.MemberAlive {
