configbench: count changes that overwrote unseen content

Cause: with the editor's check for conflicts switched off in a trial, the harness reported no lost change. Change: the replay compares the content before each change with what was in force.

--- a/internal/configbench/measure.go
+++ b/internal/configbench/measure.go
@@ -99,8 +99,8 @@
 }
 
 // lost compares the store's history and each node's state with a naive replay.
-// It returns the number of accepted edits that are not in force exactly once,
-// and of refused ones that are.
+// It returns the number of accepted edits that are not in force exactly once, of
+// refused ones that are, and of changes that overwrote unseen content.
 func (m *measure) lost(ctx context.Context) (int, error) {
 	a := &config.Archive{Store: m.world.platform.memory}
 	h, err := a.Head(ctx)
@@ -121,6 +121,9 @@
 		}
 		seen[s.ID] = s.Version
 		for _, c := range s.Changes {
+			if !bytes.Equal(naive[c.Key], c.Before) {
+				lost++ // overwrote content that its author had not seen
+			}
 			if c.After == nil {
 				delete(naive, c.Key)
 			} else {
