--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -1,13 +1,11 @@
 package admin
 
 import (
-	"context"
 	_ "embed" // for the OpenAPI document
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/go-faster/errors"
@@ -50,6 +48,7 @@
 		r.Get("/objects/{kind}", s.serve(RoleViewer, s.objects))
 		r.Get("/objects/{kind}/{name}", s.serve(RoleViewer, s.objects))
 		r.Get("/outcomes", s.serve(RoleViewer, s.outcome))
+		r.Get("/plan", s.serve(RoleViewer, s.plan))
 		r.Get("/status", s.serve(RoleViewer, s.status))
 		r.Post("/apply", s.serve(RoleOperator, s.apply))
 		r.Post("/diff", s.serve(RoleViewer, s.diff))
@@ -96,29 +95,10 @@
 	if err != nil {
 		return nil, err
 	}
-	request.Author = t.Name
-	if t.Role < RoleAdmin {
-		if err := s.refuseAccounts(r.Context(), request); err != nil {
-			return nil, err
-		}
-	}
+	request.Author, request.Role = t.Name, t.Role
 	return s.Service.Apply(r.Context(), request)
 }
 
-// refuseAccounts refuses changes of accounts, which need another role.
-func (s *Server) refuseAccounts(ctx context.Context, request ApplyRequest) error {
-	d, err := s.Service.Diff(ctx, request)
-	if err != nil {
-		return err
-	}
-	for _, c := range d.Changes {
-		if strings.HasPrefix(c.Key, string(config.KindAccount)+"/") {
-			return &Error{Code: CodeForbidden, Message: "changes of accounts need role admin: " + c.Key}
-		}
-	}
-	return nil
-}
-
 func (s *Server) diff(r *http.Request, _ *Token) (any, error) {
 	request, err := decode[ApplyRequest](r.Body)
 	if err != nil {
@@ -151,6 +131,10 @@
 	return s.Service.Outcome(r.Context(), q.Get("account"), q.Get("route"), q.Get("key"))
 }
 
+func (s *Server) plan(r *http.Request, _ *Token) (any, error) {
+	return s.Service.Plan(r.Context())
+}
+
 func (s *Server) rollback(r *http.Request, t *Token) (any, error) {
 	request, err := decode[RollbackRequest](r.Body)
 	if err != nil {
