--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -153,12 +152,12 @@
 	}
 	digest := d.source.Digest()
 	p.ConfigVersion = digest.Version
-	p.ConfigHash = binary.BigEndian.AppendUint64(nil, digest.Hash)
+	p.ConfigHash = digest.Hash
 }
 
 // Receive implements membership.Extension.
 func (d *digests) Receive(from persimmoncart.Instance, p *memberv1.Piggyback, _ time.Time) {
-	if hash := p.GetConfigHash(); len(hash) == 8 {
-		d.source.Heard(from, persimmoncart.ConfigDigest{Hash: binary.BigEndian.Uint64(hash), Version: p.GetConfigVersion()})
+	if p.GetConfigVersion() > 0 {
+		d.source.Heard(from, persimmoncart.ConfigDigest{Hash: p.GetConfigHash(), Version: p.GetConfigVersion()})
 	}
 }
