faults: order engines towards the plan in each schedule

Cause: the fault order-ignored-fence did nothing, because no node planned or ordered. Change: nodes run the plan and the orders; the fault sends an order of a former lease holder to an engine that ignores fencing tokens; at the end each engine has to be in its planned state again.

--- a/internal/faults/check.go
+++ b/internal/faults/check.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/config"
@@ -12,6 +13,7 @@
 func (w *world) check(p *plan, calls []*call) {
 	w.checkAnswers(calls)
 	w.checkConfiguration()
+	w.checkEngines(p)
 	w.checkMemory()
 	w.checkRuns()
 	w.checkStop(p)
@@ -79,6 +81,41 @@
 	}
 }
 
+// checkEngines fails for engines that an order of a former lease holder moved
+// away from the plan for good.
+func (w *world) checkEngines(p *plan) {
+	if !p.has(OrderIgnoredFence) || len(w.survivors()) < len(regions()) {
+		return // a data centre without instances gets no orders
+	}
+	for _, p := range w.sorted() {
+		if p.engine == nil || !w.staffed(p.site) {
+			continue
+		}
+		report, err := p.engine.Load(context.Background())
+		if err != nil {
+			continue // it is down
+		}
+		if report.Role != p.role || !slices.Contains(report.Models, model) {
+			w.fail(ConfigKept, "%s has the role %s and the models %v against the plan", p.id, report.Role, report.Models)
+		}
+	}
+}
+
+// staffed reports whether the site has a running node.
+func (w *world) staffed(site int) bool {
+	n := w.at(site)
+	return n != nil && !n.crashed && !n.stopping
+}
+
+// regions returns the regions of the sites.
+func regions() map[persimmoncart.Region]bool {
+	all := map[persimmoncart.Region]bool{}
+	for _, s := range sites {
+		all[s.region] = true
+	}
+	return all
+}
+
 // checkMemory fails for engine memory that is still held: every request has
 // ended, and every deadline has passed.
 func (w *world) checkMemory() {
--- a/internal/faults/node.go
+++ b/internal/faults/node.go
@@ -15,7 +15,9 @@
 	"github.com/persimmoncart/persimmoncart/internal/config"
 	"github.com/persimmoncart/persimmoncart/internal/control"
 	"github.com/persimmoncart/persimmoncart/internal/entry"
+	"github.com/persimmoncart/persimmoncart/internal/lease"
 	"github.com/persimmoncart/persimmoncart/internal/objectapi"
+	"github.com/persimmoncart/persimmoncart/internal/order"
 	"github.com/persimmoncart/persimmoncart/internal/places"
 	"github.com/persimmoncart/persimmoncart/internal/sweep"
 )
@@ -114,6 +116,8 @@
 			{Name: "claims", Run: n.claims.Run},
 			{Name: "places", Run: n.places.Run},
 			{Name: "sweep", Run: n.sweep().Run},
+			{Name: "plan", Run: n.plan(configuration).Run},
+			{Name: "orders", Run: n.orders(configuration).Run},
 		},
 		Store: n.store,
 		Timer: n.timer,
@@ -143,6 +147,38 @@
 	n.versions = append(n.versions, s.Version)
 }
 
+// keeper returns the node's access to leases.
+func (n *node) keeper() *lease.Keeper {
+	return &lease.Keeper{Self: n.self.Tag(), Store: n.store, Timer: n.timer}
+}
+
+// orders returns what orders the engines of the node's data centre.
+func (n *node) orders(configuration persimmoncart.Configuration) *order.Orders {
+	return &order.Orders{
+		Centre:        n.self.DataCentre,
+		Configuration: configuration,
+		Engines:       &enginesView{node: n},
+		Leases:        n.keeper(),
+		Log:           zerolog.Nop(),
+		Members:       n.members,
+		Self:          n.self.ID,
+		Store:         n.store,
+		Timer:         n.timer,
+	}
+}
+
+// plan returns what keeps the engines' desired state.
+func (n *node) plan(configuration persimmoncart.Configuration) *order.Plan {
+	return &order.Plan{
+		Configuration: configuration,
+		Leases:        n.keeper(),
+		Log:           zerolog.Nop(),
+		Members:       n.members,
+		Store:         n.store,
+		Timer:         n.timer,
+	}
+}
+
 // receive returns the answer err of a call to the region as the node sees it.
 func (n *node) receive(region persimmoncart.Region, err error) error {
 	if err := n.gate.pass(); err != nil {
--- a/internal/faults/operator.go
+++ b/internal/faults/operator.go
@@ -37,7 +37,7 @@
 	changes := []persimmoncart.ConfigChange{
 		{Key: "account/dar", After: config.Encode(account(1000))},
 		{Key: "pool/hull-llm", After: config.Encode(&config.PoolSpec{
-			Name: "hull-llm", First: config.DefaultFirst, Models: []string{model}, Pace: config.DefaultPace,
+			Name: "hull-llm", Decode: 6, First: config.DefaultFirst, Models: []string{model}, Pace: config.DefaultPace, Prefill: 6,
 		})},
 		{Key: "pool/yard-books", After: config.Encode(&config.PoolSpec{Name: "yard-books", Role: persimmoncart.RoleApplication})},
 		{Key: "route/drafts", After: config.Encode(&config.RouteSpec{
--- a/internal/faults/schedule.go
+++ b/internal/faults/schedule.go
@@ -7,10 +7,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/config"
+	"github.com/persimmoncart/persimmoncart/internal/engine"
 )
 
 // origin is the start of every bubble.
@@ -20,6 +22,10 @@
 	// sweepTime bounds how long work of a dead instance, or past its deadline,
 	// holds memory: the lag of the instance list plus 5 s.
 	sweepTime = 20 * time.Second
+	// verifyTime bounds how long an engine stays in a state that an order of a
+	// former lease holder gave it: the period of verification, the lag of load
+	// reports and a change of the lease holder.
+	verifyTime = 2 * time.Minute
 	// settleTime is what follows the last fault and the last request.
 	settleTime = draftDeadline + sweepTime
 )
@@ -58,6 +64,9 @@
 	}
 	calls := p.schedule(ctx, w)
 	time.Sleep(p.calm() + settleTime)
+	if p.has(OrderIgnoredFence) {
+		time.Sleep(verifyTime)
+	}
 	w.check(p, calls)
 	cancel()
 	w.finish(context.Background())
@@ -92,8 +101,21 @@
 	return calls
 }
 
-// reorder sends orders of a holder whose lease has lapsed.
-func (w *world) reorder(event) {}
+// reorder sends an order of a holder whose lease has lapsed long ago to an
+// engine that ignores fencing tokens.
+func (w *world) reorder(e event) {
+	engines := slices.DeleteFunc(w.sorted(), func(p *place) bool { return p.engine == nil })
+	p := engines[e.Pick%len(engines)]
+	stale := persimmoncart.Order{Kind: persimmoncart.OrderRole, Role: persimmoncart.RolePrefill, Sender: "entry-9"}
+	if p.role == persimmoncart.RolePrefill {
+		stale.Role = persimmoncart.RoleDecode
+	}
+	if e.Pick/len(engines)%2 == 0 {
+		stale = persimmoncart.Order{Kind: persimmoncart.OrderUnload, Model: model, Sender: "entry-9"}
+	}
+	p.engine.Change(func(*engine.Faults) { p.engine.Fences = false })
+	_ = p.engine.Order(w.context, stale) // an engine that is down takes no order
+}
 
 // at returns the node of a site, nil if it has died.
 func (w *world) at(site int) *node {
--- a/internal/faults/world.go
+++ b/internal/faults/world.go
@@ -135,6 +135,7 @@
 func (w *world) addEngine(site, k int, role persimmoncart.Role) {
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(site), byte(10*int(role) + k)}), 1)
 	f := engine.NewFake(addr, role, w.timer)
+	f.Fences = true
 	f.Models = []persimmoncart.ModelName{model}
 	w.engines.Add(f)
 	w.addresses[addr] = &place{
