entry: exchange load, claims and configuration with peers; serve operators

Cause: slots could not be borrowed, claims were not batched at their writer, work of ended instances was not cancelled, and the administration API had no listener.

--- a/cmd/persimmoncart/internal/cmd/run.go
+++ b/cmd/persimmoncart/internal/cmd/run.go
@@ -109,7 +109,7 @@
 
 // peers returns the connection to other instances.
 func (b *builder) peers(secure bool) (*entry.Peers, error) {
-	p := &entry.Peers{}
+	p := &entry.Peers{Tokens: b.checked.Tokens}
 	if !b.checked.Instances.IsValid() {
 		return p, nil
 	}
--- a/cmd/persimmoncart/internal/cmd/settings.go
+++ b/cmd/persimmoncart/internal/cmd/settings.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/admin"
 	"github.com/persimmoncart/persimmoncart/internal/caller"
 	"github.com/persimmoncart/persimmoncart/internal/config"
 	"github.com/persimmoncart/persimmoncart/internal/tlsfiles"
@@ -30,13 +31,19 @@
 	Region        string   `long:"region" env:"REGION" description:"region of this instance"`
 	Store         string   `long:"store" env:"STORE" description:"address and port of the store; empty refuses calls that may not be repeated"`
 
-	Admin     ListenerSettings `group:"administration listener" namespace:"admin" env-namespace:"ADMIN"`
+	Admin     AdminSettings    `group:"administration listener" namespace:"admin" env-namespace:"ADMIN"`
 	Bounds    BoundSettings    `group:"bounds on callers" namespace:"max" env-namespace:"MAX"`
 	Callers   ListenerSettings `group:"callers' listener" namespace:"caller" env-namespace:"CALLER"`
 	Endpoints EndpointSettings `group:"endpoints" namespace:"endpoint" env-namespace:"ENDPOINT"`
 	Peers     PeerSettings     `group:"listener for other instances" namespace:"peer" env-namespace:"PEER"`
 }
 
+// An AdminSettings describes the listener for operators.
+type AdminSettings struct {
+	ListenerSettings
+	Tokens []string `long:"token" env:"TOKENS" env-delim:"," description:"operator's token as name:role:hash, with role viewer, operator or admin and the token's SHA-256; repeatable"`
+}
+
 // A BoundSettings bounds what one caller may send.
 type BoundSettings struct {
 	Body     string `long:"body" env:"BODY" default:"4194304" description:"bytes of a request body"`
@@ -88,6 +95,7 @@
 	Peers     netip.AddrPort // zero means none
 	Self      persimmoncart.Instance
 	Store     netip.AddrPort // zero means no store
+	Tokens    []admin.Token
 	Static    *config.Static // nil means the configuration in the store
 }
 
@@ -129,6 +137,7 @@
 	if s.Store == "" && len(s.Configuration) == 0 {
 		c.fail("store", "", "is needed without configuration files")
 	}
+	out.Tokens = c.tokens("admin-token", s.Admin.Tokens)
 	c.files("admin-tls", s.Admin.TLS, true)
 	c.files("caller-tls", s.Callers.TLS, true)
 	c.files("endpoint-tls", s.Endpoints.TLS, false)
@@ -248,6 +257,20 @@
 	return value
 }
 
+// tokens parses operators' tokens. The error holds no token.
+func (c *checker) tokens(field string, values []string) []admin.Token {
+	out := make([]admin.Token, 0, len(values))
+	for _, value := range values {
+		t, err := admin.ParseToken(value)
+		if err != nil {
+			c.fail(field, "", err.Error())
+			continue
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
 // number parses a positive number.
 func (c *checker) number(field, value string) int {
 	n, err := strconv.Atoi(value)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -2,22 +2,25 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/admin"
 	"github.com/persimmoncart/persimmoncart/internal/claim"
 	"github.com/persimmoncart/persimmoncart/internal/config"
 	"github.com/persimmoncart/persimmoncart/internal/control"
+	"github.com/persimmoncart/persimmoncart/internal/load"
 	"github.com/persimmoncart/persimmoncart/internal/membership"
 	"github.com/persimmoncart/persimmoncart/internal/ownership"
 	"github.com/persimmoncart/persimmoncart/internal/peer"
 	"github.com/persimmoncart/persimmoncart/internal/places"
+	"github.com/persimmoncart/persimmoncart/internal/sweep"
 	memberv1 "github.com/persimmoncart/persimmoncart/proto/member/v1"
 )
 
@@ -27,115 +30,212 @@
 	HTTP   *http.Client               // from peer.NewHTTPClient
 	List   persimmoncart.InstanceList // nil for an instance without peers
 	Secure bool                       // HTTP has a TLS configuration
+	Tokens []admin.Token              // of operators
 }
 
-// Join gives the instance its claims, configuration, members, places and
-// services. Those of its fields that are set already are kept. Logger, Metrics,
-// Self, Store and Timer must be set.
+// Join gives the instance its administration API, claims, configuration,
+// members, places and services. Configuration is kept if it is set. Engines,
+// Logger, Metrics, Self, Store and Timer must be set; Store may be nil if
+// Configuration is set.
 func (p *Peers) Join(i *Instance) {
-	if i.Store != nil && i.Claims == nil {
-		c := &claim.Claims{Logger: i.Logger, Registerer: i.Metrics.Registry, Self: i.Self.Tag(), Store: i.Store, Timer: i.Timer}
-		i.Claims = c
-		i.Services = append(i.Services, control.Service{Name: "claims", Run: c.Run})
-	}
+	j := &joining{Instance: i, peers: p, routes: make(map[string]http.Handler)}
 	if p.List == nil || i.Store == nil {
-		p.alone(i)
+		j.alone()
 		return
 	}
-	meter := &peer.Meter{}
-	transport := &peer.Client{HTTP: p.HTTP, Meter: meter, Secure: p.Secure}
-	members := &membership.Service{
-		List:      p.List,
+	j.join()
+}
+
+// A joining is an instance that is being connected.
+type joining struct {
+	*Instance
+	distributor *config.Distributor // nil if the configuration was set
+	members     *membership.Service // nil without peers
+	meter       peer.Meter
+	peers       *Peers
+	routes      map[string]http.Handler // towards peers
+}
+
+// alone sets up an instance that owns all replicas of its region.
+func (j *joining) alone() {
+	if j.Members == nil {
+		j.Members = &Alone{Instance: j.Self}
+	}
+	j.configure()
+	ledger := j.ledger()
+	j.record()
+	j.administer()
+	owner := &SoleOwner{Configuration: j.Configuration, Region: j.Self.Region, Usables: ledger}
+	j.serve("owner", owner.Run)
+}
+
+// join sets up an instance with peers.
+func (j *joining) join() {
+	governor := &load.Governor{Timer: j.Timer}
+	j.Metrics.Registry.MustRegister(governor.Collectors()...)
+	transport := &load.GovernedTransport{
+		Governor:  governor,
+		Transport: &peer.Client{HTTP: j.peers.HTTP, Meter: &j.meter, Secure: j.peers.Secure},
+	}
+	j.members = &membership.Service{
+		List:      j.peers.List,
 		Lock:      &sync.Mutex{},
-		Log:       i.Logger,
-		Machine:   &membership.Machine{Rand: random(i.Self, "members"), Self: i.Self},
-		Timer:     i.Timer,
+		Log:       j.Logger,
+		Machine:   &membership.Machine{Rand: random(j.Self, "members"), Self: j.Self},
+		Timer:     j.Timer,
 		Transport: transport,
 	}
-	i.Members, i.Leave = members, members.Leave
-	routes := (&peer.Server{Handler: peer.Mux{"member": members}, Meter: meter}).Routes()
-	p.configure(i, members, routes)
-	ledger := p.ledger(i)
-	owner := &ownership.Service{
-		Changed:       ledger.SetUsable,
-		Configuration: i.Configuration,
-		Log:           i.Logger,
-		Members:       members,
-		Rand:          random(i.Self, "ownership"),
-		Store:         i.Store,
-		Timer:         i.Timer,
-		Transport:     transport,
-	}
-	i.Services = append(i.Services, control.Service{Name: "members", Run: (&cell{members: members, owner: owner}).run})
+	j.Members, j.Leave = j.members, j.members.Leave
+	j.configure()
+	ledger := j.ledger()
+	j.record()
+	j.administer()
+	c := &cell{
+		exchange: &load.Exchange{
+			Configuration: j.Configuration, Governor: governor, Loads: ledger, Members: j.members, Timer: j.Timer,
+		},
+		extensions: j.members.Machine.Extensions,
+		members:    j.members,
+		owner: &ownership.Service{
+			Changed:       ledger.SetUsable,
+			Configuration: j.Configuration,
+			Log:           j.Logger,
+			Members:       j.members,
+			Rand:          random(j.Self, "ownership"),
+			Store:         j.Store,
+			Timer:         j.Timer,
+			Transport:     transport,
+		},
+	}
+	ledger.Lenders = &load.Lenders{Exchange: c.exchange, Governor: governor, Timer: j.Timer, Transport: transport}
+	sweeper := &sweep.Sweep{
+		Engines: j.Engines,
+		Log:     j.Logger,
+		Members: j.members,
+		Owned:   func() []persimmoncart.Endpoint { return c.owned(j.Configuration.Snapshot()) },
+		Timer:   j.Timer,
+	}
+	j.serve("members", c.run)
+	j.serve("sweep", sweeper.Run)
+	handlers := peer.Mux{"load": &load.Handler{Lender: ledger, Timer: j.Timer}, "member": j.members}
+	j.mount((&peer.Server{Handler: &load.GovernedHandler{Governor: governor, Handler: handlers}, Meter: &j.meter}).Routes())
 	mux := http.NewServeMux()
-	for path, handler := range routes {
+	for path, handler := range j.routes {
 		mux.Handle(path, handler)
 	}
-	i.Peer = mux
+	j.Peer = mux
 }
 
-// alone sets up an instance that owns all replicas of its region.
-func (p *Peers) alone(i *Instance) {
-	if i.Members == nil {
-		i.Members = &Alone{Instance: i.Self}
+// administer sets the administration API, which needs the store's configuration.
+func (j *joining) administer() {
+	if j.distributor == nil {
+		return
 	}
-	p.configure(i, nil, nil)
-	owner := &SoleOwner{Configuration: i.Configuration, Region: i.Self.Region, Usables: p.ledger(i)}
-	i.Services = append(i.Services, control.Service{Name: "owner", Run: owner.Run})
+	local := &admin.Local{
+		Claims: j.Claims,
+		Editor: &config.Editor{Archive: j.distributor.Archive, Local: j.distributor.Copy, Timer: j.Timer},
+		Fleet: &admin.Fleet{
+			Config: j.distributor, Instances: j.peers.List, Members: j.Members, Peers: j.distributor.Peers, Timer: j.Timer,
+		},
+		Timer: j.Timer,
+	}
+	j.Admin = (&admin.Server{Log: j.Logger, Service: local, Tokens: j.peers.Tokens}).Handler()
 }
 
 // configure takes the configuration from the store and the peers unless it is
 // set, and serves it to peers.
-func (p *Peers) configure(i *Instance, members *membership.Service, routes map[string]http.Handler) {
-	if i.Configuration != nil {
+func (j *joining) configure() {
+	if j.Configuration != nil {
 		return
 	}
 	d := &config.Distributor{
-		Archive:    &config.Archive{Store: i.Store},
-		Log:        i.Logger,
-		Members:    i.Members,
-		Registerer: i.Metrics.Registry,
-		Timer:      i.Timer,
-	}
-	i.Configuration, i.Ready = d, d.Ready
-	i.Services = append(i.Services, control.Service{Name: "configuration", Run: d.Run})
-	if members == nil {
-		return
+		Archive:    &config.Archive{Store: j.Store},
+		Log:        j.Logger,
+		Members:    j.Members,
+		Peers:      &peer.Config{Client: peer.ConfigClients(j.peers.HTTP, j.peers.Secure), Self: j.Members.Self},
+		Registerer: j.Metrics.Registry,
+		Timer:      j.Timer,
 	}
-	d.Peers = &peer.Config{Client: peer.ConfigClients(p.HTTP, p.Secure), Self: members.Self}
+	j.Configuration, j.Ready, j.distributor = d, d.Ready, d
+	j.serve("configuration", d.Run)
 	path, handler := (&peer.ConfigHandler{Server: d}).Mount()
-	routes[path] = handler
-	members.Machine.Extensions = append(members.Machine.Extensions, &digests{source: d})
+	j.routes[path] = handler
+	if j.members != nil {
+		j.members.Machine.Extensions = append(j.members.Machine.Extensions, &digests{source: d})
+	}
 }
 
 // ledger sets the instance's places.
-func (*Peers) ledger(i *Instance) *places.Places {
-	l := &places.Places{Configuration: i.Configuration, Self: i.Self, Timer: i.Timer}
-	i.Places, i.Balancer = l, l
-	i.Services = append(i.Services, control.Service{Name: "places", Run: l.Run})
+func (j *joining) ledger() *places.Places {
+	l := &places.Places{Configuration: j.Configuration, Self: j.Self, Timer: j.Timer}
+	j.Places, j.Balancer = l, l
+	j.serve("places", l.Run)
 	return l
 }
 
+// mount adds routes towards peers.
+func (j *joining) mount(routes map[string]http.Handler) {
+	for path, handler := range routes {
+		j.routes[path] = handler
+	}
+}
+
+// record sets the claims.
+func (j *joining) record() {
+	if j.Store == nil {
+		return
+	}
+	c := &claim.Claims{Logger: j.Logger, Registerer: j.Metrics.Registry, Self: j.Self.Tag(), Store: j.Store, Timer: j.Timer}
+	if j.members != nil {
+		c.Members = j.members
+		c.Peers = &peer.Claim{HTTP: j.peers.HTTP, Meter: &j.meter, Secure: j.peers.Secure}
+		j.mount((&peer.ClaimHandler{Writer: c}).Routes(&j.meter))
+	}
+	j.Claims = c
+	j.serve("claims", c.Run)
+}
+
+// serve adds a service.
+func (j *joining) serve(name string, run func(context.Context) error) {
+	j.Services = append(j.Services, control.Service{Name: name, Run: run})
+}
+
 // random returns a source of random numbers that differs between instances,
 // starts and uses.
 func random(self persimmoncart.Instance, use string) *rand.Rand {
 	return rand.New(rand.NewPCG(uint64(self.Incarnation), xxhash.Sum64String(string(self.ID)+"/"+use)))
 }
 
-// A cell runs membership and ownership, which share one lock.
+// A cell runs what shares the lock of the members.
 type cell struct {
-	members *membership.Service
-	owner   *ownership.Service
-	started bool // the services register with each other only once
+	exchange   *load.Exchange
+	extensions []membership.Extension // that are not started by run
+	members    *membership.Service
+	owner      *ownership.Service
 }
 
-// run runs both until ctx is done.
-func (c *cell) run(ctx context.Context) error {
-	if c.started {
-		return c.members.Run(ctx)
+// owned returns the replicas that this instance owns now.
+func (c *cell) owned(s *persimmoncart.Snapshot) []persimmoncart.Endpoint {
+	c.members.Lock.Lock()
+	ids := c.owner.Owned()
+	c.members.Lock.Unlock()
+	var out []persimmoncart.Endpoint
+	for _, id := range ids {
+		if e := s.Endpoints[id]; e != nil {
+			out = append(out, *e)
+		}
 	}
-	c.started = true
+	return out
+}
+
+// run runs the parts until ctx is done. The parts register with the members when
+// they start, also when run is called again after a panic.
+func (c *cell) run(ctx context.Context) error {
+	c.members.Lock.Lock()
+	c.members.Machine.Extensions = slices.Clone(c.extensions)
+	c.members.Lock.Unlock()
 	defer c.owner.Start(ctx)()
+	defer c.exchange.Start()()
 	return c.members.Run(ctx)
 }
 
@@ -152,13 +252,12 @@
 		return
 	}
 	digest := d.source.Digest()
-	p.ConfigVersion = digest.Version
-	p.ConfigHash = binary.BigEndian.AppendUint64(nil, digest.Hash)
+	p.ConfigHash, p.ConfigVersion = digest.Hash, digest.Version
 }
 
 // Receive implements membership.Extension.
 func (d *digests) Receive(from persimmoncart.Instance, p *memberv1.Piggyback, _ time.Time) {
-	if hash := p.GetConfigHash(); len(hash) == 8 {
-		d.source.Heard(from, persimmoncart.ConfigDigest{Hash: binary.BigEndian.Uint64(hash), Version: p.GetConfigVersion()})
+	if version := p.GetConfigVersion(); version > 0 {
+		d.source.Heard(from, persimmoncart.ConfigDigest{Hash: p.GetConfigHash(), Version: version})
 	}
 }
