demo: connect the instances as peers

Cause: the two instances of a deployment did not know of each other. Change: build them with entry.Peers, list them in the instance list, and start the load once they serve drafts, because a new cell owns no replica before its first epoch holds.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -102,18 +103,22 @@
 	defer stop()
 	group, running := errgroup.WithContext(running)
 	first, last := deployment.Centres[0], deployment.Centres[len(deployment.Centres)-1]
+	var instances []*instance
 	for n, c := range []platform.Centre{first, last} {
-		i, err := newInstance(ctx, persimmoncart.Instance{
-			Addr:        loopback,
+		i, err := d.newInstance(ctx, persimmoncart.Instance{
 			DataCentre:  c.Name,
 			ID:          persimmoncart.InstanceID("entry-" + strconv.Itoa(n)),
 			Incarnation: persimmoncart.Incarnation(d.Timer.Now().UnixMilli()),
 			Region:      c.Region,
-		}, d.platform.StoreAddr, d.Log, d.Timer)
+		})
 		if err != nil {
 			return nil, err
 		}
 		d.addrs = append(d.addrs, i.addr)
+		instances = append(instances, i)
+	}
+	d.list(instances)
+	for _, i := range instances {
 		group.Go(func() error { return i.Run(running) })
 	}
 	result, err := d.load(running)
@@ -180,25 +185,33 @@
 	return &Result{Held: held, Report: report}, nil
 }
 
-// awaitReady waits until the instance at addr is ready.
+// awaitReady waits until the instance at addr is ready and serves drafts: a new
+// cell owns no replica before its first epoch holds.
 func (d *Deployment) awaitReady(ctx context.Context, addr netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(ctx, readyWithin)
 	defer cancel()
-	for {
-		q, err := http.NewRequestWithContext(ctx, http.MethodGet, transport.URL(addr, false)+"/readyz", nil)
-		if err != nil {
-			return err
-		}
-		if response, err := d.client.Do(q); err == nil {
-			_ = response.Body.Close()
-			if response.StatusCode == http.StatusOK {
-				return nil
-			}
-		}
+	draft := `{"model":"` + string(d.mix.Model) + `","prompt":"p","max_tokens":1}`
+	for !d.answers(ctx, http.MethodGet, addr, "/readyz", "") || !d.answers(ctx, http.MethodPost, addr, "/v1/completions", draft) {
 		if err := d.Timer.Sleep(ctx, readyPause); err != nil {
 			return errors.Wrapf(err, "instance %s is not ready", addr)
 		}
 	}
+	return nil
+}
+
+// answers reports whether the instance at addr answers a request with status 200.
+func (d *Deployment) answers(ctx context.Context, method string, addr netip.AddrPort, path, body string) bool {
+	q, err := http.NewRequestWithContext(ctx, method, transport.URL(addr, false)+path, strings.NewReader(body))
+	if err != nil {
+		return false
+	}
+	q.Header.Set("Authorization", "Bearer "+apiKey)
+	response, err := d.client.Do(q)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
 }
 
 // awaitReleased waits until no engine holds memory, and returns how many pieces
--- a/internal/demo/instance.go
+++ b/internal/demo/instance.go
@@ -4,68 +4,70 @@
 	"context"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/rs/zerolog"
 
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/application"
-	"github.com/persimmoncart/persimmoncart/internal/claim"
-	"github.com/persimmoncart/persimmoncart/internal/config"
-	"github.com/persimmoncart/persimmoncart/internal/control"
 	"github.com/persimmoncart/persimmoncart/internal/engine"
 	"github.com/persimmoncart/persimmoncart/internal/entry"
+	"github.com/persimmoncart/persimmoncart/internal/instancelist"
 	"github.com/persimmoncart/persimmoncart/internal/metrics"
 	"github.com/persimmoncart/persimmoncart/internal/objectapi"
-	"github.com/persimmoncart/persimmoncart/internal/places"
+	"github.com/persimmoncart/persimmoncart/internal/peer"
 	"github.com/persimmoncart/persimmoncart/internal/transport"
 )
 
-// An instance is one entry instance with an open listener.
+// grace stands for the time in which a load balancer notices a stop.
+const grace = 100 * time.Millisecond
+
+// An instance is one entry instance with open listeners.
 type instance struct {
 	*entry.Instance
-	addr netip.AddrPort
+	addr netip.AddrPort // of its callers
 }
 
-// newInstance returns an instance that takes its configuration from the store.
-//
-// It owns the replicas of its region. Instances of one demo are in different
-// regions, so that they need no agreement on who owns which replica.
-func newInstance(ctx context.Context, self persimmoncart.Instance, store netip.AddrPort, log zerolog.Logger, timer persimmoncart.Timer) (*instance, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", self.Addr.String())
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen for %s", self.ID)
+// newInstance returns an instance that takes its configuration from the store
+// and finds the other instances by the instance list.
+func (d *Deployment) newInstance(ctx context.Context, self persimmoncart.Instance) (*instance, error) {
+	var listeners [2]net.Listener
+	for n := range listeners {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", loopback.String())
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen for %s", self.ID)
+		}
+		listeners[n] = l
 	}
-	self.Addr = l.Addr().(*net.TCPAddr).AddrPort()
+	self.Addr = listeners[1].Addr().(*net.TCPAddr).AddrPort()
 	client := transport.NewClient(nil)
-	alone := &entry.Alone{Instance: self}
 	i := &entry.Instance{
 		Applications: &application.Clients{HTTP: client},
 		Engines:      &engine.Clients{HTTP: client},
-		Listener:     l,
-		Logger:       log,
-		Members:      alone,
+		Grace:        grace,
+		Listener:     listeners[0],
+		Logger:       d.Log.With().Str("instance", string(self.ID)).Logger(),
 		Metrics:      metrics.New(),
+		PeerListener: listeners[1],
 		Self:         self,
-		Store:        &objectapi.Client{Addr: store, HTTP: client, Timer: timer},
-		Timer:        timer,
-	}
-	claims := &claim.Claims{Logger: log, Registerer: i.Metrics.Registry, Self: self.Tag(), Store: i.Store, Timer: timer}
-	d := &config.Distributor{
-		Archive:    &config.Archive{Store: i.Store},
-		Log:        log,
-		Members:    alone,
-		Registerer: i.Metrics.Registry,
-		Timer:      timer,
+		Store:        &objectapi.Client{Addr: d.platform.StoreAddr, HTTP: client, Timer: d.Timer},
+		Timer:        d.Timer,
 	}
-	p := &places.Places{Configuration: d, Self: self, Timer: timer}
-	owner := &entry.SoleOwner{Configuration: d, Region: self.Region, Usables: p}
-	i.Balancer, i.Claims, i.Configuration, i.Places, i.Ready = p, claims, d, p, d.Ready
-	i.Services = []control.Service{
-		{Name: "claims", Run: claims.Run},
-		{Name: "configuration", Run: d.Run},
-		{Name: "owner", Run: owner.Run},
-		{Name: "places", Run: p.Run},
+	peers := &entry.Peers{
+		HTTP: peer.NewHTTPClient(nil),
+		List: &instancelist.Client{Addr: d.platform.ListAddr, HTTP: client},
 	}
-	return &instance{Instance: i, addr: self.Addr}, nil
+	peers.Join(i)
+	return &instance{Instance: i, addr: listeners[0].Addr().(*net.TCPAddr).AddrPort()}, nil
+}
+
+// list adds the instances to the instance list, which shows them at once.
+func (d *Deployment) list(instances []*instance) {
+	d.platform.List.Lag = 0
+	d.platform.List.Change(func(list []persimmoncart.Listed) []persimmoncart.Listed {
+		for _, i := range instances {
+			list = append(list, persimmoncart.Listed{Instance: &i.Self})
+		}
+		return list
+	})
 }
