config: read a backlog from a slow store one version at a time

Change: each version comes into force as it is read, and the reading ends as soon as a peer has a newer one; full copies read shards in parallel; calls that had no bound on their time have one.

--- a/internal/config/archive.go
+++ b/internal/config/archive.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/persimmoncart/persimmoncart"
 )
@@ -58,6 +59,11 @@
 	return nil
 }
 
+// names reports whether the head names a version.
+func (h *Head) names(version uint64) bool {
+	return slices.ContainsFunc(h.Recent, func(r Recent) bool { return r.Version == version })
+}
+
 // hash returns the hash of the change set in force.
 func (h *Head) hash() (persimmoncart.ConfigHash, error) {
 	if len(h.Recent) == 0 {
@@ -96,7 +102,24 @@
 
 // An Archive reads and writes the configuration's objects in the store.
 type Archive struct {
-	Store persimmoncart.Store
+	// Parallel calls f for each number below n; nil calls it concurrently.
+	Parallel func(n int, f func(int) error) error
+	Store    persimmoncart.Store
+}
+
+// parallel calls f for each number below n. A full copy has about 320 shards;
+// one by one they would take minutes from a slow store.
+func (a *Archive) parallel(n int, f func(int) error) error {
+	if a.Parallel != nil {
+		return a.Parallel(n, f)
+	}
+	const limit = 16
+	var g errgroup.Group
+	g.SetLimit(limit)
+	for i := range n {
+		g.Go(func() error { return f(i) })
+	}
+	return g.Wait()
 }
 
 // Head returns the head. Before the first version it is empty.
@@ -144,26 +167,18 @@
 	return DecodeSet(data)
 }
 
-// Sets returns the change sets after version have up to the head, oldest
-// first. It returns nil if the head no longer names the first of them.
-func (a *Archive) Sets(ctx context.Context, h *Head, have uint64) ([]persimmoncart.ConfigChangeSet, error) {
-	i := slices.IndexFunc(h.Recent, func(r Recent) bool { return r.Version == have+1 })
-	if i < 0 {
-		return nil, nil
-	}
-	sets := make([]persimmoncart.ConfigChangeSet, 0, len(h.Recent)-i)
-	for _, r := range h.Recent[i:] {
-		hash, err := parseHash(r.Hash)
-		if err != nil {
-			return nil, err
-		}
-		s, err := a.Set(ctx, r.Version, hash)
-		if err != nil {
-			return nil, err
+// next returns the change set after version have, which the head names.
+func (a *Archive) next(ctx context.Context, h *Head, have uint64) (persimmoncart.ConfigChangeSet, error) {
+	for _, r := range h.Recent {
+		if r.Version == have+1 {
+			hash, err := parseHash(r.Hash)
+			if err != nil {
+				return persimmoncart.ConfigChangeSet{}, err
+			}
+			return a.Set(ctx, r.Version, hash)
 		}
-		sets = append(sets, s)
 	}
-	return sets, nil
+	return persimmoncart.ConfigChangeSet{}, &persimmoncart.NotFoundError{Key: fmt.Sprintf("version %d", have+1)}
 }
 
 // State returns the state with the given hash. Shards that base has are not
@@ -179,21 +194,29 @@
 		return nil, err
 	}
 	s := &State{shards: make(map[string]*shard, len(m))}
+	var missing []string
 	for _, part := range slices.Sorted(maps.Keys(m)) {
 		if base != nil && base.shards[part] != nil && base.shards[part].hash == m[part] {
 			s.put(part, base.shards[part])
-			continue
+		} else {
+			missing = append(missing, part)
 		}
-		h := m[part]
+	}
+	got := make([]*shard, len(missing))
+	err = a.parallel(len(missing), func(i int) error {
+		h := m[missing[i]]
 		o, err := a.Store.Get(ctx, shardsKey+hex.EncodeToString(h[:]))
 		if err != nil {
-			return nil, errors.Wrapf(err, "read shard %s", part)
-		}
-		p, err := decodeShard(o.Value)
-		if err != nil {
-			return nil, err
+			return errors.Wrapf(err, "read shard %s", missing[i])
 		}
-		s.put(part, p)
+		got[i], err = decodeShard(o.Value)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	for i, p := range got {
+		s.put(missing[i], p)
 	}
 	if s.Hash() != hash {
 		return nil, &CorruptError{Key: manifestsKey + name}
--- a/internal/config/distributor.go
+++ b/internal/config/distributor.go
@@ -28,7 +28,10 @@
 	pageBytes = 64 << 10
 
 	callTimeout = 2 * time.Second
-	pullTimeout = 10 * time.Second
+	// copyTimeout covers a full copy from a slow store.
+	copyTimeout = 30 * time.Second
+	// pullTimeout covers a set of 3 MB, compressed, over a shared region link.
+	pullTimeout = 4 * time.Second
 	// gossipPeriod is the mean time between digests to members of other data
 	// centres. With 11 instances a data centre hears from outside every 0.4 s.
 	gossipPeriod = 4 * time.Second
--- a/internal/config/distributor_test.go
+++ b/internal/config/distributor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -144,8 +145,9 @@
 	}
 	h, err := e.Archive.Head(t.Context())
 	assert.NilError(t, err)
-	sets, err := e.Archive.Sets(t.Context(), h, 0)
+	sets, err := e.Archive.History(t.Context(), h, 0, 10)
 	assert.NilError(t, err)
+	slices.Reverse(sets)
 	bad := sets[2]
 	bad.Changes = []persimmoncart.ConfigChange{{After: account("a", 99), Key: "account/a"}}
 	from := roster{}.instance("b")
--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -351,28 +351,50 @@
 	if h.Version <= have.Version {
 		return false
 	}
-	var forward bool
-	var sets []persimmoncart.ConfigChangeSet
-	var err error
-	if have.Version > 0 {
-		sets, err = d.Archive.Sets(ctx, h, have.Version)
-	}
-	if err == nil && len(sets) > 0 {
-		forward = d.install(sets)
-	} else if err == nil {
-		var c *Copy
-		if c, err = d.Archive.Copy(ctx, h, have); err == nil {
-			forward = d.replace(c)
-		}
+	if have.Version > 0 && h.names(have.Version+1) {
+		return d.syncSets(ctx, h)
 	}
+	var c *Copy
+	err := d.call(ctx, copyTimeout, func(ctx context.Context) (err error) {
+		c, err = d.Archive.Copy(ctx, h, have)
+		return err
+	})
 	d.noteStore(err)
-	if forward {
-		d.metrics.sources.WithLabelValues(sourceStore).Inc()
-		if d.watcherRank() >= 0 {
-			d.push(sets)
+	if err != nil || !d.replace(c) {
+		return false
+	}
+	d.metrics.sources.WithLabelValues(sourceStore).Inc()
+	return true
+}
+
+// syncSets takes change sets from the store, each into force as it arrives. It
+// ends early when a peer has a newer version: with a slow store, the change sets
+// of a long outage would take longer one by one than all of them from a peer.
+func (d *Distributor) syncSets(ctx context.Context, h *Head) bool {
+	var taken []persimmoncart.ConfigChangeSet
+	for have := d.held().copied.Version; have < h.Version; have = d.held().copied.Version {
+		if _, found := d.bestSource(); found && len(taken) > 0 {
+			break
 		}
+		var s persimmoncart.ConfigChangeSet
+		err := d.call(ctx, callTimeout, func(ctx context.Context) (err error) {
+			s, err = d.Archive.next(ctx, h, have)
+			return err
+		})
+		d.noteStore(err)
+		if err != nil || !d.install([]persimmoncart.ConfigChangeSet{s}) {
+			break
+		}
+		taken = append(taken, s)
 	}
-	return forward
+	if len(taken) == 0 {
+		return false
+	}
+	d.metrics.sources.WithLabelValues(sourceStore).Inc()
+	if d.watcherRank() >= 0 {
+		d.push(taken)
+	}
+	return true
 }
 
 // readHead reads the head and remembers its version as seen.
