--- a/internal/admin/local.go
+++ b/internal/admin/local.go
@@ -4,14 +4,17 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
+	_ "time/tzdata" // zones of sheets on machines without zone files
 
 	"github.com/go-faster/errors"
 
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/config"
+	"github.com/persimmoncart/persimmoncart/internal/order"
 	"github.com/persimmoncart/persimmoncart/internal/route"
 )
 
@@ -37,6 +40,11 @@
 	if err != nil {
 		return ApplyReply{}, toError(err)
 	}
+	for _, c := range changes {
+		if request.Role < RoleAdmin && strings.HasPrefix(c.Key, string(config.KindAccount)+"/") {
+			return ApplyReply{}, &Error{Code: CodeForbidden, Message: "changes of accounts need role admin: " + c.Key}
+		}
+	}
 	r, err := l.Editor.Apply(ctx, config.Edit{Author: request.Author, Changes: changes, ID: request.ID, Note: request.Note})
 	if err != nil {
 		return ApplyReply{}, toError(err)
@@ -122,6 +130,50 @@
 	return out, nil
 }
 
+// Plan implements Service.
+func (l *Local) Plan(ctx context.Context) (PlanReply, error) {
+	out := PlanReply{Pools: []PoolPlan{}}
+	objects, err := l.Objects(ctx, string(config.KindPool), "")
+	if err != nil {
+		return out, err
+	}
+	for _, o := range objects.Objects {
+		name := strings.TrimPrefix(o.Key, string(config.KindPool)+"/")
+		r, version, err := order.ReadRecord(ctx, l.Editor.Archive.Store, persimmoncart.PoolName(name))
+		if err != nil {
+			return out, toError(err)
+		}
+		if version != 0 {
+			out.Pools = append(out.Pools, PoolPlan{At: r.At, Pool: name, Shares: shares(r), Version: r.Version, Warning: r.Warning})
+		}
+	}
+	return out, nil
+}
+
+// shares counts the engines of a plan by their first model.
+func shares(r order.Record) []ModelShare {
+	counts := map[string]*ModelShare{}
+	for _, d := range r.Desired {
+		model := ""
+		if len(d.Models) > 0 {
+			model = string(d.Models[0])
+		}
+		if counts[model] == nil {
+			counts[model] = &ModelShare{Model: model}
+		}
+		if d.Role == persimmoncart.RolePrefill {
+			counts[model].Prefill++
+		} else {
+			counts[model].Decode++
+		}
+	}
+	out := []ModelShare{}
+	for _, model := range slices.Sorted(maps.Keys(counts)) {
+		out = append(out, *counts[model])
+	}
+	return out
+}
+
 // Rollback implements Service.
 func (l *Local) Rollback(ctx context.Context, request RollbackRequest) (ApplyReply, error) {
 	edit := config.Edit{Author: request.Author, ID: request.ID, Note: request.Note}
@@ -149,8 +201,15 @@
 			}
 		}
 	}
+	if plan, err := l.Plan(ctx); err == nil {
+		for _, p := range plan.Pools {
+			if p.Warning != "" {
+				out.Warnings = append(out.Warnings, "pool "+p.Pool+": "+p.Warning)
+			}
+		}
+	}
 	if l.Fleet != nil {
-		out.Instances = l.Fleet.Versions(ctx)
+		out.Instances = l.Fleet.Versions(ctx, nil)
 	} else if err != nil {
 		return out, toError(err)
 	}
@@ -168,8 +227,13 @@
 		return out
 	}
 	end := l.Timer.Now().Add(min(wait, maxWait))
+	current := map[string]bool{} // asked no more
 	for {
-		out.Lagging = lagging(l.Fleet.Versions(ctx), r.Version)
+		versions := l.Fleet.Versions(ctx, current)
+		for _, i := range versions {
+			current[i.ID] = i.Version >= r.Version
+		}
+		out.Lagging = lagging(versions, r.Version)
 		out.Waited = len(out.Lagging) == 0
 		if out.Waited || !l.Timer.Now().Before(end) || l.Timer.Sleep(ctx, waitPoll) != nil {
 			return out
