--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 # Measures the control of fleets of up to 400 instances.
 .PHONY: capacity
 capacity:
-	@go run ./internal/capacity/cmd --seed=$(SEED)
+	@go run ./internal/capacity/cmd --seed=$(SEED) $(if $(PLOTS),--plots=$(PLOTS))
 
 .PHONY: config-bench
 config-bench:
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -112,8 +112,10 @@
 		Engines: j.Engines,
 		Log:     j.Logger,
 		Members: j.members,
-		Owned:   func() []persimmoncart.Endpoint { return c.owned(j.Configuration.Snapshot()) },
-		Timer:   j.Timer,
+		Owned: func() []persimmoncart.Endpoint {
+			return sweep.Share(j.Self, j.members.View(), j.Configuration.Snapshot())
+		},
+		Timer: j.Timer,
 	}
 	j.serve("members", c.run)
 	j.serve("sweep", sweeper.Run)
@@ -214,20 +216,6 @@
 	owner      *ownership.Service
 }
 
-// owned returns the replicas that this instance owns now.
-func (c *cell) owned(s *persimmoncart.Snapshot) []persimmoncart.Endpoint {
-	c.members.Lock.Lock()
-	ids := c.owner.Owned()
-	c.members.Lock.Unlock()
-	var out []persimmoncart.Endpoint
-	for _, id := range ids {
-		if e := s.Endpoints[id]; e != nil {
-			out = append(out, *e)
-		}
-	}
-	return out
-}
-
 // run runs the parts until ctx is done. The parts register with the members when
 // they start, also when run is called again after a panic.
 func (c *cell) run(ctx context.Context) error {
