--- a/internal/config/distributor.go
+++ b/internal/config/distributor.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,10 +25,13 @@
 	logBytes = 2 << 20
 	logSets  = 256
 	// pageBytes bounds one page of a full copy.
-	pageBytes = 256 << 10
+	pageBytes = 64 << 10
 
 	callTimeout = 2 * time.Second
-	pullTimeout = 10 * time.Second
+	// copyTimeout covers a full copy from a slow store.
+	copyTimeout = 30 * time.Second
+	// pullTimeout covers a set of 3 MB, compressed, over a shared region link.
+	pullTimeout = 4 * time.Second
 	// gossipPeriod is the mean time between digests to members of other data
 	// centres. With 11 instances a data centre hears from outside every 0.4 s.
 	gossipPeriod = 4 * time.Second
@@ -49,8 +51,8 @@
 	Go         func(func()) // starts a goroutine; nil uses the go statement and makes Run wait for them
 	Log        zerolog.Logger
 	Members    persimmoncart.Members
-	Peers      persimmoncart.ConfigPeers
-	Random     *rand.Rand // guarded by the Distributor; nil takes a random seed
+	Peers      persimmoncart.ConfigPeers // nil for an instance on its own
+	Random     *rand.Rand                // guarded by the Distributor; nil takes a random seed
 	Registerer prometheus.Registerer
 	Timer      persimmoncart.Timer
 
@@ -65,6 +67,7 @@
 	failed    map[persimmoncart.Region]time.Time // when a region last did not answer
 	head      *Head                              // newest head read from the store
 	highest   uint64                             // highest version seen
+	lagging   time.Time                          // since when a newer version is known; zero if none is
 	listeners map[int]func(*persimmoncart.Snapshot)
 	log       []loggedSet
 	logged    int             // bytes
@@ -169,6 +172,9 @@
 	out := persimmoncart.ConfigPulled{
 		Digest: digestOf(h.copied.Version, h.copied.Hash), Hash: h.copied.Hash, State: h.copied.State.Hash(),
 	}
+	if request.Have == 0 && !request.Full {
+		return out // a new instance takes a full copy, whose pages many peers share
+	}
 	if request.Full {
 		out.Objects, out.More = h.page(request.After)
 		return out
@@ -201,7 +207,7 @@
 		return
 	}
 	d.mutex.Lock()
-	d.highest = max(d.highest, digest.Version)
+	d.saw(digest.Version)
 	if d.sources == nil {
 		d.sources = map[persimmoncart.InstanceID]source{}
 	}
@@ -210,6 +216,14 @@
 	d.startSync()
 }
 
+// saw remembers that a version exists; the mutex is held.
+func (d *Distributor) saw(version uint64) {
+	if version > d.held().copied.Version && d.lagging.IsZero() {
+		d.lagging = d.Timer.Now()
+	}
+	d.highest = max(d.highest, version)
+}
+
 // init prepares what the exported fields leave out.
 func (d *Distributor) init() {
 	d.once.Do(func() {
@@ -309,6 +323,9 @@
 func (d *Distributor) publish(c *Copy, snapshot *persimmoncart.Snapshot, taken []loggedSet) {
 	d.current.Store(newHeld(c, snapshot))
 	d.mutex.Lock()
+	if d.highest <= c.Version {
+		d.lagging = time.Time{}
+	}
 	if taken == nil {
 		d.log, d.logged = nil, 0
 	}
@@ -390,14 +407,3 @@
 	slices.Sort(keys)
 	return keys
 }
-
-// compareSources orders sources by version, newest first, then by name.
-func compareSources(a, b source) int {
-	if a.version != b.version {
-		if a.version > b.version {
-			return -1
-		}
-		return 1
-	}
-	return strings.Compare(string(a.instance.ID), string(b.instance.ID))
-}
--- a/internal/policy/broker.go
+++ b/internal/policy/broker.go
@@ -58,6 +58,7 @@
 // It grants slots of its own replicas, lends them to other instances, borrows
 // from other owners, and refuses what cannot be served in time.
 type Broker struct {
+	borrowed   map[persimmoncart.EndpointID]*borrowedSeat
 	endpoints  map[persimmoncart.EndpointID]*persimmoncart.Endpoint
 	grants     map[persimmoncart.GrantID]*grantState
 	lanes      map[laneKey]*lane
@@ -76,12 +77,15 @@
 	settings   BrokerSettings
 	stragglers *Stragglers
 	tickets    map[uint64]*waiter
+
+	uncommitted map[persimmoncart.GrantID]time.Time // expiry
 }
 
 // NewBroker returns a Broker without replicas. Zero settings get their defaults.
 func NewBroker(s BrokerSettings) *Broker {
 	s = s.withDefaults()
 	return &Broker{
+		borrowed:  make(map[persimmoncart.EndpointID]*borrowedSeat),
 		byHolding: make(map[uint64]persimmoncart.GrantID),
 		endpoints: make(map[persimmoncart.EndpointID]*persimmoncart.Endpoint),
 		grants:    make(map[persimmoncart.GrantID]*grantState),
@@ -102,6 +106,8 @@
 		settings:   s,
 		stragglers: NewStragglers(),
 		tickets:    make(map[uint64]*waiter),
+
+		uncommitted: make(map[persimmoncart.GrantID]time.Time),
 	}
 }
 
@@ -177,8 +183,12 @@
 		return false
 	}
 	g.committed = true
-	b.commitPart(now, &g.decode)
-	b.commitPart(now, &g.prefill)
+	delete(b.uncommitted, id)
+	for _, p := range []*part{&g.decode, &g.prefill} {
+		if p.holding != 0 {
+			b.ledger.Commit(p.holding)
+		}
+	}
 	return true
 }
 
@@ -199,7 +209,13 @@
 		return
 	}
 	delete(b.grants, id)
+	delete(b.uncommitted, id)
 	g.lane.learnFill(g, now)
+	if g.decode.endpoint != nil && g.decode.holding == 0 {
+		if s, kept := b.borrowed[g.decode.endpoint.ID]; kept && s.seat == g.decode.seat {
+			delete(b.borrowed, g.decode.endpoint.ID)
+		}
+	}
 	b.releasePart(now, &g.prefill, 0)
 	b.releasePart(now, &g.decode, g.pace)
 }
@@ -226,17 +242,6 @@
 // Waiting returns the number of own and borrowing requests in the queues.
 func (b *Broker) Waiting() int { return len(b.tickets) }
 
-// commitPart keeps one half of a grant.
-func (b *Broker) commitPart(now time.Time, p *part) {
-	switch {
-	case p.endpoint == nil:
-	case p.holding != 0:
-		b.ledger.Commit(p.holding)
-	default:
-		b.peers.settle(now, p.owner, persimmoncart.SeatChange{ID: p.seat, Kind: persimmoncart.SeatCommitted})
-	}
-}
-
 // drop removes a waiter and whatever it has secured.
 func (b *Broker) drop(now time.Time, w *waiter) {
 	delete(b.tickets, w.ID)
@@ -262,7 +267,7 @@
 	case p.endpoint == nil:
 	case p.holding != 0:
 		if p.replica.Endpoint.Role == persimmoncart.RolePrefill {
-			p.replica.Unqueue(p.holding, took)
+			p.replica.Unqueue(now, p.holding, took)
 		}
 		b.ledger.Release(p.holding)
 		delete(b.byHolding, p.holding)
--- a/internal/policy/view.go
+++ b/internal/policy/view.go
@@ -18,6 +18,16 @@
 // defaultPaceTarget is the pool's target between tokens if none is configured.
 const defaultPaceTarget = 60 * time.Millisecond
 
+// slowPeriod is how often an owner is told about a slow replica.
+const slowPeriod = 250 * time.Millisecond
+
+// A borrowedSeat is the newest decode seat in use on a replica of another owner.
+type borrowedSeat struct {
+	owner persimmoncart.InstanceID
+	seat  persimmoncart.GrantID
+	told  time.Time // when the owner was last told that the replica is slow
+}
+
 // CacheEvent takes one change of a prefill replica's cache.
 func (b *Broker) CacheEvent(now time.Time, replica persimmoncart.EndpointID, e persimmoncart.CacheEvent) {
 	b.placement.Prefixes.Apply(now, replica, e)
@@ -66,22 +76,30 @@
 	if !found || result.Cancelled || result.Role != persimmoncart.RoleDecode || result.Tokens <= 0 {
 		return
 	}
-	b.observe(now, e, result.Latency/time.Duration(result.Tokens))
+	b.observePace(now, e, result.Latency/time.Duration(result.Tokens))
 }
 
-// ObservePace learns the time between tokens on the decode replica of a grant;
-// a lent seat's owner learns it with the release.
+// ObservePace learns the time between tokens on the decode replica of a grant.
 func (b *Broker) ObservePace(now time.Time, id persimmoncart.GrantID, pace time.Duration) {
 	g, found := b.grants[id]
 	if !found || g.decode.endpoint == nil || pace <= 0 {
 		return
 	}
 	g.pace = pace
-	g.lane.pace += (pace - g.lane.pace) / 32
-	b.observe(now, g.decode.endpoint, pace)
-	if g.decode.holding == 0 && pace > defaultPaceTarget {
-		b.peers.settle(now, g.decode.owner, persimmoncart.SeatChange{ID: g.decode.seat, Kind: persimmoncart.SeatCommitted, Took: pace})
+	b.observePace(now, g.decode.endpoint, pace)
+}
+
+// observePace learns the time between tokens on a replica. If the replica is
+// slow and another instance owns it, the owner is told, because it may have no
+// requests of its own there.
+func (b *Broker) observePace(now time.Time, e *persimmoncart.Endpoint, pace time.Duration) {
+	b.observe(now, e, pace)
+	s, found := b.borrowed[e.ID]
+	if !found || pace <= defaultPaceTarget || now.Sub(s.told) < slowPeriod {
+		return
 	}
+	s.told = now
+	b.peers.settle(now, s.owner, persimmoncart.SeatChange{ID: s.seat, Kind: persimmoncart.SeatCommitted, Took: pace})
 }
 
 // SetEndpoints replaces the records of all engines that the configuration
@@ -184,6 +202,7 @@
 	for _, r := range b.replicas {
 		if r.Endpoint.Role == persimmoncart.RolePrefill {
 			r.overdue(now)
+			r.drift(now)
 		} else {
 			r.Weight, r.Probe = b.stragglers.Weight(now, r.Endpoint.Pool, r.Endpoint.Role, r.Endpoint.ID)
 		}
@@ -203,7 +222,7 @@
 		rows = append(rows, persimmoncart.PoolDigest{
 			DataCentre: r.Endpoint.DataCentre, Model: l.key.model, Pool: l.key.pool,
 			Region: r.Endpoint.Region, Role: r.Endpoint.Role, Waiting: l.queue.Len(),
-			Wait: r.Wait(now),
+			Wait: r.typical(now),
 		})
 	}
 	d := &rows[i]
@@ -217,6 +236,6 @@
 	d.Blocks += max(blocks, 0)
 	d.Free += max(slots, 0)
 	d.Slots += r.Slots
-	d.Wait = min(d.Wait, r.Wait(now))
+	d.Wait = min(d.Wait, r.typical(now))
 	return rows
 }
