--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -78,10 +78,15 @@
 		Transport: &peer.Client{HTTP: j.peers.HTTP, Meter: &j.meter, Secure: j.peers.Secure},
 	}
 	j.members = &membership.Service{
-		List:      j.peers.List,
-		Lock:      &sync.Mutex{},
-		Log:       j.Logger,
-		Machine:   &membership.Machine{Rand: random(j.Self, "members"), Self: j.Self},
+		List: j.peers.List,
+		Lock: &sync.Mutex{},
+		Log:  j.Logger,
+		Machine: &membership.Machine{
+			AllowCells: func() bool { return governor.Allow(load.KindSum) },
+			AllowFar:   func() bool { return governor.Allow(load.KindFar) },
+			Rand:       random(j.Self, "members"),
+			Self:       j.Self,
+		},
 		Timer:     j.Timer,
 		Transport: transport,
 	}
@@ -119,7 +124,7 @@
 	}
 	j.serve("members", c.run)
 	j.serve("sweep", sweeper.Run)
-	handlers := peer.Mux{"load": &load.Handler{Lender: ledger, Timer: j.Timer}, "member": j.members}
+	handlers := peer.Mux{"load": &load.Handler{Configuration: j.Configuration, Lender: ledger, Timer: j.Timer}, "member": j.members}
 	j.mount((&peer.Server{Handler: &load.GovernedHandler{Governor: governor, Handler: handlers}, Meter: &j.meter}).Routes())
 	mux := http.NewServeMux()
 	for path, handler := range j.routes {
