--- a/cmd/persimmonload/internal/cmd/demo.go
+++ b/cmd/persimmonload/internal/cmd/demo.go
@@ -25,6 +25,7 @@
 	JSON     bool          `long:"json" env:"DEMO_JSON" description:"Print one JSON object in place of tables"`
 	Level    string        `long:"log-level" env:"DEMO_LOG_LEVEL" default:"error" description:"Lowest level that the instances and fakes log"`
 	Rate     float64       `long:"rate" env:"DEMO_RATE" default:"20" description:"Requests a second to each deployment; it triples at the crest"`
+	Together bool          `long:"together" env:"DEMO_TOGETHER" description:"Put both instances of a deployment into its first data centre"`
 	Seed     uint64        `long:"seed" env:"SEED" default:"1" description:"Seed of the arrivals and requests"`
 }
 
@@ -64,6 +65,7 @@
 			Rate:     d.Rate,
 			Seed:     d.Seed,
 			Timer:    &timer.System{},
+			Together: d.Together,
 		}
 		if !d.JSON {
 			one.Progress = stderr
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -47,6 +47,7 @@
 	Rate     float64   // requests a second, tripled at the crest
 	Seed     uint64
 	Timer    persimmoncart.Timer
+	Together bool // both instances are in the first data centre and share its replicas
 
 	addrs    []netip.AddrPort // of the instances
 	client   *http.Client     // of the callers
@@ -103,6 +104,9 @@
 	defer stop()
 	group, running := errgroup.WithContext(running)
 	first, last := deployment.Centres[0], deployment.Centres[len(deployment.Centres)-1]
+	if d.Together {
+		last = first
+	}
 	var instances []*instance
 	for n, c := range []platform.Centre{first, last} {
 		i, err := d.newInstance(ctx, persimmoncart.Instance{
