--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -133,6 +134,9 @@
 
 // others returns the live members of this data centre and of others.
 func (d *Distributor) others() (near, far []persimmoncart.Instance) {
+	if d.Peers == nil {
+		return nil, nil // an instance on its own
+	}
 	self := d.Members.Self()
 	for _, m := range d.Members.View() {
 		if m.Instance.ID == self.ID || m.State != persimmoncart.MemberAlive {
@@ -209,21 +213,28 @@
 	}
 }
 
-// bestSource returns the source with the newest version.
+// bestSource returns one of the sources with the newest version, at random, so
+// that instances that start together do not all ask the same peer.
 func (d *Distributor) bestSource() (source, bool) {
 	have := d.held().copied.Version
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	var all []source
+	var best []source
 	for _, s := range d.sources {
-		if s.version > have {
-			all = append(all, s)
+		if s.version <= have || (len(best) > 0 && s.version < best[0].version) {
+			continue
 		}
+		if len(best) > 0 && s.version > best[0].version {
+			best = best[:0]
+		}
+		best = append(best, s)
 	}
-	if len(all) == 0 {
+	if len(best) == 0 {
 		return source{}, false
 	}
-	return slices.MinFunc(all, compareSources), true
+	// The order of a map must not show in a run with a seed.
+	slices.SortFunc(best, func(a, b source) int { return strings.Compare(string(a.instance.ID), string(b.instance.ID)) })
+	return best[d.Random.IntN(len(best))], true
 }
 
 // pull takes change sets, or a full copy, from a peer.
@@ -252,44 +263,72 @@
 	}
 }
 
-// pullCopy takes a full copy from a peer, page by page.
+// pullCopy takes a full copy, page by page. The pages come from all cell peers in
+// turn, because a copy of the plan's size from one peer would exceed that peer's
+// bound on control traffic for some minutes. Pages of another version than the
+// first one's are asked from the first peer again.
 func (d *Distributor) pullCopy(ctx context.Context, from persimmoncart.Instance) error {
+	near, far := d.others()
+	if len(near) == 0 {
+		near = far // the whole data centre starts anew
+	}
+	d.shuffle(near)
 	for range copyAttempts {
-		var changes []persimmoncart.ConfigChange
-		var first persimmoncart.ConfigPulled
-		for after := ""; ; {
-			var got persimmoncart.ConfigPulled
-			err := d.call(ctx, pullTimeout, func(ctx context.Context) (err error) {
-				got, err = d.Peers.Pull(ctx, from, persimmoncart.ConfigPull{After: after, Full: true})
-				return err
-			})
-			if err != nil {
-				return err
-			}
-			if after == "" {
-				first = got
-			}
-			if got.Hash != first.Hash {
-				break // the peer went forward; pages of two versions do not fit
-			}
-			for _, o := range got.Objects {
-				changes = append(changes, persimmoncart.ConfigChange{After: o.Value, Key: o.Key})
-			}
-			if got.More && len(got.Objects) > 0 {
-				after = got.Objects[len(got.Objects)-1].Key
-				continue
-			}
-			state := (&State{}).With(changes)
-			if state.Hash() != got.State {
-				return errors.Wrapf(&CorruptError{Key: "full copy"}, "pull from %s", from.ID)
-			}
-			if d.replace(&Copy{Hash: got.Hash, State: state, Version: got.Digest.Version}) {
-				d.metrics.sources.WithLabelValues(sourceCopy).Inc()
-			}
-			return nil
+		first, err := d.page(ctx, from, "")
+		if err != nil {
+			return err
 		}
+		changes, complete := d.pages(ctx, from, near, first)
+		if !complete {
+			continue // the first peer went forward or left
+		}
+		state := (&State{}).With(changes)
+		if state.Hash() != first.State {
+			return errors.Wrapf(&CorruptError{Key: "full copy"}, "pull from %s", from.ID)
+		}
+		if d.replace(&Copy{Hash: first.Hash, State: state, Version: first.Digest.Version}) {
+			d.metrics.sources.WithLabelValues(sourceCopy).Inc()
+		}
+		return nil
 	}
-	return errors.Errorf("pull from %s: version changed %d times during the copy", from.ID, copyAttempts)
+	return errors.Errorf("pull from %s: no copy of one version in %d attempts", from.ID, copyAttempts)
+}
+
+// pages takes the pages after the first one. It reports whether all of them
+// belong to the first one's version.
+func (d *Distributor) pages(ctx context.Context, from persimmoncart.Instance, near []persimmoncart.Instance, first persimmoncart.ConfigPulled) ([]persimmoncart.ConfigChange, bool) {
+	var changes []persimmoncart.ConfigChange
+	got := first
+	for turn := 0; ; turn++ {
+		for _, o := range got.Objects {
+			changes = append(changes, persimmoncart.ConfigChange{After: o.Value, Key: o.Key})
+		}
+		if !got.More || len(got.Objects) == 0 {
+			return changes, true
+		}
+		after := got.Objects[len(got.Objects)-1].Key
+		peer := from
+		if len(near) > 0 {
+			peer = near[turn%len(near)]
+		}
+		next, err := d.page(ctx, peer, after)
+		if (err != nil || next.Hash != first.Hash) && peer.ID != from.ID {
+			next, err = d.page(ctx, from, after)
+		}
+		if err != nil || next.Hash != first.Hash {
+			return nil, false
+		}
+		got = next
+	}
+}
+
+// page asks a peer for the page after a key.
+func (d *Distributor) page(ctx context.Context, from persimmoncart.Instance, after string) (got persimmoncart.ConfigPulled, err error) {
+	err = d.call(ctx, pullTimeout, func(ctx context.Context) (err error) {
+		got, err = d.Peers.Pull(ctx, from, persimmoncart.ConfigPull{After: after, Full: true})
+		return err
+	})
+	return got, err
 }
 
 // syncStore takes newer versions from the store.
@@ -312,24 +351,50 @@
 	if h.Version <= have.Version {
 		return false
 	}
-	var forward bool
-	sets, err := d.Archive.Sets(ctx, h, have.Version)
-	if err == nil && len(sets) > 0 {
-		forward = d.install(sets)
-	} else if err == nil {
-		var c *Copy
-		if c, err = d.Archive.Copy(ctx, h, have); err == nil {
-			forward = d.replace(c)
-		}
+	if have.Version > 0 && h.names(have.Version+1) {
+		return d.syncSets(ctx, h)
 	}
+	var c *Copy
+	err := d.call(ctx, copyTimeout, func(ctx context.Context) (err error) {
+		c, err = d.Archive.Copy(ctx, h, have)
+		return err
+	})
 	d.noteStore(err)
-	if forward {
-		d.metrics.sources.WithLabelValues(sourceStore).Inc()
-		if d.watcherRank() >= 0 {
-			d.push(sets)
+	if err != nil || !d.replace(c) {
+		return false
+	}
+	d.metrics.sources.WithLabelValues(sourceStore).Inc()
+	return true
+}
+
+// syncSets takes change sets from the store, each into force as it arrives. It
+// ends early when a peer has a newer version: with a slow store, the change sets
+// of a long outage would take longer one by one than all of them from a peer.
+func (d *Distributor) syncSets(ctx context.Context, h *Head) bool {
+	var taken []persimmoncart.ConfigChangeSet
+	for have := d.held().copied.Version; have < h.Version; have = d.held().copied.Version {
+		if _, found := d.bestSource(); found && len(taken) > 0 {
+			break
 		}
+		var s persimmoncart.ConfigChangeSet
+		err := d.call(ctx, callTimeout, func(ctx context.Context) (err error) {
+			s, err = d.Archive.next(ctx, h, have)
+			return err
+		})
+		d.noteStore(err)
+		if err != nil || !d.install([]persimmoncart.ConfigChangeSet{s}) {
+			break
+		}
+		taken = append(taken, s)
 	}
-	return forward
+	if len(taken) == 0 {
+		return false
+	}
+	d.metrics.sources.WithLabelValues(sourceStore).Inc()
+	if d.watcherRank() >= 0 {
+		d.push(taken)
+	}
+	return true
 }
 
 // readHead reads the head and remembers its version as seen.
