engine: list the deadline of the generation, not of its transfer

Cause: the fake kept the deadline of Import in its list of work, so that the owner of the replica cancelled running generations of live instances as soon as it swept the list; seen after one of three persimmoncart processes was killed. Change: Decode sets the deadline and tag of the work. The load tool leaves an instance out that refuses connections, as the platform's load balancer does. Result: the contract suite checks the deadlines on the fake and over HTTP.

--- a/internal/engine/contract_test.go
+++ b/internal/engine/contract_test.go
@@ -132,6 +132,37 @@
 	}
 }
 
+// Guards against a list of work that shows the deadline of the transfer for a
+// generation, so that its owner cancels it while its caller still waits.
+func TestWorkDeadline(t *testing.T) {
+	forEach(t, func(ctx context.Context, t *testing.T, p *pair) {
+		attempt, tag := persimmoncart.AttemptID{Request: "r"}, persimmoncart.Tag{Incarnation: 7, Instance: "e1"}
+		soon := time.Now().Add(time.Minute).Round(0).UTC()
+		late := soon.Add(time.Hour)
+		r, err := p.prefill.Prefill(ctx, persimmoncart.PrefillRequest{Attempt: attempt, Deadline: late, Model: model, Prompt: "p", Tag: tag})
+		assert.NilError(t, err)
+		assert.NilError(t, p.decode.Import(ctx, persimmoncart.ImportRequest{
+			Attempt: attempt, Blocks: 100, Deadline: soon, From: p.fakePrefill.Addr, Handle: r.Handle, Tag: tag,
+		}))
+		check := func(e persimmoncart.Engine, want time.Time) {
+			t.Helper()
+			work, err := e.Work(ctx)
+			assert.NilError(t, err)
+			assert.Equal(t, len(work), 1)
+			assert.Equal(t, work[0].Attempt, attempt)
+			assert.Equal(t, work[0].Tag, tag)
+			assert.Assert(t, work[0].Deadline.Equal(want), "%s, want %s", work[0].Deadline, want)
+		}
+		check(p.prefill, late)
+		check(p.decode, soon)
+		s, err := p.decode.Decode(ctx, persimmoncart.DecodeRequest{Attempt: attempt, Deadline: late, Limit: 100_000, Tag: tag})
+		assert.NilError(t, err)
+		check(p.decode, late)
+		assert.NilError(t, s.Close())
+		assert.NilError(t, p.prefill.Cancel(ctx, attempt))
+	})
+}
+
 // Guards against faulty streams that look like whole answers.
 func TestBrokenStreams(t *testing.T) {
 	// The faults that follow a token index are set before the stream starts; at
--- a/internal/engine/fakedecode.go
+++ b/internal/engine/fakedecode.go
@@ -49,6 +49,8 @@
 	if persimmoncart.Blocks(Tokens(w.kv.Prompt)+request.Limit) > w.blocks {
 		return nil, f.refuse(ReasonMemory, 0)
 	}
+	// The deadline of the import only bounded the transfer.
+	w.deadline, w.tag = request.Deadline, request.Tag
 	w.class, w.limit, w.next = request.Class, request.Limit, request.Start
 	w.stream = &fakeStream{fake: f, ready: make(chan struct{}, 1), work: w}
 	w.stream.stop = context.AfterFunc(ctx, func() { _ = w.stream.Close() })
--- a/internal/loadgen/runner.go
+++ b/internal/loadgen/runner.go
@@ -29,6 +29,8 @@
 	maxBody = 1 << 20
 	// maxInFlight bounds the memory of a run whose answers never come.
 	maxInFlight = 20_000
+	// failedPause is how long an instance that cannot be reached gets no requests.
+	failedPause = time.Second
 	// patience is how long callers wait beyond the deadline of a request.
 	patience = 30 * time.Second
 	// progressPeriod is the time between progress lines.
@@ -61,7 +63,9 @@
 
 	group    sync.WaitGroup
 	inFlight atomic.Int64
-	next     atomic.Uint64 // number of the next instance
+	mutex    sync.Mutex                   // guards the two fields below
+	failed   map[netip.AddrPort]time.Time // until when an instance gets no requests
+	next     int                          // number of the last instance
 	start    time.Time
 	tally    *tally
 }
@@ -74,6 +78,7 @@
 	}
 	r.tally = newTally(r.Source.Mix, r.Targets)
 	r.start = r.Timer.Now()
+	r.failed = map[netip.AddrPort]time.Time{}
 	if r.Progress != nil {
 		stop := r.Timer.Subscribe(progressPeriod, func(now time.Time) {
 			// A closed terminal must not end the run.
@@ -124,7 +129,7 @@
 
 // exchange sends q and reads its answer into result.
 func (r *Runner) exchange(ctx context.Context, q Request, result *Result) error {
-	addr := r.Addrs[(r.next.Add(1)-1)%uint64(len(r.Addrs))]
+	addr := r.balance()
 	h, err := http.NewRequestWithContext(ctx, q.Method, transport.URL(addr, r.Secure)+q.Path, bytes.NewReader(q.Body))
 	if err != nil {
 		return err
@@ -138,8 +143,12 @@
 		h.Header["idempotency-key"] = []string{q.Key}
 		h.GetBody = nil
 	}
-	response, err := r.HTTP.Do(h)
+	tracked, sent := transport.Track(ctx)
+	response, err := r.HTTP.Do(h.WithContext(tracked))
 	if err != nil {
+		if !sent.Any() && ctx.Err() == nil && r.fail(addr) {
+			return r.exchange(ctx, q, result)
+		}
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -166,6 +175,36 @@
 	return checkPlain(q, b)
 }
 
+// balance returns the instance of the next request: each in turn, without those
+// that failed lately.
+func (r *Runner) balance() netip.AddrPort {
+	now := r.Timer.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for range r.Addrs {
+		r.next = (r.next + 1) % len(r.Addrs)
+		if a := r.Addrs[r.next]; !now.Before(r.failed[a]) {
+			return a
+		}
+	}
+	return r.Addrs[r.next]
+}
+
+// fail leaves an instance that cannot be reached out for a while, as the
+// platform's load balancer does. It reports whether another one is left.
+func (r *Runner) fail(addr netip.AddrPort) bool {
+	now := r.Timer.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.failed[addr] = now.Add(failedPause)
+	for _, a := range r.Addrs {
+		if !now.Before(r.failed[a]) {
+			return true
+		}
+	}
+	return false
+}
+
 // readDraft reads a streamed completion.
 func (r *Runner) readDraft(q Request, body io.Reader, result *Result) error {
 	s := &stream{
--- a/internal/loadgen/runner_test.go
+++ b/internal/loadgen/runner_test.go
@@ -103,9 +103,15 @@
 	defer server.Close()
 	client := transport.NewClient(nil)
 	defer client.CloseIdleConnections()
+	gone := httptest.NewServer(nil)
+	gone.Close()
 	r := &loadgen.Runner{
-		Addrs: []netip.AddrPort{netip.MustParseAddrPort(server.Listener.Addr().String())},
-		HTTP:  client,
+		// Requests that cannot reach one instance go to the other.
+		Addrs: []netip.AddrPort{
+			netip.MustParseAddrPort(gone.Listener.Addr().String()),
+			netip.MustParseAddrPort(server.Listener.Addr().String()),
+		},
+		HTTP: client,
 		Source: &loadgen.Source{
 			Curve: loadgen.Constant(400), Duration: 200 * time.Millisecond, Mix: loadgen.Peachthread(), Run: "t", Seed: 1,
 		},
