admin: let old sheets leave the configuration

Cause: every sheet ever applied stayed in the memory of every instance; opening a watch had no bound on its time.

--- a/internal/admin/local.go
+++ b/internal/admin/local.go
@@ -19,6 +19,9 @@
 )
 
 const (
+	// keepDays is the age at which sheets leave the configuration, which every
+	// instance holds in memory.
+	keepDays   = 14
 	maxHistory = 500
 	maxWait    = time.Minute
 	waitPoll   = 500 * time.Millisecond
@@ -310,7 +313,7 @@
 			out = append(out, persimmoncart.ConfigChange{After: after, Before: base.Get(k), Key: k})
 		}
 	}
-	for _, k := range request.Delete {
+	for _, k := range append(slices.Clone(request.Delete), oldSheets(entries, given)...) {
 		if before := base.Get(k); before != nil {
 			out = append(out, persimmoncart.ConfigChange{Before: before, Key: k})
 		}
@@ -318,6 +321,29 @@
 	return out, c, nil
 }
 
+// oldSheets returns the keys of the sheets that a new sheet makes obsolete. The
+// history keeps their content.
+func oldSheets(entries []*config.Entry, given map[string]bool) []string {
+	newest := ""
+	for _, e := range entries {
+		if e.Key.Kind == config.KindSheet && given[e.Key.String()] {
+			newest = max(newest, e.Key.Name)
+		}
+	}
+	day, err := time.Parse(time.DateOnly, newest)
+	if err != nil {
+		return nil // no sheet is given
+	}
+	oldest := day.AddDate(0, 0, -keepDays).Format(time.DateOnly)
+	var out []string
+	for _, e := range entries {
+		if k := e.Key.String(); e.Key.Kind == config.KindSheet && !given[k] && e.Key.Name < oldest {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
 // base returns the state of the version that the files were made from.
 func (l *Local) base(ctx context.Context, version uint64, c *config.Copy) (*config.State, error) {
 	if version == 0 || version == c.Version {
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -187,6 +187,25 @@
 	assert.Assert(t, strings.Contains(string(got.Objects[0].Value), `"5m0s"`))
 }
 
+// Guards against sheets that pile up in the memory of every instance.
+func TestOldSheets(t *testing.T) {
+	_, c, _, _ := newServer(t, peers{"b": 9, "c": 9})
+	sheet := func(day string) admin.File {
+		return admin.File{Data: "day,pool,model,from,to,rate,prefill,decode\n" + day + ",hull,m,06:00,12:00,0,1,0\n", Name: "s.csv"}
+	}
+	for _, day := range []string{"2026-11-18", "2026-11-20", "2026-11-21", "2026-12-04"} {
+		_, err := c["admin"].Apply(t.Context(), admin.ApplyRequest{Files: []admin.File{{Data: files, Name: "f.yaml"}, sheet(day)}})
+		assert.NilError(t, err)
+	}
+	got, err := c["viewer"].Objects(t.Context(), "sheet", "")
+	assert.NilError(t, err)
+	var keys []string
+	for _, o := range got.Objects {
+		keys = append(keys, o.Key)
+	}
+	assert.DeepEqual(t, keys, []string{"sheet/2026-11-20", "sheet/2026-11-21", "sheet/2026-12-04"})
+}
+
 // Guards against a wait that ends while instances lag, or that does not name them.
 func TestWait(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/config/watch.go
+++ b/internal/config/watch.go
@@ -84,7 +84,9 @@
 	d.mutex.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	late := d.Timer.After(callTimeout, func(time.Time) { cancel() })
 	w, err := d.Archive.Store.Watch(ctx, headKey, from)
+	late()
 	if err != nil {
 		d.noteStore(err)
 		return
