order: take the time of a move from the weight store

Cause: a move was taken to last a minute whatever the weight store's rate, and a missing outcome was reported by its internal key. Change: the longest fetch of the pool's models, times the fetches at the same time, bounds the moves; a missing outcome names key, account and route.

--- a/internal/admin/local.go
+++ b/internal/admin/local.go
@@ -115,6 +115,10 @@
 		return OutcomeReply{}, &Error{Code: CodeNotFound, Message: "this service has no access to claims"}
 	}
 	r, err := l.Claims.Outcome(ctx, route.ClaimKey(persimmoncart.AccountID(account), persimmoncart.RouteName(path), key))
+	if missing := (&persimmoncart.NotFoundError{}); errors.As(err, &missing) {
+		return OutcomeReply{}, &Error{Code: CodeNotFound, Message: fmt.Sprintf(
+			"no record of key %q of account %s on route %s: the call was not sent, is about to be sent, or its record has expired", key, account, path)}
+	}
 	if err != nil {
 		return OutcomeReply{}, toError(err)
 	}
--- a/internal/order/plan.go
+++ b/internal/order/plan.go
@@ -50,6 +50,8 @@
 	Registerer prometheus.Registerer // nil registers no metrics
 	Store      persimmoncart.Store
 	Timer      persimmoncart.Timer
+	// Weights says how long a fetch of weights takes; nil uses DefaultFetch.
+	Weights persimmoncart.WeightStore
 
 	fallback *prometheus.GaugeVec
 	held     tenure
@@ -105,15 +107,33 @@
 }
 
 // planner returns the planner of a pool.
-func (p *Plan) planner(name persimmoncart.PoolName) persimmoncart.RolePlanner {
-	if p.planners[name] == nil {
+func (p *Plan) planner(ctx context.Context, pool *persimmoncart.Pool) persimmoncart.RolePlanner {
+	if p.planners[pool.Name] == nil {
 		if p.Planner != nil {
-			p.planners[name] = p.Planner(name)
+			p.planners[pool.Name] = p.Planner(pool.Name)
 		} else {
-			p.planners[name] = &Roles{Planner: policy.NewPlanner(DefaultLoads)}
+			p.planners[pool.Name] = &Roles{Fetch: p.fetch(ctx, pool), Planner: policy.NewPlanner(DefaultLoads)}
 		}
 	}
-	return p.planners[name]
+	return p.planners[pool.Name]
+}
+
+// fetch returns the time that a move of a replica may take, or zero if it is not
+// known. Fetches at the same time share the weight store's rate.
+func (p *Plan) fetch(ctx context.Context, pool *persimmoncart.Pool) time.Duration {
+	if p.Weights == nil {
+		return 0
+	}
+	weights, err := p.Weights.Models(ctx)
+	if err != nil {
+		p.Log.Warn().Err(err).Msg("weight store does not answer; a move is taken to last the default time")
+		return 0
+	}
+	longest := time.Duration(0)
+	for _, m := range pool.Models {
+		longest = max(longest, weights[m].Fetch)
+	}
+	return longest * DefaultLoads
 }
 
 // pool plans one pool and records the result if it changed.
@@ -138,7 +158,7 @@
 		request.Last[id] = persimmoncart.Desired{Endpoint: id, Models: d.Models, Role: d.Role, Since: d.Since}
 	}
 	next := Record{At: now.UTC().Round(0), Desired: map[persimmoncart.EndpointID]State{}, Fence: lease.Fence, Version: s.Version, Warning: warning}
-	for _, d := range p.planner(pool.Name).Plan(request) {
+	for _, d := range p.planner(ctx, pool).Plan(request) {
 		next.Desired[d.Endpoint] = State{Models: d.Models, Role: d.Role, Since: d.Since.UTC().Round(0)}
 	}
 	if version != 0 && next.Warning == old.Warning && reflect.DeepEqual(next.Desired, old.Desired) {
