--- a/internal/config/archive.go
+++ b/internal/config/archive.go
@@ -150,9 +150,7 @@
 
 // decodeSet returns the change set in a stored object, which may be split.
 func (a *Archive) decodeSet(ctx context.Context, o persimmoncart.Object) (persimmoncart.ConfigChangeSet, error) {
-	var split struct {
-		Parts []string `json:"parts"`
-	}
+	var split splitSet
 	if err := json.Unmarshal(o.Value, &split); err != nil || len(split.Parts) == 0 {
 		return DecodeSet(o.Value)
 	}
@@ -323,38 +321,34 @@
 
 // write stores the objects of a new version; they take effect with the head.
 func (a *Archive) write(ctx context.Context, s *persimmoncart.ConfigChangeSet, old, next *State) error {
+	objects := []persimmoncart.ConfigObject{{Key: manifestsKey + hex.EncodeToString(s.State[:]), Value: next.Manifest()}}
 	for _, name := range slices.Sorted(maps.Keys(next.shards)) {
 		p := next.shards[name]
-		if before := old.shards[name]; before != nil && before.hash == p.hash {
-			continue
-		}
-		if err := a.create(ctx, shardsKey+hex.EncodeToString(p.hash[:]), p.encode()); err != nil {
-			return err
+		if before := old.shards[name]; before == nil || before.hash != p.hash {
+			objects = append(objects, persimmoncart.ConfigObject{Key: shardsKey + hex.EncodeToString(p.hash[:]), Value: p.encode()})
 		}
 	}
-	if err := a.create(ctx, manifestsKey+hex.EncodeToString(s.State[:]), next.Manifest()); err != nil {
-		return err
-	}
 	data := EncodeSet(s)
-	if len(data) <= partBytes {
-		return a.create(ctx, setKey(s.Version, s.Hash), data)
-	}
-	var split struct {
-		Parts []string `json:"parts"`
-	}
-	for part := range slices.Chunk(data, partBytes) {
-		hash := sha256.Sum256(part)
-		name := hex.EncodeToString(hash[:])
-		if err := a.create(ctx, partsKey+name, part); err != nil {
-			return err
+	if len(data) > partBytes {
+		var split splitSet
+		for part := range slices.Chunk(data, partBytes) {
+			hash := sha256.Sum256(part)
+			name := hex.EncodeToString(hash[:])
+			objects = append(objects, persimmoncart.ConfigObject{Key: partsKey + name, Value: part})
+			split.Parts = append(split.Parts, name)
+		}
+		var err error
+		if data, err = json.Marshal(split); err != nil {
+			return errors.Wrap(err, "encode parts")
 		}
-		split.Parts = append(split.Parts, name)
-	}
-	data, err := json.Marshal(split)
-	if err != nil {
-		return errors.Wrap(err, "encode parts")
 	}
-	return a.create(ctx, setKey(s.Version, s.Hash), data)
+	objects = append(objects, persimmoncart.ConfigObject{Key: setKey(s.Version, s.Hash), Value: data})
+	return a.parallel(len(objects), func(i int) error { return a.create(ctx, objects[i].Key, objects[i].Value) })
+}
+
+// A splitSet is the stored form of a change set above partBytes.
+type splitSet struct {
+	Parts []string `json:"parts"` // hashes of the parts, in order
 }
 
 // create stores an object named by its content; it may exist already.
--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -20,11 +20,12 @@
 )
 
 const (
-	// editAttempts bounds how often one edit is rebased. With a hundred writers
-	// that race without pause, an edit wins within about a hundred rounds.
-	editAttempts = 100
+	// editAttempts bounds how often one edit is rebased; with the pauses in
+	// between, it takes over a minute.
+	editAttempts = 30
 	// settleAttempts bounds the reads that settle one lost answer.
 	settleAttempts = 4
+	maxDoublings   = 6
 	retryPause     = 50 * time.Millisecond
 	settlePause    = 500 * time.Millisecond
 )
@@ -73,7 +74,9 @@
 	unsettled := false
 	for attempt := range editAttempts {
 		if attempt > 0 {
-			if err := e.pause(ctx, retryPause); err != nil {
+			// Growing pauses keep racing edits from wasting most of their writes
+			// when the store is slow.
+			if err := e.pause(ctx, retryPause<<min(attempt-1, maxDoublings)); err != nil {
 				return Result{}, e.unsettled(unsettled, edit, err)
 			}
 		}
