--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -118,15 +118,16 @@
 	a.router.Places.Release(a.grant.ID)
 }
 
-// load imports the KV cache into the decode engine and releases the export.
-func (a *attempt) load(ctx context.Context) error {
+// load imports the KV cache into the decode engine and releases the export. The
+// engine keeps the deadline, which is the request's, as that of the whole work.
+func (a *attempt) load(ctx context.Context, deadline time.Time) error {
 	bounded, stop := withTimeout(ctx, a.router.Timer, positive(a.router.Transfer, DefaultTransfer), errTransfer)
 	defer stop()
 	a.imported = true
 	err := a.decoder.Import(bounded, persimmoncart.ImportRequest{
 		Attempt:  a.id,
 		Blocks:   a.grant.Blocks,
-		Deadline: a.router.Timer.Now().Add(positive(a.router.Transfer, DefaultTransfer)),
+		Deadline: deadline,
 		From:     a.grant.Prefill.Addr,
 		Handle:   a.result.Handle,
 		Size:     a.result.Size,
--- a/internal/route/completion.go
+++ b/internal/route/completion.go
@@ -109,7 +109,7 @@
 	case statePrefill:
 		return stateImport, c.prefill(ctx)
 	case stateImport:
-		return stateDecode, c.attempt.load(ctx)
+		return stateDecode, c.attempt.load(ctx, c.Deadline)
 	case stateDecode:
 		return stateStream, c.decode(ctx)
 	default:
--- a/internal/route/completion_test.go
+++ b/internal/route/completion_test.go
@@ -64,6 +64,10 @@
 	f.router.Wait()
 	assert.DeepEqual(t, f.fleet.held(), []string(nil))
 	assert.Equal(t, len(f.places.granted), 0)
+	for _, e := range f.fleet.engines {
+		// An earlier deadline would let the sweep of dead work cancel the stream.
+		assert.Assert(t, e.due.IsZero() || e.due.Equal(now.Add(30*time.Second)))
+	}
 	return result, err
 }
 
--- a/internal/route/fake_test.go
+++ b/internal/route/fake_test.go
@@ -36,6 +36,7 @@
 
 // An engine is a fake engine whose phases the test can replace.
 type engine struct {
+	due     time.Time // of the newest import
 	decode  func(persimmoncart.DecodeRequest) persimmoncart.TokenStream
 	fleet   *fleet
 	held    map[persimmoncart.AttemptID]bool
@@ -75,6 +76,7 @@
 
 func (e *engine) Import(ctx context.Context, q persimmoncart.ImportRequest) error {
 	e.hold(q.Attempt, true)
+	e.due = q.Deadline
 	if e.imports != nil {
 		return e.imports(ctx)
 	}
