entry: test two instances that are peers

Cause: the wiring of members, ownership and load had only been tried by hand. Change: the tests of a fleet start one or two instances by Peers.Join and check drafts through both, through one while the other stops, and afterwards.

--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -10,21 +10,22 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/application"
-	"github.com/persimmoncart/persimmoncart/internal/claim"
-	"github.com/persimmoncart/persimmoncart/internal/control"
 	"github.com/persimmoncart/persimmoncart/internal/engine"
 	"github.com/persimmoncart/persimmoncart/internal/entry"
+	"github.com/persimmoncart/persimmoncart/internal/instancelist"
+	"github.com/persimmoncart/persimmoncart/internal/metrics"
 	"github.com/persimmoncart/persimmoncart/internal/objectapi"
-	"github.com/persimmoncart/persimmoncart/internal/places"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
@@ -37,6 +38,7 @@
 	done         chan error   // of the instance
 	engines      []*engine.Fake
 	records      *application.Records
+	running      []*running
 	store        *objectapi.Faulty
 	stop         func() error
 }
@@ -44,28 +46,46 @@
 // A network connects addresses in memory.
 type network struct {
 	listeners map[string]*listener
+	mutex     sync.Mutex
 	servers   []*http.Server
 }
 
 // dial connects to an address.
 func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	if l := n.listeners[address]; l != nil {
+	n.mutex.Lock()
+	l := n.listeners[address]
+	n.mutex.Unlock()
+	if l != nil {
 		return l.dial(ctx, "", "")
 	}
-	return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+	return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 }
 
-// serve serves handler at addr.
-func (n *network) serve(addr netip.AddrPort, handler http.Handler) {
+// listen returns the listener at addr.
+func (n *network) listen(addr netip.AddrPort) *listener {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
 	l := newListener()
 	n.listeners[addr.String()] = l
+	return l
+}
+
+// serve serves handler at addr.
+func (n *network) serve(addr netip.AddrPort, handler http.Handler) {
+	l := n.listen(addr)
 	s := &http.Server{Handler: handler}
 	n.servers = append(n.servers, s)
 	go s.Serve(l)
 }
 
-// newFleet starts a fleet.
+// newFleet starts a fleet with one instance.
 func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	return newFleetOf(t, 1)
+}
+
+// newFleetOf starts a fleet with several instances.
+func newFleetOf(t *testing.T, count int) *fleet {
 	t.Helper()
 	clock := &timer.System{}
 	n := &network{listeners: make(map[string]*listener)}
@@ -107,49 +127,82 @@
 		f.engines = append(f.engines, fake)
 		n.serve(e.Addr, (&engine.Handler{Engine: fake, Fake: fake}).Handler())
 	}
-	f.start(n, client, fixed{snapshot})
+	f.start(n, client, fixed{snapshot}, count)
 	return f
 }
 
-// start runs the instance.
-func (f *fleet) start(n *network, client *http.Client, configuration fixed) {
-	self := persimmoncart.Instance{DataCentre: "hall", ID: "i", Incarnation: 1, Region: "coast"}
-	p := &places.Places{Configuration: configuration, Seed: 1, Self: self, Timer: &timer.System{}}
-	owner := &entry.SoleOwner{Configuration: configuration, Region: "coast", Usables: p}
-	c := &claim.Claims{Logger: zerolog.Nop(), Self: self.Tag(), Store: f.store, Timer: &timer.System{}}
-	l := newListener()
-	i := &entry.Instance{
-		Applications:  &application.Clients{HTTP: client},
-		Balancer:      p,
-		Claims:        c,
-		Configuration: configuration,
-		Engines:       &engine.Clients{HTTP: client},
-		Grace:         time.Second,
-		Listener:      l,
-		Logger:        zerolog.Nop(),
-		Places:        p,
-		Self:          self,
-		Services:      []control.Service{{Name: "places", Run: p.Run}, {Name: "owner", Run: owner.Run}, {Name: "claims", Run: c.Run}},
-		Timer:         &timer.System{},
+// start runs instances; several of them are peers of each other.
+func (f *fleet) start(n *network, client *http.Client, configuration fixed, count int) {
+	peers := &entry.Peers{}
+	list := &instancelist.Fake{Timer: &timer.System{}}
+	if count > 1 {
+		protocols := &http.Protocols{}
+		protocols.SetUnencryptedHTTP2(true)
+		peers.HTTP = &http.Client{Transport: &http.Transport{DialContext: n.dial, Protocols: protocols}}
+		peers.List = list
+	}
+	for number := range count {
+		self := persimmoncart.Instance{
+			Addr:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(number)}), 80),
+			DataCentre: "hall", ID: persimmoncart.InstanceID(fmt.Sprint("i", number)), Incarnation: 1, Region: "coast",
+		}
+		list.Change(func(l []persimmoncart.Listed) []persimmoncart.Listed {
+			return append(l, persimmoncart.Listed{Instance: &self})
+		})
+		i := &entry.Instance{
+			Applications:  &application.Clients{HTTP: client},
+			Configuration: configuration,
+			Engines:       &engine.Clients{HTTP: client},
+			Grace:         time.Second,
+			Listener:      newListener(),
+			Logger:        zerolog.Nop(),
+			Metrics:       metrics.New(),
+			PeerListener:  n.listen(self.Addr),
+			Self:          self,
+			Store:         f.store,
+			Timer:         &timer.System{},
+		}
+		peers.Join(i)
+		r := &running{
+			client: &http.Client{Transport: &http.Transport{DialContext: i.Listener.(*listener).dial}},
+			done:   make(chan error, 1),
+		}
+		var ctx context.Context
+		ctx, r.cancel = context.WithCancel(context.Background())
+		go func() { r.done <- i.Run(ctx) }()
+		f.running = append(f.running, r)
 	}
-	f.client = &http.Client{Transport: &http.Transport{DialContext: l.dial}}
-	ctx, cancel := context.WithCancel(context.Background())
-	f.cancel, f.done = cancel, make(chan error, 1)
-	go func() { f.done <- i.Run(ctx) }()
 	synctest.Wait()
+	f.running[0].use(f)
 	f.stop = func() error {
-		cancel()
-		err := <-f.done
-		f.client.CloseIdleConnections()
+		var errs []error
+		for _, r := range f.running {
+			r.cancel()
+			errs = append(errs, <-r.done)
+			r.client.CloseIdleConnections()
+		}
 		client.CloseIdleConnections()
+		if peers.HTTP != nil {
+			peers.HTTP.CloseIdleConnections()
+		}
 		for _, s := range n.servers {
 			s.Close()
 		}
 		time.Sleep(10 * time.Second) // the fakes' own timers end
-		return err
+		return errors.Join(errs...)
 	}
 }
 
+// A running is one instance of a fleet.
+type running struct {
+	cancel context.CancelFunc
+	client *http.Client
+	done   chan error
+}
+
+// use lets the fleet's calls go to the instance.
+func (r *running) use(f *fleet) { f.cancel, f.client, f.done = r.cancel, r.client, r.done }
+
 // held returns the work that holds memory on the engines that answer.
 func (f *fleet) held(t *testing.T) []string {
 	t.Helper()
@@ -226,16 +279,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					f := newFleet(t)
 					f.engines[bad].Change(func(x *engine.Faults) { *x = faults })
-					var group sync.WaitGroup
-					for n := range 3 {
-						group.Go(func() {
-							prompt := fmt.Sprint(name, bad, n)
-							text, err := f.complete(t.Context(), t, prompt)
-							assert.Check(t, err)
-							assert.Check(t, text == want(prompt), "%q", text)
-						})
-					}
-					group.Wait()
+					f.completeAll(t, fmt.Sprint(name, bad), 3)
 					f.engines[bad].Change(func(x *engine.Faults) { *x = engine.Faults{} })
 					time.Sleep(time.Second)
 					assert.DeepEqual(t, f.held(t), []string(nil))
@@ -296,3 +340,43 @@
 		})
 	}
 }
+
+// Guards against peers that do not find each other, that grant the same slots
+// twice, or that leave replicas without an owner after one of them has stopped.
+func TestFleetPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOf(t, 2)
+		time.Sleep(30 * time.Second) // the first epochs
+		f.completeAll(t, "both", 16)
+		f.running[1].use(f)
+		f.completeAll(t, "second", 16)
+		f.running[0].use(f)
+		f.running[1].cancel()
+		f.completeAll(t, "while one stops", 8)
+		assert.NilError(t, <-f.running[1].done)
+		f.running[1].done <- nil
+		time.Sleep(30 * time.Second) // the next epoch
+		f.completeAll(t, "alone", 16)
+		time.Sleep(time.Second)
+		assert.Equal(t, len(f.held(t)), 0)
+		for _, e := range f.engines {
+			assert.Equal(t, e.Counters().Refused, uint64(0), "an engine had more work than slots")
+		}
+		assert.NilError(t, f.stop())
+	})
+}
+
+// completeAll requests drafts at the same time and checks their texts.
+func (f *fleet) completeAll(t *testing.T, name string, count int) {
+	t.Helper()
+	var group sync.WaitGroup
+	for n := range count {
+		group.Go(func() {
+			prompt := fmt.Sprint(name, n)
+			text, err := f.complete(t.Context(), t, prompt)
+			assert.Check(t, err)
+			assert.Check(t, text == want(prompt), "%q", text)
+		})
+	}
+	group.Wait()
+}
