--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,11 @@
 build:
 	go build -o bin/ ./cmd/persimmoncart ./cmd/persimmonctl ./cmd/persimmonfake ./cmd/persimmonload
 
+# Measures the control of fleets of up to 400 instances.
+.PHONY: capacity
+capacity:
+	@go run ./internal/capacity/cmd --seed=$(SEED) $(if $(PLOTS),--plots=$(PLOTS))
+
 .PHONY: config-bench
 config-bench:
 	@go run ./internal/configbench/run --nodes=$(or $(NODES),400) --changes=$(or $(CHANGES),200) --seed=$(SEED)
