entry: follow owned engines and keep work away from leaving endpoints

Cause: nothing fed cache events to the places, signals that an endpoint is leaving had no reader besides the configuration, and borrows failed because the load handler's configuration was not set; its panic was logged as a failed connection. Change: each owner follows its engines' cache events and load reports; leaving endpoints from reports, refusals, the instance list and peers are avoided and taken out of the places, which then borrow; panics of handlers are logged as errors. Result: 5 s after an engine of each role said that it is leaving, neither of two instances sent it work, and the one that owned only those two borrowed.

--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -380,3 +380,24 @@
 	}
 	group.Wait()
 }
+
+// Guards against endpoints that get new work seconds after they said that they
+// are leaving, on the instance that owns them and on the other one.
+func TestFleetLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOf(t, 2)
+		time.Sleep(30 * time.Second) // the first epochs
+		f.engines[0].Change(func(x *engine.Faults) { x.Leaving = true })
+		f.engines[2].Change(func(x *engine.Faults) { x.Leaving = true })
+		time.Sleep(5 * time.Second)
+		for n, r := range f.running {
+			r.use(f)
+			f.completeAll(t, fmt.Sprint("instance ", n), 8)
+		}
+		for _, n := range []int{0, 2} {
+			assert.Equal(t, f.engines[n].Counters(), engine.Counters{})
+		}
+		f.running[0].use(f)
+		assert.NilError(t, f.stop())
+	})
+}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -44,6 +44,7 @@
 	Engines       persimmoncart.Engines
 	Grace         time.Duration        // wait for the load balancer after readiness went off
 	Leave         func()               // tells peers of the planned stop; may be nil
+	Leaving       *route.Leaving       // endpoints that are going to stop; may be nil
 	Limits        persimmoncart.Limits // nil means limits in memory
 	Listener      net.Listener         // callers
 	Logger        zerolog.Logger
@@ -143,6 +144,7 @@
 		Budgets:      i.Budgets,
 		Claims:       i.Claims,
 		Engines:      i.Engines,
+		Leaving:      i.Leaving,
 		Metrics:      i.Metrics,
 		Places:       i.Places,
 		Tag:          i.Self.Tag(),
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -20,6 +20,7 @@
 	"github.com/persimmoncart/persimmoncart/internal/ownership"
 	"github.com/persimmoncart/persimmoncart/internal/peer"
 	"github.com/persimmoncart/persimmoncart/internal/places"
+	"github.com/persimmoncart/persimmoncart/internal/route"
 	"github.com/persimmoncart/persimmoncart/internal/sweep"
 	memberv1 "github.com/persimmoncart/persimmoncart/proto/member/v1"
 )
@@ -38,6 +39,7 @@
 // Logger, Metrics, Self, Store and Timer must be set; Store may be nil if
 // Configuration is set.
 func (p *Peers) Join(i *Instance) {
+	i.Leaving = &route.Leaving{Timer: i.Timer}
 	j := &joining{Instance: i, peers: p, routes: make(map[string]http.Handler)}
 	if p.List == nil || i.Store == nil {
 		j.alone()
@@ -65,7 +67,7 @@
 	ledger := j.ledger()
 	j.record()
 	j.administer()
-	owner := &SoleOwner{Configuration: j.Configuration, Region: j.Self.Region, Usables: ledger}
+	owner := &SoleOwner{Configuration: j.Configuration, Region: j.Self.Region, Usables: j.watch(ledger)}
 	j.serve("owner", owner.Run)
 }
 
@@ -78,7 +80,7 @@
 		Transport: &peer.Client{HTTP: j.peers.HTTP, Meter: &j.meter, Secure: j.peers.Secure},
 	}
 	j.members = &membership.Service{
-		List:      j.peers.List,
+		List:      &watchedList{leaving: j.Leaving, list: j.peers.List},
 		Lock:      &sync.Mutex{},
 		Log:       j.Logger,
 		Machine:   &membership.Machine{Rand: random(j.Self, "members"), Self: j.Self},
@@ -92,12 +94,18 @@
 	j.administer()
 	c := &cell{
 		exchange: &load.Exchange{
-			Configuration: j.Configuration, Governor: governor, Loads: ledger, Members: j.members, Timer: j.Timer,
+			Configuration: j.Configuration,
+			Governor:      governor,
+			Leaving:       j.Leaving.Seen,
+			Learned:       j.Leaving.Learn,
+			Loads:         ledger,
+			Members:       j.members,
+			Timer:         j.Timer,
 		},
 		extensions: j.members.Machine.Extensions,
 		members:    j.members,
 		owner: &ownership.Service{
-			Changed:       ledger.SetUsable,
+			Changed:       j.watch(ledger).SetUsable,
 			Configuration: j.Configuration,
 			Log:           j.Logger,
 			Members:       j.members,
@@ -119,7 +127,7 @@
 	}
 	j.serve("members", c.run)
 	j.serve("sweep", sweeper.Run)
-	handlers := peer.Mux{"load": &load.Handler{Lender: ledger, Timer: j.Timer}, "member": j.members}
+	handlers := peer.Mux{"load": &load.Handler{Configuration: j.Configuration, Lender: ledger, Timer: j.Timer}, "member": j.members}
 	j.mount((&peer.Server{Handler: &load.GovernedHandler{Governor: governor, Handler: handlers}, Meter: &j.meter}).Routes())
 	mux := http.NewServeMux()
 	for path, handler := range j.routes {
@@ -202,6 +210,20 @@
 	j.Services = append(j.Services, control.Service{Name: name, Run: run})
 }
 
+// watch returns what is told which replicas the instance may use.
+func (j *joining) watch(ledger *places.Places) *watch {
+	w := &watch{
+		Configuration: j.Configuration,
+		Engines:       j.Engines,
+		Leaving:       j.Leaving,
+		Ledger:        ledger,
+		Timer:         j.Timer,
+		changed:       make(chan struct{}, 1),
+	}
+	j.serve("watch", w.Run)
+	return w
+}
+
 // random returns a source of random numbers that differs between instances,
 // starts and uses.
 func random(self persimmoncart.Instance, use string) *rand.Rand {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"log"
@@ -220,6 +221,10 @@
 
 // Write implements io.Writer.
 func (l *errorLog) Write(p []byte) (int, error) {
+	if bytes.Contains(p, []byte("panic")) {
+		l.logger.Error().Msg("handler panicked")
+		return len(p), nil
+	}
 	l.logger.Debug().Msg("connection failed")
 	return len(p), nil
 }
--- /dev/null
+++ b/internal/entry/watch.go
@@ -0,0 +1,210 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/places"
+	"github.com/persimmoncart/persimmoncart/internal/route"
+)
+
+const (
+	// loadPeriod is how often an owned engine is asked for its load: a third of
+	// the few seconds after which a leaving endpoint gets no new work.
+	loadPeriod  = time.Second
+	loadTimeout = time.Second
+	// cachePause is the pause before a broken stream of cache events is opened again.
+	cachePause = time.Second
+)
+
+var (
+	_ persimmoncart.InstanceList = (*watchedList)(nil)
+	_ persimmoncart.Usables      = (*watch)(nil)
+)
+
+// A watch follows the engines that this instance owns: cache events go to the
+// places, and engines that say that they are leaving to Leaving. It takes those
+// that are leaving out of the places, so that these borrow instead. Its exported
+// fields are set before Run.
+type watch struct {
+	Configuration persimmoncart.Configuration
+	Engines       persimmoncart.Engines
+	Leaving       *route.Leaving
+	Ledger        *places.Places
+	Timer         persimmoncart.Timer
+
+	applied []persimmoncart.Usable // as the places have them; nil before the first
+	changed chan struct{}
+	mutex   sync.Mutex
+	usable  []persimmoncart.Usable
+}
+
+// Run follows the engines until ctx is done.
+func (w *watch) Run(ctx context.Context) error {
+	defer w.Configuration.Subscribe(func(*persimmoncart.Snapshot) { w.wake() })()
+	defer w.Timer.Subscribe(loadPeriod, func(time.Time) { w.wake() })()
+	followed := make(map[followedEngine]context.CancelFunc)
+	var group sync.WaitGroup
+	defer group.Wait()
+	for {
+		w.update(ctx, &group, followed)
+		w.mutex.Lock()
+		w.apply()
+		w.mutex.Unlock()
+		select {
+		case <-ctx.Done():
+			for _, stop := range followed {
+				stop()
+			}
+			return ctx.Err()
+		case <-w.changed:
+		}
+	}
+}
+
+// A followedEngine is an engine at an address in a role, each of which may change.
+type followedEngine struct {
+	addr netip.AddrPort
+	id   persimmoncart.EndpointID
+	role persimmoncart.Role
+}
+
+// SetUsable implements persimmoncart.Usables. It does not wait, because its
+// callers hold locks.
+func (w *watch) SetUsable(replicas []persimmoncart.Usable) {
+	w.mutex.Lock()
+	w.usable = slices.Clone(replicas)
+	w.apply()
+	w.mutex.Unlock()
+	w.wake()
+}
+
+// apply gives the places the usable replicas that are not leaving, if they have
+// changed. The mutex is held, so that an older set does not replace a newer one.
+func (w *watch) apply() {
+	leaving := w.Leaving.List()
+	staying := slices.DeleteFunc(slices.Clone(w.usable), func(u persimmoncart.Usable) bool {
+		return slices.Contains(leaving, u.Endpoint)
+	})
+	if w.applied == nil || !slices.Equal(staying, w.applied) {
+		w.applied = staying
+		w.Ledger.SetUsable(staying)
+	}
+}
+
+// wake lets Run look at the owned engines again.
+func (w *watch) wake() {
+	select {
+	case w.changed <- struct{}{}:
+	default: // a change that is not yet handled covers this one
+	}
+}
+
+// update starts and stops following engines.
+func (w *watch) update(ctx context.Context, group *sync.WaitGroup, followed map[followedEngine]context.CancelFunc) {
+	owned := w.engines()
+	for e, stop := range followed {
+		if !owned[e] {
+			stop()
+			delete(followed, e)
+		}
+	}
+	for e := range owned {
+		if followed[e] != nil {
+			continue
+		}
+		own, stop := context.WithCancel(ctx)
+		followed[e] = stop
+		group.Go(func() { w.followLoad(own, e) })
+		if e.role == persimmoncart.RolePrefill {
+			group.Go(func() { w.followCache(own, e) })
+		}
+	}
+}
+
+// engines returns the owned engines that are configured.
+func (w *watch) engines() map[followedEngine]bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	s := w.Configuration.Snapshot()
+	out := make(map[followedEngine]bool, len(w.usable))
+	for _, u := range w.usable {
+		if e := s.Endpoints[u.Endpoint]; e != nil && u.Owned {
+			out[followedEngine{addr: e.Addr, id: u.Endpoint, role: e.Role}] = true
+		}
+	}
+	return out
+}
+
+// followCache passes on the cache events of one engine until ctx is done.
+func (w *watch) followCache(ctx context.Context, e followedEngine) {
+	var last uint64
+	for ctx.Err() == nil {
+		err := w.readCache(ctx, e, &last)
+		gone := &persimmoncart.UnavailableError{}
+		if errors.As(err, &gone) {
+			last = 0 // a restarted engine counts from the beginning
+		}
+		if w.Timer.Sleep(ctx, cachePause) != nil {
+			return
+		}
+	}
+}
+
+// readCache passes on cache events after sequence last until the stream breaks.
+func (w *watch) readCache(ctx context.Context, e followedEngine, last *uint64) error {
+	stream, err := w.Engines.Engine(e.addr).CacheEvents(ctx, *last)
+	if err != nil {
+		return errors.Wrap(err, "open cache events")
+	}
+	defer func() { _ = stream.Close() }()
+	for {
+		event, err := stream.Next(ctx)
+		if err != nil {
+			return errors.Wrap(err, "read cache events")
+		}
+		*last = event.Sequence
+		w.Ledger.CacheEvent(e.id, event)
+	}
+}
+
+// followLoad asks one engine whether it is leaving until ctx is done.
+func (w *watch) followLoad(ctx context.Context, e followedEngine) {
+	for w.Timer.Sleep(ctx, loadPeriod) == nil {
+		bounded, cancel := context.WithCancel(ctx)
+		stop := w.Timer.After(loadTimeout, func(time.Time) { cancel() })
+		report, err := w.Engines.Engine(e.addr).Load(bounded)
+		stop()
+		cancel()
+		if err == nil && report.Leaving {
+			w.Leaving.See(e.id)
+		}
+	}
+}
+
+// A watchedList is an instance list that notes leaving endpoints, so that the
+// list is not read twice.
+type watchedList struct {
+	leaving *route.Leaving
+	list    persimmoncart.InstanceList
+}
+
+// List implements persimmoncart.InstanceList.
+func (w *watchedList) List(ctx context.Context) ([]persimmoncart.Listed, error) {
+	listed, err := w.list.List(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "read instance list")
+	}
+	for _, l := range listed {
+		if l.Endpoint != nil && l.Endpoint.Leaving {
+			w.leaving.See(l.Endpoint.ID)
+		}
+	}
+	return listed, nil
+}
--- a/internal/route/completion.go
+++ b/internal/route/completion.go
@@ -125,7 +125,7 @@
 	grant, err := r.Places.Reserve(ctx, persimmoncart.ReserveRequest{
 		Account:  c.Account.Name,
 		Attempt:  id,
-		Avoid:    r.health.avoid(r.Timer.Now(), c.avoid),
+		Avoid:    r.avoid(c.avoid),
 		Class:    c.Class,
 		Deadline: c.Deadline,
 		First:    c.firstDue(),
--- a/internal/route/failure.go
+++ b/internal/route/failure.go
@@ -92,7 +92,7 @@
 		return c.refuse(refusal)
 	}
 	bad := culprit(s, failed, err)
-	c.router.health.failed(c.router.Timer.Now(), bad, err)
+	c.router.failed(bad, err)
 	if !c.router.again(ctx, c.Route.Name, c.Account.Name, c.result.Attempts, c.Deadline) {
 		if cause := context.Cause(ctx); cause != nil {
 			return c.interrupted(cause)
--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -46,7 +46,7 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if len(h.failing) == 0 {
-		return own
+		return slices.Clone(own)
 	}
 	out := slices.Clone(own)
 	for id, f := range h.failing {
--- a/internal/route/plain.go
+++ b/internal/route/plain.go
@@ -151,7 +151,7 @@
 // pick chooses an endpoint.
 func (c *call) pick(ctx context.Context, avoid []persimmoncart.EndpointID) (persimmoncart.Endpoint, error) {
 	endpoint, err := c.router.Balancer.Pick(ctx, persimmoncart.PickRequest{
-		Avoid: c.router.health.avoid(c.router.Timer.Now(), avoid),
+		Avoid: c.router.avoid(avoid),
 		Pool:  c.Route.Pool,
 		Route: c.Route.Name,
 	})
@@ -193,7 +193,7 @@
 	})
 	if err != nil {
 		if ctx.Err() == nil {
-			r.health.failed(r.Timer.Now(), endpoint.ID, err)
+			r.failed(endpoint.ID, err)
 		}
 		return reply{endpoint: endpoint, err: errors.Wrap(err, "call")}
 	}
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/engine"
 	"github.com/persimmoncart/persimmoncart/internal/metrics"
 )
 
@@ -41,7 +42,8 @@
 	Claims       persimmoncart.Claims // nil if there is no store
 	Cleanup      time.Duration        // zero means DefaultCleanup
 	Engines      persimmoncart.Engines
-	MaxAttempts  int // zero means DefaultMaxAttempts
+	Leaving      *Leaving // nil ignores what is not refused
+	MaxAttempts  int      // zero means DefaultMaxAttempts
 	Metrics      *metrics.Metrics
 	Places       persimmoncart.Places
 	Stall        time.Duration // zero means DefaultStall
@@ -58,6 +60,19 @@
 // claims are settled or given up.
 func (r *Router) Wait() { r.background.Wait() }
 
+// avoid returns the endpoints that a request should avoid besides those in own.
+func (r *Router) avoid(own []persimmoncart.EndpointID) []persimmoncart.EndpointID {
+	return append(r.health.avoid(r.Timer.Now(), own), r.Leaving.List()...)
+}
+
+// failed notes how a call to an endpoint failed.
+func (r *Router) failed(id persimmoncart.EndpointID, err error) {
+	if refused := as[*persimmoncart.EndpointRefusedError](err); refused != nil && refused.Reason == engine.ReasonLeaving && id != "" {
+		r.Leaving.See(id)
+	}
+	r.health.failed(r.Timer.Now(), id, err)
+}
+
 // goBackground runs f with a context that outlives the caller's.
 func (r *Router) goBackground(ctx context.Context, f func(context.Context)) {
 	ctx = context.WithoutCancel(ctx)
