policy: keep the slots in use of a replica whose ownership comes back

Cause: a replica that left the usable set and came back started with no slots in use, so that slots were granted twice; some tables had no bound. Change: replicas with slots in use are kept aside until those are released. Forgotten peers, endpoints without samples and items of a borrow are bounded, and Sizes reports the tables.

--- a/internal/bench/ours.go
+++ b/internal/bench/ours.go
@@ -239,7 +239,7 @@
 		BorrowItems: o.borrowItems, Effects: (*nodeEffects)(n), Prefix: string(instance.ID), Random: n.random,
 		Region: instance.Region, Self: instance.ID, TokenBytes: kvBytes,
 	})
-	n.broker.SetEndpoints(w.deployment.engines, o.pools)
+	n.broker.SetEndpoints(n.engines(), o.pools)
 	for i := range w.deployment.engines {
 		for k := range w.deployment.engines {
 			n.link(&w.deployment.engines[i], &w.deployment.engines[k])
@@ -269,6 +269,22 @@
 	return list
 }
 
+// engines returns the engines that the instance may use: all, or at the planned
+// size those of its region.
+func (n *node) engines() []persimmoncart.Endpoint {
+	all := n.ours.world.deployment.engines
+	if !n.ours.world.scenario.short {
+		return all
+	}
+	var list []persimmoncart.Endpoint
+	for i := range all {
+		if all[i].Region == n.instance.Region {
+			list = append(list, all[i])
+		}
+	}
+	return list
+}
+
 // link sets the rate of the path between two engines.
 func (n *node) link(from, to *persimmoncart.Endpoint) {
 	if from.Region != to.Region {
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -210,6 +210,12 @@
 	return nil
 }
 
+// Sizes returns the number of entries of each table, for gauges.
+func (p *Places) Sizes() (sizes map[string]int) {
+	p.do(func(time.Time) { sizes = p.broker.Sizes() })
+	return sizes
+}
+
 // Waiting returns the number of requests in the admission queues, borrows of
 // other instances included.
 func (p *Places) Waiting() (n int) {
--- a/internal/places/places_test.go
+++ b/internal/places/places_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -180,3 +181,22 @@
 		assert.Equal(t, all[0].Digest().Pools[0].Free, 1)
 	})
 }
+
+// A request gets a prefill slot and a decode slot with its memory together.
+func ExamplePlaces() {
+	p := &places.Places{
+		Configuration: configuration(engine("decode-1", persimmoncart.RoleDecode, 20), engine("prefill-1", persimmoncart.RolePrefill, 8)),
+		Self:          persimmoncart.Instance{ID: "n1", Region: "sfax-coast"},
+		Timer:         &timer.System{},
+	}
+	p.SetUsable(usable("decode-1", "prefill-1"))
+	grant, err := p.Reserve(context.Background(), request(persimmoncart.ClassBatch, time.Minute))
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println(grant.Prefill.ID, grant.Decode.ID, grant.Blocks)
+	p.PrefillDone(grant.ID)
+	p.Release(grant.ID)
+	// Output: prefill-1 decode-1 2
+}
--- a/internal/policy/broker.go
+++ b/internal/policy/broker.go
@@ -71,6 +71,7 @@
 	placement  Placement
 	pools      []PoolTargets
 	replicas   map[persimmoncart.EndpointID]*Replica
+	retired    map[persimmoncart.EndpointID]*Replica // no longer usable, with slots in use
 	seats      map[persimmoncart.GrantID]*lentSeat
 	byHolding  map[uint64]persimmoncart.GrantID
 	sequence   uint64
@@ -102,6 +103,7 @@
 			TokenBytes: s.TokenBytes,
 		},
 		replicas:   make(map[persimmoncart.EndpointID]*Replica),
+		retired:    make(map[persimmoncart.EndpointID]*Replica),
 		seats:      make(map[persimmoncart.GrantID]*lentSeat),
 		settings:   s,
 		stragglers: NewStragglers(),
--- a/internal/policy/broker_test.go
+++ b/internal/policy/broker_test.go
@@ -249,3 +249,28 @@
 	}
 	assert.Equal(t, len(c.grants[2]), 6, "three decode replicas with two slots each")
 }
+
+// Guards against a replica whose slots in use are forgotten when its ownership
+// is lost and comes back.
+func TestBrokerRegainsReplica(t *testing.T) {
+	e := &benchEffects{}
+	b, endpoints := testBroker(e, "n0", 0, 2)
+	usable := []persimmoncart.Usable{
+		{Blocks: 170, Endpoint: endpoints[0].ID, Owned: true, Slots: 4}, {Blocks: 170, Endpoint: endpoints[1].ID, Owned: true, Slots: 1},
+	}
+	b.SetUsable(usable)
+	_, refusal := b.Submit(testStart, testRequest(persimmoncart.ClassBatch, time.Hour), 1)
+	assert.Assert(t, refusal == nil)
+	b.Step(testStart)
+	first := e.granted
+	assert.Assert(t, b.Commit(testStart, first))
+	b.SetUsable(nil)
+	b.SetUsable(usable)
+	_, refusal = b.Submit(testStart, testRequest(persimmoncart.ClassBatch, time.Hour), 1)
+	assert.Assert(t, refusal == nil)
+	b.Step(testStart)
+	assert.Equal(t, e.granted, first, "the slot was granted twice")
+	b.Release(testStart, first)
+	b.Step(testStart)
+	assert.Assert(t, e.granted != first)
+}
--- a/internal/policy/lend.go
+++ b/internal/policy/lend.go
@@ -6,6 +6,9 @@
 	"github.com/persimmoncart/persimmoncart"
 )
 
+// lendItems bounds the items of one borrow that are looked at.
+const lendItems = 64
+
 // A lending is a borrow of another instance that waits for its answer.
 type lending struct {
 	from    persimmoncart.InstanceID
@@ -50,7 +53,7 @@
 	}
 	b.lends[d.id] = d
 	b.loans[k] = d.id
-	for i := range request.Items {
+	for i := range request.Items[:min(len(request.Items), lendItems)] {
 		b.lendItem(now, d, i, &request.Items[i])
 	}
 	return d.id
--- a/internal/policy/peers.go
+++ b/internal/policy/peers.go
@@ -128,7 +128,7 @@
 func (t *peerTable) learn(digest persimmoncart.Digest, distance time.Duration) {
 	p, found := t.entries[digest.Instance]
 	if !found {
-		if len(t.entries) >= peerLimit {
+		if len(t.entries) >= peerLimit && !t.evict() {
 			return
 		}
 		p = t.add(digest.Instance)
@@ -151,6 +151,18 @@
 	return p
 }
 
+// evict makes room for one instance by dropping a forgotten one.
+func (t *peerTable) evict() bool {
+	for _, id := range t.order {
+		if p := t.entries[id]; len(p.digest.Pools) == 0 && len(p.changes) == 0 {
+			delete(t.entries, id)
+			t.order = sortedKeys(t.entries)
+			return true
+		}
+	}
+	return false
+}
+
 // pending reports whether changes wait to be sent.
 func (t *peerTable) pending() bool { return t.unsettled > 0 }
 
--- a/internal/policy/straggler.go
+++ b/internal/policy/straggler.go
@@ -29,6 +29,9 @@
 	stragglerSamples = 2
 	// stragglerSlow is the ratio from which the weight is lowered.
 	stragglerSlow = 1.6
+	// stragglerStates is the number of endpoints of a group from which those
+	// without recent samples are dropped.
+	stragglerStates = 512
 	// stragglerWindow is the age from which samples do not count.
 	stragglerWindow = 20 * time.Second
 )
@@ -77,9 +80,9 @@
 	g := s.group(pool, role)
 	e, found := g.states[id]
 	if !found || now.Sub(e.at) > stragglerWindow {
-		weight := 1.0
 		if !found {
-			e = &latencyState{weight: weight}
+			g.shrink(now)
+			e = &latencyState{weight: 1}
 			g.states[id] = e
 		}
 		e.average, e.samples = latency.Seconds(), 0
@@ -98,6 +101,15 @@
 	return s.group(pool, role).ejected()
 }
 
+// Len returns the number of endpoints with a state.
+func (s *Stragglers) Len() int {
+	n := 0
+	for _, g := range s.groups {
+		n += len(g.states)
+	}
+	return n
+}
+
 // Median returns the median latency of a pool and role, and whether it is known.
 func (s *Stragglers) Median(now time.Time, pool persimmoncart.PoolName, role persimmoncart.Role) (time.Duration, bool) {
 	m, known := s.group(pool, role).median(now)
@@ -178,6 +190,18 @@
 	}
 }
 
+// shrink drops endpoints without samples for a long time once there are many.
+func (g *stragglerGroup) shrink(now time.Time) {
+	if len(g.states) < stragglerStates {
+		return
+	}
+	for id, e := range g.states {
+		if now.Sub(e.at) > stragglerProbeLimit+stragglerWindow {
+			delete(g.states, id)
+		}
+	}
+}
+
 // median returns the median of the endpoints with samples. With fewer than
 // three, the slower one would be judged by its own latency; the pool's target
 // stands in for the median then, if there is one.
--- a/internal/policy/view.go
+++ b/internal/policy/view.go
@@ -135,20 +135,46 @@
 		seen[u.Endpoint] = true
 		r, known := b.replicas[u.Endpoint]
 		if !known {
-			r = NewReplica(*e, u.Slots, u.Blocks)
+			r = b.unretire(e)
 			b.replicas[u.Endpoint] = r
 		}
 		r.Blocks, r.Owned, r.Slots = u.Blocks, u.Owned, u.Slots
 	}
 	for id, r := range b.replicas {
 		if !seen[id] {
-			r.Slots = 0 // holdings keep pointing to it until they end
+			r.Slots = 0
+			b.retired[id] = r // its slots in use count if it comes back
 			delete(b.replicas, id)
 		}
 	}
+	for id, r := range b.retired {
+		if r.usedSlots == 0 {
+			delete(b.retired, id)
+		}
+	}
 	b.reassign()
 }
 
+// Sizes returns the number of entries of each table, for gauges.
+func (b *Broker) Sizes() map[string]int {
+	return map[string]int{
+		"grants": len(b.grants), "holdings": b.ledger.Len(), "lends": len(b.lends), "peers": len(b.peers.entries),
+		"prefixes": b.placement.Prefixes.Len(), "replicas": len(b.replicas) + len(b.retired),
+		"seats": len(b.seats), "stragglers": b.stragglers.Len(), "waiting": len(b.tickets),
+	}
+}
+
+// unretire returns the replica as it was when it left the set, or a new one.
+func (b *Broker) unretire(e *persimmoncart.Endpoint) *Replica {
+	r, found := b.retired[e.ID]
+	if !found {
+		return NewReplica(*e, 0, 0)
+	}
+	delete(b.retired, e.ID)
+	r.Endpoint = *e
+	return r
+}
+
 // assign fills the replicas of one lane, sorted by identifier.
 func (b *Broker) assign(l *lane) {
 	l.decodes, l.prefills = l.decodes[:0], l.prefills[:0]
