--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -26,7 +26,7 @@
 
 const (
 	fullOutage  = time.Hour       // of the store, at the sizes where it fits into the time
-	longestFull = 50              // nodes up to which the whole hour is run
+	longestFull = 8               // nodes up to which the whole hour is run
 	shortOutage = 3 * time.Minute // at larger sizes; nothing grows with the outage's length
 	workers     = 4
 )
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -18,7 +18,7 @@
 	StaticAfter     = AckTerm + EpochMargin   // without an owner, until static shares are used
 	askSilent       = time.Second             // between calls to a silent member
 	askUnmovedAfter = 400 * time.Millisecond  // members state a new epoch with their own probes before that
-	askAgain        = 200 * time.Millisecond  // a call without an answer counts as lost
+	askAgain        = 150 * time.Millisecond  // a call without an answer counts as lost
 )
 
 // A Machine is the protocol of one instance for one cell. It is not safe for
--- a/internal/ownership/service.go
+++ b/internal/ownership/service.go
@@ -30,8 +30,10 @@
 	rankDelay    = time.Second     // between the first proposer and the next
 	recordLimit  = 2 * time.Second // for a record from a peer
 	storeTimeout = 2 * time.Second
-	suspectDelay = 10 * time.Second      // a suspect then leaves the next epoch
-	tickPeriod   = 50 * time.Millisecond // an answer asked for late must come within the term
+	suspectDelay = 10 * time.Second // a suspect then leaves the next epoch
+	// A second try starts at most AckRefresh and two ticks after the last
+	// acknowledgement was asked for, which is within its term.
+	tickPeriod = 200 * time.Millisecond
 )
 
 // KeyPrefix starts the store keys of cell records.
