config: call the store in sequence unless asked to call it concurrently

Change: config.Concurrent is set where instances and tools are built; a full copy from the store ends when a peer has the version.

--- a/cmd/persimmonctl/internal/cmd/service.go
+++ b/cmd/persimmonctl/internal/cmd/service.go
@@ -44,7 +44,7 @@
 	store := &objectapi.Client{Addr: addr, HTTP: client, Secure: secure != nil, Timer: clock}
 	return &admin.Local{
 		Claims: &claim.Claims{Self: persimmoncart.Tag{Instance: "persimmonctl"}, Store: store, Timer: clock},
-		Editor: &config.Editor{Archive: &config.Archive{Store: store}, Timer: clock},
+		Editor: &config.Editor{Archive: &config.Archive{Parallel: config.Concurrent, Store: store}, Timer: clock},
 		Timer:  clock,
 	}, nil
 }
--- a/internal/config/archive.go
+++ b/internal/config/archive.go
@@ -102,17 +102,15 @@
 
 // An Archive reads and writes the configuration's objects in the store.
 type Archive struct {
-	// Parallel calls f for each number below n; nil calls it concurrently.
+	// Parallel calls f for each number below n; nil calls it one after the other,
+	// as runs with a seed need it. Instances set Concurrent.
 	Parallel func(n int, f func(int) error) error
 	Store    persimmoncart.Store
 }
 
-// parallel calls f for each number below n. A full copy has about 320 shards;
-// one by one they would take minutes from a slow store.
-func (a *Archive) parallel(n int, f func(int) error) error {
-	if a.Parallel != nil {
-		return a.Parallel(n, f)
-	}
+// Concurrent is an Archive's Parallel that makes 16 calls at the same time. A
+// full copy has about 320 shards; one by one they take minutes from a slow store.
+func Concurrent(n int, f func(int) error) error {
 	const limit = 16
 	var g errgroup.Group
 	g.SetLimit(limit)
@@ -122,6 +120,19 @@
 	return g.Wait()
 }
 
+// parallel calls f for each number below n.
+func (a *Archive) parallel(n int, f func(int) error) error {
+	if a.Parallel != nil {
+		return a.Parallel(n, f)
+	}
+	for i := range n {
+		if err := f(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Head returns the head. Before the first version it is empty.
 func (a *Archive) Head(ctx context.Context) (*Head, error) {
 	o, err := a.Store.Get(ctx, headKey)
--- a/internal/config/distributor.go
+++ b/internal/config/distributor.go
@@ -28,8 +28,9 @@
 	pageBytes = 64 << 10
 
 	callTimeout = 2 * time.Second
-	// copyTimeout covers a full copy from a slow store.
-	copyTimeout = 30 * time.Second
+	// copyTimeout covers a full copy from a store that takes 0.8 s a call, shard
+	// by shard.
+	copyTimeout = 5 * time.Minute
 	// pullTimeout covers a set of 3 MB, compressed, over a shared region link.
 	pullTimeout = 4 * time.Second
 	// gossipPeriod is the mean time between digests to members of other data
--- a/internal/config/distributor_test.go
+++ b/internal/config/distributor_test.go
@@ -80,7 +80,7 @@
 // newDistributor adds an instance to the cell.
 func (c *cell) newDistributor(s persimmoncart.Store, id persimmoncart.InstanceID) *config.Distributor {
 	d := &config.Distributor{
-		Archive: &config.Archive{Store: s}, Log: zerolog.Nop(), Members: roster{self: id, ids: []persimmoncart.InstanceID{"a", "b", "c", "d"}},
+		Archive: &config.Archive{Parallel: config.Concurrent, Store: s}, Log: zerolog.Nop(), Members: roster{self: id, ids: []persimmoncart.InstanceID{"a", "b", "c", "d"}},
 		Peers: c, Timer: &timer.System{},
 	}
 	c.peers.Store(id, d)
--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -356,6 +356,13 @@
 	}
 	var c *Copy
 	err := d.call(ctx, copyTimeout, func(ctx context.Context) (err error) {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer d.Timer.Subscribe(time.Second, func(time.Time) {
+			if _, found := d.bestSource(); found {
+				cancel() // a peer has the version by now
+			}
+		})()
 		c, err = d.Archive.Copy(ctx, h, have)
 		return err
 	})
--- a/internal/configbench/operator.go
+++ b/internal/configbench/operator.go
@@ -102,7 +102,7 @@
 		return
 	}
 	e := &config.Editor{
-		Archive: &config.Archive{Parallel: serial, Store: &store{platform: b.platform, region: n.self.Region}},
+		Archive: &config.Archive{Store: &store{platform: b.platform, region: n.self.Region}},
 		Local:   n.distributor.Copy,
 		Random:  b.random.Float64,
 		Timer:   s,
--- a/internal/configbench/world.go
+++ b/internal/configbench/world.go
@@ -102,7 +102,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.distributor = &config.Distributor{
-		Archive: &config.Archive{Parallel: serial, Store: &store{platform: w.platform, region: n.self.Region}},
+		Archive: &config.Archive{Store: &store{platform: w.platform, region: n.self.Region}},
 		Go:      w.scheduler.Go,
 		Log:     zerolog.Nop(),
 		Members: n,
@@ -134,17 +134,6 @@
 	})
 }
 
-// serial is config.Archive.Parallel for the scheduler, which runs one goroutine
-// at a time.
-func serial(n int, f func(int) error) error {
-	for i := range n {
-		if err := f(i); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // stop ends an instance; a planned stop is announced, a failure is noticed late.
 func (w *world) stop(n *node, planned bool) {
 	n.alive = false
