entry: run the daily plan and the orders, and place by observed roles

Cause: the plan and the orders were written and tested, and no instance ran them; an engine that an order moved would have been used in its recorded role.

--- a/cmd/persimmoncart/internal/cmd/run.go
+++ b/cmd/persimmoncart/internal/cmd/run.go
@@ -23,6 +23,7 @@
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 	"github.com/persimmoncart/persimmoncart/internal/tlsfiles"
 	"github.com/persimmoncart/persimmoncart/internal/transport"
+	"github.com/persimmoncart/persimmoncart/internal/weightstore"
 )
 
 // run serves until ctx is done.
@@ -110,6 +111,9 @@
 // peers returns the connection to other instances.
 func (b *builder) peers(secure bool) (*entry.Peers, error) {
 	p := &entry.Peers{Tokens: b.checked.Tokens}
+	if b.checked.Weights.IsValid() {
+		p.Weights = &weightstore.Client{Addr: b.checked.Weights, HTTP: b.client, Secure: secure}
+	}
 	if !b.checked.Instances.IsValid() {
 		return p, nil
 	}
--- a/cmd/persimmoncart/internal/cmd/settings.go
+++ b/cmd/persimmoncart/internal/cmd/settings.go
@@ -30,6 +30,7 @@
 	LogLevel      string   `long:"log-level" env:"LOG_LEVEL" default:"info" description:"lowest level that is logged: debug, info, warn or error"`
 	Region        string   `long:"region" env:"REGION" description:"region of this instance"`
 	Store         string   `long:"store" env:"STORE" description:"address and port of the store; empty refuses calls that may not be repeated"`
+	Weights       string   `long:"weights" env:"WEIGHTS" description:"address and port of the weight store; empty plans with a fixed time for a fetch"`
 
 	Admin     AdminSettings    `group:"administration listener" namespace:"admin" env-namespace:"ADMIN"`
 	Bounds    BoundSettings    `group:"bounds on callers" namespace:"max" env-namespace:"MAX"`
@@ -95,6 +96,7 @@
 	Peers     netip.AddrPort // zero means none
 	Self      persimmoncart.Instance
 	Store     netip.AddrPort // zero means no store
+	Weights   netip.AddrPort // zero means no weight store
 	Tokens    []admin.Token
 	Static    *config.Static // nil means the configuration in the store
 }
@@ -125,7 +127,8 @@
 			ID:         persimmoncart.InstanceID(c.name("instance", s.Instance)),
 			Region:     persimmoncart.Region(c.name("region", s.Region)),
 		},
-		Store: c.addr("store", s.Store, false),
+		Store:   c.addr("store", s.Store, false),
+		Weights: c.addr("weights", s.Weights, false),
 	}
 	if !out.Advertise.IsValid() {
 		out.Advertise = out.Peers
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -32,6 +32,8 @@
 	List   persimmoncart.InstanceList // nil for an instance without peers
 	Secure bool                       // HTTP has a TLS configuration
 	Tokens []admin.Token              // of operators
+	// Weights says how long a fetch of weights takes; nil plans with a fixed time.
+	Weights persimmoncart.WeightStore
 }
 
 // Join gives the instance its administration API, claims, configuration,
@@ -67,6 +69,7 @@
 	ledger := j.ledger()
 	j.record()
 	j.administer()
+	j.plan()
 	owner := &SoleOwner{Configuration: j.Configuration, Region: j.Self.Region, Usables: j.watch(ledger)}
 	j.serve("owner", owner.Run)
 }
@@ -97,6 +100,7 @@
 	ledger := j.ledger()
 	j.record()
 	j.administer()
+	j.plan()
 	c := &cell{
 		exchange: &load.Exchange{
 			Configuration: j.Configuration,
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -174,7 +174,8 @@
 	}
 }
 
-// followLoad asks one engine whether it is leaving until ctx is done.
+// followLoad passes on the role and models of one engine, and whether it is
+// leaving, until ctx is done.
 func (w *watch) followLoad(ctx context.Context, e followedEngine) {
 	for w.Timer.Sleep(ctx, loadPeriod) == nil {
 		bounded, cancel := context.WithCancel(ctx)
@@ -182,7 +183,13 @@
 		report, err := w.Engines.Engine(e.addr).Load(bounded)
 		stop()
 		cancel()
-		if err == nil && report.Leaving {
+		if err != nil {
+			continue
+		}
+		if report.Role != 0 {
+			w.Ledger.Observe(e.id, report)
+		}
+		if report.Leaving {
 			w.Leaving.See(e.id)
 		}
 	}
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -26,6 +27,9 @@
 	_ persimmoncart.Usables  = (*Places)(nil)
 )
 
+// unknownVersion differs from every version of the configuration.
+const unknownVersion = ^uint64(0)
+
 // tick is the period in which waiting requests and expiries are looked at.
 const tick = 20 * time.Millisecond
 
@@ -49,6 +53,7 @@
 	calls      sync.WaitGroup
 	lends      map[uint64]chan persimmoncart.Loan
 	mutex      sync.Mutex // guards everything below and above it
+	observed   map[persimmoncart.EndpointID]persimmoncart.LoadReport
 	random     *rand.Rand
 	setup      sync.Once
 	stragglers *policy.Stragglers
@@ -132,6 +137,24 @@
 	}
 }
 
+// Observe takes a load report of an engine that this instance owns. The role and
+// models that an engine reports count, not those of its record, since orders
+// move engines between roles during the day.
+func (p *Places) Observe(id persimmoncart.EndpointID, report persimmoncart.LoadReport) {
+	p.prepare()
+	p.mutex.Lock()
+	last, known := p.observed[id]
+	changed := !known || last.Role != report.Role || !slices.Equal(last.Models, report.Models)
+	if changed {
+		p.observed[id] = report
+		p.version = unknownVersion
+	}
+	p.mutex.Unlock()
+	if changed {
+		p.do(func(time.Time) {})
+	}
+}
+
 // Pick implements persimmoncart.Balancer.
 func (p *Places) Pick(_ context.Context, request persimmoncart.PickRequest) (endpoint persimmoncart.Endpoint, err error) {
 	var found bool
@@ -251,7 +274,8 @@
 		return
 	}
 	p.version = s.Version
-	engines, applications := split(s)
+	maps.DeleteFunc(p.observed, func(id persimmoncart.EndpointID, _ persimmoncart.LoadReport) bool { return s.Endpoints[id] == nil })
+	engines, applications := split(s, p.observed)
 	p.broker.SetEndpoints(engines, targets(s, engines))
 	p.broker.SetUsable(p.usable)
 	for pool, endpoints := range applications {
@@ -284,7 +308,8 @@
 		s.Random = p.random
 		s.Region, s.Self = p.Self.Region, p.Self.ID
 		p.broker = policy.NewBroker(s)
-		p.version = ^uint64(0)
+		p.observed = make(map[persimmoncart.EndpointID]persimmoncart.LoadReport)
+		p.version = unknownVersion
 	})
 }
 
@@ -321,13 +346,17 @@
 }
 
 // split returns the engines and, by pool, the application endpoints of a
-// snapshot, sorted by identifier; drained ones are marked as leaving.
-func split(s *persimmoncart.Snapshot) ([]persimmoncart.Endpoint, map[persimmoncart.PoolName][]persimmoncart.Endpoint) {
+// snapshot, sorted by identifier; drained ones are marked as leaving, and
+// observed engines have the role and models that they reported.
+func split(s *persimmoncart.Snapshot, observed map[persimmoncart.EndpointID]persimmoncart.LoadReport) ([]persimmoncart.Endpoint, map[persimmoncart.PoolName][]persimmoncart.Endpoint) {
 	var engines []persimmoncart.Endpoint
 	applications := make(map[persimmoncart.PoolName][]persimmoncart.Endpoint)
 	for id, e := range s.Endpoints {
 		c := *e
 		c.Leaving = c.Leaving || s.Drained[id]
+		if r, found := observed[id]; found && c.Role != persimmoncart.RoleApplication {
+			c.Role, c.Models = r.Role, r.Models
+		}
 		if c.Role == persimmoncart.RoleApplication {
 			applications[c.Pool] = append(applications[c.Pool], c)
 		} else {
--- a/internal/places/places_test.go
+++ b/internal/places/places_test.go
@@ -200,3 +200,19 @@
 	p.Release(grant.ID)
 	// Output: prefill-1 decode-1 2
 }
+
+// Guards against placement by the recorded role of an engine that an order has
+// moved: its calls would be refused and the moved capacity never used.
+func TestObservedRole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &places.Places{Configuration: configuration(engine("a", persimmoncart.RolePrefill, 4), engine("b", persimmoncart.RolePrefill, 4))}
+		start(t, p)
+		p.SetUsable([]persimmoncart.Usable{{Blocks: 100, Endpoint: "a", Owned: true, Slots: 4}, {Blocks: 100, Endpoint: "b", Owned: true, Slots: 4}})
+		p.Observe("a", persimmoncart.LoadReport{Models: []persimmoncart.ModelName{"m"}, Role: persimmoncart.RoleDecode})
+		grant, err := p.Reserve(t.Context(), request(persimmoncart.ClassBatch, time.Minute))
+		assert.NilError(t, err)
+		assert.Equal(t, grant.Decode.ID, persimmoncart.EndpointID("a"))
+		assert.Equal(t, grant.Prefill.ID, persimmoncart.EndpointID("b"))
+		p.Release(grant.ID)
+	})
+}
