--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -80,10 +80,15 @@
 		Transport: &peer.Client{HTTP: j.peers.HTTP, Meter: &j.meter, Secure: j.peers.Secure},
 	}
 	j.members = &membership.Service{
-		List:      &watchedList{leaving: j.Leaving, list: j.peers.List},
-		Lock:      &sync.Mutex{},
-		Log:       j.Logger,
-		Machine:   &membership.Machine{Rand: random(j.Self, "members"), Self: j.Self},
+		List: &watchedList{leaving: j.Leaving, list: j.peers.List},
+		Lock: &sync.Mutex{},
+		Log:  j.Logger,
+		Machine: &membership.Machine{
+			AllowCells: func() bool { return governor.Allow(load.KindSum) },
+			AllowFar:   func() bool { return governor.Allow(load.KindFar) },
+			Rand:       random(j.Self, "members"),
+			Self:       j.Self,
+		},
 		Timer:     j.Timer,
 		Transport: transport,
 	}
--- a/internal/ownership/service.go
+++ b/internal/ownership/service.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -28,8 +30,8 @@
 	rankDelay    = time.Second     // between the first proposer and the next
 	recordLimit  = 2 * time.Second // for a record from a peer
 	storeTimeout = 2 * time.Second
-	suspectDelay = 10 * time.Second // a suspect then leaves the next epoch
-	tickPeriod   = 200 * time.Millisecond
+	suspectDelay = 10 * time.Second      // a suspect then leaves the next epoch
+	tickPeriod   = 50 * time.Millisecond // an answer asked for late must come within the term
 )
 
 // KeyPrefix starts the store keys of cell records.
@@ -52,6 +54,7 @@
 
 	absent   map[persimmoncart.DataCentre]time.Time // since when a cell has no instances
 	cells    map[persimmoncart.DataCentre]*cellState
+	context  context.Context
 	check    time.Time // when the view is read again; a change reads it at once
 	current  view
 	silent   map[persimmoncart.Tag]time.Time // since when a member is suspect
@@ -63,14 +66,15 @@
 // A cellState is the protocol for one cell with its calls in flight.
 type cellState struct {
 	Machine
-	busy     bool      // a store call is in flight
-	empty    time.Time // since when the record does not name this instance
-	fetching bool
-	known    uint64    // epoch of the record at empty
-	load     time.Time // when the record is read from the store next
-	missing  bool      // the store has no record
-	retry    time.Time // no proposal before
-	since    time.Time // since when the record differs from what it should be
+	busy      bool      // a store call is in flight
+	empty     time.Time // since when the record does not name this instance
+	fetching  bool
+	known     uint64    // epoch of the record at empty
+	load      time.Time // when the record is read from the store next
+	missing   bool      // the store has no record
+	retry     time.Time // no proposal before
+	storeDown time.Time // until then records are read from peers
+	since     time.Time // since when the record differs from what it should be
 }
 
 // Start subscribes to the timer; the returned function ends it. It registers
@@ -79,6 +83,7 @@
 	if s.Spawn == nil {
 		s.Spawn = func(f func()) { go f() }
 	}
+	s.context = ctx
 	s.absent = map[persimmoncart.DataCentre]time.Time{}
 	s.cells = map[persimmoncart.DataCentre]*cellState{}
 	s.silent = map[persimmoncart.Tag]time.Time{}
@@ -163,7 +168,11 @@
 	self := s.Members.Machine.Self
 	for _, c := range s.cells {
 		if c.record != nil && (c.Cell == self.DataCentre && to.DataCentre == c.Cell || c.names(to.ID)) {
-			p.Epochs = append(p.Epochs, &memberv1.Epoch{Cell: string(c.Cell), Epoch: c.record.Epoch})
+			e := &memberv1.Epoch{Epoch: c.record.Epoch}
+			if c.Cell != self.DataCentre || to.DataCentre != c.Cell {
+				e.Cell = string(c.Cell)
+			}
+			p.Epochs = append(p.Epochs, e)
 		}
 	}
 }
@@ -173,6 +182,9 @@
 	now := s.Timer.Now()
 	for _, e := range p.GetEpochs() {
 		name := persimmoncart.DataCentre(e.GetCell())
+		if name == "" {
+			name = from.DataCentre
+		}
 		c := s.cells[name]
 		if from.ID == "" || c == nil && len(s.configured()[name]) == 0 {
 			continue
@@ -183,7 +195,7 @@
 		}
 		c.Ack(now, from.Tag(), e.GetEpoch(), sent)
 		if e.GetEpoch() > c.Epoch() {
-			s.fetch(c, from)
+			s.update(c, from)
 		}
 	}
 }
@@ -197,6 +209,17 @@
 	return &memberv1.RecordReply{Record: c.record.Wire(r.GetReplicasHash())}
 }
 
+// update gets a newer record: from the store, which costs the peer no bytes, or
+// from the peer while the store does not answer.
+func (s *Service) update(c *cellState, from persimmoncart.Instance) {
+	switch {
+	case s.Timer.Now().Before(c.storeDown):
+		s.fetch(c, from)
+	case !c.busy:
+		s.read(s.context, c)
+	}
+}
+
 // fetch reads a newer record from a peer.
 func (s *Service) fetch(c *cellState, from persimmoncart.Instance) {
 	if c.fetching {
@@ -217,21 +240,24 @@
 		}
 		if w := reply.(*memberv1.RecordReply).GetRecord(); w != nil {
 			if r, complete := RecordFromWire(w, known); complete {
-				s.learn(c, &r)
+				s.learn(c, &r, false)
 			}
 		}
 	})
 }
 
-// learn takes a record and tells everyone concerned, so that the old epoch
-// closes without waiting for the round of probes.
-func (s *Service) learn(c *cellState, r *Record) {
+// learn takes a record. Its writer tells everyone concerned, so that the old
+// epoch closes without waiting for the round of probes.
+func (s *Service) learn(c *cellState, r *Record, writer bool) {
 	now := s.Timer.Now()
 	if !c.Learn(now, r) {
 		return
 	}
 	c.missing = false
 	s.Log.Info().Str("cell", string(c.Cell)).Uint64("epoch", r.Epoch).Int("members", len(r.Members)).Msg("epoch learned")
+	if !writer {
+		return
+	}
 	told := map[persimmoncart.InstanceID]bool{s.Members.Machine.Self.ID: true}
 	tell := func(members []persimmoncart.Tag) {
 		for _, t := range members {
@@ -311,8 +337,13 @@
 // nonce returns an identifier for one write.
 func (s *Service) nonce() string {
 	s.sequence++
+	return s.noncePrefix() + strconv.FormatUint(s.sequence, 10)
+}
+
+// noncePrefix starts the identifiers of this incarnation's writes.
+func (s *Service) noncePrefix() string {
 	self := s.Members.Machine.Self
-	return fmt.Sprintf("%s/%d/%d", self.ID, self.Incarnation, s.sequence)
+	return fmt.Sprintf("%s/%d/", self.ID, self.Incarnation)
 }
 
 // read reads the record from the store.
@@ -340,6 +371,7 @@
 		return
 	case err != nil:
 		c.load = now.Add(s.jitter(backoffMax))
+		c.storeDown = now.Add(backoffMax)
 		return
 	}
 	r, err := decode(object)
@@ -347,7 +379,7 @@
 		s.Log.Error().Err(err).Msg("cell record unreadable")
 		return
 	}
-	s.learn(c, &r)
+	s.learn(c, &r, strings.HasPrefix(r.Nonce, s.noncePrefix()))
 }
 
 // write proposes a record to the store. A lost answer is settled by reading
@@ -377,7 +409,7 @@
 		switch {
 		case err == nil:
 			c.since = time.Time{}
-			s.learn(c, &r)
+			s.learn(c, &r, true)
 		case errors.As(err, &unavailable):
 			c.retry = now.Add(s.jitter(backoffMax))
 		default: // conflict, or the answer was lost
