--- a/internal/places/places_test.go
+++ b/internal/places/places_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -180,3 +181,38 @@
 		assert.Equal(t, all[0].Digest().Pools[0].Free, 1)
 	})
 }
+
+// A request gets a prefill slot and a decode slot with its memory together.
+func ExamplePlaces() {
+	p := &places.Places{
+		Configuration: configuration(engine("decode-1", persimmoncart.RoleDecode, 20), engine("prefill-1", persimmoncart.RolePrefill, 8)),
+		Self:          persimmoncart.Instance{ID: "n1", Region: "sfax-coast"},
+		Timer:         &timer.System{},
+	}
+	p.SetUsable(usable("decode-1", "prefill-1"))
+	grant, err := p.Reserve(context.Background(), request(persimmoncart.ClassBatch, time.Minute))
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println(grant.Prefill.ID, grant.Decode.ID, grant.Blocks)
+	p.PrefillDone(grant.ID)
+	p.Release(grant.ID)
+	// Output: prefill-1 decode-1 2
+}
+
+// Guards against placement by the recorded role of an engine that an order has
+// moved: its calls would be refused and the moved capacity never used.
+func TestObservedRole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &places.Places{Configuration: configuration(engine("a", persimmoncart.RolePrefill, 4), engine("b", persimmoncart.RolePrefill, 4))}
+		start(t, p)
+		p.SetUsable([]persimmoncart.Usable{{Blocks: 100, Endpoint: "a", Owned: true, Slots: 4}, {Blocks: 100, Endpoint: "b", Owned: true, Slots: 4}})
+		p.Observe("a", persimmoncart.LoadReport{Models: []persimmoncart.ModelName{"m"}, Role: persimmoncart.RoleDecode})
+		grant, err := p.Reserve(t.Context(), request(persimmoncart.ClassBatch, time.Minute))
+		assert.NilError(t, err)
+		assert.Equal(t, grant.Decode.ID, persimmoncart.EndpointID("a"))
+		assert.Equal(t, grant.Prefill.ID, persimmoncart.EndpointID("b"))
+		p.Release(grant.ID)
+	})
+}
