policy: queue requests before the owners are known

Cause: trace of turnover: a new instance refused requests with pool_empty until it had heard the first digest. Change: replicas that the configuration names count, so that the request waits in the queue until an owner is known or it is too late.

--- a/internal/policy/broker.go
+++ b/internal/policy/broker.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -285,9 +286,11 @@
 	b.releasePart(now, &w.decode, 0)
 }
 
-// usable refuses requests of lanes that no replica anywhere serves.
+// usable refuses requests of lanes that no replica anywhere serves. Replicas
+// that the configuration names count although no owner is known: an instance
+// that has just started hears of the owners within a second.
 func (b *Broker) usable(l *lane) *persimmoncart.Refusal {
-	if len(l.decodes) > 0 || b.peers.serves(l.key, persimmoncart.RoleDecode) {
+	if len(l.decodes) > 0 || b.peers.serves(l.key, persimmoncart.RoleDecode) || b.configured(l) {
 		return nil
 	}
 	return &persimmoncart.Refusal{
@@ -298,6 +301,17 @@
 	}
 }
 
+// configured reports whether the configuration names a decode replica that is
+// in service for the lane.
+func (b *Broker) configured(l *lane) bool {
+	for _, e := range b.endpoints {
+		if e.Role == persimmoncart.RoleDecode && !e.Leaving && e.Pool == l.key.pool && slices.Contains(e.Models, l.key.model) {
+			return true
+		}
+	}
+	return false
+}
+
 // waiter returns a waiter for a request, not yet queued.
 func (b *Broker) waiter(now time.Time, l *lane, request persimmoncart.ReserveRequest, weight int) *waiter {
 	w := &waiter{
--- a/internal/policy/broker_test.go
+++ b/internal/policy/broker_test.go
@@ -274,3 +274,16 @@
 	b.Step(testStart)
 	assert.Assert(t, e.granted != first)
 }
+
+// Guards against a new instance that refuses everything until it has heard of
+// the owners, and against holding requests that no replica will ever serve.
+func TestBrokerWithoutOwners(t *testing.T) {
+	b, _ := testBroker(&benchEffects{}, "n0", 0, 2)
+	b.SetUsable(nil)
+	request := testRequest(persimmoncart.ClassBatch, time.Hour)
+	_, refusal := b.Submit(testStart, request, 1)
+	assert.Assert(t, refusal == nil)
+	request.Model = "other"
+	_, refusal = b.Submit(testStart, request, 1)
+	assert.Equal(t, refusal.Code, persimmoncart.RefusalPoolEmpty)
+}
