--- a/internal/load/governor.go
+++ b/internal/load/governor.go
@@ -18,10 +18,24 @@
 
 // Shares of the budget from which messages are left out.
 const (
-	firstShare = 0.85
+	firstShare = 0.80
 	shareStep  = 0.05
 )
 
+// borrowPauses are the pauses between borrows from a share of the budget on. The
+// rate is a mean over a minute and follows late, so they end well below the budget.
+var borrowPauses = []struct {
+	share float64
+	pause time.Duration
+}{
+	{0.93, 10 * time.Second},
+	{0.90, 5 * time.Second},
+	{0.85, 2 * time.Second},
+	{0.80, time.Second},
+	{0.75, 500 * time.Millisecond},
+	{0.70, 250 * time.Millisecond},
+}
+
 // leastSeconds is the shortest span of a rate; a start is louder than the rest.
 const leastSeconds = 15
 
@@ -42,9 +56,9 @@
 	return [...]string{"far", "sum", "digest"}[k]
 }
 
-// A Governor keeps control traffic within the budget. Above 85%, 90% and 95% of
+// A Governor keeps control traffic within the budget. Above 80%, 85% and 90% of
 // it, far summaries, sums and digests are left out, and borrows wait for longer
-// so that more of them share a message. Probes alone take about 70% in a cell of
+// so that more of them share a message. Probes alone take about 60% in a cell of
 // eleven. It is safe for concurrent use.
 type Governor struct {
 	Limit float64 // bytes a second; zero is Budget
@@ -80,20 +94,13 @@
 	if g == nil {
 		return 0
 	}
-	switch share := g.Rate() / g.limit(); {
-	case share < firstShare-shareStep:
-		return 0
-	case share < firstShare:
-		return 100 * time.Millisecond
-	case share < firstShare+shareStep:
-		return 250 * time.Millisecond
-	case share < firstShare+2*shareStep:
-		return 500 * time.Millisecond
-	case share < 1:
-		return time.Second
-	default:
-		return 2 * time.Second
+	share := g.Rate() / g.limit()
+	for _, p := range borrowPauses {
+		if share >= p.share {
+			return p.pause
+		}
 	}
+	return 0
 }
 
 // Count adds bytes that were sent.
@@ -145,7 +152,7 @@
 		}, g.Rate),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "persimmoncart_control_budget_share",
-			Help: "Share of the budget for control bytes in use; above 0.85 messages are left out.",
+			Help: "Share of the budget for control bytes in use; above 0.8 messages are left out.",
 		}, func() float64 { return g.Rate() / g.limit() }),
 	}
 	for k := range kinds {
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -43,7 +43,7 @@
 	} else if p := m.peers[from.ID]; p != nil && p.suspect { // lets it refute the suspicion
 		reply.Updates = append(reply.Updates, p.wire(true))
 	}
-	if full && r.GetCellsHash() != m.cellsHash() {
+	if full && r.GetCellsHash() != m.cellsHash() && (m.AllowCells == nil || m.AllowCells()) {
 		reply.Cells = m.someCells()
 	}
 	for _, x := range m.Extensions {
@@ -191,7 +191,11 @@
 	m.Stats.Deaths++
 	p.dead, p.died = true, now
 	m.note(p)
-	m.push(now, p)
+	// The end of an instance that said it was leaving concerns nobody at once:
+	// its replicas have moved and its work is done.
+	if !p.instance.Leaving {
+		m.push(now, p)
+	}
 }
 
 // note records that the state of p changed.
