--- a/cmd/persimmoncart/internal/cmd/main_test.go
+++ b/cmd/persimmoncart/internal/cmd/main_test.go
@@ -40,7 +40,8 @@
 	for n, want := range endpoints {
 		have := static.Snapshot().Endpoints[want.ID]
 		assert.Assert(t, have != nil, want.ID)
-		assert.Equal(t, int(have.Addr.Port()), 7103+n)
+		// Ports 7100 to 7103 serve the store, the weights, the list and the summary.
+		assert.Equal(t, int(have.Addr.Port()), 7104+n)
 		assert.Equal(t, have.DataCentre, want.DataCentre)
 		assert.Equal(t, have.Pool, want.Pool)
 		assert.Equal(t, have.Role, want.Role)
--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -118,6 +119,14 @@
 	return w
 }
 
+func ExampleHandler() {
+	h, _ := newHandler(&router{})
+	w := httptest.NewRecorder()
+	h.Routes().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/readyz", http.NoBody))
+	fmt.Print(w.Code, " ", w.Body)
+	// Output: 200 ready
+}
+
 // Guards against malformed, oversized, late and unauthorised requests that are
 // served, and against error bodies without code, outcome or retry time.
 func TestRefusals(t *testing.T) {
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,63 @@
+package metrics_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/metrics"
+)
+
+func ExampleMetrics() {
+	m := metrics.New()
+	m.Refused(persimmoncart.RefusalCapacity)
+	count, err := testutil.GatherAndCount(m.Registry, "persimmoncart_refusals_total")
+	fmt.Println(count == len(persimmoncart.RefusalCodes), err)
+	// Output: true <nil>
+}
+
+// Guards against a refusal or retry without a counter, and against labels that
+// grow with what callers send.
+func TestLabels(t *testing.T) {
+	m := metrics.New()
+	for _, r := range persimmoncart.RetryReasons {
+		m.Retried(r)
+	}
+	m.Retried("unknown")
+	m.Refused("unknown")
+	for n := range 1000 {
+		m.Called(persimmoncart.RouteName(fmt.Sprint("route-", n)), time.Millisecond)
+		m.Request()(persimmoncart.RouteName(fmt.Sprint("route-", n)), persimmoncart.OutcomeAnswered)
+	}
+	for name, most := range map[string]int{
+		"persimmoncart_call_seconds":   65,
+		"persimmoncart_refusals_total": len(persimmoncart.RefusalCodes),
+		"persimmoncart_requests_total": 65,
+		"persimmoncart_retries_total":  len(persimmoncart.RetryReasons),
+	} {
+		count, err := testutil.GatherAndCount(m.Registry, name)
+		assert.NilError(t, err)
+		assert.Equal(t, count, most, name)
+	}
+	problems, err := testutil.GatherAndLint(m.Registry)
+	assert.NilError(t, err)
+	assert.Equal(t, len(problems), 0, "%v", problems)
+}
+
+// Guards against parts that cannot run without metrics.
+func TestNil(*testing.T) {
+	var m *metrics.Metrics
+	m.Called("r", 0)
+	m.Discarded()
+	m.FirstToken("r", 0)
+	m.Refused(persimmoncart.RefusalCapacity)
+	m.Request()("r", persimmoncart.OutcomeAnswered)
+	m.Retried(persimmoncart.RetryHedge)
+	m.Streamed(2, 0)
+	m.Version(1)
+	m.Wasted(1)
+}
--- a/internal/route/once.go
+++ b/internal/route/once.go
@@ -218,6 +218,8 @@
 	if r.Claims == nil {
 		return persimmoncart.ClaimRecord{}, storeDown(nil)
 	}
+	ctx, stop := withTimeout(ctx, r.Timer, claimWait, errDeadline)
+	defer stop()
 	record, err := r.Claims.Outcome(ctx, key)
 	switch {
 	case err == nil:
--- a/internal/tlsfiles/reloader_test.go
+++ b/internal/tlsfiles/reloader_test.go
@@ -9,6 +9,7 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"fmt"
 	"math/big"
 	"net"
 	"os"
@@ -27,6 +28,11 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+func ExampleFiles_Check() {
+	fmt.Println(tlsfiles.Files{Certificate: "chain.pem"}.Check())
+	// Output: the key is missing
+}
+
 // write puts a certificate that is its own CA into dir.
 func write(t *testing.T, dir string, serial int64) tlsfiles.Files {
 	t.Helper()
