entry: test that engines are used in the role that they report

Cause: nothing checked that a role changed by the daily plan reaches the places. Change: a test lets a prefill and a decode engine change places. Result: go test -race ./internal/entry passes; no engine refused a request.

--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -401,3 +401,26 @@
 		assert.NilError(t, f.stop())
 	})
 }
+
+// Guards against engines that the daily plan has given another role and that
+// get requests for the former one, or none.
+func TestFleetRoleChanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		for _, n := range []int{1, 2} { // a prefill and a decode engine change places
+			role := persimmoncart.RoleDecode
+			if f.engines[n].Role == role {
+				role = persimmoncart.RolePrefill
+			}
+			assert.NilError(t, f.engines[n].Order(t.Context(), persimmoncart.Order{Kind: persimmoncart.OrderRole, Role: role}))
+		}
+		time.Sleep(5 * time.Second)
+		f.completeAll(t, "changed", 16)
+		assert.Assert(t, f.engines[1].Counters().Decoded > 0)
+		assert.Assert(t, f.engines[2].Counters().Prefilled > 0)
+		for _, e := range f.engines {
+			assert.Equal(t, e.Counters().Refused, uint64(0))
+		}
+		assert.NilError(t, f.stop())
+	})
+}
