config: spread full copies over the region

Cause: a full copy at the plan's size is about 1.3 MB compressed; ten cell peers would each send 130 KB of it. Change: pages come from all members of the region in turn.

--- a/internal/config/sync.go
+++ b/internal/config/sync.go
@@ -263,14 +263,19 @@
 	}
 }
 
-// pullCopy takes a full copy, page by page. The pages come from all cell peers in
-// turn, because a copy of the plan's size from one peer would exceed that peer's
+// pullCopy takes a full copy, page by page. The pages come from all members of the
+// region in turn, because a copy of the plan's size from one peer would exceed that peer's
 // bound on control traffic for some minutes. Pages of another version than the
 // first one's are asked from the first peer again.
 func (d *Distributor) pullCopy(ctx context.Context, from persimmoncart.Instance) error {
 	near, far := d.others()
+	for _, m := range far {
+		if m.Region == d.Members.Self().Region {
+			near = append(near, m)
+		}
+	}
 	if len(near) == 0 {
-		near = far // the whole data centre starts anew
+		near = far // the whole region starts anew
 	}
 	d.shuffle(near)
 	for range copyAttempts {
