faults: let the whole application pool fail in half of the endpoint faults

Cause: with the guard behind not-run-true switched off, a violation took 32 s to appear, since a single failed replica is retried elsewhere. Change: every second endpoint-dies lets all application replicas fail after they acted.

--- a/internal/faults/inject.go
+++ b/internal/faults/inject.go
@@ -36,10 +36,9 @@
 	}
 	p := candidates[e.Pick%len(candidates)]
 	chosen := []*place{p}
-	if p.application != nil && e.Pick/len(candidates)%2 == 0 {
-		// A fault behind the pool: all of its replicas fail after they acted.
-		d.failing = d.down
-		d.down = false
+	if d.down && e.Pick/len(candidates)%2 == 0 {
+		// A fault behind the application pool: all replicas fail after they acted.
+		d = disturbance{failing: true}
 		chosen = slices.DeleteFunc(candidates, func(p *place) bool { return p.application == nil })
 	}
 	for _, p := range chosen {
