policy: eject engines whose calls fail and refuse when nothing serves

Failed calls were not counted at all, so that a dead engine got new work. Change: two failures in a row eject an endpoint until a probe succeeds. Avoid is ignored if it names all replicas of a role in the region. If no prefill or no decode replica is in service anywhere for 4 s, waiting requests are refused and new ones at once.

--- a/internal/policy/balance.go
+++ b/internal/policy/balance.go
@@ -50,6 +50,8 @@
 	e.inFlight = max(e.inFlight-1, 0)
 	e.probing = false
 	switch {
+	case result.Failed:
+		b.stragglers.Fail(now, b.pool, persimmoncart.RoleApplication, result.Endpoint)
 	case result.Cancelled:
 		// The latency of a hedge's loser is a lower bound: it counts only if
 		// it is already above the average.
@@ -57,6 +59,7 @@
 			b.learn(now, e, result.Latency)
 		}
 	default:
+		b.stragglers.Succeed(b.pool, persimmoncart.RoleApplication, result.Endpoint)
 		b.learn(now, e, result.Latency)
 	}
 }
--- a/internal/policy/broker.go
+++ b/internal/policy/broker.go
@@ -232,6 +232,7 @@
 	}
 	w := b.waiter(now, l, request, weight)
 	w.needDecode, w.needPrefill = true, true
+	w.ask.Avoid = b.avoidable(l, request.Avoid)
 	if refusal := l.check(now, b.settings.Random, w); refusal != nil {
 		return 0, refusal
 	}
@@ -301,6 +302,27 @@
 	}
 }
 
+// avoidable returns the endpoints to avoid, or none if they are all replicas of
+// a role in this region: a replica that failed once is better than no service,
+// and one that is dead is ejected anyway.
+func (b *Broker) avoidable(l *lane, avoid []persimmoncart.EndpointID) []persimmoncart.EndpointID {
+	if len(avoid) == 0 {
+		return nil
+	}
+	left := make(map[persimmoncart.Role]bool)
+	for id, e := range b.endpoints {
+		if e.Region == b.settings.Region && !e.Leaving && e.Pool == l.key.pool && slices.Contains(e.Models, l.key.model) {
+			left[e.Role] = left[e.Role] || !slices.Contains(avoid, id)
+		}
+	}
+	for _, others := range left {
+		if !others {
+			return nil
+		}
+	}
+	return avoid
+}
+
 // configured reports whether the configuration names a decode replica that is
 // in service for the lane.
 func (b *Broker) configured(l *lane) bool {
--- a/internal/policy/broker_test.go
+++ b/internal/policy/broker_test.go
@@ -287,3 +287,38 @@
 	_, refusal = b.Submit(testStart, request, 1)
 	assert.Equal(t, refusal.Code, persimmoncart.RefusalPoolEmpty)
 }
+
+// Guards against requests that wait for a replica which died or which they
+// avoid although there is no other, and against a dead replica that is never
+// tried again.
+func TestBrokerDeadReplica(t *testing.T) {
+	e := &benchEffects{}
+	b, endpoints := testBroker(e, "n0", 0, 2)
+	now := testStart
+	for range failuresEject {
+		b.Observe(now, persimmoncart.CallResult{Endpoint: endpoints[0].ID, Failed: true, Role: persimmoncart.RolePrefill})
+	}
+	request := testRequest(persimmoncart.ClassInteractive, time.Hour)
+	request.Avoid = []persimmoncart.EndpointID{endpoints[0].ID}
+	_, refusal := b.Submit(now, request, 1)
+	assert.Assert(t, refusal == nil)
+	b.Step(now)
+	assert.Equal(t, e.granted, persimmoncart.GrantID(""))
+	now = now.Add(stragglerProbe)
+	b.Step(now)
+	assert.Assert(t, e.granted != "", "the probe serves the request")
+	b.Release(now, e.granted)
+	b.Observe(now, persimmoncart.CallResult{Endpoint: endpoints[0].ID, Failed: true, Role: persimmoncart.RolePrefill})
+	b.Observe(now, persimmoncart.CallResult{Endpoint: endpoints[1].ID, Failed: true, Role: persimmoncart.RoleDecode})
+	b.Observe(now.Add(stragglerProbe), persimmoncart.CallResult{Endpoint: endpoints[1].ID, Failed: true, Role: persimmoncart.RoleDecode})
+	b.Observe(now.Add(2*stragglerProbe), persimmoncart.CallResult{Endpoint: endpoints[0].ID, Failed: true, Role: persimmoncart.RolePrefill})
+	_, refusal = b.Submit(now, request, 1)
+	assert.Assert(t, refusal == nil)
+	b.Step(now)
+	now = now.Add(laneDown + time.Second)
+	b.Observe(now, persimmoncart.CallResult{Endpoint: endpoints[0].ID, Failed: true, Role: persimmoncart.RolePrefill})
+	b.Step(now)
+	assert.Equal(t, b.Waiting(), 0, "held although nothing can serve it")
+	_, refusal = b.Submit(now, request, 1)
+	assert.Assert(t, refusal != nil && refusal.Outcome == persimmoncart.OutcomeNotRun && refusal.Retry > 0)
+}
--- a/internal/policy/lane.go
+++ b/internal/policy/lane.go
@@ -31,6 +31,9 @@
 	// need only a prefill are counted apart from those that need a decode slot:
 	// one resource that is used up must not leave the other one idle.
 	laneBypass = 8
+	// laneDown is how long requests wait for a replica in service: the longest
+	// time without an owner after its death, and a margin.
+	laneDown = 4 * time.Second
 	// promptCost is how many prompt tokens cost as much as one output token.
 	promptCost = 64
 )
@@ -45,7 +48,8 @@
 type lane struct {
 	borrowAfter time.Time // earliest time of the next borrow after an empty answer
 	decodes     []*Replica
-	fill        float64 // measured share of the output limit that is generated
+	down        time.Time // since when no replica known here can serve; zero while one can
+	fill        float64   // measured share of the output limit that is generated
 	key         laneKey
 	pace        time.Duration // measured time between tokens
 	prefills    []*Replica
@@ -64,6 +68,9 @@
 
 // check refuses a request as soon as it is clear that it cannot be served in time.
 func (l *lane) check(now time.Time, random *rand.Rand, w *waiter) *persimmoncart.Refusal {
+	if l.isDown(now) {
+		return l.refusal(random, "no replica is in service")
+	}
 	if now.After(w.Latest) {
 		if w.since.Equal(now) {
 			return &persimmoncart.Refusal{
@@ -201,6 +208,7 @@
 // stepLane serves the waiting requests of one lane.
 func (b *Broker) stepLane(now time.Time, l *lane) {
 	l.served.tick(now, l.queue.Len() > 0)
+	b.checkDown(now, l)
 	if pace, known := b.stragglers.Median(now, l.key.pool, persimmoncart.RoleDecode); known {
 		l.pace = pace
 	}
@@ -217,7 +225,7 @@
 			kind = 1
 		}
 		switch {
-		case now.After(e.Latest):
+		case now.After(e.Latest) || l.isDown(now):
 			late = append(late, w)
 		case missed[kind] >= laneBypass:
 		case b.secure(now, l, w):
@@ -240,6 +248,26 @@
 	b.borrow(now, l, unplaced)
 }
 
+// checkDown notices that no prefill or no decode replica is in service, own or
+// in a digest of any region that the request may go to.
+func (b *Broker) checkDown(now time.Time, l *lane) {
+	serves := func(list []*Replica, role persimmoncart.Role) bool {
+		return slices.ContainsFunc(list, (*Replica).inService) || b.peers.serves(l.key, role)
+	}
+	switch {
+	case serves(l.decodes, persimmoncart.RoleDecode) && serves(l.prefills, persimmoncart.RolePrefill):
+		l.down = time.Time{}
+	case l.down.IsZero():
+		l.down = now
+	}
+}
+
+// isDown reports whether nothing has served the lane for longer than an owner
+// may be missing.
+func (l *lane) isDown(now time.Time) bool {
+	return !l.down.IsZero() && now.Sub(l.down) > laneDown
+}
+
 // refuse ends the wait of a request that cannot be served in time.
 func (b *Broker) refuse(now time.Time, l *lane, w *waiter) {
 	b.drop(now, w)
--- a/internal/policy/replica.go
+++ b/internal/policy/replica.go
@@ -39,6 +39,7 @@
 	cached     int          // scratch of the current decision: prompt tokens cached
 	drifted    time.Time    // last call of drift
 	normal     float64      // rate over a longer time
+	failed     bool         // ejected because a call failed
 	prefills   []prefilling // granted and not yet ended, oldest first
 	sampled    time.Time    // last sample of the rate
 	slowness   float64      // factor by which the oldest prefill is overdue; at least 1
@@ -155,7 +156,7 @@
 
 // fits reports whether the replica can take a request now.
 func (r *Replica) fits(blocks int, ask *Ask) bool {
-	if r.Weight <= 0 && (!r.Probe || r.usedSlots > 0 || ask.Class != persimmoncart.ClassBatch) {
+	if r.Weight <= 0 && !r.probes(ask.Class) {
 		return false
 	}
 	if ask.Region != "" && ask.Region != r.Endpoint.Region {
@@ -165,6 +166,18 @@
 		r.Serves(ask.Model) && !slices.Contains(ask.Avoid, r.Endpoint.ID)
 }
 
+// probes reports whether a request may try an ejected replica: one at a time,
+// and a slow one only for batch requests, which can wait for a slow answer.
+func (r *Replica) probes(class persimmoncart.Class) bool {
+	return r.Probe && r.usedSlots == 0 && (r.failed || class == persimmoncart.ClassBatch)
+}
+
+// inService reports whether the replica takes requests now or after a probe
+// that is due.
+func (r *Replica) inService() bool {
+	return !r.Endpoint.Leaving && (r.Weight > 0 || r.Probe)
+}
+
 // loadCost returns the cost of the replica's present batch. A replica to be
 // probed costs nothing, because only a request shows whether it has recovered.
 func (r *Replica) loadCost() time.Duration {
--- a/internal/policy/straggler.go
+++ b/internal/policy/straggler.go
@@ -9,6 +9,9 @@
 
 // Constants of straggler detection.
 const (
+	// failuresEject is the number of failures in a row that eject an endpoint:
+	// one may be the fault of the request, such as evicted KV cache.
+	failuresEject = 2
 	// medianPeriod is how often the median is computed: samples come with every
 	// few tokens, and a sort for each of them costs more than the decisions.
 	medianPeriod = 100 * time.Millisecond
@@ -61,13 +64,15 @@
 
 // A latencyState is what is known about one endpoint.
 type latencyState struct {
-	at      time.Time
-	average float64 // seconds
-	backoff time.Duration
-	ejected bool
-	probe   time.Time // when an ejected endpoint is probed
-	samples int
-	weight  float64
+	at       time.Time
+	average  float64 // seconds
+	backoff  time.Duration
+	ejected  bool
+	failed   bool
+	failures int       // in a row
+	probe    time.Time // when an ejected endpoint is probed
+	samples  int
+	weight   float64
 }
 
 // NewStragglers returns a Stragglers without samples.
@@ -101,6 +106,38 @@
 	return s.group(pool, role).ejected()
 }
 
+// Fail takes a failed call. After failuresEject failures in a row the endpoint
+// is ejected until a probe succeeds, however many others are, because a dead
+// endpoint serves nobody.
+func (s *Stragglers) Fail(now time.Time, pool persimmoncart.PoolName, role persimmoncart.Role, id persimmoncart.EndpointID) {
+	g := s.group(pool, role)
+	e, found := g.states[id]
+	if !found {
+		g.shrink(now)
+		e = &latencyState{weight: 1}
+		g.states[id] = e
+	}
+	e.failures++
+	if e.failures < failuresEject || e.failed && now.Before(e.probe) {
+		return // the latter were in flight when the endpoint was ejected
+	}
+	e.backoff = min(max(2*e.backoff, stragglerProbe), stragglerProbeLimit)
+	e.failed, e.probe = true, now.Add(e.backoff)
+}
+
+// Failed reports whether the last call on an endpoint failed.
+func (s *Stragglers) Failed(pool persimmoncart.PoolName, role persimmoncart.Role, id persimmoncart.EndpointID) bool {
+	e, found := s.group(pool, role).states[id]
+	return found && e.failed
+}
+
+// Succeed takes a successful call: an endpoint that failed is back in service.
+func (s *Stragglers) Succeed(pool persimmoncart.PoolName, role persimmoncart.Role, id persimmoncart.EndpointID) {
+	if e, found := s.group(pool, role).states[id]; found && e.failures > 0 {
+		e.failed, e.failures, e.backoff = false, 0, 0
+	}
+}
+
 // Len returns the number of endpoints with a state.
 func (s *Stragglers) Len() int {
 	n := 0
@@ -130,6 +167,8 @@
 	switch {
 	case !found:
 		return 1, false
+	case e.failed:
+		return 0, !now.Before(e.probe)
 	case e.ejected:
 		// Requests that still run there show a recovery by themselves.
 		return 0, !now.Before(e.probe) && now.Sub(e.at) >= stragglerProbe
--- a/internal/policy/view.go
+++ b/internal/policy/view.go
@@ -73,7 +73,15 @@
 // time of one token; prefills are judged in PrefillDone.
 func (b *Broker) Observe(now time.Time, result persimmoncart.CallResult) {
 	e, found := b.endpoints[result.Endpoint]
-	if !found || result.Cancelled || result.Role != persimmoncart.RoleDecode || result.Tokens <= 0 {
+	if !found || result.Cancelled {
+		return
+	}
+	if result.Failed {
+		b.stragglers.Fail(now, e.Pool, e.Role, e.ID)
+		return
+	}
+	b.stragglers.Succeed(e.Pool, e.Role, e.ID)
+	if result.Role != persimmoncart.RoleDecode || result.Tokens <= 0 {
 		return
 	}
 	b.observePace(now, e, result.Latency/time.Duration(result.Tokens))
@@ -229,9 +237,9 @@
 		if r.Endpoint.Role == persimmoncart.RolePrefill {
 			r.overdue(now)
 			r.drift(now)
-		} else {
-			r.Weight, r.Probe = b.stragglers.Weight(now, r.Endpoint.Pool, r.Endpoint.Role, r.Endpoint.ID)
 		}
+		r.Weight, r.Probe = b.stragglers.Weight(now, r.Endpoint.Pool, r.Endpoint.Role, r.Endpoint.ID)
+		r.failed = r.Weight <= 0 && b.stragglers.Failed(r.Endpoint.Pool, r.Endpoint.Role, r.Endpoint.ID)
 	}
 }
 
