claim: remember keys for outages of the store

Cause: while the store was down, the repeat of a payment at another instance was refused as not run although the first call may have run. Result: TestRepeatWhileStoreDown fails without the change and passes with it; a key that only a dead writer knew is still refused as not run.

--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -59,6 +59,7 @@
 	lanes     sync.Map // int to *lane
 	metrics   *metrics
 	once      sync.Once
+	seen      seen
 	sequence  atomic.Uint64
 	unsettled unsettled
 	writer    *writer
@@ -131,14 +132,21 @@
 	return err
 }
 
-// WriteClaim implements persimmoncart.ClaimWriter.
+// WriteClaim implements persimmoncart.ClaimWriter. While the store is down it
+// still returns the record of a key that passed this instance, so that a repeat
+// of a call that ran is not told that nothing ran.
 func (c *Claims) WriteClaim(ctx context.Context, key persimmoncart.ClaimKey, nonce persimmoncart.Nonce) (persimmoncart.ClaimGrant, error) {
 	c.init()
 	r, err := c.submit(ctx, operation{key: key, nonce: nonce, state: persimmoncart.ClaimClaimed})
 	if err != nil {
+		if known, ok := c.seen.get(key); ok && known.Nonce != nonce {
+			return persimmoncart.ClaimGrant{Key: key, Record: known}, nil
+		}
 		return persimmoncart.ClaimGrant{}, err
 	}
-	return persimmoncart.ClaimGrant{Granted: r.granted, Key: key, Record: DecodeRecord(r.record)}, nil
+	record := DecodeRecord(r.record)
+	c.seen.put(key, record)
+	return persimmoncart.ClaimGrant{Granted: r.granted, Key: key, Record: record}, nil
 }
 
 // WriteSettlement implements persimmoncart.ClaimWriter.
@@ -148,6 +156,9 @@
 	if err != nil {
 		return err
 	}
+	if r.record != nil {
+		c.seen.put(s.Key, DecodeRecord(r.record))
+	}
 	return r.err
 }
 
@@ -176,7 +187,7 @@
 // init prepares the unexported fields.
 func (c *Claims) init() {
 	c.once.Do(func() {
-		c.metrics = newMetrics(c.Registerer, func() float64 { return float64(c.unsettled.len()) })
+		c.metrics = newMetrics(c.Registerer, &c.seen, &c.unsettled)
 		retention := c.Retention
 		if retention == 0 {
 			retention = DefaultRetention
--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -107,6 +107,26 @@
 	})
 }
 
+// Guards against telling the repeat of a payment that ran that nothing ran,
+// because the store is down and the repeat arrives at another instance: both
+// send their claims to the writer of the bucket, which remembers.
+func TestRepeatWhileStoreDown(t *testing.T) {
+	store := &objectapi.Faulty{Store: &objectapi.Memory{Timer: &timer.System{}}, Timer: &timer.System{}}
+	writer := newClaims("writer", store)
+	first, err := writer.WriteClaim(t.Context(), keyOf(1), persimmoncart.Nonce{Sequence: 1, Tag: persimmoncart.Tag{Instance: "a"}})
+	assert.NilError(t, err)
+	assert.Assert(t, first.Granted)
+	store.SetDown(true)
+	again := persimmoncart.Nonce{Sequence: 1, Tag: persimmoncart.Tag{Instance: "b"}}
+	repeat, err := writer.WriteClaim(t.Context(), keyOf(1), again)
+	assert.NilError(t, err)
+	assert.Assert(t, !repeat.Granted)
+	assert.Equal(t, repeat.Record.State, persimmoncart.ClaimClaimed)
+	_, err = writer.WriteClaim(t.Context(), keyOf(2), again)
+	var down *persimmoncart.UnavailableError
+	assert.Assert(t, errors.As(err, &down), "%v", err)
+}
+
 // downAfterWrite lets one write through and refuses every later call.
 func downAfterWrite() func(objectapi.Kind, string) objectapi.Fault {
 	down := false
--- a/internal/claim/metrics.go
+++ b/internal/claim/metrics.go
@@ -16,12 +16,16 @@
 }
 
 // newMetrics returns metrics that are registered with r, unless r is nil.
-func newMetrics(r prometheus.Registerer, waiting func() float64) *metrics {
+func newMetrics(r prometheus.Registerer, remembered *seen, waiting *unsettled) *metrics {
 	factory := promauto.With(r)
 	factory.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "persimmoncart_claim_unsettled",
 		Help: "Settlements that wait for the store.",
-	}, waiting)
+	}, func() float64 { return float64(waiting.len()) })
+	factory.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "persimmoncart_claim_seen",
+		Help: "Records remembered for outages of the store.",
+	}, func() float64 { return float64(remembered.len()) })
 	return &metrics{
 		batch: factory.NewHistogram(prometheus.HistogramOpts{
 			Name:    "persimmoncart_claim_batch_operations",
