entry: read the parts of a full configuration concurrently

Cause: an instance that starts without reachable peers reads 256 shards of accounts one by one, which takes minutes while the store is slow. Change: the archive of an instance reads them concurrently. Result: the entry tests pass; not measured separately.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -168,7 +168,7 @@
 		return
 	}
 	d := &config.Distributor{
-		Archive:    &config.Archive{Store: j.Store},
+		Archive:    &config.Archive{Parallel: config.Concurrent, Store: j.Store},
 		Log:        j.Logger,
 		Members:    j.Members,
 		Peers:      &peer.Config{Client: peer.ConfigClients(j.peers.HTTP, j.peers.Secure), Self: j.Members.Self},
