--- a/internal/policy/broker.go
+++ b/internal/policy/broker.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -231,6 +232,7 @@
 	}
 	w := b.waiter(now, l, request, weight)
 	w.needDecode, w.needPrefill = true, true
+	w.ask.Avoid = b.avoidable(l, request.Avoid)
 	if refusal := l.check(now, b.settings.Random, w); refusal != nil {
 		return 0, refusal
 	}
@@ -285,9 +287,11 @@
 	b.releasePart(now, &w.decode, 0)
 }
 
-// usable refuses requests of lanes that no replica anywhere serves.
+// usable refuses requests of lanes that no replica anywhere serves. Replicas
+// that the configuration names count although no owner is known: an instance
+// that has just started hears of the owners within a second.
 func (b *Broker) usable(l *lane) *persimmoncart.Refusal {
-	if len(l.decodes) > 0 || b.peers.serves(l.key, persimmoncart.RoleDecode) {
+	if len(l.decodes) > 0 || b.peers.serves(l.key, persimmoncart.RoleDecode) || b.configured(l) {
 		return nil
 	}
 	return &persimmoncart.Refusal{
@@ -298,6 +302,38 @@
 	}
 }
 
+// avoidable returns the endpoints to avoid, or none if they are all replicas of
+// a role in this region: a replica that failed once is better than no service,
+// and one that is dead is ejected anyway.
+func (b *Broker) avoidable(l *lane, avoid []persimmoncart.EndpointID) []persimmoncart.EndpointID {
+	if len(avoid) == 0 {
+		return nil
+	}
+	left := make(map[persimmoncart.Role]bool)
+	for id, e := range b.endpoints {
+		if e.Region == b.settings.Region && !e.Leaving && e.Pool == l.key.pool && slices.Contains(e.Models, l.key.model) {
+			left[e.Role] = left[e.Role] || !slices.Contains(avoid, id)
+		}
+	}
+	for _, others := range left {
+		if !others {
+			return nil
+		}
+	}
+	return avoid
+}
+
+// configured reports whether the configuration names a decode replica that is
+// in service for the lane.
+func (b *Broker) configured(l *lane) bool {
+	for _, e := range b.endpoints {
+		if e.Role == persimmoncart.RoleDecode && !e.Leaving && e.Pool == l.key.pool && slices.Contains(e.Models, l.key.model) {
+			return true
+		}
+	}
+	return false
+}
+
 // waiter returns a waiter for a request, not yet queued.
 func (b *Broker) waiter(now time.Time, l *lane, request persimmoncart.ReserveRequest, weight int) *waiter {
 	w := &waiter{
