faults, claim: fix data races of the harness and of a test

Cause: the race detector found reads of a node's state and of a call's end without a lock, and a test that changed the store's faults while Run used them. Change: the state of nodes is atomic, the end of a call is under the world's lock, the test switches with an atomic flag.

--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -87,17 +88,21 @@
 // that nothing ran: after an outage the same key can be claimed again.
 func TestStoreDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &objectapi.Faulty{Store: &objectapi.Memory{Timer: &timer.System{}}, Timer: &timer.System{}}
+		var up atomic.Bool
+		store := &objectapi.Faulty{
+			Decide: downAfterWrite(&up),
+			Store:  &objectapi.Memory{Timer: &timer.System{}},
+			Timer:  &timer.System{},
+		}
 		c := newClaims("a", store)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
 		go func() { done <- c.Run(ctx) }()
 		store.LoseAnswers(1)
-		store.Decide = downAfterWrite()
 		_, err := c.Claim(t.Context(), keyOf(1))
 		var down *persimmoncart.UnavailableError
 		assert.Assert(t, errors.As(err, &down), "%v", err)
-		store.Decide = nil
+		up.Store(true)
 		time.Sleep(5 * time.Second)
 		grant, err := newClaims("b", store).Claim(t.Context(), keyOf(1))
 		assert.NilError(t, err)
@@ -127,12 +132,14 @@
 	assert.Assert(t, errors.As(err, &down), "%v", err)
 }
 
-// downAfterWrite lets one write through and refuses every later call.
-func downAfterWrite() func(objectapi.Kind, string) objectapi.Fault {
-	down := false
+// downAfterWrite lets one write through and refuses every later call until up.
+func downAfterWrite(up *atomic.Bool) func(objectapi.Kind, string) objectapi.Fault {
+	var down atomic.Bool
 	return func(kind objectapi.Kind, _ string) objectapi.Fault {
-		f := objectapi.Fault{Down: down}
-		down = down || kind == objectapi.KindWrite
+		f := objectapi.Fault{Down: down.Load() && !up.Load()}
+		if kind == objectapi.KindWrite {
+			down.Store(true)
+		}
 		return f
 	}
 }
--- a/internal/faults/call.go
+++ b/internal/faults/call.go
@@ -28,10 +28,8 @@
 
 // A call is one request as its caller sees it.
 type call struct {
-	answered  bool // the whole answer came
-	begun     time.Time
 	cancelled bool
-	ended     time.Time
+	ended     bool
 	id        persimmoncart.RequestID // empty until the answer begins
 	node      *node                   // that accepted the connection; nil if none did
 	outcome   persimmoncart.Outcome
@@ -41,7 +39,6 @@
 
 // run sends the request and checks the answer.
 func (c *call) run(ctx context.Context) {
-	c.begun = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, callerPatience)
 	defer cancel()
 	if c.request.Cancel > 0 {
@@ -53,7 +50,7 @@
 		defer c.world.timer.After(c.request.Cancel, func(time.Time) { leave() })()
 	}
 	response, err := c.send(ctx)
-	defer func() { c.ended = time.Now() }()
+	defer func() { c.world.set(func() { c.ended = true }) }()
 	if c.node == nil {
 		return
 	}
@@ -76,7 +73,7 @@
 		c.refused(body)
 		return
 	}
-	c.answered, c.outcome = true, persimmoncart.OutcomeAnswered
+	c.end(persimmoncart.OutcomeAnswered)
 	if !bytes.Equal(body, c.want()) {
 		c.world.fail(WholeAnswer, "request %d got %q, want %q", c.request.Number, body, c.want())
 	}
@@ -87,7 +84,7 @@
 func (c *call) checkReleased() {
 	var id persimmoncart.RequestID
 	c.world.set(func() { id = c.id })
-	if id == "" || c.node == nil || c.node.crashed || c.world.plan.has(AnswerLate, NodePauses, RegionCut) {
+	if n, _, _ := c.finished(); id == "" || n == nil || n.crashed.Load() || c.world.plan.has(AnswerLate, NodePauses, RegionCut) {
 		return
 	}
 	for _, k := range c.world.work() {
@@ -100,19 +97,31 @@
 // broken notes a connection that ended without an answer. That is a fault
 // unless the caller left or the node died.
 func (c *call) broken(what string, err error) {
-	c.outcome = persimmoncart.OutcomeUnknown
+	c.end(persimmoncart.OutcomeUnknown)
 	var cancelled bool
 	c.world.set(func() { cancelled = c.cancelled })
-	if cancelled || c.node.crashed || c.world.over() {
+	if cancelled || c.node.crashed.Load() || c.world.over() {
 		return
 	}
 	promise := WholeAnswer
-	if c.node.stopping {
+	if c.node.stopping.Load() {
 		promise = GracefulStop
 	}
 	c.world.fail(promise, "request %d at %s: %s: %v", c.request.Number, c.node.self.ID, what, err)
 }
 
+// end notes the outcome.
+func (c *call) end(outcome persimmoncart.Outcome) {
+	c.world.set(func() { c.outcome = outcome })
+}
+
+// finished returns the node that took the call, nil if none did, the outcome,
+// and whether the call has ended.
+func (c *call) finished() (n *node, outcome persimmoncart.Outcome, ended bool) {
+	c.world.set(func() { n, outcome, ended = c.node, c.outcome, c.ended })
+	return n, outcome, ended
+}
+
 // refused checks a refusal.
 func (c *call) refused(body []byte) {
 	var refusal struct {
@@ -126,7 +135,7 @@
 		c.world.fail(WholeAnswer, "request %d got neither an answer nor a refusal: %q", c.request.Number, body)
 		return
 	}
-	c.outcome = refusal.Error.Outcome
+	c.end(refusal.Error.Outcome)
 	if c.request.Kind != kindBooking || c.outcome != persimmoncart.OutcomeNotRun {
 		return
 	}
@@ -155,7 +164,7 @@
 		if refused := errors.Is(err, errNotAccepted); refused {
 			continue
 		}
-		c.node = n
+		c.world.set(func() { c.node = n })
 		return response, err
 	}
 	return nil, err
@@ -213,16 +222,18 @@
 		case line == "" || strings.HasPrefix(line, ":"):
 		case ended:
 			// The error event's data follows its name.
-			if !strings.HasPrefix(line, "data: {") || c.answered {
+			if !strings.HasPrefix(line, "data: {") || c.outcome == persimmoncart.OutcomeAnswered {
 				c.world.fail(AnsweredOnce, "request %d got %q after its end", c.request.Number, line)
 			}
 		case line == "data: [DONE]":
-			ended, c.answered, c.outcome = true, true, persimmoncart.OutcomeAnswered
+			ended = true
+			c.end(persimmoncart.OutcomeAnswered)
 			if next != c.request.Limit {
 				c.world.fail(WholeAnswer, "request %d ended after %d of %d tokens", c.request.Number, next, c.request.Limit)
 			}
 		case line == "event: error":
-			ended, c.outcome = true, persimmoncart.OutcomeUnknown
+			ended = true
+			c.end(persimmoncart.OutcomeUnknown)
 		default:
 			next += c.token(line, answer, next)
 		}
--- a/internal/faults/check.go
+++ b/internal/faults/check.go
@@ -22,8 +22,8 @@
 // checkAnswers fails for calls that never ended.
 func (w *world) checkAnswers(calls []*call) {
 	for _, c := range calls {
-		if c.ended.IsZero() && c.node != nil && !c.node.crashed {
-			w.fail(WholeAnswer, "request %d at %s never got an end", c.request.Number, c.node.self.ID)
+		if n, _, ended := c.finished(); !ended && n != nil && !n.crashed.Load() {
+			w.fail(WholeAnswer, "request %d at %s never got an end", c.request.Number, n.self.ID)
 		}
 	}
 }
@@ -53,7 +53,7 @@
 		}
 	}
 	for _, n := range w.running() {
-		if n.stopping {
+		if n.stopping.Load() {
 			continue
 		}
 		if have := n.distributor.Snapshot().Version; have != head.Version {
@@ -104,7 +104,7 @@
 // staffed reports whether the site has a running node.
 func (w *world) staffed(site int) bool {
 	n := w.at(site)
-	return n != nil && !n.crashed && !n.stopping
+	return n != nil && !n.crashed.Load() && !n.stopping.Load()
 }
 
 // regions returns the regions of the sites.
@@ -168,7 +168,7 @@
 		return
 	}
 	for _, n := range w.all {
-		if !n.stopping || n.crashed {
+		if !n.stopping.Load() || n.crashed.Load() {
 			continue
 		}
 		select {
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+
+	"github.com/persimmoncart/persimmoncart"
 )
 
 var (
@@ -162,10 +164,10 @@
 			calls := p.observe(t.Context())
 			for _, c := range calls {
 				all++
-				if c.answered {
+				if _, outcome, _ := c.finished(); outcome == persimmoncart.OutcomeAnswered {
 					answered++
 				} else {
-					t.Logf("request %d kind %d: %s", c.request.Number, c.request.Kind, c.outcome)
+					t.Logf("request %d kind %d: %s", c.request.Number, c.request.Kind, outcome)
 				}
 			}
 		})
--- a/internal/faults/inject.go
+++ b/internal/faults/inject.go
@@ -85,7 +85,7 @@
 func (w *world) survivors() map[persimmoncart.Region]bool {
 	regions := map[persimmoncart.Region]bool{}
 	for _, n := range w.running() {
-		if !n.stopping {
+		if !n.stopping.Load() {
 			regions[n.self.Region] = true
 		}
 	}
@@ -160,8 +160,8 @@
 
 // planned stops one node as the platform's replacement does, and replaces it.
 func (w *world) planned(site int) {
-	n := w.nodes[site]
-	if n == nil || n.crashed || n.stopping {
+	n := w.at(site)
+	if n == nil || n.crashed.Load() || n.stopping.Load() {
 		return
 	}
 	n.stop()
--- a/internal/faults/node.go
+++ b/internal/faults/node.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 
@@ -27,7 +28,7 @@
 	cancel      context.CancelFunc
 	claims      *claim.Claims
 	client      *http.Client
-	crashed     bool // killed, not stopped gracefully
+	crashed     atomic.Bool // killed, not stopped gracefully
 	distributor *config.Distributor
 	done        chan struct{} // closed when Run has returned
 	gate        *gate
@@ -35,7 +36,7 @@
 	members     *members
 	places      *places.Places
 	self        persimmoncart.Instance
-	stopping    bool
+	stopping    atomic.Bool // stopped gracefully, perhaps still busy
 	store       *objectapi.Faulty
 	timer       *gatedTimer
 	versions    []uint64 // in force, in order
@@ -131,10 +132,10 @@
 
 // crash ends the node as the death of its process does.
 func (n *node) crash() {
-	if n.crashed {
+	if n.crashed.Load() {
 		return
 	}
-	n.crashed = true
+	n.crashed.Store(true)
 	n.gate.kill()
 	n.listener.cut()
 	n.cancel()
@@ -218,11 +219,11 @@
 func (n *node) stop() {
 	if n.world.broken == GracefulStop {
 		n.crash()
-		n.crashed = false // the harness counts it as a planned stop
-		n.stopping = true
+		n.crashed.Store(false) // the harness counts it as a planned stop
+		n.stopping.Store(true)
 		return
 	}
-	n.stopping = true
+	n.stopping.Store(true)
 	n.cancel()
 }
 
--- a/internal/faults/world.go
+++ b/internal/faults/world.go
@@ -252,7 +252,7 @@
 	defer w.mutex.Unlock()
 	var running []*node
 	for _, n := range w.nodes {
-		if n != nil && !n.crashed {
+		if n != nil && !n.crashed.Load() {
 			running = append(running, n)
 		}
 	}
