--- a/internal/policy/main_test.go
+++ b/internal/policy/main_test.go
@@ -1,4 +1,4 @@
-package policy
+package policy_test
 
 import (
 	"testing"
