entry: get ready once replicas are owned, and drop a second digest extension

Cause: a new instance was ready before its cell's epoch held and refused drafts as pool_empty for seconds; the configuration's digest was sent by two types that did the same. Result: TestReadiness, the entry tests and the demo pass.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -22,7 +21,6 @@
 	"github.com/persimmoncart/persimmoncart/internal/places"
 	"github.com/persimmoncart/persimmoncart/internal/route"
 	"github.com/persimmoncart/persimmoncart/internal/sweep"
-	memberv1 "github.com/persimmoncart/persimmoncart/proto/member/v1"
 )
 
 // Peers connects an instance with the other instances. Its fields are set
@@ -124,6 +122,7 @@
 			Transport:     transport,
 		},
 	}
+	j.Ready = (&readiness{Configured: j.Ready, Owns: c.owns, Timer: j.Timer}).Ready
 	ledger.Lenders = &load.Lenders{Exchange: c.exchange, Governor: governor, Timer: j.Timer, Transport: transport}
 	sweeper := &sweep.Sweep{
 		Engines: j.Engines,
@@ -180,7 +179,7 @@
 	path, handler := (&peer.ConfigHandler{Server: d}).Mount()
 	j.routes[path] = handler
 	if j.members != nil {
-		j.members.Machine.Extensions = append(j.members.Machine.Extensions, &digests{source: d})
+		j.members.Machine.Extensions = append(j.members.Machine.Extensions, &membership.ConfigExtension{Digests: d})
 	}
 }
 
@@ -247,6 +246,13 @@
 	owner      *ownership.Service
 }
 
+// owns reports whether this instance owns a replica.
+func (c *cell) owns() bool {
+	c.members.Lock.Lock()
+	defer c.members.Lock.Unlock()
+	return len(c.owner.Owned()) > 0
+}
+
 // run runs the parts until ctx is done. The parts register with the members when
 // they start, also when run is called again after a panic.
 func (c *cell) run(ctx context.Context) error {
@@ -257,26 +263,3 @@
 	defer c.exchange.Start()()
 	return c.members.Run(ctx)
 }
-
-var _ membership.Extension = (*digests)(nil)
-
-// A digests sends the version of the configuration with probes.
-type digests struct {
-	source persimmoncart.ConfigDigests
-}
-
-// Fill implements membership.Extension.
-func (d *digests) Fill(_ persimmoncart.Instance, full bool, p *memberv1.Piggyback) {
-	if !full {
-		return
-	}
-	digest := d.source.Digest()
-	p.ConfigHash, p.ConfigVersion = digest.Hash, digest.Version
-}
-
-// Receive implements membership.Extension.
-func (d *digests) Receive(from persimmoncart.Instance, p *memberv1.Piggyback, _ time.Time) {
-	if version := p.GetConfigVersion(); version > 0 {
-		d.source.Heard(from, persimmoncart.ConfigDigest{Hash: p.GetConfigHash(), Version: version})
-	}
-}
--- /dev/null
+++ b/internal/entry/ready_test.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+)
+
+// Guards against callers that a new instance can only refuse, against an
+// instance that never gets ready where it owns nothing, and against one that
+// leaves the load balancer because ownership moved.
+func TestReadiness(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		owns  time.Duration // when ownership begins; negative for never
+		ready time.Duration
+	}{
+		{name: "owner at once", owns: 2 * time.Second, ready: 2 * time.Second},
+		{name: "owner before the configuration", owns: 0, ready: time.Second},
+		{name: "never an owner", owns: -1, ready: time.Second + ownerWait},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			start := time.Unix(0, 0)
+			v := timer.NewVirtual(start)
+			elapsed := func() time.Duration { return v.Now().Sub(start) }
+			lost := false
+			r := &readiness{
+				Configured: func() bool { return elapsed() >= time.Second },
+				Owns:       func() bool { return !lost && tc.owns >= 0 && elapsed() >= tc.owns },
+				Timer:      v,
+			}
+			for !r.Ready() {
+				v.Advance(100 * time.Millisecond)
+			}
+			assert.Equal(t, elapsed(), tc.ready)
+			lost = true
+			assert.Assert(t, r.Ready())
+		})
+	}
+}
