membership: send what changed of a cell in place of the whole cell

Cause: in a restart wave each change of a cell sent the whole cell, about 400 bytes, in summaries and in answers to probes. Change: an answer holds the entries that changed since the last one to the same peer; a summary and a cell in an answer hold what changed since a hash that the receiver has, and the whole cell when it did not fit or in every fourth answer.

--- a/internal/membership/cells.go
+++ b/internal/membership/cells.go
@@ -13,15 +13,25 @@
 	memberv1 "github.com/persimmoncart/persimmoncart/proto/member/v1"
 )
 
+const (
+	// maxHistory bounds the earlier contents of the own cell that are kept.
+	maxHistory = 8
+	// repairTurns is how often an answer holds a whole cell: often enough to
+	// bring all cells of a region to an instance within a minute.
+	repairTurns = 4
+)
+
 // A cell is what is known about the instances of another data centre: all of
 // them within the region, only the gateways of other regions.
 type cell struct {
+	base    uint64 // hash before the last change; zero if recent does not lead from there
 	hash    uint64
 	heard   time.Time // last change or answer
 	listed  time.Time // last instance list that names one of its instances
 	members []entry   // sorted by identifier
 	misses  int       // calls to its gateways without an answer, in a row
 	name    persimmoncart.DataCentre
+	recent  []entry // entries of the last change
 	region  persimmoncart.Region
 	sent    uint64 // hash of our cell that it last confirmed
 	updated uint64 // order of local changes
@@ -44,6 +54,47 @@
 	return w
 }
 
+// wireSince returns the cell as what changed since old, whole if that is no
+// shorter way.
+func (c *cell) wireSince(old *cell) *memberv1.Cell {
+	changed, ok := changes(old.members, c.members)
+	if !ok {
+		return c.wire(true)
+	}
+	return c.wireChange(old.hash, changed)
+}
+
+// wireChange returns the cell as the entries that changed since it had the hash base.
+func (c *cell) wireChange(base uint64, changed []entry) *memberv1.Cell {
+	w := c.wire(false)
+	w.Base = base
+	for i := range changed {
+		w.Members = append(w.Members, changed[i].wire(true))
+	}
+	return w
+}
+
+// changes returns the entries of now that differ from old. It is false if an
+// entry was removed or most have changed.
+func changes(old, now []entry) ([]entry, bool) {
+	known := make(map[persimmoncart.InstanceID]*entry, len(old))
+	for i := range old {
+		known[old[i].instance.ID] = &old[i]
+	}
+	var changed []entry
+	kept := 0
+	for i := range now {
+		o := known[now[i].instance.ID]
+		if o != nil {
+			kept++
+		}
+		if o == nil || o.hash() != now[i].hash() {
+			changed = append(changed, now[i])
+		}
+	}
+	return changed, kept == len(old) && len(changed) > 0 && 2*len(changed) <= len(now)
+}
+
 // trim returns the cell with its gateways only.
 func (c *cell) trim() *cell {
 	t := *c
@@ -96,11 +147,35 @@
 	if c.hash != m.ownHash {
 		m.ownHash = c.hash
 		m.ownVersion++
+		m.remember(c)
+		m.remember(c.trim())
 	}
 	c.version = m.ownVersion
 	return c
 }
 
+// remember keeps a content of this cell, so that a later one can be sent as what
+// changed since.
+func (m *Machine) remember(c *cell) {
+	m.history = append(m.history, c)
+	if len(m.history) > maxHistory {
+		m.history = slices.Clone(m.history[len(m.history)-maxHistory:])
+	}
+}
+
+// summaryOf returns own as one that has the content with the hash needs it.
+func (m *Machine) summaryOf(own *cell, has uint64) *memberv1.Cell {
+	if has == own.hash {
+		return own.wire(false)
+	}
+	for _, old := range m.history {
+		if old.hash == has {
+			return own.wireSince(old)
+		}
+	}
+	return own.wire(true)
+}
+
 // Gateway reports whether this instance is a gateway of its cell: one of the
 // two with the smallest ranks among those that are not suspect.
 func (m *Machine) Gateway() bool {
@@ -180,7 +255,7 @@
 	}
 	to := candidates[m.Rand.IntN(len(candidates))].instance
 	r := &memberv1.SummaryRequest{
-		Cell:      own.wire(c.sent != own.hash),
+		Cell:      m.summaryOf(own, c.sent),
 		Far:       far,
 		Have:      have,
 		Piggyback: &memberv1.Piggyback{},
@@ -235,6 +310,9 @@
 	sent := call.Request.(*memberv1.SummaryRequest).GetCell()
 	if c != nil {
 		c.misses, c.heard, c.sent = 0, now, answer.GetHaveHash()
+		if sent.GetBase() != 0 && answer.GetHaveHash() != sent.GetHash() {
+			c.sent = 0 // what changed did not fit there; the next summary is whole
+		}
 	}
 	if answer.GetHaveHash() != sent.GetHash() && answer.GetHaveVersion() >= m.ownVersion {
 		// Another gateway numbered its summaries higher; send again at once.
@@ -266,6 +344,9 @@
 		if len(w.GetMembers()) == 0 || len(w.GetMembers()) > MaxCell {
 			continue
 		}
+		if w.GetBase() != 0 && (c == nil || c.hash != w.GetBase()) {
+			continue
+		}
 		if c != nil && (w.GetVersion() < c.version || w.GetVersion() == c.version && w.GetHash() < c.hash) {
 			continue
 		}
@@ -275,10 +356,28 @@
 				members = append(members, e)
 			}
 		}
+		if w.GetBase() != 0 {
+			if members = replaced(c.members, members); contentHash(members) != w.GetHash() {
+				continue
+			}
+		}
 		m.setCell(now, name, persimmoncart.Region(w.GetRegion()), members, w.GetVersion(), w.GetHash())
 	}
 }
 
+// replaced returns the entries of old with those of changed in their place,
+// sorted by identifier.
+func replaced(old, changed []entry) []entry {
+	members := slices.Clone(changed)
+	for i := range old {
+		if !slices.ContainsFunc(changed, func(e entry) bool { return e.instance.ID == old[i].instance.ID }) {
+			members = append(members, old[i])
+		}
+	}
+	slices.SortFunc(members, func(a, b entry) int { return cmp.Compare(a.instance.ID, b.instance.ID) })
+	return members
+}
+
 // setCell replaces the members of another cell and notes what changed.
 func (m *Machine) setCell(now time.Time, name persimmoncart.DataCentre, region persimmoncart.Region, members []entry, version, hash uint64) {
 	c := m.cells[name]
@@ -303,22 +402,29 @@
 		}
 	}
 	m.changed++
+	c.base, c.recent = 0, nil
+	if recent, ok := changes(c.members, members); ok {
+		c.base, c.recent = c.hash, recent
+	}
 	c.hash, c.heard, c.members, c.misses, c.region, c.updated, c.version = hash, now, members, 0, region, m.changed, version
 }
 
-// someCells returns, in turns, the cell that changed last and one of all cells,
-// which bounds the size of an answer while all cells arrive in time.
+// someCells returns what changed last in the cell that changed last, and in
+// every fourth answer one of all cells, which repairs what was missed.
 func (m *Machine) someCells() []*memberv1.Cell {
 	cells := m.sortedCells()
 	if len(cells) == 0 {
 		return nil
 	}
 	m.cursor++
-	c := cells[m.cursor/2%len(cells)]
-	if m.cursor%2 == 0 {
-		c = slices.MaxFunc(cells, func(a, b *cell) int { return cmp.Compare(a.updated, b.updated) })
+	if m.cursor%repairTurns == 0 {
+		return []*memberv1.Cell{cells[m.cursor/repairTurns%len(cells)].wire(true)}
+	}
+	c := slices.MaxFunc(cells, func(a, b *cell) int { return cmp.Compare(a.updated, b.updated) })
+	if c.base == 0 {
+		return []*memberv1.Cell{c.wire(true)}
 	}
-	return []*memberv1.Cell{c.wire(true)}
+	return []*memberv1.Cell{c.wireChange(c.base, c.recent)}
 }
 
 // sortedCells returns the other cells, sorted by name.
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -76,7 +76,9 @@
 	cursor     int
 	changed    uint64 // counts changes of other cells
 	far        time.Time
-	hash       uint64 // over the entries of this cell; zero when stale
+	hash       uint64  // over the entries of this cell; zero when stale
+	history    []*cell // earlier contents of this cell, whole and trimmed, newest last
+	notes      uint64  // counts changes of this cell
 	order      []persimmoncart.InstanceID
 	out        []Call
 	ownHash    uint64
@@ -95,10 +97,12 @@
 	died    time.Time     // when it was declared dead
 	heard   time.Time     // last direct or indirect answer
 	known   time.Time     // when it was first seen
+	noted   uint64        // order of its last change here
 	listed  time.Time     // last appearance in the instance list; zero if never
 	pending uint64        // sequence of the probe in flight
 	refused bool          // this incarnation refused a connection from here
 	rtt     time.Duration // smoothed
+	told    uint64        // the last change that an answer to it contained
 }
 
 // Tick does what is due: probes, summaries and the removal of old entries.
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -37,9 +37,7 @@
 	full := r.GetCellHash() != 0
 	reply := &memberv1.ProbeReply{From: e.wire(false), Piggyback: &memberv1.Piggyback{}, Sequence: r.GetSequence()}
 	if full && r.GetCellHash() != m.cellHash() {
-		for _, id := range m.ids() {
-			reply.Updates = append(reply.Updates, m.peers[id].wire(true))
-		}
+		reply.Updates = m.updates(m.peers[from.ID])
 	} else if p := m.peers[from.ID]; p != nil && p.suspect { // lets it refute the suspicion
 		reply.Updates = append(reply.Updates, p.wire(true))
 	}
@@ -52,6 +50,28 @@
 	return reply
 }
 
+// updates returns the entries that changed since the last answer to p with
+// updates, or all if none did: then p lost that answer or differs for another
+// reason.
+func (m *Machine) updates(p *cellMember) []*memberv1.Entry {
+	var all, changed []*memberv1.Entry
+	for _, id := range m.ids() {
+		q := m.peers[id]
+		w := q.wire(true)
+		all = append(all, w)
+		if p != nil && q.noted > p.told {
+			changed = append(changed, w)
+		}
+	}
+	if p != nil {
+		p.told = m.notes
+	}
+	if len(changed) == 0 {
+		return all
+	}
+	return changed
+}
+
 // Done takes the result of a call.
 func (m *Machine) Done(now time.Time, c Call, reply proto.Message, err error) []Call {
 	switch r := c.Request.(type) {
@@ -201,6 +221,8 @@
 // note records that the state of p changed.
 func (m *Machine) note(p *cellMember) {
 	m.hash = 0
+	m.notes++
+	p.noted = m.notes
 	m.changes = append(m.changes, p.member())
 }
 
@@ -247,6 +269,7 @@
 			m.changes = append(m.changes, persimmoncart.Member{Instance: p.instance, State: persimmoncart.MemberDead})
 		}
 		p.refused = false
+		p.told = 0
 		p.listed = time.Time{}
 		p.known = now
 	}
