--- a/borrow.go
+++ b/borrow.go
@@ -34,11 +34,11 @@
 // A Lender lends slots of the replicas that it owns.
 type Lender interface {
 	// Lend returns slots for some or all items, in the owner's queue order. It
-	// returns a loan without seats if there are none within request.Wait.
+	// returns a loan without lent slots if there are none within request.Wait.
 	Lend(ctx context.Context, request BorrowRequest) (Loan, error)
-	// Settle tells the owner what became of seats that it lent to from.
-	// Changes of unknown or expired seats are ignored.
-	Settle(ctx context.Context, from InstanceID, changes []SeatChange) error
+	// Settle tells the owner what became of lent slots that it lent to from.
+	// Changes of unknown or expired lent slots are ignored.
+	Settle(ctx context.Context, from InstanceID, changes []LoanChange) error
 }
 
 // Lenders connects to the instances that lend.
@@ -51,7 +51,7 @@
 type Loan struct {
 	Digest Digest // the owner's state after the loan
 	ID     uint64 // of the request
-	Seats  []Seat
+	Slots  []LentSlot
 }
 
 // Loads exchanges digests between the local places and other instances.
@@ -81,8 +81,8 @@
 	Waiting    int           // requests that wait in the owner's queue
 }
 
-// A Seat is one slot that an owner lent.
-type Seat struct {
+// A LentSlot is one slot that an owner lent.
+type LentSlot struct {
 	Blocks   int // decode memory
 	Cached   int // prompt tokens expected in the prefill replica's cache
 	Endpoint EndpointID
@@ -92,21 +92,21 @@
 	Role     Role
 }
 
-// A SeatChange is one change of a lent seat.
-type SeatChange struct {
+// A LoanChange is one change of a lent slot.
+type LoanChange struct {
 	ID   GrantID
-	Kind SeatChangeKind
+	Kind LoanChangeKind
 	Took time.Duration // prefill time, or mean time between tokens; zero if unknown
 }
 
-// Kinds of changes of a lent seat.
+// Kinds of changes of a lent slot.
 const (
-	SeatCommitted SeatChangeKind = iota + 1 // in use until released
-	SeatReleased
+	LoanCommitted LoanChangeKind = iota + 1 // in use until released
+	LoanReleased
 )
 
-// A SeatChangeKind is the kind of a SeatChange.
-type SeatChangeKind uint8
+// A LoanChangeKind is the kind of a LoanChange.
+type LoanChangeKind uint8
 
 // A Usable is a replica that this instance may grant slots of.
 type Usable struct {
--- a/internal/bench/node.go
+++ b/internal/bench/node.go
@@ -143,7 +143,7 @@
 	w.result.borrowItems += len(request.Items)
 	answer := func(loan persimmoncart.Loan) {
 		if n.alive {
-			// A late answer is taken too: Lent returns its seats to the owner.
+			// A late answer is taken too: Lent returns its lent slots to the owner.
 			n.broker.Lent(w.now(), owner, loan)
 			n.step()
 		}
@@ -183,7 +183,7 @@
 	to, answer := n.lends[lend], n.answers[lend]
 	delete(n.lends, lend)
 	delete(n.answers, lend)
-	n.ours.world.result.message(20+30*len(loan.Seats), len(n.ours.order))
+	n.ours.world.result.message(20+30*len(loan.Slots), len(n.ours.order))
 	n.ours.world.network.send(n.instance.Region, to.instance.Region, func() { answer(loan) })
 }
 
@@ -196,7 +196,7 @@
 }
 
 // Settle implements policy.Effects.
-func (e *nodeEffects) Settle(owner persimmoncart.InstanceID, changes []persimmoncart.SeatChange) {
+func (e *nodeEffects) Settle(owner persimmoncart.InstanceID, changes []persimmoncart.LoanChange) {
 	n := (*node)(e)
 	p, found := n.ours.nodes[owner]
 	n.ours.world.result.message(10+8*len(changes), len(n.ours.order))
--- a/internal/capacity/places.go
+++ b/internal/capacity/places.go
@@ -25,7 +25,7 @@
 	demandSpread = 0.1
 	holdTime     = 7500 * time.Millisecond
 	requestRate  = 40.0
-	seatLife     = 2 * time.Second // of a lent slot that nobody commits
+	lentLife     = 2 * time.Second // of a lent slot that nobody commits
 	stepPeriod   = 200 * time.Millisecond
 )
 
@@ -97,18 +97,18 @@
 	loan := persimmoncart.Loan{Digest: p.Digest(), ID: r.ID}
 	for i := range min(p.free(), len(r.Items)) {
 		p.requests++
-		loan.Seats = append(loan.Seats, persimmoncart.Seat{
-			Blocks: 9, Endpoint: "llm-00000", ID: p.seat(p.requests), Item: i, Role: persimmoncart.RoleDecode,
+		loan.Slots = append(loan.Slots, persimmoncart.LentSlot{
+			Blocks: 9, Endpoint: "llm-00000", ID: p.lentSlot(p.requests), Item: i, Role: persimmoncart.RoleDecode,
 		})
 	}
-	p.lent[r.From] += len(loan.Seats)
+	p.lent[r.From] += len(loan.Slots)
 	return loan, nil
 }
 
 // Settle implements persimmoncart.Lender.
-func (p *places) Settle(_ context.Context, from persimmoncart.InstanceID, changes []persimmoncart.SeatChange) error {
+func (p *places) Settle(_ context.Context, from persimmoncart.InstanceID, changes []persimmoncart.LoanChange) error {
 	for _, c := range changes {
-		if c.Kind == persimmoncart.SeatReleased && p.lent[from] > 0 {
+		if c.Kind == persimmoncart.LoanReleased && p.lent[from] > 0 {
 			p.lent[from]--
 		}
 	}
@@ -124,8 +124,8 @@
 	return max(n, 0)
 }
 
-// seat returns an identifier as long as those of internal/policy.
-func (p *places) seat(n uint64) persimmoncart.GrantID {
+// lent slot returns an identifier as long as those of internal/policy.
+func (p *places) lentSlot(n uint64) persimmoncart.GrantID {
 	return persimmoncart.GrantID(string(p.node.self.ID) + "." + strconv.FormatUint(n, 36))
 }
 
@@ -206,7 +206,7 @@
 			p.unserved += n
 			return
 		}
-		got := len(reply.(*loadv1.BorrowReply).GetSeats())
+		got := len(reply.(*loadv1.BorrowReply).GetSlots())
 		p.borrowed[owner] += got
 		p.unserved += n - got
 		if got < n {
@@ -223,7 +223,7 @@
 	}
 	r := &loadv1.ReturnRequest{From: string(p.node.self.ID), Prefix: string(owner) + ".1"}
 	for range n {
-		r.Changes = append(r.Changes, &loadv1.Change{Id: strconv.FormatUint(p.requests, 36), Kind: uint32(persimmoncart.SeatReleased), Took: 40})
+		r.Changes = append(r.Changes, &loadv1.Change{Id: strconv.FormatUint(p.requests, 36), Kind: uint32(persimmoncart.LoanReleased), Took: 40})
 	}
 	p.node.transport.Call(m.Instance.Addr, r, 250*time.Millisecond, func(proto.Message, error) {})
 }
--- a/internal/faults/peers.go
+++ b/internal/faults/peers.go
@@ -100,7 +100,7 @@
 }
 
 // Settle implements persimmoncart.Lender.
-func (l *lender) Settle(ctx context.Context, from persimmoncart.InstanceID, changes []persimmoncart.SeatChange) error {
+func (l *lender) Settle(ctx context.Context, from persimmoncart.InstanceID, changes []persimmoncart.LoanChange) error {
 	return exchange(l.node, l.to, "settle", func(peer *node) error { return peer.places.Settle(ctx, from, changes) })
 }
 
--- a/internal/load/handler.go
+++ b/internal/load/handler.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	answerLife = 2 * time.Second // as long as a lent seat that nobody commits
+	answerLife = 2 * time.Second // as long as a lent slot that nobody commits
 	maxAnswers = 4096            // borrows remembered; older ones are forgotten first
 	maxItems   = 256             // in one borrow
 	maxWait    = time.Second     // that a borrow may ask the owner to hold it
@@ -34,7 +34,7 @@
 	order   []borrowKey // oldest first
 }
 
-// A borrowKey identifies a borrow, so that a repeat gets the same seats.
+// A borrowKey identifies a borrow, so that a repeat gets the same lent slots.
 type borrowKey struct {
 	from string
 	id   uint64
@@ -101,7 +101,7 @@
 			loan = persimmoncart.Loan{ID: request.ID}
 		}
 		reply := loanMessage(&loan)
-		if len(reply.GetSeats()) >= len(request.Items) {
+		if len(reply.GetSlots()) >= len(request.Items) {
 			reply.Digest = nil // tells the borrower nothing that it needs now
 		}
 		h.finish(a, reply)
@@ -128,8 +128,8 @@
 	}
 }
 
-// settle passes changes of lent seats to the local places.
-func (h *Handler) settle(from string, changes []persimmoncart.SeatChange, done func(error)) {
+// settle passes changes of lent slots to the local places.
+func (h *Handler) settle(from string, changes []persimmoncart.LoanChange, done func(error)) {
 	if len(changes) == 0 {
 		done(nil)
 		return
--- a/internal/load/lenders.go
+++ b/internal/load/lenders.go
@@ -17,7 +17,7 @@
 	borrowTimeout = 250 * time.Millisecond // beyond the time that the owner may hold a borrow
 	holdChanges   = 500 * time.Millisecond // above the budget, for a borrow that takes changes along
 	maxLendDelay  = 20 * time.Millisecond  // the caller's own time-out leaves no more
-	settleTries   = 3                      // a lost commit would let a seat in use expire
+	settleTries   = 3                      // a lost commit would let a lent slot in use expire
 )
 
 var _ persimmoncart.Lenders = (*Lenders)(nil)
@@ -30,7 +30,7 @@
 	Timer     persimmoncart.Timer
 	Transport peer.Transport
 
-	changes map[persimmoncart.InstanceID][]persimmoncart.SeatChange
+	changes map[persimmoncart.InstanceID][]persimmoncart.LoanChange
 	mutex   sync.Mutex
 }
 
@@ -70,7 +70,7 @@
 		return persimmoncart.Loan{}, errors.Wrapf(err, "borrow from %s", r.id)
 	}
 	answer := reply.(*loadv1.BorrowReply)
-	loan := persimmoncart.Loan{ID: request.ID, Seats: seats(answer)}
+	loan := persimmoncart.Loan{ID: request.ID, Slots: lentSlots(answer)}
 	if d := answer.GetDigest(); d.GetSequence() > 0 {
 		rows := map[uint32]*loadv1.Row{}
 		for _, w := range d.GetRows() {
@@ -85,8 +85,8 @@
 }
 
 // Settle implements persimmoncart.Lender. Near the budget, changes wait for a
-// borrow that takes them along, well within the life of a lent seat.
-func (r *remote) Settle(ctx context.Context, from persimmoncart.InstanceID, changes []persimmoncart.SeatChange) error {
+// borrow that takes them along, well within the life of a lent slot.
+func (r *remote) Settle(ctx context.Context, from persimmoncart.InstanceID, changes []persimmoncart.LoanChange) error {
 	l := r.lenders
 	if l.Governor.BorrowDelay() > 0 {
 		l.putChanges(r.id, changes)
@@ -127,20 +127,20 @@
 }
 
 // putChanges keeps changes for the next message to an owner.
-func (l *Lenders) putChanges(owner persimmoncart.InstanceID, changes []persimmoncart.SeatChange) {
+func (l *Lenders) putChanges(owner persimmoncart.InstanceID, changes []persimmoncart.LoanChange) {
 	if len(changes) == 0 {
 		return
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.changes == nil {
-		l.changes = map[persimmoncart.InstanceID][]persimmoncart.SeatChange{}
+		l.changes = map[persimmoncart.InstanceID][]persimmoncart.LoanChange{}
 	}
 	l.changes[owner] = append(l.changes[owner], changes...)
 }
 
 // takeChanges returns and forgets the changes kept for an owner.
-func (l *Lenders) takeChanges(owner persimmoncart.InstanceID) []persimmoncart.SeatChange {
+func (l *Lenders) takeChanges(owner persimmoncart.InstanceID) []persimmoncart.LoanChange {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	c := l.changes[owner]
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -41,7 +41,7 @@
 	lent     int
 	self     persimmoncart.Instance
 	sequence uint64
-	settled  []persimmoncart.SeatChange
+	settled  []persimmoncart.LoanChange
 }
 
 func (p *places) Dead(id persimmoncart.InstanceID)   { delete(p.learned, id) }
@@ -68,14 +68,14 @@
 			break
 		}
 		p.lent++
-		l.Seats = append(l.Seats, persimmoncart.Seat{
-			Blocks: persimmoncart.Blocks(item.Request.Tokens), Endpoint: "e", ID: persimmoncart.GrantID(fmt.Sprint("seat-", p.lent)), Item: i,
+		l.Slots = append(l.Slots, persimmoncart.LentSlot{
+			Blocks: persimmoncart.Blocks(item.Request.Tokens), Endpoint: "e", ID: persimmoncart.GrantID(fmt.Sprint("lentSlot-", p.lent)), Item: i,
 		})
 	}
 	return l, nil
 }
 
-func (p *places) Settle(_ context.Context, _ persimmoncart.InstanceID, c []persimmoncart.SeatChange) error {
+func (p *places) Settle(_ context.Context, _ persimmoncart.InstanceID, c []persimmoncart.LoanChange) error {
 	p.settled = append(p.settled, c...)
 	return nil
 }
@@ -213,7 +213,7 @@
 	assert.Equal(t, len(replies), 2)
 	assert.Assert(t, proto.Equal(replies[0], replies[1]))
 	assert.Equal(t, nodes[1].places.lent, 1)
-	assert.Equal(t, replies[0].GetSeats()[0].GetBlocks(), uint32(3))
+	assert.Equal(t, replies[0].GetSlots()[0].GetBlocks(), uint32(3))
 }
 
 // A flaky is a transport that loses the first requests.
@@ -230,24 +230,24 @@
 	f.handler.Handle(request, done)
 }
 
-// Guards against a lost change of a seat: a seat in use would expire at its owner.
+// Guards against a lost change of a lent slot: a lent slot in use would expire at its owner.
 func TestSettleRetried(t *testing.T) {
 	v, _, nodes := fleet(4, 2)
 	v.Advance(5 * time.Second)
 	lenders := &load.Lenders{Exchange: nodes[0].exchange, Timer: v, Transport: &flaky{handler: nodes[1].handler, lose: 2}}
-	changes := []persimmoncart.SeatChange{{ID: "s", Kind: persimmoncart.SeatCommitted}}
+	changes := []persimmoncart.LoanChange{{ID: "s", Kind: persimmoncart.LoanCommitted}}
 	assert.NilError(t, lenders.Lender("i-0-1").Settle(context.Background(), "i-0-0", changes))
 	assert.DeepEqual(t, nodes[1].places.settled, changes)
 	loan, err := lenders.Lender("i-0-1").Lend(context.Background(), persimmoncart.BorrowRequest{
 		From: "i-0-0", ID: 3, Items: []persimmoncart.BorrowItem{{Decode: true, Request: persimmoncart.ReserveRequest{Tokens: 5000}}},
 	})
 	assert.NilError(t, err)
-	assert.Equal(t, loan.Seats[0].Blocks, 5)
+	assert.Equal(t, loan.Slots[0].Blocks, 5)
 	assert.Equal(t, len(loan.Digest.Pools), 0) // everything was lent
 	nodes[1].places.full = true
 	loan, err = lenders.Lender("i-0-1").Lend(context.Background(), persimmoncart.BorrowRequest{From: "i-0-0", ID: 4, Items: make([]persimmoncart.BorrowItem, 1)})
 	assert.NilError(t, err)
-	assert.Equal(t, len(loan.Seats), 0)
+	assert.Equal(t, len(loan.Slots), 0)
 	assert.Equal(t, loan.Digest.Instance, persimmoncart.InstanceID("i-0-1"))
 	assert.Equal(t, len(loan.Digest.Pools), len(models))
 }
--- a/internal/load/wire.go
+++ b/internal/load/wire.go
@@ -65,8 +65,8 @@
 	for i := range l.Digest.Pools {
 		m.Digest.Rows = append(m.Digest.Rows, row(&l.Digest.Pools[i]))
 	}
-	for _, s := range l.Seats {
-		m.Seats = append(m.Seats, &loadv1.Seat{
+	for _, s := range l.Slots {
+		m.Slots = append(m.Slots, &loadv1.LentSlot{
 			Blocks:   unsigned(s.Blocks),
 			Cached:   unsigned(s.Cached),
 			Endpoint: string(s.Endpoint),
@@ -79,11 +79,11 @@
 	return m
 }
 
-// seats returns the seats in a message.
-func seats(m *loadv1.BorrowReply) []persimmoncart.Seat {
-	var seats []persimmoncart.Seat
-	for _, s := range m.GetSeats() {
-		seats = append(seats, persimmoncart.Seat{
+// lent slots returns the lent slots in a message.
+func lentSlots(m *loadv1.BorrowReply) []persimmoncart.LentSlot {
+	var lentSlots []persimmoncart.LentSlot
+	for _, s := range m.GetSlots() {
+		lentSlots = append(lentSlots, persimmoncart.LentSlot{
 			Blocks:   int(s.GetBlocks()),
 			Cached:   int(s.GetCached()),
 			Endpoint: persimmoncart.EndpointID(s.GetEndpoint()),
@@ -93,12 +93,12 @@
 			Role:     persimmoncart.Role(s.GetRole()),
 		})
 	}
-	return seats
+	return lentSlots
 }
 
-// changeMessages returns changes of seats as messages, without the prefix that
-// their identifiers share: an owner gives all its seats the same one.
-func changeMessages(changes []persimmoncart.SeatChange) (prefix string, messages []*loadv1.Change) {
+// changeMessages returns changes of lent slots as messages, without the prefix that
+// their identifiers share: an owner gives all its lent slots the same one.
+func changeMessages(changes []persimmoncart.LoanChange) (prefix string, messages []*loadv1.Change) {
 	if len(changes) == 0 {
 		return "", nil
 	}
@@ -117,12 +117,12 @@
 }
 
 // changesFrom returns the changes in messages.
-func changesFrom(prefix string, messages []*loadv1.Change) []persimmoncart.SeatChange {
-	var changes []persimmoncart.SeatChange
+func changesFrom(prefix string, messages []*loadv1.Change) []persimmoncart.LoanChange {
+	var changes []persimmoncart.LoanChange
 	for _, m := range messages {
-		changes = append(changes, persimmoncart.SeatChange{
+		changes = append(changes, persimmoncart.LoanChange{
 			ID:   persimmoncart.GrantID(prefix + m.GetId()),
-			Kind: persimmoncart.SeatChangeKind(m.GetKind()),
+			Kind: persimmoncart.LoanChangeKind(m.GetKind()),
 			Took: duration(m.GetTook()),
 		})
 	}
--- a/internal/places/effects.go
+++ b/internal/places/effects.go
@@ -56,9 +56,9 @@
 	e.finish(ticket, result{refusal: refusal})
 }
 
-// Settle implements policy.Effects. A lost message is no fault: seats expire at
+// Settle implements policy.Effects. A lost message is no fault: lent slots expire at
 // the owner.
-func (e *effects) Settle(owner persimmoncart.InstanceID, changes []persimmoncart.SeatChange) {
+func (e *effects) Settle(owner persimmoncart.InstanceID, changes []persimmoncart.LoanChange) {
 	p := e.places
 	if p.Lenders == nil {
 		return
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -131,7 +131,7 @@
 	case loan := <-answer:
 		return loan, nil
 	case <-ctx.Done():
-		// Seats that are lent after this expire, because nobody commits them.
+		// Slots that are lent after this expire, because nobody commits them.
 		p.do(func(time.Time) { delete(p.lends, id) })
 		return persimmoncart.Loan{}, errors.Wrapf(ctx.Err(), "lend to %s", request.From)
 	}
@@ -228,7 +228,7 @@
 }
 
 // Settle implements persimmoncart.Lender.
-func (p *Places) Settle(_ context.Context, from persimmoncart.InstanceID, changes []persimmoncart.SeatChange) error {
+func (p *Places) Settle(_ context.Context, from persimmoncart.InstanceID, changes []persimmoncart.LoanChange) error {
 	p.do(func(now time.Time) { p.broker.Settled(now, from, changes) })
 	return nil
 }
--- a/internal/policy/borrow.go
+++ b/internal/policy/borrow.go
@@ -36,15 +36,15 @@
 }
 
 // Lent takes the answer to a borrow; a borrow that failed has an empty loan.
-// Seats of a borrow that is not known any more are returned.
+// Slots of a borrow that is not known any more are returned.
 func (b *Broker) Lent(now time.Time, owner persimmoncart.InstanceID, loan persimmoncart.Loan) {
 	if loan.Digest.Instance != "" {
 		b.peers.learn(loan.Digest, 0)
 	}
 	o, found := b.outgoing[loan.ID]
 	if !found || o.owner != owner {
-		for _, s := range loan.Seats {
-			b.peers.settleNow(now, owner, persimmoncart.SeatChange{ID: s.ID, Kind: persimmoncart.SeatReleased})
+		for _, s := range loan.Slots {
+			b.peers.settleNow(now, owner, persimmoncart.LoanChange{ID: s.ID, Kind: persimmoncart.LoanReleased})
 		}
 		return
 	}
@@ -52,16 +52,16 @@
 	for role, n := range o.items {
 		o.lane.wanted[role] -= n
 	}
-	if len(loan.Seats) == 0 {
+	if len(loan.Slots) == 0 {
 		o.lane.borrowAfter = now.Add(borrowPause)
 	}
-	for _, s := range loan.Seats {
+	for _, s := range loan.Slots {
 		e, known := b.endpoints[s.Endpoint]
 		if !known {
-			b.peers.settleNow(now, owner, persimmoncart.SeatChange{ID: s.ID, Kind: persimmoncart.SeatReleased})
+			b.peers.settleNow(now, owner, persimmoncart.LoanChange{ID: s.ID, Kind: persimmoncart.LoanReleased})
 			continue
 		}
-		o.lane.stock = append(o.lane.stock, stockSeat{endpoint: e, owner: owner, seat: s})
+		o.lane.stock = append(o.lane.stock, stockSlot{endpoint: e, owner: owner, lentSlot: s})
 	}
 }
 
--- a/internal/policy/broker.go
+++ b/internal/policy/broker.go
@@ -11,7 +11,7 @@
 
 // Constants of a broker.
 const (
-	// DefaultExpiry is the life of a grant or lent seat that nobody committed.
+	// DefaultExpiry is the life of a grant or lent slot that nobody committed.
 	DefaultExpiry = 2 * time.Second
 	// DefaultMaxWait is the longest prefill queue that a decode slot is held
 	// for: a longer one leaves decode slots idle.
@@ -35,8 +35,8 @@
 	Lend(lend uint64, loan persimmoncart.Loan)
 	// Refuse ends the wait of a ticket with a refusal.
 	Refuse(ticket uint64, refusal *persimmoncart.Refusal)
-	// Settle tells an owner about lent seats.
-	Settle(owner persimmoncart.InstanceID, changes []persimmoncart.SeatChange)
+	// Settle tells an owner about lent slots.
+	Settle(owner persimmoncart.InstanceID, changes []persimmoncart.LoanChange)
 }
 
 // BrokerSettings are the settings of a Broker.
@@ -59,7 +59,7 @@
 // It grants slots of its own replicas, lends them to other instances, borrows
 // from other owners, and refuses what cannot be served in time.
 type Broker struct {
-	borrowed   map[persimmoncart.EndpointID]*borrowedSeat
+	borrowed   map[persimmoncart.EndpointID]*borrowedSlot
 	endpoints  map[persimmoncart.EndpointID]*persimmoncart.Endpoint
 	grants     map[persimmoncart.GrantID]*grantState
 	lanes      map[laneKey]*lane
@@ -73,7 +73,7 @@
 	pools      []PoolTargets
 	replicas   map[persimmoncart.EndpointID]*Replica
 	retired    map[persimmoncart.EndpointID]*Replica // no longer usable, with slots in use
-	seats      map[persimmoncart.GrantID]*lentSeat
+	lentSlots  map[persimmoncart.GrantID]*lentState
 	byHolding  map[uint64]persimmoncart.GrantID
 	sequence   uint64
 	settings   BrokerSettings
@@ -87,7 +87,7 @@
 func NewBroker(s BrokerSettings) *Broker {
 	s = s.withDefaults()
 	return &Broker{
-		borrowed:  make(map[persimmoncart.EndpointID]*borrowedSeat),
+		borrowed:  make(map[persimmoncart.EndpointID]*borrowedSlot),
 		byHolding: make(map[uint64]persimmoncart.GrantID),
 		endpoints: make(map[persimmoncart.EndpointID]*persimmoncart.Endpoint),
 		grants:    make(map[persimmoncart.GrantID]*grantState),
@@ -105,7 +105,7 @@
 		},
 		replicas:   make(map[persimmoncart.EndpointID]*Replica),
 		retired:    make(map[persimmoncart.EndpointID]*Replica),
-		seats:      make(map[persimmoncart.GrantID]*lentSeat),
+		lentSlots:  make(map[persimmoncart.GrantID]*lentState),
 		settings:   s,
 		stragglers: NewStragglers(),
 		tickets:    make(map[uint64]*waiter),
@@ -138,10 +138,10 @@
 	cached   int
 	endpoint *persimmoncart.Endpoint // nil until secured
 	first    time.Duration           // expected prefill time when it was secured
-	holding  uint64                  // in the own ledger; zero for a lent seat
+	holding  uint64                  // in the own ledger; zero for a lent slot
 	owner    persimmoncart.InstanceID
 	replica  *Replica
-	seat     persimmoncart.GrantID // at the owner
+	lentSlot persimmoncart.GrantID // at the owner
 }
 
 // A grantState is one grant in force.
@@ -215,7 +215,7 @@
 	delete(b.uncommitted, id)
 	g.lane.learnFill(g, now)
 	if g.decode.endpoint != nil && g.decode.holding == 0 {
-		if s, kept := b.borrowed[g.decode.endpoint.ID]; kept && s.seat == g.decode.seat {
+		if s, kept := b.borrowed[g.decode.endpoint.ID]; kept && s.lentSlot == g.decode.lentSlot {
 			delete(b.borrowed, g.decode.endpoint.ID)
 		}
 	}
@@ -254,7 +254,7 @@
 	b.releaseWaiter(now, w)
 }
 
-// id returns a new identifier for a grant or seat.
+// id returns a new identifier for a grant or lent slot.
 func (b *Broker) id(n uint64) persimmoncart.GrantID {
 	return persimmoncart.GrantID(b.settings.Prefix + "." + strconv.FormatUint(n, 36))
 }
@@ -276,7 +276,7 @@
 		b.ledger.Release(p.holding)
 		delete(b.byHolding, p.holding)
 	default:
-		b.peers.settle(now, p.owner, persimmoncart.SeatChange{ID: p.seat, Kind: persimmoncart.SeatReleased, Took: took})
+		b.peers.settle(now, p.owner, persimmoncart.LoanChange{ID: p.lentSlot, Kind: persimmoncart.LoanReleased, Took: took})
 	}
 	*p = part{}
 }
--- a/internal/policy/lane.go
+++ b/internal/policy/lane.go
@@ -55,15 +55,15 @@
 	prefills    []*Replica
 	queue       *Queue
 	served      servedRate
-	stock       []stockSeat
+	stock       []stockSlot
 	wanted      [persimmoncart.RolePrefill + 1]int // items of outgoing borrows, by role
 }
 
-// A stockSeat is a borrowed seat that no request uses yet.
-type stockSeat struct {
+// A stockSlot is a borrowed lent slot that no request uses yet.
+type stockSlot struct {
 	endpoint *persimmoncart.Endpoint
 	owner    persimmoncart.InstanceID
-	seat     persimmoncart.Seat
+	lentSlot persimmoncart.LentSlot
 }
 
 // check refuses a request as soon as it is clear that it cannot be served in time.
@@ -169,7 +169,7 @@
 }
 
 // Step serves waiting requests, refuses those that cannot be served in time,
-// borrows for the rest, answers borrows and settles lent seats.
+// borrows for the rest, answers borrows and settles lent slots.
 func (b *Broker) Step(now time.Time) {
 	b.ledger.Expire(now, func(h Holding) { b.expired(now, h) })
 	b.expireGrants(now)
@@ -181,15 +181,15 @@
 	b.peers.flush(now, b.settings.Effects.Settle)
 }
 
-// expired forgets the grant or seat of an expired holding.
+// expired forgets the grant or lent slot of an expired holding.
 func (b *Broker) expired(now time.Time, h Holding) {
 	id, found := b.byHolding[h.ID]
 	if !found {
 		return
 	}
 	delete(b.byHolding, h.ID)
-	if s, lent := b.seats[id]; lent {
-		b.freeSeat(now, id, s)
+	if s, lent := b.lentSlots[id]; lent {
+		b.freeSlot(now, id, s)
 		return
 	}
 	b.Release(now, id)
@@ -400,7 +400,7 @@
 	delete(b.tickets, w.ID)
 	l.queue.Serve(&w.Item)
 	if w.lend != nil {
-		b.lendSeats(now, w)
+		b.lendSlots(now, w)
 		return
 	}
 	l.served.add()
@@ -422,7 +422,7 @@
 		}
 	}
 	if g.decode.holding == 0 {
-		b.borrowed[g.decode.endpoint.ID] = &borrowedSeat{owner: g.decode.owner, seat: g.decode.seat}
+		b.borrowed[g.decode.endpoint.ID] = &borrowedSlot{owner: g.decode.owner, lentSlot: g.decode.lentSlot}
 	}
 	b.settings.Effects.Grant(w.ID, persimmoncart.Grant{
 		Blocks:  w.ask.Blocks,
@@ -435,29 +435,29 @@
 	})
 }
 
-// returnStock gives back borrowed seats that nobody needed.
+// returnStock gives back borrowed lent slots that nobody needed.
 func (b *Broker) returnStock(now time.Time, l *lane) {
 	for _, s := range l.stock {
-		b.peers.settleNow(now, s.owner, persimmoncart.SeatChange{ID: s.seat.ID, Kind: persimmoncart.SeatReleased})
+		b.peers.settleNow(now, s.owner, persimmoncart.LoanChange{ID: s.lentSlot.ID, Kind: persimmoncart.LoanReleased})
 	}
 	l.stock = l.stock[:0]
 }
 
-// takeStock gives a waiter a borrowed seat that fits it.
+// takeStock gives a waiter a borrowed lent slot that fits it.
 func (b *Broker) takeStock(now time.Time, l *lane, w *waiter, role persimmoncart.Role, p *part) bool {
 	for i, s := range l.stock {
-		if s.seat.Role != role || w.lend != nil || slices.Contains(w.ask.Avoid, s.endpoint.ID) {
+		if s.lentSlot.Role != role || w.lend != nil || slices.Contains(w.ask.Avoid, s.endpoint.ID) {
 			continue
 		}
-		if role == persimmoncart.RoleDecode && s.seat.Blocks < w.ask.Blocks {
+		if role == persimmoncart.RoleDecode && s.lentSlot.Blocks < w.ask.Blocks {
 			continue
 		}
 		if role == persimmoncart.RolePrefill && w.decode.endpoint != nil && w.decode.endpoint.Region != s.endpoint.Region {
 			continue
 		}
-		*p = part{cached: s.seat.Cached, endpoint: s.endpoint, first: s.seat.First, owner: s.owner, seat: s.seat.ID}
-		// The seat stays at the owner while the other half is looked for.
-		b.peers.settle(now, s.owner, persimmoncart.SeatChange{ID: s.seat.ID, Kind: persimmoncart.SeatCommitted})
+		*p = part{cached: s.lentSlot.Cached, endpoint: s.endpoint, first: s.lentSlot.First, owner: s.owner, lentSlot: s.lentSlot.ID}
+		// The lent slot stays at the owner while the other half is looked for.
+		b.peers.settle(now, s.owner, persimmoncart.LoanChange{ID: s.lentSlot.ID, Kind: persimmoncart.LoanCommitted})
 		l.stock = slices.Delete(l.stock, i, i+1)
 		return true
 	}
--- a/internal/policy/lend.go
+++ b/internal/policy/lend.go
@@ -20,8 +20,8 @@
 	waiters []*waiter
 }
 
-// A lentSeat is a seat that another instance holds.
-type lentSeat struct {
+// A lentState is a lent slot that another instance holds.
+type lentState struct {
 	borrower  persimmoncart.InstanceID
 	deadline  time.Time
 	holding   uint64
@@ -59,41 +59,41 @@
 	return d.id
 }
 
-// ReleaseFrom frees all seats lent to an instance that has ended.
+// ReleaseFrom frees all lent slots lent to an instance that has ended.
 func (b *Broker) ReleaseFrom(now time.Time, instance persimmoncart.InstanceID) {
-	for id, s := range b.seats {
+	for id, s := range b.lentSlots {
 		if s.borrower == instance {
-			b.freeSeat(now, id, s)
+			b.freeSlot(now, id, s)
 		}
 	}
 }
 
-// Settled takes what a borrower says about its seats.
-func (b *Broker) Settled(now time.Time, from persimmoncart.InstanceID, changes []persimmoncart.SeatChange) {
+// Settled takes what a borrower says about its lent slots.
+func (b *Broker) Settled(now time.Time, from persimmoncart.InstanceID, changes []persimmoncart.LoanChange) {
 	for _, c := range changes {
-		s, found := b.seats[c.ID]
+		s, found := b.lentSlots[c.ID]
 		if !found || s.borrower != from {
 			continue
 		}
-		b.learnSeat(now, s, c)
+		b.learnSlot(now, s, c)
 		switch c.Kind {
-		case persimmoncart.SeatCommitted:
+		case persimmoncart.LoanCommitted:
 			s.committed = true
 			b.ledger.Extend(s.holding, s.deadline.Add(b.settings.Expiry))
-		case persimmoncart.SeatReleased:
+		case persimmoncart.LoanReleased:
 			if s.role == persimmoncart.RolePrefill {
 				s.replica.Unqueue(now, s.holding, c.Took)
 			}
-			b.freeSeat(now, c.ID, s)
+			b.freeSlot(now, c.ID, s)
 		}
 	}
 }
 
-// answerLends answers the borrows that got seats or waited long enough.
+// answerLends answers the borrows that got lent slots or waited long enough.
 func (b *Broker) answerLends(now time.Time) {
 	for _, id := range sortedKeys(b.lends) {
 		d := b.lends[id]
-		if d.open > 0 && len(d.loan.Seats) == 0 && now.Before(d.until) {
+		if d.open > 0 && len(d.loan.Slots) == 0 && now.Before(d.until) {
 			continue
 		}
 		delete(b.lends, id)
@@ -108,18 +108,18 @@
 	}
 }
 
-// freeSeat frees a lent seat.
-func (b *Broker) freeSeat(now time.Time, id persimmoncart.GrantID, s *lentSeat) {
+// freeSlot frees a lent slot.
+func (b *Broker) freeSlot(now time.Time, id persimmoncart.GrantID, s *lentState) {
 	if s.role == persimmoncart.RolePrefill {
 		s.replica.Unqueue(now, s.holding, 0)
 	}
 	b.ledger.Release(s.holding)
 	delete(b.byHolding, s.holding)
-	delete(b.seats, id)
+	delete(b.lentSlots, id)
 }
 
-// learnSeat learns from the time that a borrower saw.
-func (b *Broker) learnSeat(now time.Time, s *lentSeat, c persimmoncart.SeatChange) {
+// learnSlot learns from the time that a borrower saw.
+func (b *Broker) learnSlot(now time.Time, s *lentState, c persimmoncart.LoanChange) {
 	if c.Took > 0 && s.role == persimmoncart.RoleDecode {
 		b.observe(now, &s.replica.Endpoint, c.Took)
 	}
@@ -141,8 +141,8 @@
 	}
 }
 
-// lendSeats turns what a waiter has secured into lent seats.
-func (b *Broker) lendSeats(now time.Time, w *waiter) {
+// lendSlots turns what a waiter has secured into lent slots.
+func (b *Broker) lendSlots(now time.Time, w *waiter) {
 	w.lend.open--
 	for _, p := range []*part{&w.decode, &w.prefill} {
 		if p.endpoint == nil {
@@ -152,14 +152,14 @@
 		role := p.replica.Endpoint.Role
 		b.byHolding[p.holding] = id
 		b.ledger.Extend(p.holding, now.Add(b.settings.Expiry))
-		b.seats[id] = &lentSeat{
+		b.lentSlots[id] = &lentState{
 			borrower: w.lend.from,
 			deadline: w.request.Deadline,
 			holding:  p.holding,
 			replica:  p.replica,
 			role:     role,
 		}
-		w.lend.loan.Seats = append(w.lend.loan.Seats, persimmoncart.Seat{
+		w.lend.loan.Slots = append(w.lend.loan.Slots, persimmoncart.LentSlot{
 			Blocks:   w.ask.Blocks,
 			Cached:   p.cached,
 			Endpoint: p.endpoint.ID,
--- a/internal/policy/peers.go
+++ b/internal/policy/peers.go
@@ -14,7 +14,7 @@
 	// peerLimit bounds the table: a cell, the region's cells and the gateways
 	// of other regions.
 	peerLimit = 128
-	// settleDelay collects changes of lent seats into one message.
+	// settleDelay collects changes of lent slots into one message.
 	settleDelay = 50 * time.Millisecond
 )
 
@@ -30,7 +30,7 @@
 
 // A peerState is one other owner.
 type peerState struct {
-	changes  []persimmoncart.SeatChange
+	changes  []persimmoncart.LoanChange
 	digest   persimmoncart.Digest
 	distance time.Duration
 	since    time.Time // when the oldest change was made; zero to send now
@@ -101,7 +101,7 @@
 }
 
 // flush sends the collected changes that are due.
-func (t *peerTable) flush(now time.Time, send func(persimmoncart.InstanceID, []persimmoncart.SeatChange)) {
+func (t *peerTable) flush(now time.Time, send func(persimmoncart.InstanceID, []persimmoncart.LoanChange)) {
 	if t.unsettled == 0 {
 		return
 	}
@@ -185,7 +185,7 @@
 }
 
 // settle collects a change for the owner.
-func (t *peerTable) settle(now time.Time, owner persimmoncart.InstanceID, c persimmoncart.SeatChange) {
+func (t *peerTable) settle(now time.Time, owner persimmoncart.InstanceID, c persimmoncart.LoanChange) {
 	p, found := t.entries[owner]
 	if !found {
 		p = t.add(owner)
@@ -198,7 +198,7 @@
 }
 
 // settleNow sends a change with the next flush.
-func (t *peerTable) settleNow(now time.Time, owner persimmoncart.InstanceID, c persimmoncart.SeatChange) {
+func (t *peerTable) settleNow(now time.Time, owner persimmoncart.InstanceID, c persimmoncart.LoanChange) {
 	t.settle(now, owner, c)
 	t.entries[owner].since = time.Time{}
 }
--- a/internal/policy/place.go
+++ b/internal/policy/place.go
@@ -24,7 +24,7 @@
 	Avoid    []persimmoncart.EndpointID
 	Blocks   int
 	Class    persimmoncart.Class
-	Home     persimmoncart.DataCentre // of a seat already held, or empty
+	Home     persimmoncart.DataCentre // of a lent slot already held, or empty
 	Model    persimmoncart.ModelName
 	Prefixes []uint64
 	Region   persimmoncart.Region // the only one allowed, or empty
--- a/internal/policy/place_test.go
+++ b/internal/policy/place_test.go
@@ -125,7 +125,7 @@
 func (e *benchEffects) Grant(_ uint64, g persimmoncart.Grant)                      { e.granted = g.ID }
 func (*benchEffects) Lend(uint64, persimmoncart.Loan)                              {}
 func (*benchEffects) Refuse(uint64, *persimmoncart.Refusal)                        {}
-func (*benchEffects) Settle(persimmoncart.InstanceID, []persimmoncart.SeatChange)  {}
+func (*benchEffects) Settle(persimmoncart.InstanceID, []persimmoncart.LoanChange)  {}
 
 // Guards against a whole decision, from the admission queue to the release, that
 // costs more with the fleet. An instance of 400 before 11,000 replicas owns 28
--- a/internal/policy/view.go
+++ b/internal/policy/view.go
@@ -21,11 +21,11 @@
 // slowPeriod is how often an owner is told about a slow replica.
 const slowPeriod = 250 * time.Millisecond
 
-// A borrowedSeat is the newest decode seat in use on a replica of another owner.
-type borrowedSeat struct {
-	owner persimmoncart.InstanceID
-	seat  persimmoncart.GrantID
-	told  time.Time // when the owner was last told that the replica is slow
+// A borrowedSlot is the newest decode lent slot in use on a replica of another owner.
+type borrowedSlot struct {
+	owner    persimmoncart.InstanceID
+	lentSlot persimmoncart.GrantID
+	told     time.Time // when the owner was last told that the replica is slow
 }
 
 // CacheEvent takes one change of a prefill replica's cache.
@@ -107,7 +107,7 @@
 		return
 	}
 	s.told = now
-	b.peers.settle(now, s.owner, persimmoncart.SeatChange{ID: s.seat, Kind: persimmoncart.SeatCommitted, Took: pace})
+	b.peers.settle(now, s.owner, persimmoncart.LoanChange{ID: s.lentSlot, Kind: persimmoncart.LoanCommitted, Took: pace})
 }
 
 // SetEndpoints replaces the records of all engines that the configuration
@@ -168,7 +168,7 @@
 	return map[string]int{
 		"grants": len(b.grants), "holdings": b.ledger.Len(), "lends": len(b.lends), "peers": len(b.peers.entries),
 		"prefixes": b.placement.Prefixes.Len(), "replicas": len(b.replicas) + len(b.retired),
-		"seats": len(b.seats), "stragglers": b.stragglers.Len(), "waiting": len(b.tickets),
+		"lentSlots": len(b.lentSlots), "stragglers": b.stragglers.Len(), "waiting": len(b.tickets),
 	}
 }
 
