Share the GET of outside systems and the flag types

Cause: two clients repeated the same 14 lines of a GET with its error answer, and two programs the same flag types. Change: transport.Get and internal/flagtype; the callers use them. Result: behaviour unchanged; the tests of both clients and both programs pass.

--- a/cmd/persimmonfake/internal/cmd/all.go
+++ b/cmd/persimmonfake/internal/cmd/all.go
@@ -3,14 +3,16 @@
 import (
 	"context"
 
+	"github.com/persimmoncart/persimmoncart/internal/flagtype"
+
 	"github.com/persimmoncart/persimmoncart/internal/platform"
 )
 
 // An all runs a whole deployment.
 type all struct {
-	command
-	Addr       address `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7100" description:"Address of the store; weight store, instance list, summary of counters and records, and endpoints take the ports after it"`
-	Deployment string  `long:"deployment" env:"PERSIMMONFAKE_DEPLOYMENT" default:"dar-jaouz" choice:"dar-jaouz" choice:"peachthread" description:"Deployment at today's sizes"`
+	flagtype.Command
+	Addr       flagtype.Address `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7100" description:"Address of the store; weight store, instance list, summary of counters and records, and endpoints take the ports after it"`
+	Deployment string           `long:"deployment" env:"PERSIMMONFAKE_DEPLOYMENT" default:"dar-jaouz" choice:"dar-jaouz" choice:"peachthread" description:"Deployment at today's sizes"`
 }
 
 // run implements runner.
--- a/cmd/persimmonfake/internal/cmd/application.go
+++ b/cmd/persimmonfake/internal/cmd/application.go
@@ -4,17 +4,19 @@
 	"context"
 	"time"
 
+	"github.com/persimmoncart/persimmoncart/internal/flagtype"
+
 	apps "github.com/persimmoncart/persimmoncart/internal/application"
 )
 
 // An application runs one application endpoint.
 type application struct {
-	command
-	Addr    address       `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7300" description:"Address to listen on"`
-	Fences  bool          `long:"fences" env:"PERSIMMONFAKE_FENCES" description:"Refuse calls with an old fencing token"`
-	Pace    time.Duration `long:"pace" env:"PERSIMMONFAKE_PACE" default:"4ms" description:"Time of one call"`
-	Repeats bool          `long:"repeats" env:"PERSIMMONFAKE_REPEATS" description:"Run each idempotency key once"`
-	Slots   int           `long:"slots" env:"PERSIMMONFAKE_SLOTS" default:"256" description:"Calls that run at the same time"`
+	flagtype.Command
+	Addr    flagtype.Address `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7300" description:"Address to listen on"`
+	Fences  bool             `long:"fences" env:"PERSIMMONFAKE_FENCES" description:"Refuse calls with an old fencing token"`
+	Pace    time.Duration    `long:"pace" env:"PERSIMMONFAKE_PACE" default:"4ms" description:"Time of one call"`
+	Repeats bool             `long:"repeats" env:"PERSIMMONFAKE_REPEATS" description:"Run each idempotency key once"`
+	Slots   int              `long:"slots" env:"PERSIMMONFAKE_SLOTS" default:"256" description:"Calls that run at the same time"`
 }
 
 // run implements runner.
--- a/cmd/persimmonfake/internal/cmd/list.go
+++ b/cmd/persimmonfake/internal/cmd/list.go
@@ -4,14 +4,16 @@
 	"context"
 	"time"
 
+	"github.com/persimmoncart/persimmoncart/internal/flagtype"
+
 	"github.com/persimmoncart/persimmoncart/internal/instancelist"
 )
 
 // A list runs an instance list. It starts empty; PUT /-/list replaces it.
 type list struct {
-	command
-	Addr address       `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7102" description:"Address to listen on"`
-	Lag  time.Duration `long:"lag" env:"PERSIMMONFAKE_LAG" default:"20s" description:"Delay of changes"`
+	flagtype.Command
+	Addr flagtype.Address `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7102" description:"Address to listen on"`
+	Lag  time.Duration    `long:"lag" env:"PERSIMMONFAKE_LAG" default:"20s" description:"Delay of changes"`
 }
 
 // run implements runner.
--- a/cmd/persimmonfake/internal/cmd/root.go
+++ b/cmd/persimmonfake/internal/cmd/root.go
@@ -94,25 +94,3 @@
 	_, _ = fmt.Fprintln(stderr, err)
 	return exitFailed
 }
-
-// A command implements flags.Commander; Run starts the command itself, because
-// it needs a context.
-type command struct{}
-
-// Execute implements flags.Commander.
-func (command) Execute([]string) error { return nil }
-
-// An address is a flag with an address and port.
-type address struct {
-	netip.AddrPort
-}
-
-// UnmarshalFlag implements flags.Unmarshaler.
-func (a *address) UnmarshalFlag(value string) error {
-	parsed, err := netip.ParseAddrPort(value)
-	if err != nil {
-		return errors.Wrapf(err, "parse %q", value)
-	}
-	a.AddrPort = parsed
-	return nil
-}
--- a/cmd/persimmonfake/internal/cmd/store.go
+++ b/cmd/persimmonfake/internal/cmd/store.go
@@ -4,17 +4,19 @@
 	"context"
 	"time"
 
+	"github.com/persimmoncart/persimmoncart/internal/flagtype"
+
 	"github.com/persimmoncart/persimmoncart/internal/objectapi"
 )
 
 // A store runs an object API.
 type store struct {
-	command
-	Addr    address       `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7100" description:"Address to listen on"`
-	Delay   time.Duration `long:"delay" env:"PERSIMMONFAKE_DELAY" default:"2ms" description:"Time of each call"`
-	History int           `long:"history" env:"PERSIMMONFAKE_HISTORY" default:"16384" description:"Changes that a watch can resume from"`
-	Reads   float64       `long:"reads" env:"PERSIMMONFAKE_READS" default:"2000" description:"Reads a second; zero is unlimited"`
-	Writes  float64       `long:"writes" env:"PERSIMMONFAKE_WRITES" default:"400" description:"Writes a second; zero is unlimited"`
+	flagtype.Command
+	Addr    flagtype.Address `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7100" description:"Address to listen on"`
+	Delay   time.Duration    `long:"delay" env:"PERSIMMONFAKE_DELAY" default:"2ms" description:"Time of each call"`
+	History int              `long:"history" env:"PERSIMMONFAKE_HISTORY" default:"16384" description:"Changes that a watch can resume from"`
+	Reads   float64          `long:"reads" env:"PERSIMMONFAKE_READS" default:"2000" description:"Reads a second; zero is unlimited"`
+	Writes  float64          `long:"writes" env:"PERSIMMONFAKE_WRITES" default:"400" description:"Writes a second; zero is unlimited"`
 }
 
 // run implements runner.
--- a/cmd/persimmonfake/internal/cmd/weights.go
+++ b/cmd/persimmonfake/internal/cmd/weights.go
@@ -3,14 +3,16 @@
 import (
 	"context"
 
+	"github.com/persimmoncart/persimmoncart/internal/flagtype"
+
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/weightstore"
 )
 
 // A weights runs a weight store.
 type weights struct {
-	command
-	Addr   address          `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7101" description:"Address to listen on"`
+	flagtype.Command
+	Addr   flagtype.Address `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7101" description:"Address to listen on"`
 	Calls  float64          `long:"calls" env:"PERSIMMONFAKE_CALLS" default:"10" description:"Calls a second; zero is unlimited"`
 	Models map[string]int64 `long:"model" env:"PERSIMMONFAKE_MODELS" env-delim:"," required:"true" description:"Model and the size of its weights in bytes, as name:bytes; may be repeated"`
 	Rate   float64          `long:"rate" env:"PERSIMMONFAKE_RATE" default:"2e9" description:"Rate of one fetch, bytes a second"`
--- a/cmd/persimmonload/internal/cmd/configure.go
+++ b/cmd/persimmonload/internal/cmd/configure.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 
+	"github.com/persimmoncart/persimmoncart/internal/flagtype"
+
 	"github.com/go-faster/errors"
 
 	"github.com/persimmoncart/persimmoncart"
@@ -20,11 +22,11 @@
 
 // A configure writes the configuration that a mix needs to the store.
 type configure struct {
-	command
-	Key   string  `long:"key" env:"PERSIMMONLOAD_KEY" required:"true" description:"API key of the account"`
-	List  address `long:"list" env:"PERSIMMONLOAD_LIST" default:"127.0.0.1:7102" description:"Instance list with the deployment's endpoints"`
-	Mix   string  `long:"mix" env:"PERSIMMONLOAD_MIX" default:"dar-jaouz" choice:"dar-jaouz" choice:"peachthread" description:"Deployment"`
-	Store address `long:"store" env:"PERSIMMONLOAD_STORE" default:"127.0.0.1:7100" description:"Store"`
+	flagtype.Command
+	Key   string           `long:"key" env:"PERSIMMONLOAD_KEY" required:"true" description:"API key of the account"`
+	List  flagtype.Address `long:"list" env:"PERSIMMONLOAD_LIST" default:"127.0.0.1:7102" description:"Instance list with the deployment's endpoints"`
+	Mix   string           `long:"mix" env:"PERSIMMONLOAD_MIX" default:"dar-jaouz" choice:"dar-jaouz" choice:"peachthread" description:"Deployment"`
+	Store flagtype.Address `long:"store" env:"PERSIMMONLOAD_STORE" default:"127.0.0.1:7100" description:"Store"`
 }
 
 // run implements runner.
--- a/cmd/persimmonload/internal/cmd/demo.go
+++ b/cmd/persimmonload/internal/cmd/demo.go
@@ -6,6 +6,8 @@
 	"io"
 	"time"
 
+	"github.com/persimmoncart/persimmoncart/internal/flagtype"
+
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -19,7 +21,7 @@
 
 // A demo runs both deployments in one process.
 type demo struct {
-	command
+	flagtype.Command
 	Drill    bool          `long:"drill" env:"DEMO_DRILL" description:"Let engines, applications and the store fail during the run"`
 	Duration time.Duration `long:"duration" env:"DEMO_DURATION" default:"10s" description:"Time of arrivals"`
 	JSON     bool          `long:"json" env:"DEMO_JSON" description:"Print one JSON object in place of tables"`
--- a/cmd/persimmonload/internal/cmd/root.go
+++ b/cmd/persimmonload/internal/cmd/root.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/netip"
 
 	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
@@ -67,25 +66,3 @@
 func writeJSON(w io.Writer, v any) error {
 	return json.NewEncoder(w).Encode(v)
 }
-
-// A command implements flags.Commander; Run starts the command itself, because
-// it needs a context.
-type command struct{}
-
-// Execute implements flags.Commander.
-func (command) Execute([]string) error { return nil }
-
-// An address is a flag with an address and port.
-type address struct {
-	netip.AddrPort
-}
-
-// UnmarshalFlag implements flags.Unmarshaler.
-func (a *address) UnmarshalFlag(value string) error {
-	parsed, err := netip.ParseAddrPort(value)
-	if err != nil {
-		return errors.Wrapf(err, "parse %q", value)
-	}
-	a.AddrPort = parsed
-	return nil
-}
--- a/cmd/persimmonload/internal/cmd/run.go
+++ b/cmd/persimmonload/internal/cmd/run.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"time"
 
+	"github.com/persimmoncart/persimmoncart/internal/flagtype"
+
 	"github.com/go-faster/errors"
 
 	"github.com/persimmoncart/persimmoncart/internal/application"
@@ -26,24 +28,24 @@
 
 // A run sends load to entry instances.
 type run struct {
-	command
-	Addrs    []address     `long:"addr" env:"PERSIMMONLOAD_ADDRS" env-delim:"," required:"true" description:"Entry instance; may be repeated"`
-	Apps     []address     `long:"application" env:"PERSIMMONLOAD_APPLICATIONS" env-delim:"," description:"Application fake whose records are compared with the answers; one of each pool; may be repeated"`
-	CA       string        `long:"ca" env:"PERSIMMONLOAD_CA" description:"PEM file of the CA of the instances' certificates; selects HTTPS"`
-	Curve    string        `long:"curve" env:"PERSIMMONLOAD_CURVE" default:"constant" choice:"constant" choice:"crest" choice:"sheet" description:"Curve of arrivals"`
-	Duration time.Duration `long:"duration" env:"PERSIMMONLOAD_DURATION" default:"30s" description:"Time of arrivals"`
-	Engines  []address     `long:"engine" env:"PERSIMMONLOAD_ENGINES" env-delim:"," description:"Engine fake whose counters give the wasted prefill; may be repeated"`
-	First    time.Duration `long:"first" env:"PERSIMMONLOAD_FIRST" default:"1600ms" description:"Target to the first token"`
-	Gap      time.Duration `long:"gap" env:"PERSIMMONLOAD_GAP" default:"60ms" description:"Target between tokens"`
-	JSON     bool          `long:"json" env:"PERSIMMONLOAD_JSON" description:"Print one JSON object in place of the table"`
-	Key      string        `long:"key" env:"PERSIMMONLOAD_KEY" required:"true" description:"API key of the account"`
-	Mix      string        `long:"mix" env:"PERSIMMONLOAD_MIX" default:"dar-jaouz" choice:"dar-jaouz" choice:"peachthread" description:"Mix of requests"`
-	Plot     string        `long:"plot" env:"PERSIMMONLOAD_PLOT" description:"File ending in .png or .svg to name the plots after"`
-	Rate     float64       `long:"rate" env:"PERSIMMONLOAD_RATE" default:"20" description:"Requests a second; with a sheet, the factor on its rates"`
-	Run      string        `long:"run" env:"PERSIMMONLOAD_RUN" description:"Start of the idempotency keys; the default is the start time"`
-	Seed     uint64        `long:"seed" env:"PERSIMMONLOAD_SEED" default:"1" description:"Seed of the arrivals and requests"`
-	Sheet    string        `long:"sheet" env:"PERSIMMONLOAD_SHEET" description:"Planners' sheet (CSV) for the curve"`
-	Speed    float64       `long:"speed" env:"PERSIMMONLOAD_SPEED" default:"60" description:"Seconds of the sheet in one second of the run"`
+	flagtype.Command
+	Addrs    []flagtype.Address `long:"addr" env:"PERSIMMONLOAD_ADDRS" env-delim:"," required:"true" description:"Entry instance; may be repeated"`
+	Apps     []flagtype.Address `long:"application" env:"PERSIMMONLOAD_APPLICATIONS" env-delim:"," description:"Application fake whose records are compared with the answers; one of each pool; may be repeated"`
+	CA       string             `long:"ca" env:"PERSIMMONLOAD_CA" description:"PEM file of the CA of the instances' certificates; selects HTTPS"`
+	Curve    string             `long:"curve" env:"PERSIMMONLOAD_CURVE" default:"constant" choice:"constant" choice:"crest" choice:"sheet" description:"Curve of arrivals"`
+	Duration time.Duration      `long:"duration" env:"PERSIMMONLOAD_DURATION" default:"30s" description:"Time of arrivals"`
+	Engines  []flagtype.Address `long:"engine" env:"PERSIMMONLOAD_ENGINES" env-delim:"," description:"Engine fake whose counters give the wasted prefill; may be repeated"`
+	First    time.Duration      `long:"first" env:"PERSIMMONLOAD_FIRST" default:"1600ms" description:"Target to the first token"`
+	Gap      time.Duration      `long:"gap" env:"PERSIMMONLOAD_GAP" default:"60ms" description:"Target between tokens"`
+	JSON     bool               `long:"json" env:"PERSIMMONLOAD_JSON" description:"Print one JSON object in place of the table"`
+	Key      string             `long:"key" env:"PERSIMMONLOAD_KEY" required:"true" description:"API key of the account"`
+	Mix      string             `long:"mix" env:"PERSIMMONLOAD_MIX" default:"dar-jaouz" choice:"dar-jaouz" choice:"peachthread" description:"Mix of requests"`
+	Plot     string             `long:"plot" env:"PERSIMMONLOAD_PLOT" description:"File ending in .png or .svg to name the plots after"`
+	Rate     float64            `long:"rate" env:"PERSIMMONLOAD_RATE" default:"20" description:"Requests a second; with a sheet, the factor on its rates"`
+	Run      string             `long:"run" env:"PERSIMMONLOAD_RUN" description:"Start of the idempotency keys; the default is the start time"`
+	Seed     uint64             `long:"seed" env:"PERSIMMONLOAD_SEED" default:"1" description:"Seed of the arrivals and requests"`
+	Sheet    string             `long:"sheet" env:"PERSIMMONLOAD_SHEET" description:"Planners' sheet (CSV) for the curve"`
+	Speed    float64            `long:"speed" env:"PERSIMMONLOAD_SPEED" default:"60" description:"Seconds of the sheet in one second of the run"`
 }
 
 // run implements runner.
@@ -151,9 +153,9 @@
 
 // A fakes reads the counters and records of fakes over HTTP.
 type fakes struct {
-	applications []address
+	applications []flagtype.Address
 	client       *http.Client
-	engines      []address
+	engines      []flagtype.Address
 }
 
 // compare checks the report against the fakes' records and counters.
--- a/internal/instancelist/client.go
+++ b/internal/instancelist/client.go
@@ -31,26 +31,9 @@
 // List implements persimmoncart.InstanceList. All errors are *UnavailableError:
 // the call has no effect.
 func (c *Client) List(ctx context.Context) ([]persimmoncart.Listed, error) {
-	unavailable := func(err error) error { return &persimmoncart.UnavailableError{Err: err, Op: "list instances"} }
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, transport.URL(c.Addr, c.Secure)+listPath, nil)
-	if err != nil {
-		return nil, unavailable(err)
-	}
-	r, err := c.HTTP.Do(q)
-	if err != nil {
-		return nil, unavailable(err)
-	}
-	defer func() { _ = r.Body.Close() }()
-	if r.StatusCode != http.StatusOK {
-		p, err := transport.ReadProblem(r)
-		if err != nil {
-			return nil, unavailable(err)
-		}
-		return nil, unavailable(p)
-	}
 	var answer wireList
-	if err := transport.ReadJSON(r.Body, maxAnswerBytes, &answer); err != nil {
-		return nil, unavailable(err)
+	if err := transport.Get(ctx, c.HTTP, transport.URL(c.Addr, c.Secure)+listPath, maxAnswerBytes, &answer); err != nil {
+		return nil, &persimmoncart.UnavailableError{Err: err, Op: "list instances"}
 	}
 	return answer.listed(), nil
 }
--- a/internal/weightstore/client.go
+++ b/internal/weightstore/client.go
@@ -10,6 +10,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/transport"
 )
@@ -43,25 +45,15 @@
 // Models implements persimmoncart.WeightStore. All errors are *UnavailableError:
 // the call has no effect.
 func (c *Client) Models(ctx context.Context) (map[persimmoncart.ModelName]persimmoncart.Weights, error) {
-	unavailable := func(err error) error { return &persimmoncart.UnavailableError{Err: err, Op: "models"} }
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, transport.URL(c.Addr, c.Secure)+modelsPath, nil)
-	if err != nil {
-		return nil, unavailable(err)
-	}
-	r, err := c.HTTP.Do(q)
-	if err != nil {
-		return nil, unavailable(err)
-	}
-	defer func() { _ = r.Body.Close() }()
-	if r.StatusCode != http.StatusOK {
-		p, err := transport.ReadProblem(r)
-		if err != nil {
-			return nil, unavailable(err)
+	unavailable := func(err error) error {
+		u := &persimmoncart.UnavailableError{Err: err, Op: "models"}
+		if p := (*transport.Problem)(nil); errors.As(err, &p) {
+			u.Retry = time.Duration(p.Retry)
 		}
-		return nil, &persimmoncart.UnavailableError{Err: p, Op: "models", Retry: time.Duration(p.Retry)}
+		return u
 	}
 	var answer wireModels
-	if err := transport.ReadJSON(r.Body, maxAnswerBytes, &answer); err != nil {
+	if err := transport.Get(ctx, c.HTTP, transport.URL(c.Addr, c.Secure)+modelsPath, maxAnswerBytes, &answer); err != nil {
 		return nil, unavailable(err)
 	}
 	models := make(map[persimmoncart.ModelName]persimmoncart.Weights, len(answer.Models))
