pipe: one in-memory listener, and explore.Ready for its three loops

Cause: the entry tests and the fault harness had the same in-memory listener, three tests the same loop over processes.

--- a/internal/claim/explore_test.go
+++ b/internal/claim/explore_test.go
@@ -102,12 +102,7 @@
 // retention and crashes.
 func (s *schedule) drive(t *testing.T, processes []*explore.Process) {
 	for {
-		var ready []*explore.Process
-		for _, p := range processes {
-			if !p.Done() {
-				ready = append(ready, p)
-			}
-		}
+		ready := explore.Ready(processes)
 		if len(ready) == 0 {
 			return
 		}
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -26,6 +26,7 @@
 	"github.com/persimmoncart/persimmoncart/internal/instancelist"
 	"github.com/persimmoncart/persimmoncart/internal/metrics"
 	"github.com/persimmoncart/persimmoncart/internal/objectapi"
+	"github.com/persimmoncart/persimmoncart/internal/pipe"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
@@ -45,7 +46,7 @@
 
 // A network connects addresses in memory.
 type network struct {
-	listeners map[string]*listener
+	listeners map[string]*pipe.Listener
 	mutex     sync.Mutex
 	servers   []*http.Server
 }
@@ -56,16 +57,16 @@
 	l := n.listeners[address]
 	n.mutex.Unlock()
 	if l != nil {
-		return l.dial(ctx, "", "")
+		return l.Dial(ctx, "", "")
 	}
 	return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 }
 
 // listen returns the listener at addr.
-func (n *network) listen(addr netip.AddrPort) *listener {
+func (n *network) listen(addr netip.AddrPort) *pipe.Listener {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	l := newListener()
+	l := pipe.NewListener()
 	n.listeners[addr.String()] = l
 	return l
 }
@@ -88,7 +89,7 @@
 func newFleetOf(t *testing.T, count int) *fleet {
 	t.Helper()
 	clock := &timer.System{}
-	n := &network{listeners: make(map[string]*listener)}
+	n := &network{listeners: make(map[string]*pipe.Listener)}
 	f := &fleet{records: &application.Records{}}
 	f.store = &objectapi.Faulty{Store: &objectapi.Memory{Timer: clock}, Timer: clock}
 	snapshot := &persimmoncart.Snapshot{
@@ -154,7 +155,7 @@
 			Configuration: configuration,
 			Engines:       &engine.Clients{HTTP: client},
 			Grace:         time.Second,
-			Listener:      newListener(),
+			Listener:      pipe.NewListener(),
 			Logger:        zerolog.Nop(),
 			Metrics:       metrics.New(),
 			PeerListener:  n.listen(self.Addr),
@@ -164,7 +165,7 @@
 		}
 		peers.Join(i)
 		r := &running{
-			client: &http.Client{Transport: &http.Transport{DialContext: i.Listener.(*listener).dial}},
+			client: &http.Client{Transport: &http.Transport{DialContext: i.Listener.(*pipe.Listener).Dial}},
 			done:   make(chan error, 1),
 		}
 		var ctx context.Context
--- a/internal/entry/instance_test.go
+++ b/internal/entry/instance_test.go
@@ -5,10 +5,8 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,44 +17,6 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// A listener accepts connections in memory, so that tests run in virtual time.
-type listener struct {
-	closed      chan struct{}
-	connections chan net.Conn
-	once        sync.Once
-}
-
-func newListener() *listener {
-	return &listener{closed: make(chan struct{}), connections: make(chan net.Conn)}
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.connections:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *listener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1} }
-
-func (l *listener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-// dial connects to the listener.
-func (l *listener) dial(context.Context, string, string) (net.Conn, error) {
-	client, server := net.Pipe()
-	select {
-	case l.connections <- server:
-		return client, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
 // draft asks for a stream of 100 tokens, which takes about two seconds.
 const draft = `{"model":"hull-llm","prompt":"p","max_tokens":100,"stream":true}`
 
--- a/internal/explore/explorer.go
+++ b/internal/explore/explorer.go
@@ -110,3 +110,14 @@
 	p.stop()
 	p.done = true
 }
+
+// Ready returns the processes that have not ended.
+func Ready(processes []*Process) []*Process {
+	var ready []*Process
+	for _, p := range processes {
+		if !p.Done() {
+			ready = append(ready, p)
+		}
+	}
+	return ready
+}
--- a/internal/explore/explorer_test.go
+++ b/internal/explore/explorer_test.go
@@ -46,12 +46,7 @@
 		}
 		processes := []*explore.Process{explore.NewProcess(body("a")), explore.NewProcess(body("b"))}
 		for {
-			var ready []*explore.Process
-			for _, p := range processes {
-				if !p.Done() {
-					ready = append(ready, p)
-				}
-			}
+			ready := explore.Ready(processes)
 			if len(ready) == 0 {
 				break
 			}
--- a/internal/faults/call.go
+++ b/internal/faults/call.go
@@ -17,6 +17,7 @@
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/application"
 	"github.com/persimmoncart/persimmoncart/internal/engine"
+	"github.com/persimmoncart/persimmoncart/internal/pipe"
 )
 
 // releaseTime is the time in which the memory of a caller that left is released.
@@ -161,7 +162,7 @@
 		}
 		var response *http.Response
 		response, err = n.client.Do(c.httpRequest(ctx))
-		if refused := errors.Is(err, errNotAccepted); refused {
+		if refused := errors.Is(err, pipe.ErrRefused); refused {
 			continue
 		}
 		c.world.set(func() { c.node = n })
--- a/internal/faults/node.go
+++ b/internal/faults/node.go
@@ -19,6 +19,7 @@
 	"github.com/persimmoncart/persimmoncart/internal/lease"
 	"github.com/persimmoncart/persimmoncart/internal/objectapi"
 	"github.com/persimmoncart/persimmoncart/internal/order"
+	"github.com/persimmoncart/persimmoncart/internal/pipe"
 	"github.com/persimmoncart/persimmoncart/internal/places"
 	"github.com/persimmoncart/persimmoncart/internal/sweep"
 )
@@ -32,7 +33,7 @@
 	distributor *config.Distributor
 	done        chan struct{} // closed when Run has returned
 	gate        *gate
-	listener    *listener
+	listener    *pipe.Listener
 	members     *members
 	places      *places.Places
 	self        persimmoncart.Instance
@@ -51,7 +52,7 @@
 	n := &node{
 		done:     make(chan struct{}),
 		gate:     &gate{},
-		listener: newListener(),
+		listener: pipe.NewListener(),
 		self: persimmoncart.Instance{
 			Addr:        netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(number), 1}), 1),
 			DataCentre:  place.centre,
@@ -64,7 +65,7 @@
 	n.timer = &gatedTimer{Timer: w.timer, gate: n.gate}
 	n.members = &members{node: n}
 	n.store = &objectapi.Faulty{Decide: n.storeFault, Store: w.store, Timer: w.timer}
-	n.client = &http.Client{Transport: &http.Transport{DialContext: n.listener.dial, DisableKeepAlives: true}}
+	n.client = &http.Client{Transport: &http.Transport{DialContext: n.listener.Dial, DisableKeepAlives: true}}
 	return n
 }
 
@@ -137,7 +138,7 @@
 	}
 	n.crashed.Store(true)
 	n.gate.kill()
-	n.listener.cut()
+	n.listener.Cut()
 	n.cancel()
 }
 
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -239,12 +239,7 @@
 // drive steps the processes in every order and pauses up to pauses times.
 func (w *world) drive(e *explore.Explorer, processes []*explore.Process, pauses int, pause time.Duration) {
 	for {
-		var ready []*explore.Process
-		for _, p := range processes {
-			if !p.Done() {
-				ready = append(ready, p)
-			}
-		}
+		ready := explore.Ready(processes)
 		if len(ready) == 0 {
 			return
 		}
--- /dev/null
+++ b/internal/pipe/listener.go
@@ -0,0 +1,76 @@
+// Package pipe connects clients and servers of one process in memory, so that
+// they run in virtual time.
+package pipe
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrRefused is the error of a connection that nobody accepts: nothing was sent.
+var ErrRefused = errors.New("connection refused")
+
+var _ net.Listener = (*Listener)(nil)
+
+// A Listener accepts connections in memory.
+type Listener struct {
+	closed      chan struct{}
+	connections chan net.Conn
+	mutex       sync.Mutex
+	once        sync.Once
+	open        []net.Conn
+}
+
+// NewListener returns an open Listener.
+func NewListener() *Listener {
+	return &Listener{closed: make(chan struct{}), connections: make(chan net.Conn)}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.connections:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Addr implements net.Listener; all listeners have the same address.
+func (*Listener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1} }
+
+// Close implements net.Listener. Connections stay open.
+func (l *Listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Cut closes the listener and all of its connections, as a crash does.
+func (l *Listener) Cut() {
+	_ = l.Close() // it never fails
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, c := range l.open {
+		_ = c.Close() // the client sees the end of the connection in any case
+	}
+}
+
+// Dial connects to the listener. It returns ErrRefused if the listener is
+// closed, and ctx's error if nobody accepts before ctx is done.
+func (l *Listener) Dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	client, server := net.Pipe()
+	select {
+	case l.connections <- server:
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		l.open = append(l.open, server)
+		return client, nil
+	case <-l.closed:
+		return nil, ErrRefused
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
