entry: count the wait for ownership from the start of the instance

Cause: the wait of 10 s began with the first question for readiness, so that an instance whose load balancer asked late was not ready 19 s after its start, seen in a run of two processes.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -122,7 +122,7 @@
 			Transport:     transport,
 		},
 	}
-	j.Ready = (&readiness{Configured: j.Ready, Owns: c.owns, Timer: j.Timer}).Ready
+	j.Ready = (&readiness{Configured: j.Ready, Owns: c.owns, Since: j.Timer.Now(), Timer: j.Timer}).Ready
 	ledger.Lenders = &load.Lenders{Exchange: c.exchange, Governor: governor, Timer: j.Timer, Transport: transport}
 	sweeper := &sweep.Sweep{
 		Engines: j.Engines,
--- a/internal/entry/ready.go
+++ b/internal/entry/ready.go
@@ -17,11 +17,11 @@
 type readiness struct {
 	Configured func() bool // nil if the configuration is there from the start
 	Owns       func() bool
+	Since      time.Time // start of the instance
 	Timer      persimmoncart.Timer
 
-	mutex   sync.Mutex
-	owned   bool      // at some time; a later loss does not end readiness
-	waiting time.Time // since when the configuration is there
+	mutex sync.Mutex
+	owned bool // at some time; a later loss does not end readiness
 }
 
 // Ready reports whether the load balancer should send callers here.
@@ -31,10 +31,6 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	now := r.Timer.Now()
-	if r.waiting.IsZero() {
-		r.waiting = now
-	}
-	r.owned = r.owned || r.Owns() || now.Sub(r.waiting) >= ownerWait
-	return r.owned
+	r.owned = r.owned || r.Owns()
+	return r.owned || r.Timer.Now().Sub(r.Since) >= ownerWait
 }
