faults: replace every node under load

Cause: single planned stops were checked, a rolling replacement was not. Change: a plan replaces one node after the other while requests arrive; no request may be cut and some node has to accept each.

--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -155,6 +155,28 @@
 	}
 }
 
+// Guards against a rolling replacement that cuts a request, loses one, or leaves
+// memory held: every node is replaced while requests arrive.
+func TestRollingReplacement(t *testing.T) {
+	for seed := range uint64(10) {
+		p := rollingPlan(seed)
+		synctest.Test(t, func(t *testing.T) {
+			w, calls := p.play(t.Context(), "")
+			for _, v := range w.violated {
+				t.Errorf("%s\n%s", v, p)
+			}
+			for _, c := range calls {
+				n, outcome, _ := c.finished()
+				if n == nil {
+					t.Errorf("seed %d: no node accepted request %d", seed, c.request.Number)
+				} else if outcome == persimmoncart.OutcomeUnknown && c.request.Kind != kindBooking {
+					t.Errorf("seed %d: request %d was cut", seed, c.request.Number)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a schedule that refuses everything and so proves nothing.
 func TestMostIsAnswered(t *testing.T) {
 	answered, all := 0, 0
--- a/internal/faults/inject.go
+++ b/internal/faults/inject.go
@@ -175,3 +175,14 @@
 		w.observe(n, persimmoncart.MemberDead)
 	}()
 }
+
+// replace stops the node of a site as planned and starts its successor once it
+// has stopped.
+func (w *world) replace(site int) {
+	n := w.at(site)
+	w.planned(site)
+	go func() {
+		<-n.done
+		w.start(site, n.self.Incarnation+1)
+	}()
+}
--- a/internal/faults/plan.go
+++ b/internal/faults/plan.go
@@ -15,9 +15,13 @@
 	// pauseTime is longer than the term of a lease and than the window of a claim.
 	pauseTime = 20 * time.Second
 
+	// rollPeriod is the time between two replacements of a rolling one.
+	rollPeriod = 4 * time.Second
+
 	draftDeadline = 25 * time.Second
 	lateCount     = 6
 	requestCount  = 9
+	rollCount     = 24
 )
 
 // Kinds of requests.
@@ -37,6 +41,7 @@
 	Events   []event
 	Faults   []Fault
 	Requests []request
+	Rolling  bool // every node is replaced, one after the other
 	Seed     uint64
 	Stop     time.Duration // a planned stop of one node; zero for none
 	StopSite int
@@ -83,6 +88,18 @@
 	return p
 }
 
+// rollingPlan returns a plan without faults in which every node is replaced
+// while requests arrive.
+func rollingPlan(seed uint64) *plan {
+	p := newPlan(seed, nil)
+	p.Rolling, p.Stop = true, 0
+	r := rand.New(rand.NewPCG(seed, 3))
+	for n := range rollCount {
+		p.addRequest(r, requestCount+lateCount+n, loadStart+span(r, 0, time.Duration(len(sites))*rollPeriod))
+	}
+	return p
+}
+
 // addFault plans one fault.
 func (p *plan) addFault(r *rand.Rand, f Fault) {
 	if f == CallerCancels {
@@ -131,6 +148,9 @@
 	for _, e := range p.Events {
 		calm = max(calm, e.At+e.For)
 	}
+	if p.Rolling {
+		calm += time.Duration(len(sites)) * rollPeriod
+	}
 	return calm
 }
 
--- a/internal/faults/schedule.go
+++ b/internal/faults/schedule.go
@@ -83,6 +83,11 @@
 	if p.Stop > 0 {
 		at(p.Stop, func() { w.planned(p.StopSite) })
 	}
+	for site := range sites {
+		if p.Rolling {
+			at(loadStart+time.Duration(site)*rollPeriod, func() { w.replace(site) })
+		}
+	}
 	at(loadStart+500*time.Millisecond, func() { w.operator.drain(ctx, p) })
 	for i, d := range []time.Duration{time.Second, 3 * time.Second, 5 * time.Second} {
 		rate := float64(1001 + i)
