entry: answer requests on connections accepted just before the stop

Cause: http.Server.Shutdown closes a connection without an answer when it reads the first request after it began. Change: the listener is closed first; the instance then waits until the first request of every accepted connection has been read, at most as long as a caller may take for its header, and only then shuts down.

--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -120,6 +120,8 @@
 
 // An assembly is a running Instance.
 type assembly struct {
+	accepted chan struct{}   // closed when no more callers' connections are accepted
+	arriving *newConnections // of callers
 	admin    *http.Server
 	bus      *control.Bus
 	callers  *http.Server
@@ -136,7 +138,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "control events")
 	}
-	a := &assembly{bus: bus, instance: i}
+	a := &assembly{accepted: make(chan struct{}), arriving: &newConnections{Timer: i.Timer}, bus: bus, instance: i}
 	a.loop = &control.Loop{Bus: a.bus, Logger: i.Logger}
 	a.router = &route.Router{
 		Applications: i.Applications,
@@ -162,6 +164,7 @@
 		Timer:         i.Timer,
 	}
 	a.callers = a.server(handler.Routes())
+	a.callers.ConnState = a.arriving.Changed
 	a.admin = a.server(adminRoutes(i, handler.Routes()))
 	a.peers = a.peerServer()
 	services := append([]control.Service{
--- a/internal/entry/instance_test.go
+++ b/internal/entry/instance_test.go
@@ -78,6 +78,28 @@
 	})
 }
 
+// Guards against a request that is dropped without an answer because its
+// connection was accepted just before the listener closed and read after that.
+func TestInstanceStopAnswersNewConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		connection, err := f.client.Transport.(*http.Transport).DialContext(t.Context(), "", "")
+		assert.NilError(t, err)
+		f.cancel()
+		time.Sleep(2 * time.Second) // longer than the wait for the load balancer
+		request := "POST /v1/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer key\r\nContent-Length: %d\r\n\r\n%s"
+		_, err = fmt.Fprintf(connection, request, len(draft), draft)
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, strings.Count(read(t, response), `"index":0`), 100)
+		connection.Close()
+		assert.NilError(t, <-f.done)
+		f.done <- nil
+		assert.NilError(t, f.stop())
+	})
+}
+
 // Guards against memory that stays held when a caller disconnects.
 func TestInstanceCallerDisconnects(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -47,6 +47,9 @@
 	}
 	ctx := context.Background()
 	_ = i.Timer.Sleep(ctx, i.Grace) // the context never ends
+	_ = i.Listener.Close()          // nothing is lost: its connections stay open
+	<-a.accepted
+	a.arriving.Wait(ctx)
 	a.shutdown(ctx, a.callers, "callers")
 	a.router.Wait()
 	a.publish(control.PhaseChanged{Phase: control.PhaseStopped})
@@ -94,19 +97,21 @@
 // listen starts the servers. The channel gets the error of the first that fails.
 func (a *assembly) listen() <-chan error {
 	failed := make(chan error, 3)
-	serve := func(s *http.Server, l net.Listener, name string) {
+	serve := func(s *http.Server, l net.Listener, name string, ended func()) {
 		if l == nil {
+			ended()
 			return
 		}
 		go func() {
+			defer ended()
 			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 				failed <- errors.Wrapf(err, "serve %s", name)
 			}
 		}()
 	}
-	serve(a.callers, a.instance.Listener, "callers")
-	serve(a.admin, a.instance.AdminListener, "admin")
-	serve(a.peers, a.instance.PeerListener, "peers")
+	serve(a.callers, a.instance.Listener, "callers", func() { close(a.accepted) })
+	serve(a.admin, a.instance.AdminListener, "admin", func() {})
+	serve(a.peers, a.instance.PeerListener, "peers", func() {})
 	return failed
 }
 
