lease: test random histories against a naive model

Cause: claims had a property test against a model, leases only the exhaustive check of two instances. Change: random histories of three instances with lost and refused writes, releases and time.

--- /dev/null
+++ b/internal/lease/model_test.go
@@ -0,0 +1,58 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/lease"
+)
+
+// Guards against two holders at one time and a fencing token that does not grow,
+// over random histories of three instances with lost and refused writes, against
+// a naive model that only remembers until when the last holder counted on it.
+func TestAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		var keepers []*lease.Keeper
+		for i := range 3 {
+			v := &view{world: w}
+			v.choose = func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "fault") }
+			keepers = append(keepers, w.keeper(fmt.Sprintf("entry-%d", i), v))
+		}
+		held := make([]persimmoncart.Lease, len(keepers))
+		holder, fence := -1, uint64(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"acquire": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(keepers)-1).Draw(t, "instance")
+				got, err := keepers[i].Acquire(t.Context(), "plan")
+				if err != nil {
+					return
+				}
+				if holder != i && holder >= 0 {
+					assert.Assert(t, !w.timer.Now().Before(held[holder].Expires), "entry-%d still holds", holder)
+					assert.Assert(t, got.Fence > fence)
+				}
+				assert.Assert(t, got.Fence >= fence)
+				held[i], holder, fence = got, i, got.Fence
+			},
+			"fault": func(*rapid.T) { w.faults = 1 },
+			"pass": func(t *rapid.T) {
+				w.timer.Advance(time.Duration(rapid.IntRange(1, 12).Draw(t, "seconds")) * time.Second)
+			},
+			"release": func(t *rapid.T) {
+				if holder < 0 {
+					t.Skip("nobody holds")
+				}
+				// The holder stops counting on the lease before it releases it.
+				released := held[holder]
+				held[holder].Expires = w.timer.Now()
+				_ = keepers[holder].Release(t.Context(), released)
+			},
+		})
+	})
+}
