faults, explore: drop what nothing uses and correct three comments

Cause: reading the whole change again: faults.Run and plan.observe wrapped plan.play and were unused or used once, the explorer's limit was never set, and comments named a Replay that does not exist and operators that a race lacks. Change: play is called directly; the limit is gone; the comments say what the code does. Result: behaviour unchanged; the tests of faults, explore, claim and lease pass with the same assertions.

--- a/internal/claim/bucket.go
+++ b/internal/claim/bucket.go
@@ -19,8 +19,7 @@
 // newBucket returns the bucket with the given head and the sealed objects that
 // are already known.
 func newBucket(head *claimv1.Head, version persimmoncart.Version, sealed map[string]map[persimmoncart.ClaimKey]*claimv1.Record) *bucket {
-	b := &bucket{head: head, index: indexRecords(head.GetRecords()), sealed: sealed, version: version}
-	return b
+	return &bucket{head: head, index: indexRecords(head.GetRecords()), sealed: sealed, version: version}
 }
 
 // indexRecords returns the records by key.
--- a/internal/explore/explorer.go
+++ b/internal/explore/explorer.go
@@ -10,8 +10,6 @@
 
 // An Explorer enumerates sequences of choices depth first.
 type Explorer struct {
-	Limit int // highest number of runs; zero sets no limit
-
 	path     []choice
 	position int
 	runs     int
@@ -28,7 +26,7 @@
 	return c.taken
 }
 
-// Path returns the choices of the current run; Replay takes it.
+// Path returns the choices of the current run.
 func (e *Explorer) Path() []int {
 	path := make([]int, 0, e.position)
 	for _, c := range e.path[:e.position] {
@@ -37,14 +35,10 @@
 	return path
 }
 
-// Run calls program once for each sequence of choices until it returns false
-// or the limit is reached. It returns the number of runs, and whether all
-// sequences were taken.
+// Run calls program once for each sequence of choices until it returns false. It
+// returns the number of runs, and whether all sequences were taken.
 func (e *Explorer) Run(program func() bool) (runs int, complete bool) {
 	for {
-		if e.Limit > 0 && e.runs == e.Limit {
-			return e.runs, false
-		}
 		e.position = 0
 		e.runs++
 		if !program() {
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -183,7 +183,7 @@
 	for seed := range uint64(5) {
 		p := newPlan(seed, nil)
 		synctest.Test(t, func(t *testing.T) {
-			calls := p.observe(t.Context())
+			_, calls := p.play(t.Context(), "")
 			for _, c := range calls {
 				all++
 				if _, outcome, _ := c.finished(); outcome == persimmoncart.OutcomeAnswered {
--- a/internal/faults/operator.go
+++ b/internal/faults/operator.go
@@ -117,8 +117,7 @@
 	return p.application.Addr
 }
 
-// race lets two operators change the same account and two others different
-// endpoints at once.
+// race lets three operators change the same account at once.
 func (w *world) race(e event) {
 	for i := range 3 {
 		id := fmt.Sprintf("race-%d-%d-%d", e.Pick, e.At, i)
--- a/internal/faults/schedule.go
+++ b/internal/faults/schedule.go
@@ -30,25 +30,14 @@
 	settleTime = draftDeadline + sweepTime
 )
 
-// Run runs the schedule of a seed under the faults, with the guard behind
-// broken switched off unless it is empty. It returns what did not hold.
-func Run(ctx context.Context, seed uint64, faults []Fault, broken Promise) []Violation {
-	return newPlan(seed, faults).run(ctx, broken)
-}
-
 // run runs the plan and returns what did not hold.
 func (p *plan) run(ctx context.Context, broken Promise) []Violation {
 	w, _ := p.play(ctx, broken)
 	return w.violated
 }
 
-// observe runs the plan without faults in the guards and returns the calls.
-func (p *plan) observe(ctx context.Context) []*call {
-	_, calls := p.play(ctx, "")
-	return calls
-}
-
-// play runs the plan to its end.
+// play runs the plan to its end, with the guard behind broken switched off unless
+// it is empty, and returns the world and the calls.
 func (p *plan) play(ctx context.Context, broken Promise) (*world, []*call) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
