platform: serve the users' platform through an adapter

Cause: nothing of the product ran on the users' platform: it speaks an object service, headers and prefill handles of its own.

--- a/cmd/persimmoncart/internal/cmd/main.go
+++ b/cmd/persimmoncart/internal/cmd/main.go
@@ -32,6 +32,11 @@
 	if _, err := parser.AddGroup("settings", "", &s); err != nil {
 		return report(stderr, exitFailed, err)
 	}
+	var onPlatform PlatformSettings
+	if _, err := parser.AddCommand(platformCommand, "serve on the platform", "Serves on the platform, with its settings file.", &onPlatform); err != nil {
+		return report(stderr, exitFailed, err)
+	}
+	parser.SubcommandsOptional = true
 	rest, err := parser.ParseArgs(arguments)
 	if help := (*flags.Error)(nil); errors.As(err, &help) && help.Type == flags.ErrHelp {
 		_, _ = fmt.Fprintln(stdout, help.Message)
@@ -43,6 +48,9 @@
 	if len(rest) > 0 {
 		return report(stderr, exitSettings, errors.Errorf("unexpected argument %q", rest[0]))
 	}
+	if parser.Active != nil {
+		return mainPlatform(&s, &onPlatform, stdout, stderr)
+	}
 	checked, wrong := s.Checked()
 	for n := range wrong {
 		report(stderr, exitSettings, &wrong[n])
@@ -62,6 +70,24 @@
 	return exitOK
 }
 
+// mainPlatform runs the platform command and returns its exit code.
+func mainPlatform(s *Settings, onPlatform *PlatformSettings, stdout, stderr io.Writer) int {
+	loaded, err := onPlatform.load()
+	if err != nil {
+		return report(stderr, exitSettings, err)
+	}
+	if s.Check {
+		_, _ = fmt.Fprintln(stdout, "the settings are valid")
+		return exitOK
+	}
+	ctx, stop := untilSignal()
+	defer stop()
+	if err := runPlatform(ctx, loaded, stdout); err != nil {
+		return report(stderr, exitFailed, err)
+	}
+	return exitOK
+}
+
 // report writes an error and returns code.
 func report(w io.Writer, code int, err error) int {
 	_, _ = fmt.Fprintf(w, "persimmoncart: %v\n", err)
--- a/endpoint.go
+++ b/endpoint.go
@@ -27,6 +27,7 @@
 	Capabilities Capabilities
 	DataCentre   DataCentre
 	ID           EndpointID
+	Incarnation  Incarnation // of the process behind ID; zero if unknown
 	Leaving      bool
 	Models       []ModelName
 	Pool         PoolName
--- a/internal/caller/refusal.go
+++ b/internal/caller/refusal.go
@@ -88,7 +88,7 @@
 	if r.Code == persimmoncart.RefusalBodyTooLarge || r.Code == persimmoncart.RefusalBodyInvalid {
 		header.Set("Connection", "close") // what is left of the body is not read
 	}
-	e.writer.WriteHeader(status(r.Code))
+	e.writer.WriteHeader(Status(r.Code))
 	_, _ = e.writer.Write(body) // nobody is left to tell about a failure
 }
 
@@ -104,8 +104,8 @@
 	return (d + time.Duration(float64(d)*retrySpread*random())).Round(time.Millisecond)
 }
 
-// status returns the HTTP status that a refusal has towards callers.
-func status(code persimmoncart.RefusalCode) int {
+// Status returns the HTTP status that a refusal has towards callers.
+func Status(code persimmoncart.RefusalCode) int {
 	switch code {
 	case persimmoncart.RefusalAccountUnknown:
 		return http.StatusUnauthorized
--- /dev/null
+++ b/internal/forward/follow.go
@@ -0,0 +1,126 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+const (
+	// followPause is the mean pause before a failed call to the store is made
+	// again, and followPauseLimit what it doubles up to.
+	followPause      = 200 * time.Millisecond
+	followPauseLimit = time.Second
+)
+
+// A Follower keeps what this instance believes current with the store's objects
+// under a prefix: it lists them once and then watches, and lists again when the
+// store has dropped the history. Its fields are set before Run.
+type Follower struct {
+	Changed func(persimmoncart.WatchEvent)
+	Listed  func([]persimmoncart.Object)
+	Logger  zerolog.Logger
+	Prefix  string
+	Reached func(bool) // called when the store is lost or reached again; may be nil
+	Store   persimmoncart.Store
+	Timer   persimmoncart.Timer
+
+	failures int
+	lost     bool
+	version  persimmoncart.Version
+}
+
+// Run follows until ctx is done.
+func (f *Follower) Run(ctx context.Context) error {
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if !listed {
+			err = f.list(ctx)
+			listed = err == nil
+		} else {
+			err = f.watch(ctx)
+			compacted := &persimmoncart.HistoryError{}
+			listed = !errors.As(err, &compacted)
+		}
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		f.failed(err)
+		_ = f.Timer.Sleep(ctx, f.pause()) // the loop ends with ctx
+	}
+	return ctx.Err()
+}
+
+// failed notes that a call failed.
+func (f *Follower) failed(err error) {
+	f.failures++
+	if !f.lost {
+		f.Logger.Warn().Str("prefix", f.Prefix).Uint64("version", uint64(f.version)).Err(err).Msg("store lost")
+	}
+	f.report(true)
+}
+
+// list reads all objects.
+func (f *Follower) list(ctx context.Context) error {
+	objects, err := f.Store.List(ctx, f.Prefix)
+	if err != nil {
+		return errors.Wrapf(err, "list %s", f.Prefix)
+	}
+	for _, o := range objects {
+		f.version = max(f.version, o.Version)
+	}
+	f.Logger.Info().Str("prefix", f.Prefix).Int("objects", len(objects)).Uint64("version", uint64(f.version)).Msg("listed")
+	f.succeeded()
+	f.Listed(objects)
+	return nil
+}
+
+// pause returns the time until the next try. Instances that lost the store at
+// the same moment come back at different ones.
+func (f *Follower) pause() time.Duration {
+	base := min(followPause<<min(f.failures-1, 10), followPauseLimit)
+	return base/2 + rand.N(base)
+}
+
+// report tells whether the store is lost.
+func (f *Follower) report(lost bool) {
+	if f.lost != lost && f.Reached != nil {
+		f.Reached(!lost)
+	}
+	f.lost = lost
+}
+
+// succeeded notes that a call was answered.
+func (f *Follower) succeeded() {
+	if f.lost {
+		f.Logger.Info().Str("prefix", f.Prefix).Int("failures", f.failures).Msg("store reached")
+	}
+	f.failures = 0
+	f.report(false)
+}
+
+// watch takes changes until the watch breaks.
+func (f *Follower) watch(ctx context.Context) error {
+	w, err := f.Store.Watch(ctx, f.Prefix, f.version)
+	if err != nil {
+		return errors.Wrapf(err, "watch %s", f.Prefix)
+	}
+	defer func() { _ = w.Close() }() // nothing depends on it
+	for {
+		e, err := w.Next(ctx)
+		if err != nil {
+			return errors.Wrapf(err, "watch %s", f.Prefix)
+		}
+		f.succeeded()
+		f.version = max(f.version, e.Object.Version)
+		if e.Object.Key != "" {
+			f.Changed(e)
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/router.go
@@ -0,0 +1,253 @@
+// Package forward serves requests whose bytes callers and endpoints agree on
+// between themselves: it chooses the pool by host and path and the endpoint by
+// its expected cost, sends the request, and passes the answer back unchanged.
+//
+// Decisions about endpoints are in package policy; the way onto the wire is a
+// persimmoncart.Upstream.
+package forward
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/metrics"
+)
+
+const (
+	// retrySoon is when a caller comes back whose request no endpoint took.
+	retrySoon = 200 * time.Millisecond
+	// retryStart is the same for an instance that does not know its routes yet.
+	retryStart = 500 * time.Millisecond
+	// maxSends bounds the sends of one request, those that did not run included.
+	maxSends = 4
+)
+
+// errDeadline is the cause of a context whose request is out of time.
+var errDeadline = errors.New("out of time")
+
+// A Body reads an answer piece by piece. Next returns io.EOF after the last one
+// and another error if the answer cannot be completed.
+type Body interface {
+	// Close ends the answer. The endpoint stops if it is still at work.
+	Close() error
+	// Next returns the next piece, which is valid until the next call.
+	Next() ([]byte, error)
+}
+
+// An Answer is the answer to a forwarded request.
+type Answer struct {
+	Body   Body
+	Header http.Header
+	Length int64 // of the body; negative if unknown
+	Status int
+	Stream bool // each piece is due at once
+}
+
+// A Router serves forwarded requests. Its fields are set before use.
+type Router struct {
+	Directory *Directory
+	Logger    zerolog.Logger
+	Metrics   *metrics.Metrics
+	Reached   func() bool // the store answers; an unknown route may be new otherwise
+	Timer     persimmoncart.Timer
+	Upstream  persimmoncart.Upstream
+}
+
+// Serve serves one request. The answer's body has to be closed. It returns a
+// *persimmoncart.Refusal if there is no answer of an endpoint.
+func (r *Router) Serve(ctx context.Context, request *persimmoncart.ForwardRequest) (*Answer, error) {
+	x := &exchange{request: request, router: r, span: r.Metrics.Request()}
+	if err := x.route(); err != nil {
+		return nil, x.refuse(err)
+	}
+	ctx = x.bound(ctx)
+	r.Directory.Request(x.pool)
+	serve := x.plain
+	if request.Prompt != nil && x.engine != nil {
+		serve = x.generate
+	}
+	answer, err := serve(ctx)
+	if err != nil {
+		x.stop()
+		return nil, x.refuse(err)
+	}
+	answer.Body = &closingBody{Body: answer.Body, exchange: x, status: answer.Status}
+	return answer, nil
+}
+
+// An exchange is one request on its way.
+type exchange struct {
+	deadline time.Time
+	endpoint persimmoncart.EndpointID // of the answer
+	engine   *persimmoncart.EngineSize
+	pool     persimmoncart.PoolName
+	request  *persimmoncart.ForwardRequest
+	router   *Router
+	rule     *persimmoncart.ForwardRoute
+	sends    int
+	span     func(persimmoncart.RouteName, persimmoncart.Outcome)
+	stop     func()
+	tried    []persimmoncart.EndpointID
+	version  uint64 // of the routes
+}
+
+// bound returns a context that ends when the request is out of time.
+func (x *exchange) bound(ctx context.Context) context.Context {
+	ctx, cancel := context.WithCancelCause(ctx)
+	left := x.deadline.Sub(x.router.Timer.Now())
+	stop := x.router.Timer.After(left, func(time.Time) { cancel(errDeadline) })
+	x.stop = func() {
+		stop()
+		cancel(context.Canceled)
+	}
+	return ctx
+}
+
+// call returns the call of the request to an endpoint.
+func (x *exchange) call(e *persimmoncart.Endpoint) persimmoncart.UpstreamCall {
+	return persimmoncart.UpstreamCall{Deadline: x.deadline, Endpoint: e, Priority: x.rule.Priority, Request: x.request}
+}
+
+// ended returns the refusal of a request whose context has ended.
+func (x *exchange) ended(ctx context.Context, sent bool) error {
+	if !errors.Is(context.Cause(ctx), errDeadline) {
+		return &CallerGoneError{}
+	}
+	if sent {
+		return &persimmoncart.Refusal{
+			Code: persimmoncart.RefusalDeadline, Message: "no answer in time", Outcome: persimmoncart.OutcomeUnknown,
+		}
+	}
+	return &persimmoncart.Refusal{
+		Code: persimmoncart.RefusalCapacity, Message: "no endpoint in time", Outcome: persimmoncart.OutcomeNotRun, Retry: retrySoon,
+	}
+}
+
+// log returns a line about the request.
+func (x *exchange) log(e *zerolog.Event) *zerolog.Event {
+	return e.Str("request", string(x.request.ID)).Str("pool", string(x.pool)).Uint64("version", x.version).
+		Dur("age", x.router.Timer.Now().Sub(x.request.Arrived)).Int("sends", x.sends)
+}
+
+// refuse counts and logs the end of a request without an endpoint's answer.
+func (x *exchange) refuse(err error) error {
+	name := persimmoncart.RouteName("")
+	if x.rule != nil {
+		name = x.rule.Name
+	}
+	if gone := (*CallerGoneError)(nil); errors.As(err, &gone) {
+		x.log(x.router.Logger.Info()).Str("outcome", "caller_gone").Msg("request ended")
+		x.span(name, persimmoncart.OutcomeUnknown)
+		return err
+	}
+	refusal := &persimmoncart.Refusal{}
+	if !errors.As(err, &refusal) {
+		refusal = &persimmoncart.Refusal{
+			Code: persimmoncart.RefusalInternal, Err: err, Message: "internal error", Outcome: persimmoncart.OutcomeUnknown,
+		}
+	}
+	x.router.Metrics.Refused(refusal.Code)
+	x.log(x.router.Logger.Warn()).Str("route", string(name)).Str("code", string(refusal.Code)).
+		Stringer("outcome", refusal.Outcome).Dur("retry", refusal.Retry).AnErr("cause", refusal.Err).Msg("request refused")
+	x.span(name, refusal.Outcome)
+	return refusal
+}
+
+// repeat takes one repeated send from the budget.
+func (x *exchange) repeat(reason persimmoncart.RetryReason) bool {
+	if x.sends >= maxSends || !x.router.Directory.Retry(x.pool) {
+		return false
+	}
+	x.router.Metrics.Retried(reason)
+	x.log(x.router.Logger.Info()).Str("reason", string(reason)).Msg("request sent again")
+	return true
+}
+
+// route finds the route and pool of the request.
+func (x *exchange) route() error {
+	table := x.router.Directory.Table()
+	if table == nil || !x.router.Directory.Ready() {
+		return &persimmoncart.Refusal{
+			Code: persimmoncart.RefusalNotReady, Message: "routes are not known yet",
+			Outcome: persimmoncart.OutcomeNotRun, Retry: retryStart,
+		}
+	}
+	x.version = table.Version
+	rule, found := table.Route(x.request.Host, x.request.Path())
+	if !found && !x.router.Reached() {
+		return &persimmoncart.Refusal{
+			Code: persimmoncart.RefusalNotReady, Message: "newest routes are not known",
+			Outcome: persimmoncart.OutcomeNotRun, Retry: retryStart,
+		}
+	}
+	if !found {
+		return &persimmoncart.Refusal{
+			Code: persimmoncart.RefusalRouteUnknown, Message: "no such route", Outcome: persimmoncart.OutcomeNotRun,
+		}
+	}
+	x.rule = rule
+	x.pool = rule.Pool(float64(xxhash.Sum64String(string(x.request.ID))) / math.MaxUint64)
+	if p := table.Pools[x.pool]; p != nil {
+		x.engine = p.Engine
+	}
+	x.deadline = x.request.Arrived.Add(rule.Timeout)
+	if x.request.Deadline.Before(x.deadline) {
+		x.deadline = x.request.Deadline
+	}
+	return nil
+}
+
+// served counts and logs the end of an answer. A nil error means that it was whole.
+func (x *exchange) served(status int, err error) {
+	outcome, line := persimmoncart.OutcomeAnswered, x.router.Logger.Info()
+	if err != nil {
+		outcome, line = persimmoncart.OutcomeUnknown, x.router.Logger.Warn()
+	}
+	x.log(line).Str("route", string(x.rule.Name)).Str("endpoint", string(x.endpoint)).Int("status", status).
+		Stringer("outcome", outcome).AnErr("cause", err).Msg("request ended")
+	x.span(x.rule.Name, outcome)
+}
+
+// A CallerGoneError reports a request whose caller left.
+type CallerGoneError struct{}
+
+// Error implements error.
+func (*CallerGoneError) Error() string { return "caller is gone" }
+
+// A closingBody ends the exchange with its answer.
+type closingBody struct {
+	Body
+
+	closed   bool
+	exchange *exchange
+	last     error
+	status   int
+}
+
+// Close implements Body.
+func (b *closingBody) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	err := b.Body.Close()
+	b.exchange.stop()
+	b.exchange.served(b.status, b.last)
+	return err
+}
+
+// Next implements Body.
+func (b *closingBody) Next() ([]byte, error) {
+	piece, err := b.Body.Next()
+	if err != nil && !isEOF(err) {
+		b.last = err
+	}
+	return piece, err
+}
--- a/store.go
+++ b/store.go
@@ -45,7 +45,8 @@
 type Watch interface {
 	// Close ends the watch.
 	Close() error
-	// Next waits for the next event. It returns an *UnavailableError when the
+	// Next waits for the next event. An event without a key only says that the
+	// store still answers. It returns an *UnavailableError when the
 	// watch broke; the caller watches again from the last version it saw.
 	Next(ctx context.Context) (WatchEvent, error)
 }
