forward: reserve a decode place before the prefill

Change: a reservation for prompt and expected output is taken on the decode engine first; generations that find no room wait, the newest that can be in time first.

--- a/engine.go
+++ b/engine.go
@@ -156,6 +156,7 @@
 // An EndpointRefusedError reports that an endpoint refused a call before acting on it.
 type EndpointRefusedError struct {
 	Addr   netip.AddrPort
+	Load   *EndpointLoad // nil if the endpoint did not state it
 	Reason string
 	Retry  time.Duration // zero if the endpoint named no time
 }
--- a/forwardrequest.go
+++ b/forwardrequest.go
@@ -37,5 +37,12 @@
 	Tokens   int // prompt tokens
 }
 
-// Total returns the tokens that the generation holds in memory at its end.
-func (p *Prompt) Total() int { return p.Tokens + p.Limit }
+// Held returns the tokens that the generation is expected to hold in memory at
+// its end. Callers' expectations are right at the median, so that those of
+// several generations on one engine even out.
+func (p *Prompt) Held() int {
+	if p.Expected <= 0 {
+		return p.Tokens + p.Limit/2
+	}
+	return p.Tokens + min(p.Expected, p.Limit)
+}
--- a/forwardtable.go
+++ b/forwardtable.go
@@ -47,7 +47,8 @@
 
 // An EngineSize is what every engine of a pool holds.
 type EngineSize struct {
-	Hold   time.Duration // that exported KV cache is kept for
+	Cache  time.Duration // that exported KV cache is kept for
+	Hold   time.Duration // longest lifetime of a reservation; zero if there are none
 	Memory int           // tokens of KV cache
 	Slots  int           // requests that run at the same time
 }
--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -39,6 +39,7 @@
 
 // A pool is the state of one pool.
 type pool struct {
+	gate    gate // before the decode engines
 	retries policy.RetryWindow
 	spread  policy.Spread
 }
@@ -48,6 +49,7 @@
 	Endpoint persimmoncart.Endpoint
 
 	directory *Directory
+	pool      *pool
 	state     *policy.SpreadEndpoint
 	tokens    int
 }
@@ -169,13 +171,21 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	e := d.pool(name).spread.Pick(d.Timer.Now(), d.Random, &r)
+	p := d.pool(name)
+	e := p.spread.Pick(d.Timer.Now(), d.Random, &r)
 	if e == nil {
 		return nil
 	}
 	e.InFlight++
 	e.Tokens += r.Tokens
-	return &lease{Endpoint: e.Endpoint, directory: d, state: e, tokens: r.Tokens}
+	return &lease{Endpoint: e.Endpoint, directory: d, pool: p, state: e, tokens: r.Tokens}
+}
+
+// Gate returns the gate before the decode engines of a pool.
+func (d *Directory) Gate(name persimmoncart.PoolName) *gate {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return &d.pool(name).gate
 }
 
 // Has reports whether a pool has an endpoint with the role.
@@ -235,22 +245,40 @@
 		if d.pools == nil {
 			d.pools = make(map[persimmoncart.PoolName]*pool)
 		}
-		p = &pool{retries: policy.RetryWindow{Ratio: d.RetryRatio, Slack: d.RetrySlack, Span: d.RetrySpan}}
+		p = &pool{gate: gate{timer: d.Timer}, retries: policy.RetryWindow{Ratio: d.RetryRatio, Slack: d.RetrySlack, Span: d.RetrySpan}}
 		d.pools[name] = p
 	}
 	return p
 }
 
-// Done ends the use of the endpoint.
+// Done ends the use of the endpoint. The next generation that waits may try.
 func (l *lease) Done() {
+	if l.end() {
+		l.pool.gate.Freed()
+	}
+}
+
+// Full ends the use of an endpoint that had no place for the request.
+func (l *lease) Full(load *persimmoncart.EndpointLoad) {
+	l.end()
+	l.Load(load)
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	l.state.Full(l.directory.Timer.Now())
+}
+
+// end takes the request off the endpoint, once.
+func (l *lease) end() bool {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
 	if l.tokens < 0 {
-		return
+		return false
 	}
 	l.state.InFlight--
 	l.state.Tokens -= l.tokens
+	l.state.Freed()
 	l.tokens = -1
+	return true
 }
 
 // Failed reports that the endpoint did not answer as it should.
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -15,6 +15,14 @@
 	// prefillShare is the part of the objective after which a prefill without an
 	// answer is tried on another engine.
 	prefillShare = 0.5
+	// startShare is the part of the objective that is left for prefill and the
+	// first event when a place is found at the last moment that is in time.
+	startShare = 0.6
+	// holdShare is the part of the objective after which an engine that does not
+	// answer a reservation counts as failing.
+	holdShare = 0.25
+	// holdLifetime is how long a place is reserved while the prompt is prefilled.
+	holdLifetime = 1500 * time.Millisecond
 	// releaseTime bounds the call that frees KV cache nobody will fetch.
 	releaseTime = time.Second
 	// cacheShare is the part of its lifetime during which exported KV cache is
@@ -22,11 +30,15 @@
 	cacheShare = 0.6
 )
 
+// errNoPlace reports that no decode engine had room in time.
+var errNoPlace = errors.New("no place in time")
+
 // A generation is a request that a prefill and a decode engine serve together.
 type generation struct {
 	*exchange
 
 	cache *exportedCache
+	hold  string // reservation on the decode engine
 }
 
 // An exportedCache is KV cache that waits for its decode engine.
@@ -36,58 +48,141 @@
 	source   persimmoncart.CacheSource
 }
 
-// generate serves a generation: a place on a decode engine is taken first, so
+// generate serves a generation: a place on a decode engine is secured first, so
 // that no prompt is prefilled without one, then the prompt is prefilled near it.
 func (x *exchange) generate(ctx context.Context) (*Answer, error) {
 	g := &generation{exchange: x}
-	var last error
 	for {
-		decode := x.router.Directory.Take(x.pool, g.decodeRequest())
-		if decode == nil {
+		decode, err := g.place(ctx)
+		if err != nil {
 			g.release()
-			return nil, x.empty()
+			return nil, err
 		}
 		if err := g.prefill(ctx, &decode.Endpoint); err != nil {
-			decode.Done()
-			g.release()
+			g.abandon(decode)
 			return nil, err
 		}
 		answer, err := g.decode(ctx, decode)
 		if err == nil {
 			return answer, nil
 		}
-		decode.Done()
+		g.abandon(decode)
 		if ctx.Err() != nil {
-			g.release()
 			return nil, x.ended(ctx, true)
 		}
 		if v := x.failure(ctx, decode, err); v != verdictNotRun && x.rule.Repeat == persimmoncart.RepeatNever {
-			g.release()
 			return nil, &persimmoncart.Refusal{
 				Code: persimmoncart.RefusalEndpointFailed, Err: err, Message: "the engine failed",
 				Outcome: persimmoncart.OutcomeUnknown,
 			}
 		}
-		last = err
 		x.tried = append(x.tried, decode.Endpoint.ID)
 		if !x.repeat(persimmoncart.RetryEndpointRefused) {
-			g.release()
-			return nil, g.refusal(last)
+			return nil, g.refusal(err)
 		}
 	}
 }
 
+// abandon gives up a decode engine and what was prepared for it.
+func (g *generation) abandon(l *lease) {
+	l.Done()
+	g.release()
+	hold := g.hold
+	g.hold = ""
+	if hold == "" {
+		return
+	}
+	g.aside("hold", &l.Endpoint, func(ctx context.Context) error {
+		return g.router.Upstream.ReleaseHold(ctx, &l.Endpoint, hold)
+	})
+}
+
+// aside makes a call that frees something at an endpoint, without waiting for it.
+func (g *generation) aside(what string, endpoint *persimmoncart.Endpoint, free func(context.Context) error) {
+	r := g.router
+	go func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		defer r.Timer.After(releaseTime, func(time.Time) { cancel() })()
+		if err := free(ctx); err != nil {
+			r.Logger.Info().Str("endpoint", string(endpoint.ID)).Str("what", what).Err(err).Msg("release failed")
+		}
+	}()
+}
+
 // decodeRequest says what decode engine the generation needs.
 func (x *exchange) decodeRequest() policy.SpreadRequest {
 	return policy.SpreadRequest{
 		Avoid: x.tried, Careful: x.rule.Repeat == persimmoncart.RepeatNever, Role: persimmoncart.RoleDecode,
-		Size: *x.engine, Tokens: x.request.Prompt.Total(),
+		Size: *x.engine, Tokens: x.request.Prompt.Held(),
 	}
 }
 
+// place secures a place on a decode engine. It waits while all are full and a
+// start is still of use.
+func (g *generation) place(ctx context.Context) (*lease, error) {
+	w := &policy.Waiting{
+		Due:   g.request.Arrived.Add(g.part(startShare)),
+		Since: g.request.Arrived,
+		Until: g.deadline.Add(-g.part(startShare)),
+	}
+	gate := g.router.Directory.Gate(g.pool)
+	for n := 0; ; n++ {
+		now := g.router.Timer.Now()
+		if now.After(w.Until) {
+			return nil, g.refusal(errNoPlace)
+		}
+		want := g.decodeRequest()
+		want.Room = w.Room(now, want.Tokens)
+		l := g.router.Directory.Take(g.pool, want)
+		if l == nil && !g.router.Directory.Has(g.pool, persimmoncart.RoleDecode) {
+			return nil, g.empty()
+		}
+		if l != nil {
+			if g.secure(ctx, l, want.Tokens) {
+				return l, nil
+			}
+			if ctx.Err() == nil {
+				continue // the next engine, at once
+			}
+		}
+		gate.Wait(ctx, w)
+		if ctx.Err() != nil {
+			return nil, g.ended(ctx, false)
+		}
+	}
+}
+
+// secure reserves the place on a decode engine and reports whether it is there.
+// An engine that is full or does not answer is given up.
+func (g *generation) secure(ctx context.Context, l *lease, tokens int) bool {
+	if g.engine.Hold <= 0 {
+		return true // these engines hold nothing; the request itself finds out
+	}
+	patient, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer g.router.Timer.After(g.part(holdShare), func(time.Time) { cancel() })()
+	hold, err := g.router.Upstream.Hold(patient, &l.Endpoint, tokens, min(g.engine.Hold, holdLifetime))
+	refused := (*persimmoncart.EndpointRefusedError)(nil)
+	switch {
+	case err == nil:
+		g.hold = hold
+		return true
+	case errors.As(err, &refused):
+		l.Full(refused.Load)
+	case ctx.Err() != nil:
+		l.Done()
+	default:
+		g.failure(ctx, l, err)
+		l.Full(nil)
+	}
+	return false
+}
+
 // decode sends the request to the decode engine and returns its stream.
 func (g *generation) decode(ctx context.Context, l *lease) (*Answer, error) {
 	call := g.call(&l.Endpoint)
+	call.Hold = g.hold
 	if g.cache != nil {
 		call.Cache = &g.cache.source
 	}
@@ -98,7 +193,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "decode")
 	}
-	g.cache = nil // fetched, or of no use to another engine
+	g.cache, g.hold = nil, "" // used
 	l.Load(answer.Load)
 	if err := g.check(answer); err != nil {
 		_ = answer.Body.Close()
@@ -120,7 +215,7 @@
 // engine that answers, the decode engine reads the prompt itself.
 func (g *generation) prefill(ctx context.Context, decode *persimmoncart.Endpoint) error {
 	if g.cache != nil {
-		if g.router.Timer.Now().Sub(g.cache.at) < time.Duration(cacheShare*float64(g.engine.Hold)) {
+		if g.router.Timer.Now().Sub(g.cache.at) < time.Duration(cacheShare*float64(g.engine.Cache)) {
 			return nil
 		}
 		g.release()
@@ -192,12 +287,7 @@
 	r.Metrics.Wasted(g.request.Prompt.Tokens)
 	g.log(r.Logger.Info()).Str("endpoint", string(cache.endpoint.ID)).Int("tokens", g.request.Prompt.Tokens).
 		Msg("prefill released")
-	go func() {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		defer r.Timer.After(releaseTime, func(time.Time) { cancel() })()
-		if err := r.Upstream.Release(ctx, &cache.endpoint, cache.source.Handle); err != nil {
-			r.Logger.Info().Str("endpoint", string(cache.endpoint.ID)).Err(err).Msg("release failed")
-		}
-	}()
+	g.aside("cache", &cache.endpoint, func(ctx context.Context) error {
+		return r.Upstream.Release(ctx, &cache.endpoint, cache.source.Handle)
+	})
 }
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -207,6 +207,7 @@
 		x.router.Directory.Replaced(l.Endpoint.ID)
 		verdict = verdictNotRun
 	case errors.As(err, &refused):
+		l.Load(refused.Load)
 		l.Failed()
 		verdict = verdictNotRun
 	case ctx.Err() != nil:
@@ -214,8 +215,11 @@
 	default:
 		l.Failed()
 	}
-	x.log(x.router.Logger.Info()).Str("endpoint", string(l.Endpoint.ID)).Bool("not_run", verdict == verdictNotRun).
-		Err(err).Msg("send failed")
+	line := x.log(x.router.Logger.Info()).Str("endpoint", string(l.Endpoint.ID)).Bool("not_run", verdict == verdictNotRun)
+	if refused != nil && refused.Load != nil {
+		line = line.Int("running", refused.Load.Running).Int("waiting", refused.Load.Waiting).Float64("slow", refused.Load.Slow)
+	}
+	line.Err(err).Msg("send failed")
 	return verdict
 }
 
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -210,6 +210,9 @@
 	if err != nil {
 		outcome, line = persimmoncart.OutcomeUnknown, x.router.Logger.Warn()
 	}
+	if p := x.request.Prompt; p != nil {
+		line = line.Int("tokens", p.Tokens).Int("limit", p.Limit).Int("expected", p.Expected)
+	}
 	x.log(line).Str("route", string(x.rule.Name)).Str("endpoint", string(x.endpoint)).Int("status", status).
 		Stringer("outcome", outcome).AnErr("cause", err).Msg("request ended")
 	x.span(x.rule.Name, outcome)
--- a/internal/policy/spread.go
+++ b/internal/policy/spread.go
@@ -27,8 +27,13 @@
 	// overflowCost is the wait for each request's worth of memory or slots that
 	// an engine lacks.
 	overflowCost = 300 * time.Millisecond
-	// loadHalfLife is the age at which a reported load counts half.
-	loadHalfLife = 400 * time.Millisecond
+	// loadHalfLife is the age at which a reported load counts half, and
+	// decodeHalfLife the same for a decode engine, whose requests run for seconds.
+	loadHalfLife   = 400 * time.Millisecond
+	decodeHalfLife = 1500 * time.Millisecond
+	// fullTime is how long an engine that refused a request is left alone,
+	// unless a request of this instance ends there.
+	fullTime = 120 * time.Millisecond
 	// slowHalfLife is the same for the slowness that an endpoint reports.
 	slowHalfLife = 600 * time.Millisecond
 	// workGain is the weight of one new duration in an average.
@@ -51,11 +56,18 @@
 	Tokens   int // of own requests: to prefill, or held in memory
 	Trust    Trust
 
+	full   time.Time // until when it counts as full
 	load   persimmoncart.EndpointLoad
 	loadAt time.Time
 	work   float64 // seconds for each unit of work, without the way there
 }
 
+// Freed notes that a request of this instance ended.
+func (e *SpreadEndpoint) Freed() { e.full = time.Time{} }
+
+// Full notes that the endpoint has no place for a request.
+func (e *SpreadEndpoint) Full(now time.Time) { e.full = now.Add(fullTime) }
+
 // Learn takes how long the given amount of work took.
 func (e *SpreadEndpoint) Learn(took time.Duration, units float64) {
 	if units <= 0 {
@@ -80,7 +92,23 @@
 	if e.loadAt.IsZero() {
 		return 0
 	}
-	return float64(e.load.Running) * halfLife(now.Sub(e.loadAt), loadHalfLife)
+	half := loadHalfLife
+	if e.Endpoint.Role == persimmoncart.RoleDecode {
+		half = decodeHalfLife
+	}
+	return float64(e.load.Running) * halfLife(now.Sub(e.loadAt), half)
+}
+
+// room reports whether the engine is expected to have a free slot and memory.
+func (e *SpreadEndpoint) room(now time.Time, r *SpreadRequest) bool {
+	if now.Before(e.full) {
+		return false
+	}
+	others := e.others(now)
+	if r.Size.Slots > 0 && float64(e.InFlight)+others+1 > float64(r.Size.Slots) {
+		return false
+	}
+	return r.Size.Memory == 0 || float64(e.Tokens+r.Room)+others*float64(r.Tokens) <= float64(r.Size.Memory)
 }
 
 // slow returns how long work takes relative to the usual.
@@ -98,6 +126,7 @@
 	DataCentre persimmoncart.DataCentre   // that the request comes from
 	Region     persimmoncart.Region
 	Role       persimmoncart.Role
+	Room       int                      // tokens that have to be free; zero takes engines that are full as well
 	Size       persimmoncart.EngineSize // of an engine; zero if unknown
 	Tokens     int                      // to prefill, or to hold in memory
 }
@@ -118,6 +147,9 @@
 		if e.Endpoint.Leaving || e.Endpoint.Role != r.Role {
 			continue
 		}
+		if r.Room > 0 && !e.room(now, r) {
+			continue
+		}
 		c := s.cost(now, e, r) * (1 + spreadNoise*random.Float64())
 		if slices.Contains(r.Avoid, e.Endpoint.ID) {
 			c += missingCost.Seconds()
--- a/upstream.go
+++ b/upstream.go
@@ -28,10 +28,15 @@
 // Errors are *EndpointRefusedError and *EndpointReplacedError if the request has
 // provably not run there; after any other error it may have run.
 type Upstream interface {
+	// Hold reserves a slot and memory for tokens on an engine and returns the
+	// reservation's identifier. It lapses after lifetime, or with its use.
+	Hold(ctx context.Context, endpoint *Endpoint, tokens int, lifetime time.Duration) (string, error)
 	// Prefill has an engine compute and export the KV cache of a prompt.
 	Prefill(ctx context.Context, call UpstreamCall) (PrefilledCache, error)
 	// Release frees exported KV cache that nobody will fetch.
 	Release(ctx context.Context, endpoint *Endpoint, handle string) error
+	// ReleaseHold frees a reservation that nobody will use.
+	ReleaseHold(ctx context.Context, endpoint *Endpoint, hold string) error
 	// Send returns the answer once its header has arrived. The body has to be
 	// closed; closing it early makes the endpoint stop.
 	Send(ctx context.Context, call UpstreamCall) (*UpstreamAnswer, error)
@@ -53,6 +58,7 @@
 	Cache    *CacheSource // KV cache to fetch; nil means none
 	Deadline time.Time
 	Endpoint *Endpoint
+	Hold     string // reservation to use; empty means none
 	Last     uint64 // last event that the caller has; zero sends what the caller sent
 	Priority int    // 0 is the most urgent
 	Request  *ForwardRequest
