--- a/forwardtable.go
+++ b/forwardtable.go
@@ -60,6 +60,7 @@
 	Host      string
 	Name      RouteName
 	Objective time.Duration // answer, or first event, in time
+	Patience  time.Duration // callers of a stream leave after as long without an event
 	Pools     []WeightedPool
 	Prefix    string // of the path; starts and ends with a slash
 	Priority  int    // 0 is the most urgent
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -124,7 +124,7 @@
 	w := &policy.Waiting{
 		Due:   g.request.Arrived.Add(g.part(startShare)),
 		Since: g.request.Arrived,
-		Until: g.deadline.Add(-g.part(startShare)),
+		Until: g.request.Arrived.Add(g.rule.Patience - g.rule.Objective),
 	}
 	gate := g.router.Directory.Gate(g.pool)
 	for n := 0; ; n++ {
