forward: count refused prefills as arrivals, and bound the wait for them

Two of four prefill engines had left; prefills were given up after half of the objective and tried again. An endpoint counts a prefill that it did not accept as an arrival, so that a request with two failed prefills has two extra arrivals, and one was charged. Change: every arrival beyond the first is charged, the first accepted prefill excepted. The patience for a prefill follows its expected time, and when the expected wait exceeds half of the objective the decode engine reads the prompt. TestGenerateBudgetCountsFailedPrefills fails without the charge.

--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -47,6 +47,7 @@
 // A lease is one request's use of an endpoint.
 type lease struct {
 	Endpoint persimmoncart.Endpoint
+	Expected time.Duration // time there, the wait included
 
 	directory *Directory
 	pool      *pool
@@ -171,14 +172,15 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	p := d.pool(name)
-	e := p.spread.Pick(d.Timer.Now(), d.Random, &r)
+	p, now := d.pool(name), d.Timer.Now()
+	e := p.spread.Pick(now, d.Random, &r)
 	if e == nil {
 		return nil
 	}
+	expected := p.spread.Expect(now, e, &r)
 	e.InFlight++
 	e.Tokens += r.Tokens
-	return &lease{Endpoint: e.Endpoint, directory: d, pool: p, state: e, tokens: r.Tokens}
+	return &lease{Endpoint: e.Endpoint, Expected: expected, directory: d, pool: p, state: e, tokens: r.Tokens}
 }
 
 // Gate returns the gate before the decode engines of a pool.
--- /dev/null
+++ b/internal/forward/directory_test.go
@@ -0,0 +1,97 @@
+package forward_test
+
+import (
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/policy"
+)
+
+// has reports whether the ledger's pool would send a request to id.
+func (w *world) has(id persimmoncart.EndpointID) bool {
+	for range 50 {
+		l := w.Directory.Take(ledger, policy.SpreadRequest{Role: persimmoncart.RoleApplication})
+		if l == nil {
+			return false
+		}
+		got := l.Endpoint.ID
+		l.Done()
+		if got == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against losing all endpoints when their entries lapse in an outage of
+// the store, and against keeping one that does not come back.
+func TestDirectoryMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		for _, id := range []persimmoncart.EndpointID{"a1", "a2", "a3"} {
+			w.Directory.Remove(id)
+		}
+		assert.Assert(t, w.Directory.Has(ledger, persimmoncart.RoleApplication))
+		time.Sleep(time.Second)
+		w.Directory.Put(persimmoncart.Endpoint{
+			Addr: netip.MustParseAddrPort("127.0.1.1:80"), DataCentre: "d1", ID: "a1", Incarnation: 1,
+			Pool: ledger, Region: "r1", Role: persimmoncart.RoleApplication, Slots: 6,
+		})
+		time.Sleep(1500 * time.Millisecond)
+		synctest.Wait()
+		assert.Assert(t, w.has("a1"))
+		assert.Assert(t, !w.has("a2"))
+		assert.Assert(t, !w.has("a3"))
+	})
+}
+
+// Guards against new work on an endpoint that said it is leaving, also when its
+// entry is removed while it still serves.
+func TestDirectoryLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		e := persimmoncart.Endpoint{
+			Addr: netip.MustParseAddrPort("127.0.1.1:80"), DataCentre: "d1", ID: "a1", Incarnation: 1, Leaving: true,
+			Pool: ledger, Region: "r1", Role: persimmoncart.RoleApplication, Slots: 6,
+		}
+		w.Directory.Put(e)
+		assert.Assert(t, !w.has("a1"))
+		w.Directory.Remove("a1")
+		w.Directory.Remove("a2")
+		w.Directory.Remove("a3")
+		assert.Assert(t, !w.has("a1"))
+		assert.Assert(t, w.has("a2"))
+	})
+}
+
+// Guards against what is known of one process being believed of the next at the
+// same name or address.
+func TestDirectoryRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		var dropped []persimmoncart.EndpointID
+		w.Directory.Dropped = func(e persimmoncart.Endpoint) { dropped = append(dropped, e.ID) }
+		e := persimmoncart.Endpoint{
+			Addr: netip.MustParseAddrPort("127.0.1.1:80"), DataCentre: "d1", ID: "a1", Incarnation: 2,
+			Pool: ledger, Region: "r1", Role: persimmoncart.RoleApplication, Slots: 6,
+		}
+		w.Directory.Put(e)
+		assert.DeepEqual(t, dropped, []persimmoncart.EndpointID{"a1"})
+		assert.Assert(t, w.has("a1"))
+		w.Directory.Replaced("a1")
+		assert.Assert(t, !w.has("a1"))
+	})
+}
+
+// Guards against routes that go back to an older version.
+func TestDirectoryVersions(t *testing.T) {
+	w := newWorld(t)
+	w.Directory.SetTable(table(7))
+	w.Directory.SetTable(table(5))
+	assert.Equal(t, w.Directory.Table().Version, uint64(7))
+}
--- /dev/null
+++ b/internal/forward/follow_test.go
@@ -0,0 +1,106 @@
+package forward_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/forward"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+)
+
+// A scriptStore is a store whose lists and watches a test sets.
+type scriptStore struct {
+	persimmoncart.Store
+
+	list  func() ([]persimmoncart.Object, error)
+	lists int
+	watch func(from persimmoncart.Version) (persimmoncart.WatchEvent, error)
+}
+
+func (s *scriptStore) List(context.Context, string) ([]persimmoncart.Object, error) {
+	s.lists++
+	return s.list()
+}
+
+func (s *scriptStore) Watch(_ context.Context, _ string, from persimmoncart.Version) (persimmoncart.Watch, error) {
+	return &scriptWatch{from: from, store: s}, nil
+}
+
+// A scriptWatch is a watch on a scriptStore.
+type scriptWatch struct {
+	from  persimmoncart.Version
+	store *scriptStore
+}
+
+func (*scriptWatch) Close() error { return nil }
+
+func (w *scriptWatch) Next(ctx context.Context) (persimmoncart.WatchEvent, error) {
+	select {
+	case <-ctx.Done():
+		return persimmoncart.WatchEvent{}, ctx.Err()
+	case <-time.After(100 * time.Millisecond):
+		return w.store.watch(w.from)
+	}
+}
+
+// Guards against a follower that misses changes when the store drops its
+// history, or that lists again after every broken watch.
+func TestFollowerHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		compacted := false
+		s := &scriptStore{}
+		s.list = func() ([]persimmoncart.Object, error) {
+			return []persimmoncart.Object{{Key: "k/a", Version: persimmoncart.Version(10 * s.lists)}}, nil
+		}
+		s.watch = func(from persimmoncart.Version) (persimmoncart.WatchEvent, error) {
+			if !compacted {
+				compacted = true
+				return persimmoncart.WatchEvent{}, &persimmoncart.UnavailableError{Err: &persimmoncart.HistoryError{From: from}, Op: "watch"}
+			}
+			return persimmoncart.WatchEvent{}, &persimmoncart.UnavailableError{Err: errors.New("cut"), Op: "watch"}
+		}
+		run(t, s, 5*time.Second, nil)
+		assert.Equal(t, s.lists, 2)
+	})
+}
+
+// Guards against hammering a store that is down, and against not noticing that
+// it is back.
+func TestFollowerOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		down := time.Now().Add(10 * time.Second)
+		s := &scriptStore{}
+		s.list = func() ([]persimmoncart.Object, error) {
+			if time.Now().Before(down) {
+				return nil, &persimmoncart.UnavailableError{Err: errors.New("down"), Op: "list"}
+			}
+			return nil, nil
+		}
+		s.watch = func(from persimmoncart.Version) (persimmoncart.WatchEvent, error) {
+			return persimmoncart.WatchEvent{Object: persimmoncart.Object{Version: from}}, nil
+		}
+		var reached []bool
+		run(t, s, 13*time.Second, func(r bool) { reached = append(reached, r) })
+		assert.Assert(t, s.lists > 8 && s.lists < 30, "%d", s.lists)
+		assert.DeepEqual(t, reached, []bool{false, true})
+	})
+}
+
+// run follows the store for a while.
+func run(t *testing.T, s *scriptStore, length time.Duration, reached func(bool)) {
+	t.Helper()
+	f := &forward.Follower{
+		Changed: func(persimmoncart.WatchEvent) {}, Listed: func([]persimmoncart.Object) {},
+		Logger: zerolog.Nop(), Prefix: "k/", Reached: reached, Store: s, Timer: &timer.System{},
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), length)
+	defer cancel()
+	assert.ErrorIs(t, f.Run(ctx), context.DeadlineExceeded)
+}
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -15,6 +15,11 @@
 	// prefillShare is the part of the objective after which a prefill without an
 	// answer is tried on another engine.
 	prefillShare = 0.5
+	// prefillFactor is the same as a multiple of the expected time.
+	prefillFactor = 3
+	// queueShare is the part of the objective beyond which a prefill is not
+	// waited for: the decode engine reads the prompt itself, more slowly.
+	queueShare = 0.5
 	// startShare is the part of the objective that is left for prefill and the
 	// first event when a place is found at the last moment that is in time.
 	startShare = 0.6
@@ -33,6 +38,9 @@
 // errNoPlace reports that no decode engine had room in time.
 var errNoPlace = errors.New("no place in time")
 
+// errBudget reports a request whose further sends the budget does not allow.
+var errBudget = errors.New("budget of repeated sends is used up")
+
 // A generation is a request that a prefill and a decode engine serve together.
 type generation struct {
 	*exchange
@@ -62,6 +70,10 @@
 			g.abandon(decode)
 			return nil, err
 		}
+		if !g.arrive(persimmoncart.RetryEndpointRefused) {
+			g.abandon(decode)
+			return nil, g.refusal(errBudget)
+		}
 		answer, err := g.decode(ctx, decode)
 		if err == nil {
 			return answer, nil
@@ -77,9 +89,6 @@
 			}
 		}
 		x.tried = append(x.tried, decode.Endpoint.ID)
-		if !x.repeat(persimmoncart.RetryEndpointRefused) {
-			return nil, g.refusal(err)
-		}
 	}
 }
 
@@ -186,7 +195,6 @@
 	if g.cache != nil {
 		call.Cache = &g.cache.source
 	}
-	g.sends++
 	stop := g.router.Timer.After(g.rule.Objective, func(time.Time) { l.Failed() })
 	defer stop()
 	answer, err := g.router.Upstream.Send(ctx, call)
@@ -221,18 +229,18 @@
 		g.release()
 	}
 	var avoid []persimmoncart.EndpointID
-	for first := true; ; first = false {
+	for {
 		l := g.router.Directory.Take(g.pool, policy.SpreadRequest{
 			Avoid: avoid, DataCentre: decode.DataCentre, Region: decode.Region,
 			Role: persimmoncart.RolePrefill, Tokens: g.request.Prompt.Tokens,
 		})
-		if l == nil || len(avoid) >= 2 {
+		if l == nil || len(avoid) >= 2 || l.Expected > g.part(queueShare) {
 			if l != nil {
 				l.Done()
 			}
 			return nil
 		}
-		if !first && !g.repeat(persimmoncart.RetryEndpointDied) {
+		if !g.arrive(persimmoncart.RetryEndpointDied) {
 			l.Done()
 			return nil
 		}
@@ -253,7 +261,7 @@
 	started := g.router.Timer.Now()
 	patient, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer g.router.Timer.After(g.part(prefillShare), func(time.Time) { cancel() })()
+	defer g.router.Timer.After(max(g.part(prefillShare), prefillFactor*l.Expected), func(time.Time) { cancel() })()
 	cache, err := g.router.Upstream.Prefill(patient, g.call(&l.Endpoint))
 	if err != nil {
 		if ctx.Err() == nil {
@@ -264,6 +272,7 @@
 	now := g.router.Timer.Now()
 	l.Load(cache.Load)
 	l.Succeeded(now.Sub(started), float64(g.request.Prompt.Tokens)/1000)
+	g.uncount()
 	g.cache = &exportedCache{at: now, endpoint: l.Endpoint, source: cache.Source}
 	return nil
 }
--- /dev/null
+++ b/internal/forward/generate_test.go
@@ -0,0 +1,249 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// whole answers a generation with a whole stream.
+func whole(context.Context, int, persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+	return streamed(events(1, 5), io.EOF), nil
+}
+
+// Guards against a prompt that is prefilled before its decode place is secured,
+// and against a decode that does not use what was prepared.
+func TestGenerateOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.Upstream.send = whole
+		status, body, err := w.serve(t.Context(), "/draft/")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, body, events(1, 5))
+		w.opsAre(t, "hold", "prefill", "send")
+		hold, prefill, send := w.Upstream.calls[0], w.Upstream.calls[1], w.Upstream.calls[2]
+		assert.Equal(t, hold.Endpoint, send.Endpoint)
+		assert.Equal(t, send.Call.Hold, "hold-"+string(send.Endpoint))
+		assert.Equal(t, send.Call.Cache.Addr, prefill.Call.Endpoint.Addr)
+	})
+}
+
+// Guards against prompts that are prefilled in vain at the crest: while no
+// decode engine has room, nothing is prefilled, and the request is refused as not
+// run before its caller leaves.
+func TestGenerateNoPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.Upstream.hold = func(int) error { return refused() }
+		started := time.Now()
+		_, _, err := w.serve(t.Context(), "/draft/")
+		r := refusal(t, err)
+		assert.Equal(t, r.Code, persimmoncart.RefusalCapacity)
+		assert.Equal(t, r.Outcome, persimmoncart.OutcomeNotRun)
+		assert.Assert(t, r.Retry > 0)
+		assert.Equal(t, w.Upstream.count("prefill"), 0)
+		assert.Assert(t, time.Since(started) < 3600*time.Millisecond, "the caller has left after %s", time.Since(started))
+		// A busy loop of reservations would load the engines that are full.
+		assert.Assert(t, w.Upstream.count("hold") < 120, "%d", w.Upstream.count("hold"))
+	})
+}
+
+// Guards against a request that waits although a place came free.
+func TestGenerateWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.Upstream.send = whole
+		w.Upstream.hold = func(n int) error {
+			if n < 6 {
+				return refused()
+			}
+			return nil
+		}
+		started := time.Now()
+		status, _, err := w.serve(t.Context(), "/draft/")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Assert(t, time.Since(started) < time.Second)
+	})
+}
+
+// Guards against memory that stays held on an engine after its request ended, on
+// each way that a generation can end.
+func TestGenerateReleases(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		path string
+		send func(context.Context, int, persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error)
+		want []string
+	}{
+		{
+			name: "decode refused, then taken elsewhere", path: "/draft/",
+			send: func(ctx context.Context, n int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+				if n == 0 {
+					return nil, refused()
+				}
+				return whole(ctx, n, call)
+			},
+			want: []string{"release", "release-hold"},
+		},
+		{
+			name: "decode broke before its answer", path: "/draft/",
+			send: func(context.Context, int, persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+				return nil, errReset
+			},
+			want: []string{"release", "release-hold"},
+		},
+		{name: "whole", path: "/draft/", send: whole},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				w.Upstream.send = c.send
+				_, _, _ = w.serve(t.Context(), c.path)
+				synctest.Wait()
+				for _, op := range []string{"release", "release-hold"} {
+					want := 0
+					if len(c.want) > 0 {
+						want = 1
+					}
+					assert.Equal(t, w.Upstream.count(op), want, op)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a generation that may not be repeated and is: after a decode
+// that may have started, nothing is sent again.
+func TestGenerateRunsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.Upstream.send = func(context.Context, int, persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+			return nil, errReset
+		}
+		_, _, err := w.serve(t.Context(), "/draft/")
+		assert.Equal(t, refusal(t, err).Outcome, persimmoncart.OutcomeUnknown)
+		assert.Equal(t, w.Upstream.count("send"), 1)
+	})
+}
+
+// Guards against the load pattern that broke the shared budget of repeated
+// sends: prefill engines are too few for a burst, every prefill is given up, and
+// both the second prefill and the decode after it are further arrivals.
+func TestGenerateBudgetCountsFailedPrefills(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.Upstream.send = whole
+		w.Upstream.prefill = func(int) error { return errReset }
+		const requests = 100
+		for range requests {
+			_, _, _ = w.serve(t.Context(), "/draft/")
+		}
+		arrivals := w.Upstream.count("prefill") + w.Upstream.count("send")
+		extra := arrivals - requests
+		allowed := int(0.2*requests) + 2
+		assert.Assert(t, extra <= allowed, "%d arrivals beyond the first, %d allowed", extra, allowed)
+	})
+}
+
+// Guards against refusing whatever a failed prefill engine would have read: the
+// decode engine reads the prompt itself.
+func TestGenerateWithoutPrefill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.Upstream.send = whole
+		w.Upstream.prefill = func(int) error { return refused() }
+		status, body, err := w.serve(t.Context(), "/draft/")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, strings.Count(body, "token"), 5)
+		last := w.Upstream.calls[len(w.Upstream.calls)-1]
+		assert.Equal(t, last.Op, "send")
+		assert.Assert(t, last.Call.Cache == nil)
+	})
+}
+
+// Guards against a queue at the prefill engines that eats up the objective: the
+// decode engines read the rest of a burst.
+func TestGenerateLongPrefillQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.Upstream.send = func(ctx context.Context, n int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+			return whole(ctx, n, call)
+		}
+		w.Upstream.prefill = func(int) error {
+			time.Sleep(300 * time.Millisecond)
+			return nil
+		}
+		done := make(chan error)
+		const burst = 14
+		for range burst {
+			go func() {
+				_, _, err := w.serve(t.Context(), "/draft/")
+				done <- err
+			}()
+		}
+		for range burst {
+			assert.NilError(t, <-done)
+		}
+		assert.Assert(t, w.Upstream.count("prefill") < burst)
+		assert.Equal(t, w.Upstream.count("send"), burst)
+	})
+}
+
+// Guards against streams that lose, repeat or join pieces when an engine breaks
+// off, and against ending them as complete.
+func TestStreamBreaks(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		path string
+		cut  string // what the first engine sends before it breaks off
+		next string // what the second engine sends
+		want string
+		ok   bool
+	}{
+		{name: "resumes", path: "/long/", cut: events(1, 3), next: events(4, 6), want: events(1, 6), ok: true},
+		{name: "cut inside an event", path: "/long/", cut: events(1, 3) + "id: 4\nda", next: events(4, 6), want: events(1, 6), ok: true},
+		{name: "second repeats events", path: "/long/", cut: events(1, 3), next: events(2, 6), want: events(1, 6), ok: true},
+		{name: "may not resume", path: "/draft/", cut: events(1, 3), next: events(4, 6), want: events(1, 3)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				w.Upstream.send = func(_ context.Context, n int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+					if n == 0 {
+						return streamed(c.cut, errReset), nil
+					}
+					assert.Equal(t, call.Last, uint64(3))
+					return streamed(c.next, io.EOF), nil
+				}
+				_, body, err := w.serve(t.Context(), c.path)
+				assert.Equal(t, body, c.want)
+				assert.Equal(t, err == nil, c.ok, fmt.Sprint(err))
+			})
+		})
+	}
+}
+
+// Guards against a stream that ends inside an event and looks complete.
+func TestStreamTorn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.Upstream.send = func(context.Context, int, persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+			return streamed(events(1, 2)+"id: 3\nda", io.EOF), nil
+		}
+		_, body, err := w.serve(t.Context(), "/draft/")
+		assert.Equal(t, refusal(t, err).Code, persimmoncart.RefusalStreamBroken)
+		assert.Equal(t, body, events(1, 2))
+	})
+}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -57,7 +57,7 @@
 func (x *exchange) plain(ctx context.Context) (*Answer, error) {
 	sending, cancel := context.WithCancel(ctx)
 	p := &plainCall{cancel: cancel, exchange: x, results: make(chan plainResult, maxSends)}
-	if !p.send(sending) {
+	if !p.send(sending, "") {
 		cancel()
 		return nil, x.empty()
 	}
@@ -69,8 +69,8 @@
 			cancel()
 			return nil, x.ended(ctx, p.running > 0 || p.runs > 0)
 		case <-hedge:
-			if p.mayRepeat() && x.repeat(persimmoncart.RetryHedge) {
-				p.send(sending)
+			if p.mayRepeat() {
+				p.send(sending, persimmoncart.RetryHedge)
 			}
 		case result := <-p.results:
 			p.running--
@@ -102,15 +102,19 @@
 	return p.rule.Repeat == persimmoncart.RepeatAlways && p.runs+p.running < p.rule.Attempts
 }
 
-// send sends the request to one more endpoint. It reports false if there is none.
-func (p *plainCall) send(ctx context.Context) bool {
+// send sends the request to one more endpoint. It reports false if there is none
+// or the budget is used up.
+func (p *plainCall) send(ctx context.Context, reason persimmoncart.RetryReason) bool {
 	l := p.router.Directory.Take(p.pool, policy.SpreadRequest{
 		Avoid: p.tried, Careful: p.rule.Repeat != persimmoncart.RepeatAlways, Role: persimmoncart.RoleApplication,
 	})
 	if l == nil {
 		return false
 	}
-	p.sends++
+	if !p.arrive(reason) {
+		l.Done()
+		return false
+	}
 	p.running++
 	p.tried = append(p.tried, l.Endpoint.ID)
 	go func() { p.results <- p.once(ctx, l) }()
@@ -162,7 +166,7 @@
 		}
 		reason = persimmoncart.RetryEndpointDied
 	}
-	return p.repeat(reason) && p.send(ctx)
+	return p.send(ctx, reason)
 }
 
 // deliver returns the answer of a send and ends the others with its body.
--- /dev/null
+++ b/internal/forward/plain_test.go
@@ -0,0 +1,172 @@
+package forward_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/forward"
+)
+
+// Guards against a payment that runs twice, a refusal that is untrue, and a
+// lookup that is given up although it may be repeated.
+func TestPlainFailures(t *testing.T) {
+	unproven := answer(http.StatusOK, "x")
+	unproven.Proven = false
+	torn := answer(http.StatusOK, "half")
+	torn.Length = 8
+	for _, c := range []struct {
+		name    string
+		first   *persimmoncart.UpstreamAnswer
+		err     error
+		path    string
+		sends   int
+		status  int // of the answer; zero for a refusal
+		code    persimmoncart.RefusalCode
+		outcome persimmoncart.Outcome
+	}{
+		{name: "payment refused before it ran", err: refused(), path: "/pay/", sends: 2, status: 200},
+		{name: "payment on a broken connection", err: errReset, path: "/pay/", sends: 1, code: persimmoncart.RefusalEndpointFailed, outcome: persimmoncart.OutcomeUnknown},
+		{name: "payment answered without proof", first: unproven, path: "/pay/", sends: 1, code: persimmoncart.RefusalEndpointFailed, outcome: persimmoncart.OutcomeUnknown},
+		{name: "payment with a torn answer", first: torn, path: "/pay/", sends: 1, code: persimmoncart.RefusalEndpointFailed, outcome: persimmoncart.OutcomeUnknown},
+		{name: "payment that fails at the endpoint", first: answer(500, "no"), path: "/pay/", sends: 1, status: 500},
+		{name: "payment that ran and answers 503", first: answer(503, "no"), path: "/pay/", sends: 1, code: persimmoncart.RefusalEndpointFailed, outcome: persimmoncart.OutcomeUnknown},
+		{name: "lookup on a broken connection", err: errReset, path: "/look/", sends: 2, status: 200},
+		{name: "lookup with a torn answer", first: torn, path: "/look/", sends: 2, status: 200},
+		{name: "lookup that fails at the endpoint", first: answer(500, "no"), path: "/look/", sends: 2, status: 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				w.Upstream.send = func(_ context.Context, n int, _ persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+					if n > 0 {
+						return answer(200, "ok"), nil
+					}
+					return c.first, c.err
+				}
+				status, _, err := w.serve(t.Context(), c.path)
+				assert.Equal(t, w.Upstream.count("send"), c.sends)
+				assert.Equal(t, status, c.status)
+				if c.status == 0 {
+					r := refusal(t, err)
+					assert.Equal(t, r.Code, c.code)
+					assert.Equal(t, r.Outcome, c.outcome)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a refusal that keeps the caller waiting, or that claims more
+// than is known: only when every endpoint said so has a request not run.
+func TestPlainAllRefuse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.Upstream.send = func(context.Context, int, persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+			return nil, refused()
+		}
+		started := time.Now()
+		_, _, err := w.serve(t.Context(), "/pay/")
+		r := refusal(t, err)
+		assert.Equal(t, r.Outcome, persimmoncart.OutcomeNotRun)
+		assert.Assert(t, r.Retry > 0)
+		assert.Equal(t, time.Since(started), time.Duration(0))
+		assert.Equal(t, w.Upstream.count("send"), 3) // the slack of the budget is 2
+	})
+}
+
+// Guards against a lookup that waits for an endpoint that went silent, and
+// against a payment that is sent to a second one because the first is slow.
+func TestPlainSilence(t *testing.T) {
+	for path, sends := range map[string]int{"/look/": 2, "/pay/": 1} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t)
+			w.Upstream.send = func(ctx context.Context, n int, _ persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+				if n > 0 {
+					return answer(200, "ok"), nil
+				}
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			started := time.Now()
+			status, _, err := w.serve(t.Context(), path)
+			assert.Equal(t, w.Upstream.count("send"), sends)
+			if path == "/look/" {
+				assert.Equal(t, status, 200)
+				assert.Assert(t, time.Since(started) < 200*time.Millisecond)
+				return
+			}
+			r := refusal(t, err)
+			assert.Equal(t, r.Code, persimmoncart.RefusalDeadline)
+			assert.Equal(t, r.Outcome, persimmoncart.OutcomeUnknown)
+			assert.Equal(t, time.Since(started), 2*time.Second) // the route's timeout
+		})
+	}
+}
+
+// Guards against work that goes on for a caller that has left.
+func TestPlainCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		stopped := false
+		w.Upstream.send = func(ctx context.Context, _ int, _ persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+			<-ctx.Done()
+			stopped = true
+			return nil, ctx.Err()
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, _, err := w.serve(ctx, "/pay/")
+		assert.ErrorType(t, err, &forward.CallerGoneError{})
+		synctest.Wait()
+		assert.Assert(t, stopped)
+	})
+}
+
+// Guards against long answers that are held back or cut.
+func TestPlainLongAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		text := string(make([]byte, 1<<20))
+		w.Upstream.send = func(context.Context, int, persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+			return answer(200, text), nil
+		}
+		status, body, err := w.serve(t.Context(), "/look/")
+		assert.NilError(t, err)
+		assert.Equal(t, status, 200)
+		assert.Assert(t, body == text)
+	})
+}
+
+// Guards against a long answer that breaks off and looks whole.
+func TestPlainLongAnswerTorn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.Upstream.send = func(context.Context, int, persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+			return streamed(string(make([]byte, 1<<20)), io.ErrUnexpectedEOF), nil
+		}
+		_, _, err := w.serve(t.Context(), "/pay/")
+		assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	})
+}
+
+// Guards against a route that an instance refuses as unknown although it may be
+// newer than what the instance knows.
+func TestRouteUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		_, _, err := w.serve(t.Context(), "/none/")
+		assert.Equal(t, refusal(t, err).Code, persimmoncart.RefusalRouteUnknown)
+		w.Router.Reached = func() bool { return false }
+		_, _, err = w.serve(t.Context(), "/none/")
+		r := refusal(t, err)
+		assert.Equal(t, r.Code, persimmoncart.RefusalNotReady)
+		assert.Equal(t, r.Outcome, persimmoncart.OutcomeNotRun)
+	})
+}
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -26,7 +26,7 @@
 	// retryStart is the same for an instance that does not know its routes yet.
 	retryStart = 500 * time.Millisecond
 	// maxSends bounds the sends of one request, those that did not run included.
-	maxSends = 4
+	maxSends = 6
 )
 
 // errDeadline is the cause of a context whose request is out of time.
@@ -84,18 +84,21 @@
 
 // An exchange is one request on its way.
 type exchange struct {
-	deadline time.Time
-	endpoint persimmoncart.EndpointID // of the answer
-	engine   *persimmoncart.EngineSize
-	pool     persimmoncart.PoolName
-	request  *persimmoncart.ForwardRequest
-	router   *Router
-	rule     *persimmoncart.ForwardRoute
-	sends    int
-	span     func(persimmoncart.RouteName, persimmoncart.Outcome)
-	stop     func()
-	tried    []persimmoncart.EndpointID
-	version  uint64 // of the routes
+	arrivals  int // sends that count towards the budget of repeated sends
+	deadline  time.Time
+	endpoint  persimmoncart.EndpointID // of the answer
+	engine    *persimmoncart.EngineSize
+	paid      bool // the next repeated send has been taken from the budget
+	pool      persimmoncart.PoolName
+	prefilled bool // an engine has accepted a prefill
+	request   *persimmoncart.ForwardRequest
+	router    *Router
+	rule      *persimmoncart.ForwardRoute
+	sends     int
+	span      func(persimmoncart.RouteName, persimmoncart.Outcome)
+	stop      func()
+	tried     []persimmoncart.EndpointID
+	version   uint64 // of the routes
 }
 
 // bound returns a context that ends when the request is out of time.
@@ -160,16 +163,38 @@
 	return refusal
 }
 
-// repeat takes one repeated send from the budget.
-func (x *exchange) repeat(reason persimmoncart.RetryReason) bool {
-	if x.sends >= maxSends || !x.router.Directory.Retry(x.pool) {
+// arrive counts one send that an endpoint may count as an arrival of the
+// request, and reports whether the budget of repeated sends allows it. The first
+// one is free.
+func (x *exchange) arrive(reason persimmoncart.RetryReason) bool {
+	switch {
+	case x.sends >= maxSends:
 		return false
+	case x.arrivals == 0:
+	case x.paid:
+		x.paid = false
+	case !x.router.Directory.Retry(x.pool):
+		return false
+	}
+	if x.sends++; x.sends > 1 && x.arrivals > 0 {
+		x.router.Metrics.Retried(reason)
+		x.log(x.router.Logger.Info()).Str("reason", string(reason)).Msg("request sent again")
 	}
-	x.router.Metrics.Retried(reason)
-	x.log(x.router.Logger.Info()).Str("reason", string(reason)).Msg("request sent again")
+	x.arrivals++
 	return true
 }
 
+// uncount takes back the arrival of a prefill that was accepted: the first such
+// call of a request does not count. What was paid for it pays for the next send.
+func (x *exchange) uncount() {
+	if x.prefilled {
+		return
+	}
+	x.prefilled = true
+	x.arrivals--
+	x.paid = x.arrivals > 0
+}
+
 // route finds the route and pool of the request.
 func (x *exchange) route() error {
 	table := x.router.Directory.Table()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -148,14 +148,13 @@
 			Outcome: persimmoncart.OutcomeUnknown,
 		}
 	}
-	for s.ctx.Err() == nil && s.repeat(persimmoncart.RetryResume) {
+	for s.ctx.Err() == nil && s.arrive(persimmoncart.RetryResume) {
 		l := s.router.Directory.Take(s.pool, s.decodeRequest())
 		if l == nil {
 			break
 		}
 		call := s.call(&l.Endpoint)
 		call.Last = s.last
-		s.sends++
 		s.started = s.router.Timer.Now()
 		answer, err := s.router.Upstream.Send(s.ctx, call)
 		if err == nil {
--- /dev/null
+++ b/internal/forward/world_test.go
@@ -0,0 +1,266 @@
+package forward_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/forward"
+	"github.com/persimmoncart/persimmoncart/internal/metrics"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+)
+
+const (
+	ledger = persimmoncart.PoolName("ledger")
+	llm    = persimmoncart.PoolName("llm")
+)
+
+// errReset is a connection that broke after the request was sent.
+var errReset = errors.New("connection reset")
+
+// refused says that a request has not run.
+func refused() error { return &persimmoncart.EndpointRefusedError{Reason: "full"} }
+
+// A sent is one call that reached the fake upstream.
+type sent struct {
+	Call     persimmoncart.UpstreamCall
+	Endpoint persimmoncart.EndpointID
+	Op       string
+}
+
+// A fakeUpstream records calls and answers them by the functions that a test sets.
+type fakeUpstream struct {
+	hold    func(n int) error
+	prefill func(n int) error
+	send    func(ctx context.Context, n int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error)
+
+	calls []sent
+	mutex sync.Mutex
+}
+
+// note records a call and returns its number among those of the same kind.
+func (u *fakeUpstream) note(s sent) int {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	n := 0
+	for _, c := range u.calls {
+		if c.Op == s.Op {
+			n++
+		}
+	}
+	u.calls = append(u.calls, s)
+	return n
+}
+
+// ops returns the kinds of the calls so far.
+func (u *fakeUpstream) ops() []string {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	var ops []string
+	for _, c := range u.calls {
+		ops = append(ops, c.Op)
+	}
+	return ops
+}
+
+// count returns the number of calls of a kind.
+func (u *fakeUpstream) count(op string) int {
+	n := 0
+	for _, o := range u.ops() {
+		if o == op {
+			n++
+		}
+	}
+	return n
+}
+
+func (u *fakeUpstream) Hold(_ context.Context, e *persimmoncart.Endpoint, _ int, _ time.Duration) (string, error) {
+	if n := u.note(sent{Endpoint: e.ID, Op: "hold"}); u.hold != nil {
+		if err := u.hold(n); err != nil {
+			return "", err
+		}
+	}
+	return "hold-" + string(e.ID), nil
+}
+
+func (u *fakeUpstream) Prefill(_ context.Context, call persimmoncart.UpstreamCall) (persimmoncart.PrefilledCache, error) {
+	if n := u.note(sent{Call: call, Endpoint: call.Endpoint.ID, Op: "prefill"}); u.prefill != nil {
+		if err := u.prefill(n); err != nil {
+			return persimmoncart.PrefilledCache{}, err
+		}
+	}
+	return persimmoncart.PrefilledCache{Source: persimmoncart.CacheSource{Addr: call.Endpoint.Addr, Handle: "h"}}, nil
+}
+
+func (u *fakeUpstream) Release(_ context.Context, e *persimmoncart.Endpoint, _ string) error {
+	u.note(sent{Endpoint: e.ID, Op: "release"})
+	return nil
+}
+
+func (u *fakeUpstream) ReleaseHold(_ context.Context, e *persimmoncart.Endpoint, _ string) error {
+	u.note(sent{Endpoint: e.ID, Op: "release-hold"})
+	return nil
+}
+
+func (u *fakeUpstream) Send(ctx context.Context, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+	n := u.note(sent{Call: call, Endpoint: call.Endpoint.ID, Op: "send"})
+	return u.send(ctx, n, call)
+}
+
+// answer returns a proven answer with a body.
+func answer(status int, body string) *persimmoncart.UpstreamAnswer {
+	return &persimmoncart.UpstreamAnswer{
+		Body: io.NopCloser(bytes.NewReader([]byte(body))), Header: http.Header{}, Length: int64(len(body)), Proven: true, Status: status,
+	}
+}
+
+// events returns the events from first to last of a stream.
+func events(first, last int) string {
+	var b bytes.Buffer
+	for id := first; id <= last; id++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", id, id)
+	}
+	return b.String()
+}
+
+// streamed returns a stream that gives text and then ends with err.
+func streamed(text string, err error) *persimmoncart.UpstreamAnswer {
+	a := answer(http.StatusOK, "")
+	a.Length = -1
+	a.Body = io.NopCloser(io.MultiReader(bytes.NewReader([]byte(text)), failing{err}))
+	return a
+}
+
+// A failing reader fails.
+type failing struct{ err error }
+
+func (f failing) Read([]byte) (int, error) { return 0, f.err }
+
+// A world is a router before fake endpoints.
+type world struct {
+	Directory *forward.Directory
+	Router    *forward.Router
+	Upstream  *fakeUpstream
+}
+
+// newWorld returns a world with three application endpoints, two prefill and two
+// decode engines.
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	clock := &timer.System{}
+	d := &forward.Directory{
+		Home:       persimmoncart.Instance{DataCentre: "d1", ID: "i1", Region: "r1"},
+		Logger:     zerolog.Nop(),
+		Random:     rand.New(rand.NewPCG(1, 1)),
+		RetryRatio: 0.2, RetrySlack: 2, RetrySpan: 10 * time.Second,
+		Timer: clock,
+	}
+	var list []persimmoncart.Endpoint
+	add := func(id string, pool persimmoncart.PoolName, role persimmoncart.Role) {
+		list = append(list, persimmoncart.Endpoint{
+			Addr:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(len(list) + 1)}), 80),
+			DataCentre: "d1", ID: persimmoncart.EndpointID(id), Incarnation: 1, Pool: pool, Region: "r1", Role: role, Slots: 6,
+		})
+	}
+	for _, id := range []string{"a1", "a2", "a3"} {
+		add(id, ledger, persimmoncart.RoleApplication)
+	}
+	for _, id := range []string{"p1", "p2"} {
+		add(id, llm, persimmoncart.RolePrefill)
+	}
+	for _, id := range []string{"d1", "d2"} {
+		add(id, llm, persimmoncart.RoleDecode)
+	}
+	d.SetTable(table(1))
+	d.Listed(list)
+	u := &fakeUpstream{}
+	return &world{Directory: d, Upstream: u, Router: &forward.Router{
+		Directory: d, Logger: zerolog.Nop(), Metrics: metrics.New(), Reached: func() bool { return true }, Timer: clock, Upstream: u,
+	}}
+}
+
+// table returns the routes of the tests.
+func table(version uint64) *persimmoncart.ForwardTable {
+	route := func(prefix string, repeat persimmoncart.Repeat, pool persimmoncart.PoolName) *persimmoncart.ForwardRoute {
+		r := &persimmoncart.ForwardRoute{
+			Attempts: 2, Host: "h", Name: persimmoncart.RouteName(prefix), Objective: 200 * time.Millisecond,
+			Pools: []persimmoncart.WeightedPool{{Pool: pool, Weight: 1}}, Prefix: prefix, Repeat: repeat, Timeout: 2 * time.Second,
+		}
+		if pool == llm {
+			r.Objective, r.Timeout, r.Patience = 900*time.Millisecond, 14*time.Second, 3600*time.Millisecond
+			r.Gap, r.Stream = 300*time.Millisecond, true
+		}
+		return r
+	}
+	return &persimmoncart.ForwardTable{
+		Pools: map[persimmoncart.PoolName]*persimmoncart.ForwardPool{
+			ledger: {Name: ledger},
+			llm: {Name: llm, Engine: &persimmoncart.EngineSize{
+				Cache: 500 * time.Millisecond, Hold: 2 * time.Second, Memory: 32000, Slots: 12,
+			}},
+		},
+		Routes: map[string][]*persimmoncart.ForwardRoute{"h": {
+			route("/draft/", persimmoncart.RepeatNever, llm),
+			route("/long/", persimmoncart.RepeatResume, llm),
+			route("/look/", persimmoncart.RepeatAlways, ledger),
+			route("/pay/", persimmoncart.RepeatNever, ledger),
+		}},
+		Version: version,
+	}
+}
+
+// serve serves one request and reads its answer. The error is that of the
+// answer's end, if there is an answer.
+func (w *world) serve(ctx context.Context, path string) (status int, body string, err error) {
+	r := &persimmoncart.ForwardRequest{
+		Arrived: time.Now(), Deadline: time.Now().Add(14 * time.Second), Header: http.Header{}, Host: "h",
+		ID: "q1", Method: http.MethodPost, Target: path + "x",
+	}
+	if path == "/draft/" || path == "/long/" {
+		r.Prompt = &persimmoncart.Prompt{Expected: 800, Limit: 2000, Tokens: 3200}
+	}
+	a, err := w.Router.Serve(ctx, r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = a.Body.Close() }()
+	var b bytes.Buffer
+	for {
+		piece, err := a.Body.Next()
+		if errors.Is(err, io.EOF) {
+			return a.Status, b.String(), nil
+		}
+		if err != nil {
+			return a.Status, b.String(), err
+		}
+		b.Write(piece)
+	}
+}
+
+// refusal returns the refusal in err.
+func refusal(t *testing.T, err error) *persimmoncart.Refusal {
+	t.Helper()
+	r := &persimmoncart.Refusal{}
+	assert.Assert(t, errors.As(err, &r), "%v", err)
+	return r
+}
+
+// opsAre compares the kinds of calls.
+func (w *world) opsAre(t *testing.T, want ...string) {
+	t.Helper()
+	got := w.Upstream.ops()
+	assert.Assert(t, slices.Equal(got, want), "%v, want %v", got, want)
+}
--- /dev/null
+++ b/internal/policy/retrywindow_test.go
@@ -0,0 +1,74 @@
+package policy_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/persimmoncart/persimmoncart/internal/policy"
+)
+
+// Guards against instances that together send more repeats than the shared
+// budget allows in any window, whichever way their requests arrive.
+func TestRetryWindowKeepsSharedBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const (
+			span  = 10 * time.Second
+			ratio = 0.2
+			slack = 2
+		)
+		instances := rapid.IntRange(1, 12).Draw(t, "instances")
+		windows := make([]*policy.RetryWindow, instances)
+		for n := range windows {
+			windows[n] = &policy.RetryWindow{Ratio: ratio, Slack: slack, Span: span}
+		}
+		now := time.Unix(0, 0)
+		var requests, repeats []time.Time
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "gap")) * time.Millisecond)
+			w := windows[rapid.IntRange(0, instances-1).Draw(t, "instance")]
+			if rapid.Bool().Draw(t, "request") {
+				w.Request(now)
+				requests = append(requests, now)
+			} else if w.Repeat(now) {
+				repeats = append(repeats, now)
+			}
+			// The window of the rule ends at any moment; requests of it, of the one
+			// before and of the one half a window before count, the most of them.
+			inWindow := func(list []time.Time, ago time.Duration) int {
+				count := 0
+				for _, at := range list {
+					if d := now.Sub(at) - ago; d >= 0 && d < span {
+						count++
+					}
+				}
+				return count
+			}
+			base := max(inWindow(requests, 0), inWindow(requests, span/2), inWindow(requests, span))
+			// A part of the window that slides out early may still have counted
+			// requests: up to a tenth of them, within the headroom.
+			allowed := ratio*float64(base) + float64(instances*slack) + ratio*float64(inWindow(requests, span+span/10))
+			if got := inWindow(repeats, 0); float64(got) > allowed {
+				t.Fatalf("%d repeats for %d requests", got, base)
+			}
+		}
+	})
+}
+
+// Guards against a budget that depends on the number of instances.
+func TestRetryWindowFollowsRequests(t *testing.T) {
+	w := &policy.RetryWindow{Ratio: 0.2, Slack: 2, Span: 10 * time.Second}
+	now := time.Unix(1000, 0)
+	for range 100 {
+		w.Request(now)
+	}
+	allowed := 0
+	for w.Repeat(now) {
+		allowed++
+	}
+	assert.Equal(t, allowed, 18) // 0.8 of 20, and 2
+	assert.Assert(t, !w.Repeat(now.Add(5*time.Second)))
+	assert.Assert(t, w.Repeat(now.Add(11*time.Second)))
+}
--- a/internal/policy/spread.go
+++ b/internal/policy/spread.go
@@ -161,6 +161,11 @@
 	return best
 }
 
+// Expect returns the expected time of a request at an endpoint, its wait included.
+func (s *Spread) Expect(now time.Time, e *SpreadEndpoint, r *SpreadRequest) time.Duration {
+	return time.Duration(s.wait(now, e, r) * float64(time.Second))
+}
+
 // cost returns the expected cost of a request, in seconds.
 func (s *Spread) cost(now time.Time, e *SpreadEndpoint, r *SpreadRequest) float64 {
 	c := s.wait(now, e, r) + distance(e, r).Seconds()
--- /dev/null
+++ b/internal/policy/waitlist_test.go
@@ -0,0 +1,66 @@
+package policy_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart/internal/policy"
+)
+
+// Guards against a crest in which every place goes to a request that is already
+// late: first come, first served, leaves all of them late.
+func TestWaitlistCrest(t *testing.T) {
+	const (
+		inTime   = 500 * time.Millisecond
+		arrivals = 20 * time.Millisecond // one request each
+		places   = 40 * time.Millisecond // one place each: twice the load
+		length   = 4 * time.Second
+	)
+	start := time.Unix(0, 0)
+	var l policy.Waitlist
+	served, late := 0, 0
+	for at := time.Duration(0); at < length; at += arrivals {
+		now := start.Add(at)
+		l.Add(&policy.Waiting{Due: now.Add(inTime), Since: now, Until: now.Add(length)})
+		if at%places != 0 {
+			continue
+		}
+		w := l.Next(now)
+		l.Remove(w)
+		served++
+		if w.Late(now) {
+			late++
+		}
+	}
+	assert.Equal(t, late, 0, "of %d", served)
+	assert.Equal(t, l.Len(), int(length/arrivals)-served)
+}
+
+// Guards against late requests that are never served after the crest, and
+// against an order that starves the oldest of them.
+func TestWaitlistLateInOrder(t *testing.T) {
+	now := time.Unix(100, 0)
+	var l policy.Waitlist
+	older := &policy.Waiting{Due: now.Add(-2 * time.Second), Since: now.Add(-3 * time.Second)}
+	newer := &policy.Waiting{Due: now.Add(-time.Second), Since: now.Add(-2 * time.Second)}
+	fresh := &policy.Waiting{Due: now.Add(time.Second), Since: now}
+	for _, w := range []*policy.Waiting{newer, fresh, older} {
+		l.Add(w)
+	}
+	for _, want := range []*policy.Waiting{fresh, older, newer} {
+		got := l.Next(now)
+		assert.Assert(t, got == want)
+		l.Remove(got)
+	}
+	assert.Assert(t, l.Next(now) == nil)
+}
+
+// Guards against late requests that take the last place from one in time.
+func TestWaitingRoom(t *testing.T) {
+	now := time.Unix(100, 0)
+	fresh, late := policy.Waiting{Due: now.Add(time.Second)}, policy.Waiting{Due: now.Add(-time.Second)}
+	assert.Equal(t, fresh.Room(now, 4000), 4000)
+	assert.Equal(t, late.Room(now, 4000), 8000)
+}
