--- /dev/null
+++ b/internal/http1/client_test.go
@@ -0,0 +1,206 @@
+package http1_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart/internal/http1"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+)
+
+var addr = netip.MustParseAddrPort("127.0.0.1:1")
+
+// end closes the connection of a script.
+const end = "<end>"
+
+// A script is an endpoint: what it writes after each request, by connection.
+type script [][]string
+
+// dial connects to the next connection of the script and counts its requests.
+func (s script) dial(requests *int) func(context.Context, netip.AddrPort) (net.Conn, error) {
+	next := 0
+	return func(context.Context, netip.AddrPort) (net.Conn, error) {
+		if next == len(s) {
+			return nil, errors.New("refused")
+		}
+		texts := s[next]
+		next++
+		client, server := net.Pipe()
+		go func() {
+			defer func() { _ = server.Close() }()
+			r := bufio.NewReader(server)
+			for _, text := range texts {
+				q, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, q.Body)
+				*requests++
+				text, last := strings.CutSuffix(text, end)
+				if _, err := io.WriteString(server, text); err != nil || last {
+					return
+				}
+			}
+		}()
+		return client, nil
+	}
+}
+
+// reply returns an answer to the request with the given identifier.
+func reply(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// get sends the request with the given identifier and reads its answer.
+func get(ctx context.Context, c *http1.Client, id string) (string, error) {
+	response, err := c.Do(ctx, addr, &http1.Request{
+		Body: []byte("b"), Header: http.Header{"Id": {id}}, Host: "h", Method: http.MethodPost,
+		Mine: func(h http.Header) bool { return h.Get("Id") == id }, Target: "/%2f?x",
+	})
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	b, err := io.ReadAll(response.Body)
+	return string(b), err
+}
+
+// Guards against a connection that is used after it stopped being clean, and
+// against an answer that goes to another request.
+func TestConnections(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		script   script
+		want     []string // answers, or "!" for an error
+		opened   uint64
+		requests int
+	}{
+		{name: "kept", script: script{{reply("0", "a"), reply("1", "b")}}, want: []string{"a", "b"}, opened: 1, requests: 2},
+		{
+			name: "closed by the endpoint", opened: 2, requests: 2, want: []string{"a", "b"},
+			script: script{{strings.Replace(reply("0", "a"), "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)}, {reply("1", "b")}},
+		},
+		{name: "extra bytes after the answer", script: script{{reply("0", "a") + "junk"}, {reply("1", "b")}}, want: []string{"a", "b"}, opened: 2, requests: 2},
+		{name: "extra answer after the answer", script: script{{reply("0", "a") + reply("0", "a")}, {reply("1", "b")}}, want: []string{"a", "b"}, opened: 2, requests: 2},
+		{name: "answer to another first", script: script{{reply("x", "no") + reply("0", "a")}, {reply("1", "b")}}, want: []string{"a", "b"}, opened: 2, requests: 2},
+		{name: "only answers to others", script: script{{strings.Repeat(reply("x", "no"), 9)}}, want: []string{"!"}, opened: 1, requests: 1},
+		{name: "broken off", script: script{{"HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 9\r\n\r\nab" + end}}, want: []string{"!"}, opened: 1, requests: 1},
+		{name: "no answer", script: script{{end}}, want: []string{"!"}, opened: 1, requests: 1},
+		{name: "no HTTP", script: script{{"\x00\x01\r\n\r\n"}}, want: []string{"!"}, opened: 1, requests: 1},
+		{name: "interim answer", script: script{{"HTTP/1.1 103 Early Hints\r\n\r\n" + reply("0", "a")}}, want: []string{"a"}, opened: 1, requests: 1},
+		{name: "without a length", script: script{{"HTTP/1.1 200 OK\r\nId: 0\r\n\r\nab" + end}}, want: []string{"ab"}, opened: 1, requests: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				requests := 0
+				client := &http1.Client{Dial: c.script.dial(&requests), Timer: &timer.System{}}
+				defer client.Forget(addr)
+				for n, want := range c.want {
+					got, err := get(t.Context(), client, fmt.Sprint(n))
+					if want == "!" {
+						assert.Assert(t, err != nil)
+						continue
+					}
+					assert.NilError(t, err)
+					assert.Equal(t, got, want)
+				}
+				synctest.Wait()
+				assert.Equal(t, client.Opened(), c.opened)
+				assert.Equal(t, requests, c.requests)
+			})
+		})
+	}
+}
+
+// Guards against calling a request unsent that may have run: only a failed
+// connection, or a first write that took nothing, proves it.
+func TestNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		requests := 0
+		client := &http1.Client{Dial: script{{end}}.dial(&requests), Timer: &timer.System{}}
+		_, err := get(t.Context(), client, "0")
+		unsent := (*http1.NotSentError)(nil)
+		assert.Assert(t, !errors.As(err, &unsent), "%v", err)
+		_, err = get(t.Context(), client, "1") // nothing listens any more
+		assert.Assert(t, errors.As(err, &unsent), "%v", err)
+		assert.Equal(t, requests, 1)
+	})
+}
+
+// Guards against a request that crosses the endpoint's close of an idle connection.
+func TestIdleTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		requests := 0
+		kept := strings.Replace(reply("0", "a"), "\r\n\r\n", "\r\nKeep-Alive: timeout=2\r\n\r\n", 1)
+		client := &http1.Client{Dial: script{{kept, reply("1", "b")}, {reply("1", "b")}}.dial(&requests), Timer: &timer.System{}}
+		_, err := get(t.Context(), client, "0")
+		assert.NilError(t, err)
+		time.Sleep(1500 * time.Millisecond)
+		_, err = get(t.Context(), client, "1")
+		assert.NilError(t, err)
+		assert.Equal(t, client.Opened(), uint64(2))
+		client.Forget(addr)
+	})
+}
+
+// Guards against a caller that waits for an endpoint which went silent, and
+// against a connection that is kept after that.
+func TestContextEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := &http1.Client{Timer: &timer.System{}, Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
+			c, server := net.Pipe()
+			go func() {
+				_, _ = io.Copy(io.Discard, server) // until the client closes
+				_ = server.Close()
+			}()
+			return c, nil
+		}}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		started := time.Now()
+		_, err := get(ctx, client, "0")
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		assert.Equal(t, time.Since(started), time.Second)
+	})
+}
+
+// Guards against a long body whose rest is taken for the next request: an
+// endpoint may answer before it has read it.
+func TestEarlyAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := &http1.Client{Timer: &timer.System{}, Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
+			c, server := net.Pipe()
+			go func() {
+				defer func() { _ = server.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(server, reply("0", "early"))
+				_, _ = io.Copy(io.Discard, server) // reads on later
+			}()
+			return c, nil
+		}}
+		response, err := client.Do(t.Context(), addr, &http1.Request{
+			Body: bytes.Repeat([]byte("x"), 1<<20), Header: http.Header{}, Host: "h", Method: http.MethodPost, Target: "/",
+		})
+		assert.NilError(t, err)
+		b, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(b), "early")
+		assert.NilError(t, response.Body.Close())
+		synctest.Wait()
+	})
+}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -10,6 +10,8 @@
 	"net/netip"
 	"sync/atomic"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -29,13 +31,33 @@
 // have no overall timeout: the context of each call bounds it.
 func NewClient(config *tls.Config) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	return newClient(config, dialer.DialContext)
+}
+
+// NewClientOn returns a client like NewClient for cleartext calls over
+// connections that dial opens. A nil dial means TCP.
+func NewClientOn(dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)) *http.Client {
+	if dial == nil {
+		return NewClient(nil)
+	}
+	return newClient(nil, func(ctx context.Context, _, address string) (net.Conn, error) {
+		addr, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, errors.Wrap(err, "dial")
+		}
+		return dial(ctx, addr)
+	})
+}
+
+// newClient returns a client over connections that dial opens.
+func newClient(config *tls.Config, dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				c, err := dialer.DialContext(ctx, network, address)
+				c, err := dial(ctx, network, address)
 				if err != nil {
 					return nil, err
 				}
