forward: the roles of engines follow the traffic

An engine that refuses a request it had reserved a place for is left alone, and the exported cache is offered to a second engine.

--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -42,6 +42,14 @@
 	gate    gate // before the decode engines
 	retries policy.RetryWindow
 	spread  policy.Spread
+	stages  policy.Stages
+}
+
+// A StageChange is a change of an engine's role that is due.
+type StageChange struct {
+	Endpoint persimmoncart.Endpoint
+	Role     persimmoncart.Role // the new one
+	Target   float64            // prefill engines that the region should have
 }
 
 // A lease is one request's use of an endpoint.
@@ -199,6 +207,29 @@
 	})
 }
 
+// StageChanges returns the changes of roles that are due, at most one for each
+// pool and region, without the engines in busy.
+func (d *Directory) StageChanges(busy map[persimmoncart.EndpointID]bool) []StageChange {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var changes []StageChange
+	for _, p := range d.pools {
+		regions := make(map[persimmoncart.Region][]*policy.SpreadEndpoint)
+		for _, e := range p.spread.Endpoints {
+			regions[e.Endpoint.Region] = append(regions[e.Endpoint.Region], e)
+		}
+		for _, engines := range regions {
+			e, role, due := p.stages.Plan(engines, busy)
+			if !due {
+				continue
+			}
+			target, _ := p.stages.Target(len(engines)) // known, as a plan is there
+			changes = append(changes, StageChange{Endpoint: e, Role: role, Target: target})
+		}
+	}
+	return changes
+}
+
 // drop forgets an endpoint; the mutex is held.
 func (d *Directory) drop(p *pool, e *policy.SpreadEndpoint) {
 	p.spread.Endpoints = slices.DeleteFunc(p.spread.Endpoints, func(o *policy.SpreadEndpoint) bool { return o == e })
@@ -269,6 +300,22 @@
 	l.state.Full(l.directory.Timer.Now())
 }
 
+// Decoded reports a generation that held the engine's memory for took.
+func (l *lease) Decoded(took time.Duration, size persimmoncart.EngineSize) {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	l.pool.stages.Decoded(took, l.tokens, size)
+}
+
+// Prefilled reports a prefill that took as long and did not wait for another.
+func (l *lease) Prefilled(took time.Duration) {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	if l.state.InFlight == 1 && l.state.Waiting() == 0 {
+		l.pool.stages.Prefilled(took)
+	}
+}
+
 // end takes the request off the endpoint, once.
 func (l *lease) end() bool {
 	l.directory.mutex.Lock()
@@ -300,6 +347,13 @@
 	l.state.Report(l.directory.Timer.Now(), *load)
 }
 
+// Shut reports that the endpoint refused a request that it had reserved a place for.
+func (l *lease) Shut() {
+	l.directory.mutex.Lock()
+	defer l.directory.mutex.Unlock()
+	l.state.Shut(l.directory.Timer.Now())
+}
+
 // Succeeded reports an answer after took for the given amount of work.
 func (l *lease) Succeeded(took time.Duration, units float64) {
 	l.directory.mutex.Lock()
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -45,8 +45,9 @@
 type generation struct {
 	*exchange
 
-	cache *exportedCache
-	hold  string // reservation on the decode engine
+	cache   *exportedCache
+	hold    string // reservation on the decode engine
+	offered bool   // a decode engine has refused the request with this cache
 }
 
 // An exportedCache is KV cache that waits for its decode engine.
@@ -78,11 +79,21 @@
 		if err == nil {
 			return answer, nil
 		}
-		g.abandon(decode)
+		held := g.hold != ""
+		g.leave(decode)
 		if ctx.Err() != nil {
+			g.release()
 			return nil, x.ended(ctx, true)
 		}
-		if v := x.failure(ctx, decode, err); v != verdictNotRun && x.rule.Repeat == persimmoncart.RepeatNever {
+		v := x.failure(ctx, decode, err)
+		if v != verdictNotRun || g.offered {
+			g.release()
+		}
+		g.offered = g.cache != nil
+		if v == verdictNotRun && held {
+			decode.Shut()
+		}
+		if v != verdictNotRun && x.rule.Repeat == persimmoncart.RepeatNever {
 			return nil, &persimmoncart.Refusal{
 				Code: persimmoncart.RefusalEndpointFailed, Err: err, Message: "the engine failed",
 				Outcome: persimmoncart.OutcomeUnknown,
@@ -92,10 +103,15 @@
 	}
 }
 
-// abandon gives up a decode engine and what was prepared for it.
+// abandon gives up a decode engine and all that was prepared.
 func (g *generation) abandon(l *lease) {
-	l.Done()
+	g.leave(l)
 	g.release()
+}
+
+// leave gives up a decode engine. Exported KV cache stays for the next one.
+func (g *generation) leave(l *lease) {
+	l.Done()
 	hold := g.hold
 	g.hold = ""
 	if hold == "" {
@@ -271,6 +287,7 @@
 	}
 	now := g.router.Timer.Now()
 	l.Load(cache.Load)
+	l.Prefilled(now.Sub(started))
 	l.Succeeded(now.Sub(started), float64(g.request.Prompt.Tokens)/1000)
 	g.uncount()
 	g.cache = &exportedCache{at: now, endpoint: l.Endpoint, source: cache.Source}
--- a/internal/forward/generate_test.go
+++ b/internal/forward/generate_test.go
@@ -84,7 +84,7 @@
 		name string
 		path string
 		send func(context.Context, int, persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error)
-		want []string
+		want map[string]int // calls that free something, and prefills
 	}{
 		{
 			name: "decode refused, then taken elsewhere", path: "/draft/",
@@ -94,16 +94,26 @@
 				}
 				return whole(ctx, n, call)
 			},
-			want: []string{"release", "release-hold"},
+			want: map[string]int{"prefill": 1, "release-hold": 1}, // the second engine fetches the same cache
+		},
+		{
+			name: "decode refused twice, then taken elsewhere", path: "/draft/",
+			send: func(ctx context.Context, n int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+				if n < 2 {
+					return nil, refused()
+				}
+				return whole(ctx, n, call)
+			},
+			want: map[string]int{"prefill": 2, "release": 2, "release-hold": 3},
 		},
 		{
 			name: "decode broke before its answer", path: "/draft/",
 			send: func(context.Context, int, persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
 				return nil, errReset
 			},
-			want: []string{"release", "release-hold"},
+			want: map[string]int{"prefill": 1, "release": 1, "release-hold": 1},
 		},
-		{name: "whole", path: "/draft/", send: whole},
+		{name: "whole", path: "/draft/", send: whole, want: map[string]int{"prefill": 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -111,12 +121,8 @@
 				w.Upstream.send = c.send
 				_, _, _ = w.serve(t.Context(), c.path)
 				synctest.Wait()
-				for _, op := range []string{"release", "release-hold"} {
-					want := 0
-					if len(c.want) > 0 {
-						want = 1
-					}
-					assert.Equal(t, w.Upstream.count(op), want, op)
+				for _, op := range []string{"prefill", "release", "release-hold"} {
+					assert.Equal(t, w.Upstream.count(op), c.want[op], op)
 				}
 			})
 		})
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -61,6 +61,7 @@
 		case err == nil:
 			continue
 		case isEOF(err):
+			s.lease.Decoded(s.router.Timer.Now().Sub(s.started), *s.engine)
 			s.lease.Succeeded(s.router.Timer.Now().Sub(s.started), 1)
 			s.leave()
 			return nil, io.EOF
--- a/internal/policy/spread.go
+++ b/internal/policy/spread.go
@@ -34,6 +34,9 @@
 	// fullTime is how long an engine that refused a request is left alone,
 	// unless a request of this instance ends there.
 	fullTime = 120 * time.Millisecond
+	// shutTime is how long an engine is left alone that refused a request for
+	// which it had reserved a place: it is changing its role, or about to leave.
+	shutTime = 4 * time.Second
 	// slowHalfLife is the same for the slowness that an endpoint reports.
 	slowHalfLife = 600 * time.Millisecond
 	// workGain is the weight of one new duration in an average.
@@ -57,6 +60,7 @@
 	Trust    Trust
 
 	full   time.Time // until when it counts as full
+	shut   time.Time // until when it takes nothing
 	load   persimmoncart.EndpointLoad
 	loadAt time.Time
 	work   float64 // seconds for each unit of work, without the way there
@@ -68,6 +72,9 @@
 // Full notes that the endpoint has no place for a request.
 func (e *SpreadEndpoint) Full(now time.Time) { e.full = now.Add(fullTime) }
 
+// Shut notes that the endpoint broke its word to take a request.
+func (e *SpreadEndpoint) Shut(now time.Time) { e.shut = now.Add(shutTime) }
+
 // Learn takes how long the given amount of work took.
 func (e *SpreadEndpoint) Learn(took time.Duration, units float64) {
 	if units <= 0 {
@@ -87,6 +94,9 @@
 	e.load, e.loadAt = load, now
 }
 
+// Waiting returns the requests that waited when the endpoint last stated its load.
+func (e *SpreadEndpoint) Waiting() int { return e.load.Waiting }
+
 // others returns the expected requests of other instances.
 func (e *SpreadEndpoint) others(now time.Time) float64 {
 	if e.loadAt.IsZero() {
@@ -101,7 +111,7 @@
 
 // room reports whether the engine is expected to have a free slot and memory.
 func (e *SpreadEndpoint) room(now time.Time, r *SpreadRequest) bool {
-	if now.Before(e.full) {
+	if now.Before(e.full) || now.Before(e.shut) {
 		return false
 	}
 	others := e.others(now)
--- /dev/null
+++ b/internal/policy/stages.go
@@ -0,0 +1,123 @@
+package policy
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+const (
+	// stageGain is the weight of one generation in the averages.
+	stageGain = 0.05
+	// stageLower and stageHigher are the weights of a prefill that took less or
+	// more than the estimate. Waits behind other instances' prompts only lengthen
+	// a prefill, so that the estimate leans towards the short ones.
+	stageLower  = 0.2
+	stageHigher = 0.02
+	// stageSamples is how many generations a plan needs.
+	stageSamples = 15
+	// stageHeadroom is the prefill capacity that is kept for each unit of demand,
+	// as prompts queue one behind the other.
+	stageHeadroom = 1.4
+	// stageAbove and stageBelow are how far the number of prefill engines may be
+	// above and below the target. Together they are more than one engine, so that
+	// a plan does not go to and fro. A missing prefill engine costs less, since
+	// decode engines can read prompts themselves.
+	stageAbove = 0.7
+	stageBelow = 1.1
+)
+
+// Stages learns how much time of a prefill and of a decode engine one generation
+// takes. From that follows which part of the engines should prefill: at the
+// crest both kinds are full then. It answers traffic that shifts between long
+// prompts and long answers, and engines that come and go.
+type Stages struct {
+	decode   float64 // engine seconds
+	decoded  int     // samples
+	prefill  float64 // engine seconds
+	prefills int     // samples
+}
+
+// Decoded takes a generation that held tokens in an engine's memory for a while.
+func (s *Stages) Decoded(took time.Duration, held int, size persimmoncart.EngineSize) {
+	if size.Memory <= 0 || size.Slots <= 0 {
+		return
+	}
+	share := max(float64(held)/float64(size.Memory), 1/float64(size.Slots))
+	gain := math.Max(stageGain, 1/float64(s.decoded+1)) // starts as a plain mean
+	s.decode += gain * (took.Seconds()*share - s.decode)
+	s.decoded++
+}
+
+// Prefilled takes a prefill that did not wait for another.
+func (s *Stages) Prefilled(took time.Duration) {
+	gain := stageHigher
+	if took.Seconds() < s.prefill {
+		gain = stageLower
+	}
+	if s.prefills == 0 {
+		gain = 1
+	}
+	s.prefill += gain * (took.Seconds() - s.prefill)
+	s.prefills++
+}
+
+// Target returns how many of a number of engines should prefill. It reports
+// false while too little is known.
+func (s *Stages) Target(engines int) (float64, bool) {
+	if s.decoded < stageSamples || s.prefills < stageSamples {
+		return 0, false
+	}
+	prefill := stageHeadroom * s.prefill
+	return float64(engines) * prefill / (prefill + s.decode), true
+}
+
+// Plan returns the engine of one region whose role should change, and its new
+// role, or false. One engine changes at a time; engines that are leaving,
+// missing or listed in busy do not.
+func (s *Stages) Plan(engines []*SpreadEndpoint, busy map[persimmoncart.EndpointID]bool) (persimmoncart.Endpoint, persimmoncart.Role, bool) {
+	var prefill, decode []*SpreadEndpoint
+	for _, e := range engines {
+		switch {
+		case e.Endpoint.Leaving || e.Missing:
+		case busy[e.Endpoint.ID]:
+			return persimmoncart.Endpoint{}, 0, false // its effect is not seen yet
+		case e.Endpoint.Role == persimmoncart.RolePrefill:
+			prefill = append(prefill, e)
+		case e.Endpoint.Role == persimmoncart.RoleDecode:
+			decode = append(decode, e)
+		}
+	}
+	target, known := s.Target(len(prefill) + len(decode))
+	if !known {
+		return persimmoncart.Endpoint{}, 0, false
+	}
+	target = max(1, target)
+	have := float64(len(prefill))
+	switch {
+	case have-target > stageAbove && len(prefill) > 1:
+		return leastUsed(prefill).Endpoint, persimmoncart.RoleDecode, true
+	case (target-have > stageBelow || len(prefill) == 0) && len(decode) > 1:
+		return leastUsed(decode).Endpoint, persimmoncart.RolePrefill, true
+	}
+	return persimmoncart.Endpoint{}, 0, false
+}
+
+// leastUsed returns the engine with the least work, of the data centre with the
+// most engines of the list.
+func leastUsed(engines []*SpreadEndpoint) *SpreadEndpoint {
+	centres := make(map[persimmoncart.DataCentre]int)
+	for _, e := range engines {
+		centres[e.Endpoint.DataCentre]++
+	}
+	return slices.MinFunc(engines, func(a, b *SpreadEndpoint) int {
+		return cmp.Or(
+			cmp.Compare(centres[b.Endpoint.DataCentre], centres[a.Endpoint.DataCentre]),
+			cmp.Compare(a.InFlight, b.InFlight),
+			cmp.Compare(a.Endpoint.ID, b.Endpoint.ID),
+		)
+	})
+}
