policy: engines that broke their word are a last resort

Cause: with both engines of a region left alone, requests were refused although there was room (TestGenerateReleases, refused twice). Change: such engines cost more instead of being left out.

--- a/internal/forward/generate_test.go
+++ b/internal/forward/generate_test.go
@@ -184,9 +184,7 @@
 func TestGenerateLongPrefillQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
-		w.Upstream.send = func(ctx context.Context, n int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
-			return whole(ctx, n, call)
-		}
+		w.Upstream.send = whole
 		w.Upstream.prefill = func(int) error {
 			time.Sleep(300 * time.Millisecond)
 			return nil
--- a/internal/policy/spread.go
+++ b/internal/policy/spread.go
@@ -22,7 +22,8 @@
 	// request that may run once, and of one that can be sent again.
 	failCareful    = time.Second
 	failRepeatable = 300 * time.Millisecond
-	// missingCost keeps endpoints that the store no longer lists as a last resort.
+	// missingCost keeps endpoints that the store no longer lists, and those that
+	// broke their word, as a last resort.
 	missingCost = 5 * time.Second
 	// overflowCost is the wait for each request's worth of memory or slots that
 	// an engine lacks.
@@ -111,7 +112,7 @@
 
 // room reports whether the engine is expected to have a free slot and memory.
 func (e *SpreadEndpoint) room(now time.Time, r *SpreadRequest) bool {
-	if now.Before(e.full) || now.Before(e.shut) {
+	if now.Before(e.full) {
 		return false
 	}
 	others := e.others(now)
@@ -184,7 +185,7 @@
 		fail = failCareful
 	}
 	c += fail.Seconds() * e.Trust.Rate(now)
-	if e.Missing {
+	if e.Missing || now.Before(e.shut) {
 		c += missingCost.Seconds()
 	}
 	return c
