--- a/internal/forward/follow.go
+++ b/internal/forward/follow.go
@@ -16,6 +16,9 @@
 	// again, and followPauseLimit what it doubles up to.
 	followPause      = 200 * time.Millisecond
 	followPauseLimit = time.Second
+	// followGather is the pause after a change, in which further ones gather:
+	// they come in series, and each call to the store is paid for.
+	followGather = 300 * time.Millisecond
 )
 
 // A Follower keeps what this instance believes current with the store's objects
@@ -45,13 +48,17 @@
 			listed = err == nil
 		} else {
 			err = f.watch(ctx)
-			compacted := &persimmoncart.HistoryError{}
-			listed = !errors.As(err, &compacted)
 		}
-		if err == nil || ctx.Err() != nil {
+		compacted := &persimmoncart.HistoryError{}
+		switch {
+		case err == nil || ctx.Err() != nil:
 			continue
+		case errors.As(err, &compacted):
+			listed = false
+			f.Logger.Info().Str("prefix", f.Prefix).Uint64("version", uint64(f.version)).Msg("history is gone")
+		default:
+			f.failed(err)
 		}
-		f.failed(err)
 		_ = f.Timer.Sleep(ctx, f.pause()) // the loop ends with ctx
 	}
 	return ctx.Err()
@@ -84,7 +91,7 @@
 // pause returns the time until the next try. Instances that lost the store at
 // the same moment come back at different ones.
 func (f *Follower) pause() time.Duration {
-	base := min(followPause<<min(f.failures-1, 10), followPauseLimit)
+	base := min(followPause<<min(max(f.failures-1, 0), 10), followPauseLimit)
 	return base/2 + rand.N(base)
 }
 
@@ -112,6 +119,7 @@
 		return errors.Wrapf(err, "watch %s", f.Prefix)
 	}
 	defer func() { _ = w.Close() }() // nothing depends on it
+	changed := false
 	for {
 		e, err := w.Next(ctx)
 		if err != nil {
@@ -121,6 +129,12 @@
 		f.version = max(f.version, e.Object.Version)
 		if e.Object.Key != "" {
 			f.Changed(e)
+			changed = true
+			continue
+		}
+		if changed {
+			changed = false
+			_ = f.Timer.Sleep(ctx, followGather) // the next call ends with ctx
 		}
 	}
 }
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -18,6 +18,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/transport"
 )
 
 const (
@@ -140,7 +141,7 @@
 	defer c.Timer.After(dialTimeout, func(time.Time) { cancel() })()
 	dial := c.Dial
 	if dial == nil {
-		dial = dialTCP
+		dial = transport.DialAlive
 	}
 	n, err := dial(ctx, addr)
 	if err != nil {
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -35,11 +35,8 @@
 }
 
 // NewClientOn returns a client like NewClient for cleartext calls over
-// connections that dial opens. A nil dial means TCP.
+// connections that dial opens.
 func NewClientOn(dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)) *http.Client {
-	if dial == nil {
-		return NewClient(nil)
-	}
 	return newClient(nil, func(ctx context.Context, _, address string) (net.Conn, error) {
 		addr, err := netip.ParseAddrPort(address)
 		if err != nil {
--- a/internal/http1/socket.go
+++ b/internal/transport/dial.go
@@ -1,4 +1,4 @@
-package http1
+package transport
 
 import (
 	"context"
@@ -22,8 +22,9 @@
 	keepAliveCount    = 2
 )
 
-// dialTCP opens a TCP connection whose peer's silence is noticed.
-func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+// DialAlive opens a TCP connection whose peer's silence is noticed within about
+// three seconds, also while an answer is awaited.
+func DialAlive(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	d := net.Dialer{
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var failed error
@@ -42,24 +43,3 @@
 	}
 	return n, nil
 }
-
-// quiet reports whether a connection is open and has no byte to read. Other
-// connections than TCP count as quiet.
-func quiet(n net.Conn) bool {
-	s, ok := n.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, got := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = errors.Is(got, unix.EAGAIN)
-		return true
-	})
-	return err == nil && open
-}
