--- a/forwardrequest.go
+++ b/forwardrequest.go
@@ -44,5 +44,5 @@
 	if p.Expected <= 0 {
 		return p.Tokens + p.Limit/2
 	}
-	return p.Tokens + min(p.Expected, p.Limit)
+	return p.Tokens + min(int(1.25*float64(p.Expected)), p.Limit)
 }
