policy: close a large gap of roles by half in one step

Change: a plan orders up to half of the gap at once, and the next step follows as soon as the ordered engines show their new role.

--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -45,13 +45,6 @@
 	stages  policy.Stages
 }
 
-// A StageChange is a change of an engine's role that is due.
-type StageChange struct {
-	Endpoint persimmoncart.Endpoint
-	Role     persimmoncart.Role // the new one
-	Target   float64            // prefill engines that the region should have
-}
-
 // A lease is one request's use of an endpoint.
 type lease struct {
 	Endpoint persimmoncart.Endpoint
@@ -207,24 +200,27 @@
 	})
 }
 
-// StageChanges returns the changes of roles that are due, at most one for each
-// pool and region, without the engines in busy.
-func (d *Directory) StageChanges(busy map[persimmoncart.EndpointID]bool) []StageChange {
+// StageChanges returns the changes of roles that are due. Busy are the engines
+// that have been ordered, by their new role; those that have it are removed.
+func (d *Directory) StageChanges(busy map[persimmoncart.EndpointID]persimmoncart.Role) []policy.StageChange {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	var changes []StageChange
+	var changes []policy.StageChange
+	waiting := make(map[persimmoncart.EndpointID]bool, len(busy))
+	for id, role := range busy {
+		if e, _ := d.find(id); e == nil || e.Endpoint.Role == role {
+			delete(busy, id)
+			continue
+		}
+		waiting[id] = true
+	}
 	for _, p := range d.pools {
 		regions := make(map[persimmoncart.Region][]*policy.SpreadEndpoint)
 		for _, e := range p.spread.Endpoints {
 			regions[e.Endpoint.Region] = append(regions[e.Endpoint.Region], e)
 		}
 		for _, engines := range regions {
-			e, role, due := p.stages.Plan(engines, busy)
-			if !due {
-				continue
-			}
-			target, _ := p.stages.Target(len(engines)) // known, as a plan is there
-			changes = append(changes, StageChange{Endpoint: e, Role: role, Target: target})
+			changes = append(changes, p.stages.Plan(engines, waiting)...)
 		}
 	}
 	return changes
--- a/internal/forward/stager.go
+++ b/internal/forward/stager.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/policy"
 )
 
 const (
@@ -37,15 +38,21 @@
 	Self      persimmoncart.InstanceID
 	Timer     persimmoncart.Timer
 
-	busy  map[persimmoncart.EndpointID]time.Time // until when an ordered engine is left alone
+	busy  map[persimmoncart.EndpointID]ordered // engines that are left alone
 	lease persimmoncart.Lease
 	retry time.Time // no try for the lease before
 	wants int       // looks in a row that want a change
 }
 
+// An ordered is an engine that has been ordered to change its role.
+type ordered struct {
+	role  persimmoncart.Role
+	until time.Time // the change is given up
+}
+
 // Run looks at the roles until ctx is done.
 func (s *Stager) Run(ctx context.Context) error {
-	s.busy = make(map[persimmoncart.EndpointID]time.Time)
+	s.busy = make(map[persimmoncart.EndpointID]ordered)
 	for s.Timer.Sleep(ctx, stagePeriod) == nil {
 		s.look(ctx)
 	}
@@ -79,18 +86,21 @@
 	return false
 }
 
-// look orders the changes that are due, at most one in each region.
+// look orders the changes that are due.
 func (s *Stager) look(ctx context.Context) {
 	now := s.Timer.Now()
-	busy := make(map[persimmoncart.EndpointID]bool, len(s.busy))
-	for id, until := range s.busy {
-		if now.After(until) {
+	waiting := make(map[persimmoncart.EndpointID]persimmoncart.Role, len(s.busy))
+	for id, b := range s.busy {
+		if now.Before(b.until) {
+			waiting[id] = b.role
+		}
+	}
+	changes := s.Directory.StageChanges(waiting)
+	for id := range s.busy {
+		if _, busy := waiting[id]; !busy {
 			delete(s.busy, id)
-			continue
 		}
-		busy[id] = true
 	}
-	changes := s.Directory.StageChanges(busy)
 	if len(changes) == 0 {
 		s.wants = 0
 		return
@@ -104,7 +114,7 @@
 }
 
 // order orders one change.
-func (s *Stager) order(ctx context.Context, change *StageChange) {
+func (s *Stager) order(ctx context.Context, change *policy.StageChange) {
 	var state persimmoncart.EngineState
 	e := &change.Endpoint
 	err := s.call(ctx, func(ctx context.Context) (err error) {
@@ -114,7 +124,7 @@
 	line := s.Logger.Info().Str("endpoint", string(e.ID)).Stringer("from", e.Role).Stringer("to", change.Role).
 		Float64("target", change.Target).Uint64("fence", s.lease.Fence).Bool("busy", state.Busy)
 	if err != nil || state.Busy || state.Role != e.Role {
-		s.busy[e.ID] = s.Timer.Now().Add(stagePeriod)
+		s.busy[e.ID] = ordered{role: change.Role, until: s.Timer.Now().Add(2 * stagePeriod)}
 		line.AnErr("cause", err).Msg("role not ordered")
 		return
 	}
@@ -122,7 +132,7 @@
 		line.Msg("lease of roles ran out")
 		return
 	}
-	s.busy[e.ID] = s.Timer.Now().Add(stageSettle)
+	s.busy[e.ID] = ordered{role: change.Role, until: s.Timer.Now().Add(stageSettle)}
 	err = s.call(ctx, func(ctx context.Context) error {
 		return s.Orders.OrderStage(ctx, e, persimmoncart.StageOrder{
 			Fence: s.lease.Fence, Role: change.Role, Sender: s.Self, Sequence: state.Sequence,
--- a/internal/policy/stages.go
+++ b/internal/policy/stages.go
@@ -75,16 +75,24 @@
 	return float64(engines) * prefill / (prefill + s.decode), true
 }
 
-// Plan returns the engine of one region whose role should change, and its new
-// role, or false. One engine changes at a time; engines that are leaving,
-// missing or listed in busy do not.
-func (s *Stages) Plan(engines []*SpreadEndpoint, busy map[persimmoncart.EndpointID]bool) (persimmoncart.Endpoint, persimmoncart.Role, bool) {
+// A StageChange is a change of an engine's role that is due.
+type StageChange struct {
+	Endpoint persimmoncart.Endpoint
+	Role     persimmoncart.Role // the new one
+	Target   float64            // prefill engines that the region should have
+}
+
+// Plan returns the changes that are due in one region, the most useful first. A
+// large gap is closed by half in one step, since the engines are away for seconds
+// while they change. Engines that are leaving, missing or listed in busy do not
+// change, and nothing does while one is busy.
+func (s *Stages) Plan(engines []*SpreadEndpoint, busy map[persimmoncart.EndpointID]bool) []StageChange {
 	var prefill, decode []*SpreadEndpoint
 	for _, e := range engines {
 		switch {
 		case e.Endpoint.Leaving || e.Missing:
 		case busy[e.Endpoint.ID]:
-			return persimmoncart.Endpoint{}, 0, false // its effect is not seen yet
+			return nil // its effect is not seen yet
 		case e.Endpoint.Role == persimmoncart.RolePrefill:
 			prefill = append(prefill, e)
 		case e.Endpoint.Role == persimmoncart.RoleDecode:
@@ -93,17 +101,25 @@
 	}
 	target, known := s.Target(len(prefill) + len(decode))
 	if !known {
-		return persimmoncart.Endpoint{}, 0, false
+		return nil
 	}
 	target = max(1, target)
 	have := float64(len(prefill))
+	var from []*SpreadEndpoint
+	role := persimmoncart.RoleDecode
 	switch {
 	case have-target > stageAbove && len(prefill) > 1:
-		return leastUsed(prefill).Endpoint, persimmoncart.RoleDecode, true
+		from = prefill
 	case (target-have > stageBelow || len(prefill) == 0) && len(decode) > 1:
-		return leastUsed(decode).Endpoint, persimmoncart.RolePrefill, true
+		from, role = decode, persimmoncart.RolePrefill
+	}
+	var changes []StageChange
+	for range min(max(1, int(math.Abs(have-target)/2)), len(from)-1) {
+		e := leastUsed(from)
+		from = slices.DeleteFunc(slices.Clone(from), func(o *SpreadEndpoint) bool { return o == e })
+		changes = append(changes, StageChange{Endpoint: e.Endpoint, Role: role, Target: target})
 	}
-	return persimmoncart.Endpoint{}, 0, false
+	return changes
 }
 
 // leastUsed returns the engine with the least work, of the data centre with the
--- a/internal/policy/stages_test.go
+++ b/internal/policy/stages_test.go
@@ -40,8 +40,8 @@
 func settle(t *testing.T, s *policy.Stages, list []*policy.SpreadEndpoint) int {
 	t.Helper()
 	for range 2 * len(list) {
-		e, role, change := s.Plan(list, nil)
-		if !change {
+		changes := s.Plan(list, nil)
+		if len(changes) == 0 {
 			count := 0
 			for _, e := range list {
 				if e.Endpoint.Role == persimmoncart.RolePrefill {
@@ -50,9 +50,11 @@
 			}
 			return count
 		}
-		for _, o := range list {
-			if o.Endpoint.ID == e.ID {
-				o.Endpoint.Role = role
+		for _, c := range changes {
+			for _, o := range list {
+				if o.Endpoint.ID == c.Endpoint.ID {
+					o.Endpoint.Role = c.Role
+				}
 			}
 		}
 	}
@@ -82,9 +84,7 @@
 // Guards against orders before anything is known, and against a second order
 // before the first shows its effect.
 func TestStagesWait(t *testing.T) {
-	_, _, change := (&policy.Stages{}).Plan(engines(6, 12), nil)
-	assert.Assert(t, !change)
+	assert.Equal(t, len((&policy.Stages{}).Plan(engines(6, 12), nil)), 0)
 	s := learned(100*time.Millisecond, 4*time.Second)
-	_, _, change = s.Plan(engines(6, 12), map[persimmoncart.EndpointID]bool{"e01": true})
-	assert.Assert(t, !change)
+	assert.Equal(t, len(s.Plan(engines(6, 12), map[persimmoncart.EndpointID]bool{"e01": true})), 0)
 }
