--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -28,6 +29,9 @@
 	holdShare = 0.25
 	// holdLifetime is how long a place is reserved while the prompt is prefilled.
 	holdLifetime = 1500 * time.Millisecond
+	// retryCrest is when a generation comes back at the earliest that found no
+	// place, and the span over which several come back: crests last some seconds.
+	retryCrest = 2 * time.Second
 	// releaseTime bounds the call that frees KV cache nobody will fetch.
 	releaseTime = time.Second
 	// cacheShare is the part of its lifetime during which exported KV cache is
@@ -298,7 +302,7 @@
 func (g *generation) refusal(cause error) error {
 	return &persimmoncart.Refusal{
 		Code: persimmoncart.RefusalCapacity, Err: cause, Message: "no engine took the request",
-		Outcome: persimmoncart.OutcomeNotRun, Retry: retrySoon,
+		Outcome: persimmoncart.OutcomeNotRun, Retry: retryCrest + rand.N(retryCrest),
 	}
 }
 
