--- /dev/null
+++ b/internal/soak/caller.go
@@ -0,0 +1,99 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart/platform/standin"
+)
+
+// Kinds of requests, which are the first parts of their paths.
+const (
+	kindCert = "cert" // a stream that may not resume
+	kindLong = "long" // a stream that may resume
+	kindLook = "look" // idempotent
+	kindPay  = "pay"  // may not be repeated
+)
+
+const (
+	// callerPause is the mean time between two requests of one caller.
+	callerPause = 60 * time.Millisecond
+	// leaveShare is the share of requests whose caller leaves early.
+	leaveShare = 0.05
+	// streamEvents is the number of events of a stream.
+	streamEvents = 12
+)
+
+// kinds are the kinds of requests, as often as callers send them.
+var kinds = []string{kindPay, kindPay, kindPay, kindLook, kindLook, kindCert, kindLong}
+
+// A caller sends requests to one instance and keeps its connection, also while
+// the instance stops.
+type caller struct {
+	client   *http.Client
+	instance int
+	name     string
+	process  *process
+	random   *rand.Rand
+	record   *record
+}
+
+// run sends requests until ctx is done.
+func (c *caller) run(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		time.Sleep(time.Duration(c.random.ExpFloat64() * float64(callerPause)))
+		c.send(ctx, fmt.Sprintf("%s-%d", c.name, n), kinds[c.random.IntN(len(kinds))])
+	}
+	c.client.CloseIdleConnections()
+}
+
+// send sends one request and keeps its outcome.
+func (c *caller) send(ctx context.Context, id, kind string) {
+	left := 2 * time.Second
+	if kind == kindCert || kind == kindLong {
+		left = 6 * time.Second
+	}
+	patience := left
+	if c.random.Float64() < leaveShare {
+		patience = time.Duration(c.random.Int64N(int64(200 * time.Millisecond)))
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	body := "body of " + id
+	o := &outcome{id: id, instance: c.instance, kind: kind, sent: time.Now(), whole: standin.Answer(id, []byte(body))}
+	url := fmt.Sprintf("http://%s/%s/%d", c.process.Callers, kind, c.instance)
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		panic(err) // the address is a valid one
+	}
+	q.Host = "shop.example"
+	q.Header.Set("X-Attempt-Id", id)
+	q.Header.Set("X-Deadline-Ms", fmt.Sprint(left.Milliseconds()))
+	if kind == kindCert || kind == kindLong {
+		q.Header.Set("X-Token-Count", "2000,800")
+		var whole strings.Builder
+		for n := range streamEvents {
+			whole.WriteString(standin.Event(n + 1))
+		}
+		o.whole = whole.String()
+	}
+	response, err := c.client.Do(q)
+	if err == nil {
+		o.status = response.StatusCode
+		if got := response.Header.Get("X-Attempt-Id"); got != "" && got != id {
+			o.wrongFrom = got
+		}
+		text, failed := io.ReadAll(response.Body)
+		_ = response.Body.Close() // it has been read
+		o.body, err = string(text), failed
+	}
+	o.closed = err != nil
+	o.ended = time.Now()
+	o.left = ctx.Err() != nil
+	c.record.add(o)
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,107 @@
+package soak
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// graceTime is the time between the signal to stop and the kill.
+const graceTime = 8 * time.Second
+
+// settingsText are the settings of an instance, as the platform writes them.
+const settingsText = `node: %q
+zone: z%d
+region: r1
+zones: {z0: r1, z1: r1, z2: r1}
+listen: {front: %q, ready: %q}
+bounds: {config-apply-ms: 2500, grace-s: 8, retry-budget-ratio: 0.2, budget-window-s: 10}
+platform: {address: %q}
+`
+
+// A process is one instance of the real program. Its fields are set before start.
+type process struct {
+	Callers netip.AddrPort
+	Folder  string // of settings and logs
+	Health  netip.AddrPort
+	Name    string
+	Program string
+	Store   netip.AddrPort
+	Zone    int
+
+	command *exec.Cmd
+	ended   chan struct{} // closed when the process has ended
+	mutex   sync.Mutex
+	starts  int
+	stopped time.Time // when it was asked to stop; zero while it is wanted
+}
+
+// start starts the program.
+func (p *process) start() error {
+	settings := filepath.Join(p.Folder, p.Name+".yaml")
+	text := fmt.Sprintf(settingsText, p.Name, p.Zone, p.Callers, p.Health, p.Store)
+	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	log, err := os.OpenFile(filepath.Join(p.Folder, p.Name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	c := exec.Command(p.Program, "platform", "--settings="+settings)
+	c.Stdout, c.Stderr = log, log
+	if err := c.Start(); err != nil {
+		return errors.Wrap(err, "start program")
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.command, p.ended, p.stopped = c, make(chan struct{}), time.Time{}
+	p.starts++
+	ended := p.ended
+	go func() {
+		_ = c.Wait() // the state is read from the command
+		_ = log.Close()
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal to the program.
+func (p *process) signal(s syscall.Signal) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.command == nil {
+		return
+	}
+	if s == syscall.SIGTERM {
+		p.stopped = time.Now()
+	}
+	_ = p.command.Process.Signal(s) // a process that has ended needs none
+}
+
+// wait waits for the end of the program and returns its exit code, or -1 if a
+// signal ended it. It reports false if that takes longer than limit.
+func (p *process) wait(limit time.Duration) (code int, ended bool) {
+	p.mutex.Lock()
+	command, done := p.command, p.ended
+	p.mutex.Unlock()
+	select {
+	case <-done:
+		return command.ProcessState.ExitCode(), true
+	case <-time.After(limit):
+		return 0, false
+	}
+}
+
+// stoppingSince returns when the program was asked to stop, or the zero time.
+func (p *process) stoppingSince() time.Time {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.stopped
+}
--- /dev/null
+++ b/internal/soak/run/main.go
@@ -0,0 +1,114 @@
+// The run command soaks the real program under random faults.
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/persimmoncart/persimmoncart/internal/soak"
+)
+
+// options are the flags of the command.
+type options struct {
+	Break     string        `long:"break" description:"promise of which a violation is planted"`
+	Callers   int           `long:"callers" default:"4" description:"callers of each instance"`
+	Instances int           `long:"instances" default:"4" description:"instances of the program"`
+	Length    time.Duration `long:"length" default:"8s" description:"time with faults"`
+	Logs      string        `long:"logs" description:"folder for the logs of seeds that fail; empty keeps none"`
+	Parallel  int           `long:"parallel" default:"2" description:"seeds at the same time"`
+	Program   string        `long:"program" default:"bin/persimmoncart" description:"path of the program"`
+	Seed      uint64        `long:"seed" default:"1" description:"first seed"`
+	Seeds     uint64        `long:"seeds" default:"1" description:"number of seeds"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	os.Exit(run(&o))
+}
+
+// run plays the seeds and returns the exit code: 1 if a promise was broken, or if
+// a planted violation was not seen.
+func run(o *options) int {
+	var group sync.WaitGroup
+	var mutex sync.Mutex
+	failed := 0
+	slots := make(chan struct{}, max(1, o.Parallel))
+	for seed := o.Seed; seed < o.Seed+o.Seeds; seed++ {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			ok := play(o, seed)
+			mutex.Lock()
+			defer mutex.Unlock()
+			if !ok {
+				failed++
+			}
+		})
+	}
+	group.Wait()
+	fmt.Printf("%d passed, %d failed\n", o.Seeds-uint64(failed), failed)
+	if failed > 0 {
+		return 1
+	}
+	return 0
+}
+
+// play plays one seed and reports whether it went as it should.
+func play(o *options, seed uint64) bool {
+	folder, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	var log bytes.Buffer
+	s := &soak.Soak{
+		Broken: soak.Promise(o.Break), Callers: o.Callers, Folder: folder, Instances: o.Instances,
+		Length: o.Length, Log: &log, Program: o.Program, Seed: seed,
+	}
+	violations, err := s.Run(context.Background())
+	if err != nil {
+		fmt.Printf("seed %d: not run: %v\n", seed, err)
+		return false
+	}
+	for _, v := range violations {
+		fmt.Printf("seed %d: %s\n", seed, v)
+	}
+	fmt.Printf("seed %d: %d requests, %d violations\n", seed, s.Requests(), len(violations))
+	if o.Break != "" {
+		for _, v := range violations {
+			if v.Promise == soak.Promise(o.Break) {
+				return true
+			}
+		}
+		return false
+	}
+	if len(violations) > 0 && o.Logs != "" {
+		if err := keep(o.Logs, seed, folder, log.Bytes()); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}
+	return len(violations) == 0
+}
+
+// keep copies the logs of a seed that failed.
+func keep(to string, seed uint64, folder string, log []byte) error {
+	to = filepath.Join(to, fmt.Sprintf("seed-%d", seed))
+	if err := os.MkdirAll(to, 0o755); err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(to, "faults.log"), log, 0o600); err != nil {
+		return err
+	}
+	return os.CopyFS(to, os.DirFS(folder))
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,277 @@
+// Package soak runs the real program as separate processes before stand-ins of
+// the platform, injects faults from outside them, and checks what callers and
+// replicas see.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+	"github.com/persimmoncart/persimmoncart/platform/standin"
+)
+
+const (
+	// startTime bounds the time until all instances are ready.
+	startTime = 10 * time.Second
+	// settleTime is how long faults are over before promises with a time hold.
+	settleTime = 6 * time.Second
+	// drainTime is how long a replica that is leaving may still get work.
+	drainTime = 2500 * time.Millisecond
+	// applyTime is how long a change of the configuration may take.
+	applyTime = 2500 * time.Millisecond
+	// quietTime is how long after the last caller something may be held.
+	quietTime = 3 * time.Second
+	// resumedShare is the share of requests that are served once faults are over.
+	resumedShare = 0.7
+)
+
+// A Soak is one run. Its fields are set before Run.
+type Soak struct {
+	Broken    Promise // a violation of it is planted; empty for none
+	Callers   int     // for each instance
+	Folder    string  // for settings and logs
+	Instances int
+	Length    time.Duration // of the faults
+	Log       io.Writer
+	Program   string // path of the real program
+	Seed      uint64
+
+	group     sync.WaitGroup
+	processes []*process
+	random    *rand.Rand
+	record    record
+	replicas  []*replica
+	store     *standin.Store
+	stores    []*Proxy // towards the store, by instance
+	version   int
+}
+
+// A replica is a stand-in behind a proxy.
+type replica struct {
+	*standin.Replica
+
+	addr    netip.AddrPort // of the proxy
+	fault   faultSource
+	leaving time.Time // zero while it stays
+	proxy   *Proxy
+	service string
+	zone    int
+}
+
+// Requests returns the number of requests that callers have sent.
+func (s *Soak) Requests() int {
+	s.record.mutex.Lock()
+	defer s.record.mutex.Unlock()
+	return len(s.record.outcomes)
+}
+
+// Run runs the soak and returns the violations. The error tells that the run
+// itself failed.
+func (s *Soak) Run(ctx context.Context) ([]Violation, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.random = rand.New(rand.NewPCG(s.Seed, 1))
+	s.record.started = time.Now()
+	if err := s.open(ctx); err != nil {
+		return nil, err
+	}
+	defer s.close()
+	if err := s.ready(startTime); err != nil {
+		return nil, err
+	}
+	calling, hangUp := context.WithCancel(ctx)
+	s.call(calling)
+	s.faults()
+	s.heal()
+	time.Sleep(settleTime)
+	resumed := time.Now()
+	s.checkConfig()
+	s.checkLeaving()
+	if answered, sent := s.record.served(resumed); float64(answered) < resumedShare*float64(sent) || sent == 0 {
+		s.record.violate(Resumed, "%d of %d requests are answered after the faults", answered, sent)
+	}
+	s.replace()
+	hangUp()
+	s.group.Wait()
+	time.Sleep(quietTime)
+	s.plant()
+	for _, r := range s.replicas {
+		if held := r.Held(); held > 0 {
+			s.record.violate(Freed, "%s holds %d", r.ID, held)
+		}
+	}
+	s.record.checkRuns(s.runs())
+	return s.record.violations, nil
+}
+
+// call starts the callers.
+func (s *Soak) call(ctx context.Context) {
+	for n, p := range s.processes {
+		for k := range s.Callers {
+			c := &caller{
+				client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+				instance: n, name: fmt.Sprintf("c%d.%d", n, k), process: p,
+				random: rand.New(rand.NewPCG(s.Seed, uint64(100+n*s.Callers+k))), record: &s.record,
+			}
+			s.group.Go(func() { c.run(ctx) })
+		}
+	}
+}
+
+// close ends all processes that the soak started, and its listeners.
+func (s *Soak) close() {
+	for _, p := range s.processes {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		p.wait(graceTime)
+	}
+	for _, p := range s.stores {
+		p.Close()
+	}
+	for _, r := range s.replicas {
+		r.proxy.Close()
+	}
+}
+
+// logf writes a line about the run.
+func (s *Soak) logf(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(s.Log, "%7.3fs %s\n", time.Since(s.record.started).Seconds(), fmt.Sprintf(format, arguments...))
+}
+
+// open starts the stand-ins and the processes.
+func (s *Soak) open(ctx context.Context) error {
+	clock := &timer.System{}
+	s.store = &standin.Store{Timer: clock}
+	storeAddr, err := serve(ctx, s.store)
+	if err != nil {
+		return err
+	}
+	for n, stage := range []string{"", "", "", "prefill", "prefill", "decode", "decode", "decode"} {
+		r := &replica{service: "books", zone: n % 3}
+		if stage != "" {
+			r.service = "llm"
+		}
+		r.Replica = &standin.Replica{
+			Break: r.fault.next, Event: 30 * time.Millisecond, Events: streamEvents, ID: fmt.Sprintf("i-%d", n), Peer: s.at,
+			Slots: 16, Stage: stage, Timer: clock, Turned: func() { s.enter(r) }, Work: 15 * time.Millisecond,
+		}
+		r.fault.random = rand.New(rand.NewPCG(s.Seed, uint64(10+n)))
+		addr, err := serve(ctx, r.Replica)
+		if err != nil {
+			return err
+		}
+		r.proxy = &Proxy{Server: addr}
+		if r.addr, err = r.proxy.Listen(ctx); err != nil {
+			return err
+		}
+		s.replicas = append(s.replicas, r)
+		s.enter(r)
+	}
+	s.configure()
+	for n := range s.Instances {
+		proxy := &Proxy{Server: storeAddr}
+		store, err := proxy.Listen(ctx)
+		if err != nil {
+			return err
+		}
+		s.stores = append(s.stores, proxy)
+		p := &process{Folder: s.Folder, Name: fmt.Sprintf("edge-%d", n), Program: s.Program, Store: store, Zone: n % 3}
+		if p.Callers, err = freeAddr(ctx); err != nil {
+			return err
+		}
+		if p.Health, err = freeAddr(ctx); err != nil {
+			return err
+		}
+		s.processes = append(s.processes, p)
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// at returns the replica at an address of the list.
+func (s *Soak) at(addr string) *standin.Replica {
+	for _, r := range s.replicas {
+		if r.addr.String() == addr {
+			return r.Replica
+		}
+	}
+	return nil
+}
+
+// ready waits until all instances are ready.
+func (s *Soak) ready(limit time.Duration) error {
+	deadline := time.Now().Add(limit)
+	for n := 0; n < len(s.processes); {
+		if s.isReady(s.processes[n]) {
+			n++
+			continue
+		}
+		if time.Now().After(deadline) {
+			return errors.Errorf("%s is not ready after %s", s.processes[n].Name, limit)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nil
+}
+
+// isReady asks an instance whether it is ready.
+func (*Soak) isReady(p *process) bool {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + p.Health.String() + "/persimmoncart/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close() // only the status counts
+	return response.StatusCode == http.StatusOK
+}
+
+// runs returns how often each request has run on all replicas.
+func (s *Soak) runs() map[string]int {
+	runs := make(map[string]int)
+	for _, r := range s.replicas {
+		for id, n := range r.Runs() {
+			runs[id] += n
+		}
+	}
+	return runs
+}
+
+// freeAddr returns an address on the loopback interface that nothing listens on.
+func freeAddr(ctx context.Context) (netip.AddrPort, error) {
+	var c net.ListenConfig
+	l, err := c.Listen(ctx, "tcp4", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, errors.Wrap(err, "find port")
+	}
+	addr := l.Addr().(*net.TCPAddr).AddrPort()
+	if err := l.Close(); err != nil {
+		return netip.AddrPort{}, errors.Wrap(err, "find port")
+	}
+	return addr, nil
+}
+
+// serve serves a handler on the loopback interface until the soak ends.
+func serve(ctx context.Context, h http.Handler) (netip.AddrPort, error) {
+	var c net.ListenConfig
+	l, err := c.Listen(ctx, "tcp4", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(l) }() // ends with the listener
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
