--- a/cmd/persimmonctl/internal/cmd/main.go
+++ b/cmd/persimmonctl/internal/cmd/main.go
@@ -113,6 +113,7 @@
 		{"completion", "print the completion script of a shell", completionHelp, &completion{app: a}},
 		{"diff", "show what apply would change", diffHelp, &diff{app: a}},
 		{"drain", "give endpoints no new work", drainHelp, &drain{app: a}},
+		{"explain", "print the life of one request from log lines", explainHelp, &explain{app: a}},
 		{"get", "show objects", getHelp, &get{app: a}},
 		{"history", "show versions with their authors and changes", historyHelp, &history{app: a}},
 		{"outcome", "show what is known of a call that may not be repeated", outcomeHelp, &outcome{app: a}},
--- a/internal/entry/forwarding.go
+++ b/internal/entry/forwarding.go
@@ -27,7 +27,7 @@
 )
 
 // A Forwarding is an entry instance that serves forwarded requests. Its fields
-// are set before Run; all but Services are required.
+// are set before Run; those without a remark are required, Services aside.
 type Forwarding struct {
 	Callers        net.Listener
 	Configuration  *forward.Follower // of the routes
@@ -38,6 +38,8 @@
 	Health         net.Listener
 	HealthHandler  func(ready func() bool) http.Handler
 	Logger         zerolog.Logger
+	Metrics        net.Listener // metrics only; may be nil
+	MetricsHandler http.Handler
 	Services       []control.Service
 	Timer          persimmoncart.Timer
 	VersionChanged func(uint64) // may be nil
@@ -73,9 +75,14 @@
 	}, f.Services...)}
 	var group errgroup.Group
 	group.Go(func() error { return tree.Run(services) })
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	serve(f.callers, f.Callers, failed)
 	serve(f.health, f.Health, failed)
+	if f.Metrics != nil {
+		metrics := f.server(f.MetricsHandler)
+		serve(metrics, f.Metrics, failed)
+		defer func() { _ = metrics.Close() }() // nothing depends on its last answers
+	}
 	f.publish(control.StoreChanged{Reached: true}) // until a call fails
 	f.publish(control.PhaseChanged{Phase: control.PhaseServing})
 	f.Logger.Info().Str("callers", f.Callers.Addr().String()).Msg("serving")
--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -49,6 +49,7 @@
 type lease struct {
 	Endpoint persimmoncart.Endpoint
 	Expected time.Duration // time there, the wait included
+	View     policy.SpreadView
 
 	directory *Directory
 	pool      *pool
@@ -178,10 +179,10 @@
 	if e == nil {
 		return nil
 	}
-	expected := p.spread.Expect(now, e, &r)
+	expected, view := p.spread.Expect(now, e, &r), e.View(now)
 	e.InFlight++
 	e.Tokens += r.Tokens
-	return &lease{Endpoint: e.Endpoint, Expected: expected, directory: d, pool: p, state: e, tokens: r.Tokens}
+	return &lease{Endpoint: e.Endpoint, Expected: expected, View: view, directory: d, pool: p, state: e, tokens: r.Tokens}
 }
 
 // Gate returns the gate before the decode engines of a pool.
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -172,6 +172,7 @@
 		}
 		if l != nil {
 			if g.secure(ctx, l, want.Tokens) {
+				g.chosen(l)
 				return l, nil
 			}
 			if ctx.Err() == nil {
@@ -267,6 +268,7 @@
 			l.Done()
 			return nil
 		}
+		g.chosen(l)
 		err := g.prefillOn(ctx, l)
 		l.Done()
 		if err == nil {
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -115,6 +115,7 @@
 		l.Done()
 		return false
 	}
+	p.chosen(l)
 	p.running++
 	p.tried = append(p.tried, l.Endpoint.ID)
 	go func() { p.results <- p.once(ctx, l) }()
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -118,6 +118,14 @@
 	return persimmoncart.UpstreamCall{Deadline: x.deadline, Endpoint: e, Priority: x.rule.Priority, Request: x.request}
 }
 
+// chosen logs the choice of an endpoint with what it was based on.
+func (x *exchange) chosen(l *lease) {
+	x.log(x.router.Logger.Info()).Str("endpoint", string(l.Endpoint.ID)).Stringer("role", l.Endpoint.Role).
+		Dur("expected", l.Expected).Int("running", l.View.InFlight).Float64("others", l.View.Others).
+		Float64("failing", l.View.Failing).Float64("slow", l.View.Slow).Dur("reported", l.View.Reported).
+		Msg("endpoint chosen")
+}
+
 // ended returns the refusal of a request whose context has ended.
 func (x *exchange) ended(ctx context.Context, sent bool) error {
 	if !errors.Is(context.Cause(ctx), errDeadline) {
--- a/internal/policy/spread.go
+++ b/internal/policy/spread.go
@@ -130,6 +130,25 @@
 	return 1 + (e.load.Slow-1)*halfLife(now.Sub(e.loadAt), slowHalfLife)
 }
 
+// A SpreadView is what a choice knew of its endpoint, for logs.
+type SpreadView struct {
+	Failing  float64 // recent failure rate
+	InFlight int     // own requests
+	Others   float64 // expected requests of other instances
+	Reported time.Duration
+	Slow     float64
+}
+
+// View returns what is known of the endpoint. Reported is the age of its last
+// statement, zero if there is none.
+func (e *SpreadEndpoint) View(now time.Time) SpreadView {
+	v := SpreadView{Failing: e.Trust.Rate(now), InFlight: e.InFlight, Others: e.others(now), Slow: e.slow(now)}
+	if !e.loadAt.IsZero() {
+		v.Reported = now.Sub(e.loadAt)
+	}
+	return v
+}
+
 // A SpreadRequest is what an endpoint is chosen for.
 type SpreadRequest struct {
 	Avoid      []persimmoncart.EndpointID // used only if there is no other
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -154,7 +154,7 @@
 // restart starts an instance again that has ended or was asked to.
 func (s *Soak) restart(p *process) {
 	p.signal(syscall.SIGCONT)
-	if _, ended := p.wait(0); !ended && p.stoppingSince().IsZero() {
+	if _, ended := p.wait(0); !ended && !p.isEnding() {
 		return // another fault's end has started it
 	}
 	if _, ended := p.wait(graceTime); !ended {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -38,9 +38,8 @@
 
 	command *exec.Cmd
 	ended   chan struct{} // closed when the process has ended
+	ending  bool          // it was asked to stop, or killed
 	mutex   sync.Mutex
-	starts  int
-	stopped time.Time // when it was asked to stop; zero while it is wanted
 }
 
 // start starts the program.
@@ -61,8 +60,7 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.command, p.ended, p.stopped = c, make(chan struct{}), time.Time{}
-	p.starts++
+	p.command, p.ended, p.ending = c, make(chan struct{}), false
 	ended := p.ended
 	go func() {
 		_ = c.Wait() // the state is read from the command
@@ -79,8 +77,8 @@
 	if p.command == nil {
 		return
 	}
-	if s == syscall.SIGTERM {
-		p.stopped = time.Now()
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+		p.ending = true
 	}
 	_ = p.command.Process.Signal(s) // a process that has ended needs none
 }
@@ -99,9 +97,9 @@
 	}
 }
 
-// stoppingSince returns when the program was asked to stop, or the zero time.
-func (p *process) stoppingSince() time.Time {
+// isEnding reports whether the program was asked to stop, or killed.
+func (p *process) isEnding() bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.stopped
+	return p.ending
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -113,6 +113,7 @@
 // carry copies bytes one way.
 func (p *Proxy) carry(to, from net.Conn, request bool) {
 	buffer := make([]byte, 16<<10)
+	lost := false // for good: TCP never goes on after a gap
 	for {
 		n, err := from.Read(buffer)
 		p.mutex.Lock()
@@ -121,7 +122,7 @@
 		if way == WayDelay {
 			time.Sleep(delayTime)
 		}
-		lost := way == WaySilent || way == WayCut && request
+		lost = lost || way == WaySilent || way == WayCut && request
 		if n > 0 && !lost {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
