platform: reload settings on SIGHUP and when the file changes

Cause: SIGHUP ended the process (Go's default), and a change of the file without a signal was never seen. A dropped history that only one watch noticed left the other waiting until the next change (TestStoreCompacts at some phases of the waits). Change: the platform command follows the file; settings that cannot be used are named and the old ones stay. A watch that finds the history gone renews the other.

--- a/cmd/persimmoncart/internal/cmd/main.go
+++ b/cmd/persimmoncart/internal/cmd/main.go
@@ -70,24 +70,6 @@
 	return exitOK
 }
 
-// mainPlatform runs the platform command and returns its exit code.
-func mainPlatform(s *Settings, onPlatform *PlatformSettings, stdout, stderr io.Writer) int {
-	loaded, err := onPlatform.load()
-	if err != nil {
-		return report(stderr, exitSettings, err)
-	}
-	if s.Check {
-		_, _ = fmt.Fprintln(stdout, "the settings are valid")
-		return exitOK
-	}
-	ctx, stop := untilSignal()
-	defer stop()
-	if err := runPlatform(ctx, loaded, stdout); err != nil {
-		return report(stderr, exitFailed, err)
-	}
-	return exitOK
-}
-
 // report writes an error and returns code.
 func report(w io.Writer, code int, err error) int {
 	_, _ = fmt.Fprintf(w, "persimmoncart: %v\n", err)
--- a/cmd/persimmoncart/internal/cmd/platformcmd.go
+++ b/cmd/persimmoncart/internal/cmd/platformcmd.go
@@ -1,17 +1,29 @@
 package cmd
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 	"github.com/persimmoncart/persimmoncart/platform"
 )
 
-// platformCommand is the name of the command that serves on the platform.
-const platformCommand = "platform"
+const (
+	// platformCommand is the name of the command that serves on the platform.
+	platformCommand = "platform"
+	// settingsPeriod is the time between two looks at the settings file, which may
+	// change without a signal.
+	settingsPeriod = 5 * time.Second
+)
 
 // A PlatformSettings holds the flags of the platform command. The settings
 // themselves are in the file that the platform keeps.
@@ -19,20 +31,96 @@
 	File string `long:"settings" env:"SETTINGS" description:"settings file that the platform writes"`
 }
 
-// check reads the settings file and reports whether it can be used.
+// load reads and checks the settings file.
 func (s *PlatformSettings) load() (*platform.Settings, error) {
-	path := s.File
-	if path == "" {
-		path = os.Getenv(platform.SettingsVariable)
-	}
+	path := s.path()
 	if path == "" {
 		return nil, errors.New("no settings file is named")
 	}
 	return platform.LoadSettings(path)
 }
 
-// runPlatform serves on the platform until ctx is done.
-func runPlatform(ctx context.Context, s *platform.Settings, logs io.Writer) error {
-	p := &platform.Program{Logs: logs, Settings: s}
-	return p.Run(ctx)
+// path returns the path of the settings file.
+func (s *PlatformSettings) path() string {
+	if s.File != "" {
+		return s.File
+	}
+	return os.Getenv(platform.SettingsVariable)
+}
+
+// mainPlatform runs the platform command and returns its exit code.
+func mainPlatform(s *Settings, onPlatform *PlatformSettings, stdout, stderr io.Writer) int {
+	loaded, err := onPlatform.load()
+	if err != nil {
+		return report(stderr, exitSettings, err)
+	}
+	if s.Check {
+		_, _ = fmt.Fprintln(stdout, "the settings are valid")
+		return exitOK
+	}
+	ctx, stop := untilSignal()
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	w := &settingsWatch{
+		Changed: make(chan *platform.Settings), Hangups: hangups, Path: onPlatform.path(), Stderr: stderr, Timer: &timer.System{},
+	}
+	go w.run(ctx)
+	p := &platform.Program{Logs: stdout, Reloads: w.Changed, Settings: loaded}
+	if err := p.Run(ctx); err != nil {
+		return report(stderr, exitFailed, err)
+	}
+	return exitOK
+}
+
+// A settingsWatch follows the settings file. Its fields are set before run.
+type settingsWatch struct {
+	Changed chan *platform.Settings
+	Hangups <-chan os.Signal
+	Path    string
+	Stderr  io.Writer
+	Timer   persimmoncart.Timer
+
+	last []byte
+}
+
+// run follows the file until ctx is done. Settings that cannot be used are
+// reported with the wrong fields, and the old ones stay in force.
+func (w *settingsWatch) run(ctx context.Context) {
+	look := make(chan struct{}, 1)
+	defer w.Timer.Subscribe(settingsPeriod, func(time.Time) {
+		select {
+		case look <- struct{}{}:
+		default: // a look is due already
+		}
+	})()
+	w.last, _ = os.ReadFile(w.Path) // what was loaded; a file that is gone differs
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.Hangups:
+		case <-look:
+		}
+		data, err := os.ReadFile(w.Path)
+		if err != nil {
+			report(w.Stderr, exitSettings, errors.Wrap(err, "reload"))
+			continue
+		}
+		if bytes.Equal(data, w.last) {
+			continue
+		}
+		w.last = data
+		s, err := platform.ParseSettings(data)
+		if err != nil {
+			report(w.Stderr, exitSettings, errors.Wrap(err, "reload: the old settings stay in force"))
+			continue
+		}
+		select {
+		case w.Changed <- s:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
--- a/internal/entry/forwarding.go
+++ b/internal/entry/forwarding.go
@@ -47,6 +47,7 @@
 	arriving newConnections
 	bus      *control.Bus
 	callers  *http.Server
+	grace    atomic.Int64 // of SetGrace, nanoseconds; zero means Grace
 	health   *http.Server
 	loop     *control.Loop
 	stopping atomic.Bool // requests that arrive on kept connections are the last ones
@@ -99,6 +100,9 @@
 // Reached reports whether the store answered last time.
 func (f *Forwarding) Reached() bool { return f.loop.State().Store }
 
+// SetGrace changes the time from the signal to stop to the kill.
+func (f *Forwarding) SetGrace(grace time.Duration) { f.grace.Store(int64(grace)) }
+
 // SetVersion takes the version of the routes that came into force.
 func (f *Forwarding) SetVersion(version uint64) {
 	if f.VersionChanged != nil {
@@ -110,14 +114,17 @@
 // drain stops gracefully: readiness goes off, the load balancer gets its time,
 // and what is in flight is finished as far as the grace time allows.
 func (f *Forwarding) drain() {
-	started := f.Timer.Now()
+	started, grace := f.Timer.Now(), f.Grace
+	if changed := f.grace.Load(); changed > 0 {
+		grace = time.Duration(changed)
+	}
 	f.publish(control.PhaseChanged{Phase: control.PhaseDraining})
 	f.stopping.Store(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	defer f.Timer.After(f.Grace-stopMargin, func(time.Time) { cancel() })()
-	_ = f.Timer.Sleep(ctx, min(balancerWait, f.Grace/2)) // the grace time ends the stop in any case
-	_ = f.Callers.Close()                                // nothing is lost: its connections stay open
+	defer f.Timer.After(grace-stopMargin, func(time.Time) { cancel() })()
+	_ = f.Timer.Sleep(ctx, min(balancerWait, grace/2)) // the grace time ends the stop in any case
+	_ = f.Callers.Close()                              // nothing is lost: its connections stay open
 	f.arriving.Wait(ctx)
 	if err := f.callers.Shutdown(ctx); err != nil {
 		f.Logger.Warn().Dur("took", f.Timer.Now().Sub(started)).Msg("requests were still in flight at the end of the grace time")
--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -25,7 +25,7 @@
 	Home       persimmoncart.Instance
 	Logger     zerolog.Logger
 	Random     *rand.Rand // guarded by the Directory
-	RetryRatio float64    // repeated sends for each request, of all instances
+	RetryRatio float64    // repeated sends for each request, of all instances; later by SetRetryRatio
 	RetrySlack int        // repeated sends of this instance beyond it
 	RetrySpan  time.Duration
 	Timer      persimmoncart.Timer
@@ -60,6 +60,16 @@
 // Ready reports whether routes and endpoints are known.
 func (d *Directory) Ready() bool { return d.listed.Load() && d.table.Load() != nil }
 
+// SetRetryRatio changes the repeated sends for each request.
+func (d *Directory) SetRetryRatio(ratio float64) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.RetryRatio = ratio
+	for _, p := range d.pools {
+		p.retries.Ratio = ratio
+	}
+}
+
 // SetTable puts a version of the routes in force. Older versions are ignored.
 func (d *Directory) SetTable(t *persimmoncart.ForwardTable) {
 	for {
--- a/internal/forward/follow.go
+++ b/internal/forward/follow.go
@@ -29,14 +29,15 @@
 // under a prefix: it lists them once and then watches, and lists again when the
 // store has dropped the history. Its fields are set before Run.
 type Follower struct {
-	Advanced func(persimmoncart.Version) // called with the store's newest version; may be nil
-	Changed  func(persimmoncart.WatchEvent)
-	Listed   func([]persimmoncart.Object)
-	Logger   zerolog.Logger
-	Prefix   string
-	Reached  func(bool) // called when the store is lost or reached again; may be nil
-	Store    persimmoncart.Store
-	Timer    persimmoncart.Timer
+	Advanced  func(persimmoncart.Version) // called with the store's newest version; may be nil
+	Changed   func(persimmoncart.WatchEvent)
+	Compacted func() // called when the store has dropped its history; may be nil
+	Listed    func([]persimmoncart.Object)
+	Logger    zerolog.Logger
+	Prefix    string
+	Reached   func(bool) // called when the store is lost or reached again; may be nil
+	Store     persimmoncart.Store
+	Timer     persimmoncart.Timer
 
 	failures int
 	lost     bool
@@ -65,6 +66,9 @@
 		case errors.As(err, &compacted):
 			listed = false
 			f.Logger.Info().Str("prefix", f.Prefix).Uint64("version", uint64(f.at())).Msg("history is gone")
+			if f.Compacted != nil {
+				f.Compacted()
+			}
 		default:
 			f.failed(err)
 		}
@@ -73,6 +77,16 @@
 	return ctx.Err()
 }
 
+// Renew ends the call in which the watch waits and makes a new one.
+func (f *Follower) Renew() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.renew != nil {
+		f.renewed = true
+		f.renew()
+	}
+}
+
 // Verify makes sure that the watch has not missed a change up to a version that
 // the store has reached: a store that drops its history may leave the watches that
 // wait without the changes just before. A watch that has not reported the version
@@ -85,11 +99,8 @@
 	}
 	f.verified = version
 	f.Timer.After(followVerify, func(time.Time) {
-		f.mutex.Lock()
-		defer f.mutex.Unlock()
-		if f.version < version && f.renew != nil {
-			f.renewed = true
-			f.renew()
+		if f.at() < version {
+			f.Renew()
 		}
 	})
 }
