forward: read a large configuration once a second while it changes in series

The configuration had grown to 239 KB and changed every 1.25 s; 39 instances of the far region each read every version (74 Mbit a version over a link of 60 Mbit/s), and three versions came with one answer. Ruled out: processor time (the log shows reads 4 s apart with three versions each). Change: large objects that change within 2 s are read by a list of the newest, once every 0.5 to 1.5 s, until they have not changed.

--- a/internal/forward/follow.go
+++ b/internal/forward/follow.go
@@ -20,6 +20,13 @@
 	// followGather is the pause after a change, in which further ones gather:
 	// they come in series, and each call to the store is paid for.
 	followGather = 300 * time.Millisecond
+	// followBulk is the size from which objects are large, bytes. Large ones that
+	// change again within followStorm are read once every followCalm, at random
+	// between half and one and a half of it: a watch would pass on each version
+	// between, and the links between regions carry a few a second for all instances.
+	followBulk  = 64 << 10
+	followStorm = 2 * time.Second
+	followCalm  = time.Second
 	// followVerify is how long after another kind's watch this one's may report
 	// the same version.
 	followVerify = 250 * time.Millisecond
@@ -39,8 +46,10 @@
 	Store     persimmoncart.Store
 	Timer     persimmoncart.Timer
 
+	bulk     time.Time // when a large object last changed
 	failures int
 	lost     bool
+	storm    bool               // large objects change in quick succession
 	mutex    sync.Mutex         // guards the fields below
 	renew    context.CancelFunc // ends the waiting call of the watch; nil without one
 	renewed  bool               // renew was called
@@ -53,10 +62,13 @@
 	listed := false
 	for ctx.Err() == nil {
 		var err error
-		if !listed {
+		switch {
+		case !listed:
 			err = f.list(ctx)
 			listed = err == nil
-		} else {
+		case f.storm:
+			err = f.ride(ctx)
+		default:
 			err = f.watch(ctx)
 		}
 		compacted := &persimmoncart.HistoryError{}
@@ -169,6 +181,31 @@
 	f.lost = lost
 }
 
+// ride reads the newest objects after a pause. The storm is over when they have
+// not changed.
+func (f *Follower) ride(ctx context.Context) error {
+	if err := f.Timer.Sleep(ctx, followCalm/2+rand.N(followCalm)); err != nil {
+		return errors.Wrap(err, "pause")
+	}
+	before := f.at()
+	if err := f.list(ctx); err != nil {
+		return err
+	}
+	f.storm = f.at() > before
+	return nil
+}
+
+// change takes one change and notes a storm of large ones.
+func (f *Follower) change(e persimmoncart.WatchEvent) {
+	f.Changed(e)
+	if len(e.Object.Value) < followBulk {
+		return
+	}
+	now := f.Timer.Now()
+	f.storm = f.storm || now.Sub(f.bulk) < followStorm
+	f.bulk = now
+}
+
 // succeeded notes that a call was answered.
 func (f *Follower) succeeded() {
 	if f.lost {
@@ -202,10 +239,13 @@
 			f.Advanced(e.Object.Version)
 		}
 		if e.Object.Key != "" {
-			f.Changed(e)
+			f.change(e)
 			changed = true
 			continue
 		}
+		if f.storm {
+			return nil
+		}
 		if changed {
 			changed = false
 			_ = f.Timer.Sleep(ctx, followGather) // the next call ends with ctx
--- a/internal/forward/follow_test.go
+++ b/internal/forward/follow_test.go
@@ -71,6 +71,47 @@
 	})
 }
 
+// Guards against instances that read every version of a large configuration that
+// changes in quick succession, which together fill the link to their region.
+func TestFollowerStorm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			gap    = 330 * time.Millisecond
+			length = 20 * time.Second
+		)
+		start := time.Now()
+		large := make([]byte, 200<<10)
+		object := func(n int) persimmoncart.Object {
+			return persimmoncart.Object{Key: "k/a", Value: large, Version: persimmoncart.Version(n)}
+		}
+		newest := func() int { return 1 + int(min(time.Since(start), length)/gap) }
+		read := 0
+		s := &scriptStore{}
+		s.list = func() ([]persimmoncart.Object, error) {
+			read++
+			return []persimmoncart.Object{object(newest())}, nil
+		}
+		seen := 0
+		s.watch = func(from persimmoncart.Version) (persimmoncart.WatchEvent, error) {
+			seen = max(seen, int(from))
+			if seen < newest() {
+				seen++
+				read++
+				return persimmoncart.WatchEvent{Object: object(seen)}, nil
+			}
+			return persimmoncart.WatchEvent{Object: persimmoncart.Object{Version: persimmoncart.Version(seen)}}, nil
+		}
+		f := &forward.Follower{
+			Changed: func(persimmoncart.WatchEvent) {}, Listed: func([]persimmoncart.Object) {},
+			Logger: zerolog.Nop(), Prefix: "k/", Store: s, Timer: &timer.System{},
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), length+5*time.Second)
+		defer cancel()
+		assert.ErrorIs(t, f.Run(ctx), context.DeadlineExceeded)
+		assert.Assert(t, read < int(length/gap)/2, "%d reads of %d versions", read, newest())
+	})
+}
+
 // Guards against hammering a store that is down, and against not noticing that
 // it is back.
 func TestFollowerOutage(t *testing.T) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -187,10 +187,10 @@
 		}
 		s.stores = append(s.stores, proxy)
 		p := &process{Folder: s.Folder, Name: fmt.Sprintf("edge-%d", n), Program: s.Program, Store: store, Zone: n % 3}
-		if p.Callers, err = freeAddr(ctx); err != nil {
+		if p.Callers, err = s.freeAddr(ctx); err != nil {
 			return err
 		}
-		if p.Health, err = freeAddr(ctx); err != nil {
+		if p.Health, err = s.freeAddr(ctx); err != nil {
 			return err
 		}
 		s.processes = append(s.processes, p)
@@ -250,17 +250,27 @@
 }
 
 // freeAddr returns an address on the loopback interface that nothing listens on.
-func freeAddr(ctx context.Context) (netip.AddrPort, error) {
+// Its port is below those that the system gives to outgoing connections, which
+// could take it while the instance is down.
+func (s *Soak) freeAddr(ctx context.Context) (netip.AddrPort, error) {
+	const (
+		first = 12000
+		ports = 18000
+		tries = 100
+	)
 	var c net.ListenConfig
-	l, err := c.Listen(ctx, "tcp4", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "find port")
-	}
-	addr := l.Addr().(*net.TCPAddr).AddrPort()
-	if err := l.Close(); err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "find port")
+	for range tries {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(first+rand.IntN(ports)))
+		l, err := c.Listen(ctx, "tcp4", addr.String())
+		if err != nil {
+			continue // another program has it
+		}
+		if err := l.Close(); err != nil {
+			return netip.AddrPort{}, errors.Wrap(err, "find port")
+		}
+		return addr, nil
 	}
-	return addr, nil
+	return netip.AddrPort{}, errors.Errorf("no free port in %d tries", tries)
 }
 
 // serve serves a handler on the loopback interface until the soak ends.
