--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,12 @@
 lint:
 	tools/lint run
 
+# Runs the real program as processes under random faults; SEEDS, BREAK, LENGTH,
+# INSTANCES and PARALLEL are taken from the environment as well.
+.PHONY: soak
+soak: build
+	@go run ./internal/soak/run --seed=$(SEED) --seeds=$(or $(SEEDS),1) --length=$(or $(LENGTH),8s) --instances=$(or $(INSTANCES),4) --parallel=$(or $(PARALLEL),2) --break=$(BREAK) $(if $(LOGS),--logs=$(LOGS))
+
 .PHONY: test
 test:
 	go test -race work
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -39,8 +39,10 @@
 	ctx     context.Context //nolint:containedctx // Body has no context
 	end     int             // of the bytes passed on with the last call
 	filled  int
+	first   time.Time // of the first piece; zero before it
 	last    uint64 // last event passed on
 	lease   *lease
+	pieces  int // passed on
 	skip    bool // drop events up to last, as another engine may repeat them
 	started time.Time
 }
@@ -48,6 +50,11 @@
 // Close implements Body.
 func (s *stream) Close() error {
 	s.leave()
+	if s.pieces > 0 {
+		gap := s.router.Timer.Now().Sub(s.first) / time.Duration(max(1, s.pieces-1))
+		s.router.Metrics.Streamed(s.pieces, gap)
+		s.pieces = 0
+	}
 	return nil
 }
 
@@ -57,6 +64,7 @@
 		piece, err := s.read()
 		switch {
 		case err == nil && len(piece) > 0:
+			s.count()
 			return piece, nil
 		case err == nil:
 			continue
@@ -79,6 +87,14 @@
 	}
 }
 
+// count counts a piece for the metrics.
+func (s *stream) count() {
+	if s.pieces++; s.pieces == 1 {
+		s.first = s.router.Timer.Now()
+		s.router.Metrics.FirstToken(s.rule.Name, s.first.Sub(s.request.Arrived))
+	}
+}
+
 // events returns the whole events in the buffer that have not been passed on.
 func (s *stream) events() []byte {
 	whole := bytes.LastIndex(s.buffer[:s.filled], eventEnd)
--- a/internal/policy/spread.go
+++ b/internal/policy/spread.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -142,13 +143,16 @@
 // View returns what is known of the endpoint. Reported is the age of its last
 // statement, zero if there is none.
 func (e *SpreadEndpoint) View(now time.Time) SpreadView {
-	v := SpreadView{Failing: e.Trust.Rate(now), InFlight: e.InFlight, Others: e.others(now), Slow: e.slow(now)}
+	v := SpreadView{Failing: hundredths(e.Trust.Rate(now)), InFlight: e.InFlight, Others: hundredths(e.others(now)), Slow: hundredths(e.slow(now))}
 	if !e.loadAt.IsZero() {
 		v.Reported = now.Sub(e.loadAt)
 	}
 	return v
 }
 
+// hundredths rounds a number for logs.
+func hundredths(x float64) float64 { return math.Round(100*x) / 100 }
+
 // A SpreadRequest is what an endpoint is chosen for.
 type SpreadRequest struct {
 	Avoid      []persimmoncart.EndpointID // used only if there is no other
