--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -40,9 +40,9 @@
 	end     int             // of the bytes passed on with the last call
 	filled  int
 	first   time.Time // of the first piece; zero before it
-	last    uint64 // last event passed on
+	last    uint64    // last event passed on
 	lease   *lease
-	pieces  int // passed on
+	pieces  int  // passed on
 	skip    bool // drop events up to last, as another engine may repeat them
 	started time.Time
 }
