soak: the platform's names stay in platform/

Cause: the soak spelled headers, settings and entries itself. Change: platform/standin gains the operator's and the caller's side; the soak keeps checks and faults.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -66,16 +66,15 @@
 	defer cancel()
 	body := "body of " + id
 	o := &outcome{id: id, instance: c.instance, kind: kind, sent: time.Now(), whole: standin.Answer(id, []byte(body))}
-	url := fmt.Sprintf("http://%s/%s/%d", c.process.Callers, kind, c.instance)
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	stream := kind == kindCert || kind == kindLong
+	r := &standin.Request{
+		Addr: c.process.Callers, Body: body, ID: id, Left: left, Path: fmt.Sprintf("/%s/%d", kind, c.instance), Prompt: stream,
+	}
+	q, err := r.HTTP(ctx)
 	if err != nil {
 		panic(err) // the address is a valid one
 	}
-	q.Host = "shop.example"
-	q.Header.Set("X-Attempt-Id", id)
-	q.Header.Set("X-Deadline-Ms", fmt.Sprint(left.Milliseconds()))
-	if kind == kindCert || kind == kindLong {
-		q.Header.Set("X-Token-Count", "2000,800")
+	if stream {
 		var whole strings.Builder
 		for n := range streamEvents {
 			whole.WriteString(standin.Event(n + 1))
@@ -85,7 +84,7 @@
 	response, err := c.client.Do(q)
 	if err == nil {
 		o.status = response.StatusCode
-		if got := response.Header.Get("X-Attempt-Id"); got != "" && got != id {
+		if got := standin.AnswerTo(response.Header); got != "" && got != id {
 			o.wrongFrom = got
 		}
 		text, failed := io.ReadAll(response.Body)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -1,10 +1,10 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -157,10 +157,10 @@
 	if _, ended := p.wait(0); !ended && !p.isEnding() {
 		return // another fault's end has started it
 	}
-	if _, ended := p.wait(graceTime); !ended {
-		s.record.violate(GracefulStop, "%s runs %s after it was asked to stop", p.Name, graceTime)
+	if _, ended := p.wait(standin.GraceTime); !ended {
+		s.record.violate(GracefulStop, "%s runs %s after it was asked to stop", p.Name, standin.GraceTime)
 		p.signal(syscall.SIGKILL)
-		p.wait(graceTime)
+		p.wait(standin.GraceTime)
 	}
 	if err := p.start(); err != nil {
 		s.logf("%s does not start: %v", p.Name, err)
@@ -171,43 +171,26 @@
 // in version N only.
 func (s *Soak) configure() {
 	s.version++
-	route := func(name, kind, service string, more map[string]any) map[string]any {
-		r := map[string]any{
-			"name": name, "host": "shop.example", "path-prefix": "/" + name + "/", "kind": kind, "timeout-ms": 6000,
-			"target-latency-ms": 300, "priority": 1, "service": service, "max-attempts": 2, "gap-aim-ms": 300,
-		}
-		for k, v := range more {
-			r[k] = v
+	engine := standin.Route{Attempts: 2, Kind: standin.KindStreaming, Objective: 900 * time.Millisecond, Service: serviceLLM, Timeout: 6 * time.Second}
+	books := standin.Route{Attempts: 2, Objective: 300 * time.Millisecond, Service: serviceBooks, Timeout: 6 * time.Second}
+	var routes []standin.Route
+	for name, r := range map[string]standin.Route{kindCert: engine, kindLong: engine, kindLook: books, kindPay: books, fmt.Sprintf("v%d", s.version): books} {
+		r.Name, r.Resumable = name, name == kindLong
+		switch {
+		case name == kindPay:
+			r.Kind = standin.KindNonIdempotent
+		case r.Service == serviceBooks:
+			r.Kind = standin.KindIdempotent
 		}
-		return r
+		routes = append(routes, r)
 	}
-	s.store.Put("config", "main", map[string]any{
-		"version": s.version,
-		"routes": []any{
-			route(kindPay, "non_idempotent", "books", nil), route(kindLook, "idempotent", "books", nil),
-			route(kindCert, "streaming", "llm", map[string]any{"target-latency-ms": 900}),
-			route(kindLong, "streaming", "llm", map[string]any{"target-latency-ms": 900, "resumable": true}),
-			route(fmt.Sprintf("v%d", s.version), "idempotent", "books", nil),
-		},
-		"services": []any{
-			map[string]any{"name": "books", "max-conns": 200},
-			map[string]any{"name": "llm", "max-conns": 200, "engine": map[string]any{
-				"capacity-slots": 16, "kv-capacity": 60000, "handle-ttl-s": 0.5, "hold-ms": 2000,
-			}},
-		},
-		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 65536, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-	})
+	s.store.Configure(s.version, routes, map[string]standin.Engine{serviceLLM: {Memory: 60000, Slots: replicaSlots}})
 }
 
 // enter writes the entry of a replica.
 func (s *Soak) enter(r *replica) {
-	state := "ready"
-	if !r.leaving.IsZero() {
-		state = "draining"
-	}
-	s.store.Put("servers", r.ID, map[string]any{
-		"service": r.service, "address": r.addr.String(), "zone": fmt.Sprintf("z%d", r.zone), "capacity-slots": 16,
-		"state": state, "stage": r.Role(), "born": 1000, "sequence": 1,
+	s.store.Enter(&standin.Entry{
+		Addr: r.addr, Draining: !r.leaving.IsZero(), ID: r.ID, Service: r.service, Slots: replicaSlots, Stage: r.Role(), Zone: r.zone,
 	})
 }
 
@@ -221,13 +204,11 @@
 	time.Sleep(applyTime)
 	for n, p := range s.processes {
 		for version, want := range map[int]int{old: http.StatusNotFound, old + 1: http.StatusOK} {
-			q, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/v%d/x", p.Callers, version), strings.NewReader(""))
+			r := &standin.Request{Addr: p.Callers, ID: fmt.Sprintf("config-%d-%d", n, version), Left: 2 * time.Second, Path: fmt.Sprintf("/v%d/x", version)}
+			q, err := r.HTTP(context.Background())
 			if err != nil {
 				panic(err) // the address is a valid one
 			}
-			q.Host = "shop.example"
-			q.Header.Set("X-Attempt-Id", fmt.Sprintf("config-%d-%d", n, version))
-			q.Header.Set("X-Deadline-Ms", "2000")
 			response, err := (&http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(q)
 			if err != nil {
 				s.record.violate(ConfigForce, "%s does not answer: %v", p.Name, err)
@@ -267,8 +248,10 @@
 		for n := range s.record.outcomes {
 			o := &s.record.outcomes[n]
 			if o.kind == kindPay && o.status == status && !o.closed == answered {
-				q, _ := http.NewRequest(http.MethodPost, "http://"+r.addr.String()+"/pay/1", strings.NewReader("")) // a valid address
-				q.Header.Set("X-Attempt-Id", o.id)
+				q, err := (&standin.Request{Addr: r.addr, ID: o.id, Left: time.Second, Path: "/pay/1"}).HTTP(context.Background())
+				if err != nil {
+					panic(err) // the address is a valid one
+				}
 				if response, err := http.DefaultClient.Do(q); err == nil {
 					_ = response.Body.Close()
 				}
@@ -280,15 +263,13 @@
 	case AtMostOnce:
 		again(http.StatusOK, true)
 	case TrueRefusal:
-		s.record.outcomes[0].kind, s.record.outcomes[0].status = kindPay, http.StatusServiceUnavailable
+		o := &s.record.outcomes[0]
+		o.closed, o.kind, o.status = false, kindPay, http.StatusServiceUnavailable
 		again(http.StatusServiceUnavailable, true)
 	case WholeAnswer:
 		s.record.add(&outcome{body: "half", id: "planted", kind: kindLook, status: http.StatusOK, whole: "half of it"})
 	case Freed:
-		response, err := http.Post("http://"+r.addr.String()+"/persimmoncart/hold-take", "application/json", strings.NewReader(`{"ttl-ms":60000}`))
-		if err == nil {
-			_ = response.Body.Close()
-		}
+		r.Hold(time.Minute)
 	default:
 	}
 }
@@ -302,10 +283,10 @@
 		} else {
 			p.signal(syscall.SIGTERM)
 		}
-		code, ended := p.wait(graceTime)
+		code, ended := p.wait(standin.GraceTime)
 		switch {
 		case !ended:
-			s.record.violate(GracefulStop, "%s runs %s after it was asked to stop", p.Name, graceTime)
+			s.record.violate(GracefulStop, "%s runs %s after it was asked to stop", p.Name, standin.GraceTime)
 			p.signal(syscall.SIGKILL)
 		case code != 0:
 			s.record.violate(GracefulStop, "%s ended with code %d", p.Name, code)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -1,8 +1,6 @@
 package soak
 
 import (
-	"fmt"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -11,30 +9,16 @@
 	"time"
 
 	"github.com/go-faster/errors"
-)
-
-// graceTime is the time between the signal to stop and the kill.
-const graceTime = 8 * time.Second
 
-// settingsText are the settings of an instance, as the platform writes them.
-const settingsText = `node: %q
-zone: z%d
-region: r1
-zones: {z0: r1, z1: r1, z2: r1}
-listen: {front: %q, ready: %q}
-bounds: {config-apply-ms: 2500, grace-s: 8, retry-budget-ratio: 0.2, budget-window-s: 10}
-platform: {address: %q}
-`
+	"github.com/persimmoncart/persimmoncart/platform/standin"
+)
 
 // A process is one instance of the real program. Its fields are set before start.
 type process struct {
-	Callers netip.AddrPort
+	standin.Place
+
 	Folder  string // of settings and logs
-	Health  netip.AddrPort
-	Name    string
 	Program string
-	Store   netip.AddrPort
-	Zone    int
 
 	command *exec.Cmd
 	ended   chan struct{} // closed when the process has ended
@@ -45,8 +29,7 @@
 // start starts the program.
 func (p *process) start() error {
 	settings := filepath.Join(p.Folder, p.Name+".yaml")
-	text := fmt.Sprintf(settingsText, p.Name, p.Zone, p.Callers, p.Health, p.Store)
-	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(settings, []byte(p.Settings()), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
 	log, err := os.OpenFile(filepath.Join(p.Folder, p.Name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -24,6 +24,8 @@
 const (
 	// startTime bounds the time until all instances are ready.
 	startTime = 10 * time.Second
+	// replicaSlots is the number of requests that a replica runs at once.
+	replicaSlots = 16
 	// settleTime is how long faults are over before promises with a time hold.
 	settleTime = 6 * time.Second
 	// drainTime is how long a replica that is leaving may still get work.
@@ -36,6 +38,15 @@
 	resumedShare = 0.7
 )
 
+// Services.
+const (
+	serviceBooks = "books"
+	serviceLLM   = "llm"
+)
+
+// zone returns the zone of the n-th instance or replica.
+func zone(n int) string { return fmt.Sprintf("z%d", n%3) }
+
 // A Soak is one run. Its fields are set before Run.
 type Soak struct {
 	Broken    Promise // a violation of it is planted; empty for none
@@ -66,7 +77,7 @@
 	leaving time.Time // zero while it stays
 	proxy   *Proxy
 	service string
-	zone    int
+	zone    string
 }
 
 // Requests returns the number of requests that callers have sent.
@@ -134,7 +145,7 @@
 	for _, p := range s.processes {
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
-		p.wait(graceTime)
+		p.wait(standin.GraceTime)
 	}
 	for _, p := range s.stores {
 		p.Close()
@@ -158,13 +169,13 @@
 		return err
 	}
 	for n, stage := range []string{"", "", "", "prefill", "prefill", "decode", "decode", "decode"} {
-		r := &replica{service: "books", zone: n % 3}
+		r := &replica{service: serviceBooks, zone: zone(n)}
 		if stage != "" {
-			r.service = "llm"
+			r.service = serviceLLM
 		}
 		r.Replica = &standin.Replica{
 			Break: r.fault.next, Event: 30 * time.Millisecond, Events: streamEvents, ID: fmt.Sprintf("i-%d", n), Peer: s.at,
-			Slots: 16, Stage: stage, Timer: clock, Turned: func() { s.enter(r) }, Work: 15 * time.Millisecond,
+			Slots: replicaSlots, Stage: stage, Timer: clock, Turned: func() { s.enter(r) }, Work: 15 * time.Millisecond,
 		}
 		r.fault.random = rand.New(rand.NewPCG(s.Seed, uint64(10+n)))
 		addr, err := serve(ctx, r.Replica)
@@ -186,7 +197,7 @@
 			return err
 		}
 		s.stores = append(s.stores, proxy)
-		p := &process{Folder: s.Folder, Name: fmt.Sprintf("edge-%d", n), Program: s.Program, Store: store, Zone: n % 3}
+		p := &process{Folder: s.Folder, Place: standin.Place{Name: fmt.Sprintf("edge-%d", n), Store: store, Zone: zone(n)}, Program: s.Program}
 		if p.Callers, err = s.freeAddr(ctx); err != nil {
 			return err
 		}
@@ -215,7 +226,7 @@
 func (s *Soak) ready(limit time.Duration) error {
 	deadline := time.Now().Add(limit)
 	for n := 0; n < len(s.processes); {
-		if s.isReady(s.processes[n]) {
+		if standin.Ready(s.processes[n].Health) {
 			n++
 			continue
 		}
@@ -227,17 +238,6 @@
 	return nil
 }
 
-// isReady asks an instance whether it is ready.
-func (*Soak) isReady(p *process) bool {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Get("http://" + p.Health.String() + "/persimmoncart/ready")
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close() // only the status counts
-	return response.StatusCode == http.StatusOK
-}
-
 // runs returns how often each request has run on all replicas.
 func (s *Soak) runs() map[string]int {
 	runs := make(map[string]int)
