--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -93,6 +93,7 @@
 			return nil, x.ended(ctx, true)
 		}
 		v := x.failure(ctx, decode, err)
+		x.ran = x.ran || v != verdictNotRun
 		if v != verdictNotRun || g.offered {
 			g.release()
 		}
@@ -159,7 +160,7 @@
 		Until: g.request.Arrived.Add(g.part(waitShare)),
 	}
 	gate := g.router.Directory.Gate(g.pool)
-	for n := 0; ; n++ {
+	for {
 		now := g.router.Timer.Now()
 		if now.After(w.Until) {
 			return nil, g.refusal(errNoPlace)
--- a/internal/forward/generate_test.go
+++ b/internal/forward/generate_test.go
@@ -143,6 +143,27 @@
 	})
 }
 
+// Guards against a refusal that says not run although an earlier send of the same
+// request may have: a stream that may resume is tried again, and then finds no place.
+func TestGenerateRefusalAfterRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.Upstream.hold = func(n int) error {
+			if n > 0 {
+				return refused()
+			}
+			return nil
+		}
+		w.Upstream.send = func(context.Context, int, persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+			return nil, errReset
+		}
+		_, _, err := w.serve(t.Context(), "/long/")
+		r := refusal(t, err)
+		assert.Equal(t, r.Code, persimmoncart.RefusalCapacity)
+		assert.Equal(t, r.Outcome, persimmoncart.OutcomeUnknown)
+	})
+}
+
 // Guards against the load pattern that broke the shared budget of repeated
 // sends: prefill engines are too few for a burst, every prefill is given up, and
 // both the second prefill and the decode after it are further arrivals.
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -128,6 +128,7 @@
 	case verdictAnswered:
 		return p.deliver(&result), true, nil
 	case verdictError, verdictFailed:
+		p.ran = true
 		p.runs++
 	case verdictNotRun:
 	}
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -82,6 +82,13 @@
 	return answer, nil
 }
 
+// Reject counts and logs a request that is refused before it is served.
+func (r *Router) Reject(id persimmoncart.RequestID, refusal *persimmoncart.Refusal) {
+	r.Metrics.Refused(refusal.Code)
+	r.Logger.Warn().Str("request", string(id)).Str("code", string(refusal.Code)).Stringer("outcome", refusal.Outcome).
+		Dur("retry", refusal.Retry).Str("reason", refusal.Message).AnErr("cause", refusal.Err).Msg("request refused")
+}
+
 // An exchange is one request on its way.
 type exchange struct {
 	arrivals  int // sends that count towards the budget of repeated sends
@@ -91,6 +98,7 @@
 	paid      bool // the next repeated send has been taken from the budget
 	pool      persimmoncart.PoolName
 	prefilled bool // an engine has accepted a prefill
+	ran       bool // it may have run
 	request   *persimmoncart.ForwardRequest
 	router    *Router
 	rule      *persimmoncart.ForwardRoute
@@ -164,6 +172,10 @@
 			Code: persimmoncart.RefusalInternal, Err: err, Message: "internal error", Outcome: persimmoncart.OutcomeUnknown,
 		}
 	}
+	if x.ran && refusal.Outcome == persimmoncart.OutcomeNotRun {
+		// What refused it last says nothing about the sends before.
+		refusal.Outcome, refusal.Retry = persimmoncart.OutcomeUnknown, 0
+	}
 	x.router.Metrics.Refused(refusal.Code)
 	x.log(x.router.Logger.Warn()).Str("route", string(name)).Str("code", string(refusal.Code)).
 		Stringer("outcome", refusal.Outcome).Dur("retry", refusal.Retry).AnErr("cause", refusal.Err).Msg("request refused")
