forward: changes gather for 0.9 s before the next call to the store

Cause: calls to the store are the largest price of the grown deployments; a replaced endpoint changes its entry three times within seconds. Change: the pause after a change is 0.9 s (0.3 s before), within every bound on changes (2.5 s).

--- a/internal/forward/follow.go
+++ b/internal/forward/follow.go
@@ -19,7 +19,7 @@
 	followPauseLimit = time.Second
 	// followGather is the pause after a change, in which further ones gather:
 	// they come in series, and each call to the store is paid for.
-	followGather = 300 * time.Millisecond
+	followGather = 900 * time.Millisecond
 	// followBulk is the size from which objects are large, bytes. Large ones that
 	// change again within followStorm are read once every followCalm, at random
 	// between half and one and a half of it: a watch would pass on each version
