--- a/internal/forward/follow.go
+++ b/internal/forward/follow.go
@@ -21,11 +21,11 @@
 	// they come in series, and each call to the store is paid for.
 	followGather = 900 * time.Millisecond
 	// followBulk is the size from which objects are large, bytes. Large ones that
-	// change again within followStorm are read once every followCalm, at random
+	// change again within followBurst are read once every followCalm, at random
 	// between half and one and a half of it: a watch would pass on each version
 	// between, and the links between regions carry a few a second for all instances.
 	followBulk  = 64 << 10
-	followStorm = 2 * time.Second
+	followBurst = 2 * time.Second
 	followCalm  = time.Second
 	// followVerify is how long after another kind's watch this one's may report
 	// the same version.
@@ -47,9 +47,9 @@
 	Timer     persimmoncart.Timer
 
 	bulk     time.Time // when a large object last changed
+	burst    bool      // large objects change in quick succession
 	failures int
 	lost     bool
-	storm    bool               // large objects change in quick succession
 	mutex    sync.Mutex         // guards the fields below
 	renew    context.CancelFunc // ends the waiting call of the watch; nil without one
 	renewed  bool               // renew was called
@@ -66,8 +66,8 @@
 		case !listed:
 			err = f.list(ctx)
 			listed = err == nil
-		case f.storm:
-			err = f.ride(ctx)
+		case f.burst:
+			err = f.listNewest(ctx)
 		default:
 			err = f.watch(ctx)
 		}
@@ -181,9 +181,9 @@
 	f.lost = lost
 }
 
-// ride reads the newest objects after a pause. The storm is over when they have
+// listNewest reads the newest objects after a pause. The burst is over when they have
 // not changed.
-func (f *Follower) ride(ctx context.Context) error {
+func (f *Follower) listNewest(ctx context.Context) error {
 	if err := f.Timer.Sleep(ctx, followCalm/2+rand.N(followCalm)); err != nil {
 		return errors.Wrap(err, "pause")
 	}
@@ -191,18 +191,18 @@
 	if err := f.list(ctx); err != nil {
 		return err
 	}
-	f.storm = f.at() > before
+	f.burst = f.at() > before
 	return nil
 }
 
-// change takes one change and notes a storm of large ones.
+// change takes one change and notes a burst of large ones.
 func (f *Follower) change(e persimmoncart.WatchEvent) {
 	f.Changed(e)
 	if len(e.Object.Value) < followBulk {
 		return
 	}
 	now := f.Timer.Now()
-	f.storm = f.storm || now.Sub(f.bulk) < followStorm
+	f.burst = f.burst || now.Sub(f.bulk) < followBurst
 	f.bulk = now
 }
 
@@ -243,7 +243,7 @@
 			changed = true
 			continue
 		}
-		if f.storm {
+		if f.burst {
 			return nil
 		}
 		if changed {
--- a/internal/forward/follow_test.go
+++ b/internal/forward/follow_test.go
@@ -73,7 +73,7 @@
 
 // Guards against instances that read every version of a large configuration that
 // changes in quick succession, which together fill the link to their region.
-func TestFollowerStorm(t *testing.T) {
+func TestFollowerBurst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const (
 			gap    = 330 * time.Millisecond
