http1: a read after an early close is no end of the answer

The instance had been frozen for 3 s; after it the stall timer closed the engine's connection just before the next read, and a read after Close returned io.EOF. Ruled out: an end that the engine framed as complete (its run was cut). Change: a body that was closed before its end reads as net.ErrClosed.

--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -177,6 +177,20 @@
 	})
 }
 
+// Guards against an answer that was given up and then looks complete to its
+// reader: a read after an early close is no end.
+func TestReadAfterClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		requests := 0
+		client := &http1.Client{Dial: script{{"HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 9\r\n\r\nab", reply("1", "b")}}.dial(&requests), Timer: &timer.System{}}
+		response, err := client.Do(t.Context(), addr, &http1.Request{Header: http.Header{}, Host: "h", Method: http.MethodGet, Target: "/"})
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		_, err = response.Body.Read(make([]byte, 8))
+		assert.ErrorIs(t, err, net.ErrClosed)
+	})
+}
+
 // Guards against a long body whose rest is taken for the next request: an
 // endpoint may answer before it has read it.
 func TestEarlyAnswer(t *testing.T) {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -203,6 +203,7 @@
 
 // A body reads an answer's body and returns the connection after its end.
 type body struct {
+	closed  bool // before its end
 	conn    *conn
 	ctx     context.Context //nolint:containedctx // io.Reader has no context
 	done    bool
@@ -217,9 +218,12 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	b.mutex.Lock()
-	done := b.done
+	done, closed := b.done, b.closed
 	b.mutex.Unlock()
-	if done {
+	switch {
+	case closed:
+		return 0, errors.Wrap(net.ErrClosed, "read body") // not the end of the answer
+	case done:
 		return 0, io.EOF
 	}
 	n, err := b.reader.Read(p)
@@ -241,7 +245,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if !b.done {
-		b.done = true
+		b.done, b.closed = true, true
 		b.stop()
 		b.conn.close()
 	}
--- a/internal/jsonlines/writer_test.go
+++ b/internal/jsonlines/writer_test.go
@@ -75,3 +75,18 @@
 		assert.Assert(t, strings.Contains(out.String(), `"lines":90`))
 	})
 }
+
+// BenchmarkWriter measures one line about a request, as the router writes it.
+func BenchmarkWriter(b *testing.B) {
+	w := &jsonlines.Writer{Lines: 1 << 40, Out: io.Discard, Timer: &timer.System{}}
+	log := zerolog.New(w)
+	for n := 0; b.Loop(); n++ {
+		log.Info().Str("request", "9c41d07be2a35f68").Str("pool", "ledger").Uint64("version", 7).Dur("age", time.Millisecond).
+			Int("sends", 1).Str("route", "r").Str("endpoint", "i-7").Int("status", 200).Msg("request ended")
+		if n%1000 == 999 {
+			if err := w.Flush(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+}
