http1: drop an option that nothing set

Cause: Request.Fresh was added with the client and no caller ever set it. Change: connections are always taken from the idle ones first, as before. Result: no behaviour changes; vet, lint and the race tests of internal/http1 and platform pass.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -54,7 +54,6 @@
 // A Request is one request as it goes onto the wire.
 type Request struct {
 	Body   []byte
-	Fresh  bool // no idle connection is used
 	Header http.Header
 	Host   string
 	Method string
@@ -82,7 +81,7 @@
 // It returns a *NotSentError if provably no byte left; after any other error the
 // endpoint may have run the request.
 func (c *Client) Do(ctx context.Context, addr netip.AddrPort, r *Request) (*Response, error) {
-	k, err := c.conn(ctx, addr, r.Fresh)
+	k, err := c.conn(ctx, addr)
 	if err != nil {
 		return nil, &NotSentError{Addr: addr, Err: err}
 	}
@@ -125,8 +124,8 @@
 }
 
 // conn returns an idle connection or opens one.
-func (c *Client) conn(ctx context.Context, addr netip.AddrPort, fresh bool) (*conn, error) {
-	for !fresh {
+func (c *Client) conn(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+	for {
 		k := c.take(addr)
 		if k == nil {
 			break
