config: read the configuration from the store on each instance

The users' platform keeps the configuration and lets each instance watch it, and it excuses an instance without a path to the store. Copies between our own instances are needless: watchers, pushes, pulls, pages of full copies, digests on probes, and the harness that measured them.

config.Follower takes the place of config.Distributor. It watches the head, reads it every 5 s besides, and takes change sets one by one or a full copy. persimmonctl status asks each live instance for its version by one call.

Given up: a new instance that becomes ready while the store is away, and news by way of a third region; docs/decisions/0062 and docs/operators/store-outage.md say so. TestDistributor asked for the first and went with the distributor; TestInstall keeps the cases of TestAccept as strict, TestFollower keeps the rest and adds an outage, TestFollowerSilentWatch is new.

One loop now owns the updates.

--- a/internal/admin/fleet.go
+++ b/internal/admin/fleet.go
@@ -20,19 +20,18 @@
 
 // A Fleet asks the live instances for their versions.
 type Fleet struct {
-	Config    persimmoncart.ConfigDigests
+	InForce   func() uint64              // version in force here
 	Instances persimmoncart.InstanceList // nil asks only the known members
 	Members   persimmoncart.Members
-	Peers     persimmoncart.ConfigPeers
 	Timer     persimmoncart.Timer
+	Versions  persimmoncart.ConfigVersions
 }
 
-// Versions returns the version in force on each live instance that is not to be
+// List returns the version in force on each live instance that is not to be
 // skipped, by name.
-func (f *Fleet) Versions(ctx context.Context, skip map[string]bool) []InstanceStatus {
+func (f *Fleet) List(ctx context.Context, skip map[string]bool) []InstanceStatus {
 	self := f.Members.Self()
-	own := f.Config.Digest()
-	out := []InstanceStatus{{Centre: string(self.DataCentre), ID: string(self.ID), Region: string(self.Region), Version: own.Version}}
+	out := []InstanceStatus{{Centre: string(self.DataCentre), ID: string(self.ID), Region: string(self.Region), Version: f.InForce()}}
 	var mutex sync.Mutex
 	var g errgroup.Group
 	g.SetLimit(fleetCalls)
@@ -45,11 +44,11 @@
 			ctx, cancel := context.WithCancel(ctx)
 			defer cancel()
 			defer f.Timer.After(fleetTimeout, func(time.Time) { cancel() })()
-			d, err := f.Peers.Digest(ctx, i, own)
+			version, err := f.Versions.Version(ctx, i)
 			if err != nil {
 				s.Error = err.Error()
 			}
-			s.Version = d.Version
+			s.Version = version
 			mutex.Lock()
 			defer mutex.Unlock()
 			out = append(out, s)
--- a/internal/admin/local.go
+++ b/internal/admin/local.go
@@ -216,7 +216,7 @@
 		}
 	}
 	if l.Fleet != nil {
-		out.Instances = l.Fleet.Versions(ctx, nil)
+		out.Instances = l.Fleet.List(ctx, nil)
 	} else if err != nil {
 		return out, toError(err)
 	}
@@ -236,7 +236,7 @@
 	end := l.Timer.Now().Add(min(wait, maxWait))
 	current := map[string]bool{} // asked no more
 	for {
-		versions := l.Fleet.Versions(ctx, current)
+		versions := l.Fleet.List(ctx, current)
 		for _, i := range versions {
 			current[i.ID] = i.Version >= r.Version
 		}
--- a/internal/capacity/node.go
+++ b/internal/capacity/node.go
@@ -87,7 +87,6 @@
 		Timer:         timer,
 		Transport:     n.transport,
 	}
-	n.members.Machine.Extensions = []membership.Extension{&membership.ConfigExtension{Digests: digests{}}}
 	n.exchange = &load.Exchange{Configuration: f.configuration, Governor: governor, Loads: n.places, Members: n.members, Timer: timer}
 	handler := peer.Mux{
 		"load":   &load.Handler{Configuration: f.configuration, Lender: n.places, Spawn: func(g func()) { g() }, Timer: timer},
@@ -116,17 +115,6 @@
 	f.ended[n.self.Tag()] = f.timer.Now()
 }
 
-// A digests stands in for the configuration, of which only the digest counts here.
-type digests struct{}
-
-// Digest implements persimmoncart.ConfigDigests.
-func (digests) Digest() persimmoncart.ConfigDigest {
-	return persimmoncart.ConfigDigest{Hash: 1 << 63, Version: 1 << 20}
-}
-
-// Heard implements persimmoncart.ConfigDigests.
-func (digests) Heard(persimmoncart.Instance, persimmoncart.ConfigDigest) {}
-
 // A nodeTimer measures the callbacks of one node.
 type nodeTimer struct {
 	persimmoncart.Timer
--- a/internal/config/changeset.go
+++ b/internal/config/changeset.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
@@ -71,11 +70,6 @@
 	return s, err
 }
 
-// digestOf returns the digest of a version.
-func digestOf(version uint64, hash persimmoncart.ConfigHash) persimmoncart.ConfigDigest {
-	return persimmoncart.ConfigDigest{Hash: binary.BigEndian.Uint64(hash[:]), Version: version}
-}
-
 // A FieldChange is the change of one field of an object, in JSON.
 type FieldChange struct {
 	After  string `json:"after,omitempty"`
--- a/internal/config/metrics.go
+++ b/internal/config/metrics.go
@@ -2,50 +2,33 @@
 
 import "github.com/prometheus/client_golang/prometheus"
 
-// Sources of new versions, as labels of a counter.
+// Kinds of updates, as labels of a counter.
 const (
-	sourceCopy  = "peer_copy"
-	sourcePull  = "peer_pull"
-	sourcePush  = "peer_push"
-	sourceStore = "store"
+	updateCopy = "copy"
+	updateSet  = "set"
 )
 
-// A metrics holds the metrics of a Distributor.
+// A metrics holds the metrics of a Follower.
 type metrics struct {
-	forks   prometheus.Counter
 	gauges  []prometheus.Collector
-	pushes  prometheus.Counter
-	sources *prometheus.CounterVec
+	updates *prometheus.CounterVec
 	watches prometheus.Gauge
 }
 
-// newMetrics returns the metrics of d.
-func newMetrics(d *Distributor) *metrics {
+// newMetrics returns the metrics of f.
+func newMetrics(f *Follower) *metrics {
 	return &metrics{
-		forks: prometheus.NewCounter(prometheus.CounterOpts{
-			Help: "Digests of peers that held another content of the same version.", Name: "persimmoncart_config_forks_total",
-		}),
 		gauges: []prometheus.Collector{
 			prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 				Help: "Configuration version in force.", Name: "persimmoncart_config_version",
-			}, func() float64 { return float64(d.held().copied.Version) }),
+			}, func() float64 { return float64(f.Version()) }),
 			prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 				Help: "Highest configuration version seen.", Name: "persimmoncart_config_version_highest",
-			}, func() float64 { return float64(d.Highest()) }),
-			prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-				Help: "Change sets kept for peers that lag.", Name: "persimmoncart_config_log_sets",
-			}, func() float64 {
-				d.mutex.Lock()
-				defer d.mutex.Unlock()
-				return float64(len(d.log))
-			}),
+			}, func() float64 { return float64(f.Highest()) }),
 		},
-		pushes: prometheus.NewCounter(prometheus.CounterOpts{
-			Help: "Pushes of change sets to peers.", Name: "persimmoncart_config_pushes_total",
-		}),
-		sources: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Help: "Takeovers of newer versions by source.", Name: "persimmoncart_config_updates_total",
-		}, []string{"source"}),
+		updates: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Help: "Versions taken from the store as change sets or full copies.", Name: "persimmoncart_config_updates_total",
+		}, []string{"kind"}),
 		watches: prometheus.NewGauge(prometheus.GaugeOpts{
 			Help: "Open watches of the store's head.", Name: "persimmoncart_config_watches",
 		}),
@@ -54,5 +37,5 @@
 
 // collectors returns all metrics.
 func (m *metrics) collectors() []prometheus.Collector {
-	return append(m.gauges, m.forks, m.pushes, m.sources, m.watches)
+	return append(m.gauges, m.updates, m.watches)
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -51,11 +51,11 @@
 // A joining is an instance that is being connected.
 type joining struct {
 	*Instance
-	distributor *config.Distributor // nil if the configuration was set
-	members     *membership.Service // nil without peers
-	meter       peer.Meter
-	peers       *Peers
-	routes      map[string]http.Handler // towards peers
+	follower *config.Follower    // nil if the configuration was set
+	members  *membership.Service // nil without peers
+	meter    peer.Meter
+	peers    *Peers
+	routes   map[string]http.Handler // towards peers
 }
 
 // alone sets up an instance that owns all replicas of its region.
@@ -146,41 +146,40 @@
 
 // administer sets the administration API, which needs the store's configuration.
 func (j *joining) administer() {
-	if j.distributor == nil {
+	if j.follower == nil {
 		return
 	}
 	local := &admin.Local{
 		Claims: j.Claims,
-		Editor: &config.Editor{Archive: j.distributor.Archive, Local: j.distributor.Copy, Timer: j.Timer},
+		Editor: &config.Editor{Archive: j.follower.Archive, Local: j.follower.Copy, Timer: j.Timer},
 		Fleet: &admin.Fleet{
-			Config: j.distributor, Instances: j.peers.List, Members: j.Members, Peers: j.distributor.Peers, Timer: j.Timer,
+			InForce:   j.follower.Version,
+			Instances: j.peers.List,
+			Members:   j.Members,
+			Timer:     j.Timer,
+			Versions:  &peer.Config{HTTP: j.peers.HTTP, Secure: j.peers.Secure},
 		},
 		Timer: j.Timer,
 	}
 	j.Admin = (&admin.Server{Log: j.Logger, Service: local, Tokens: j.peers.Tokens}).Handler()
 }
 
-// configure takes the configuration from the store and the peers unless it is
-// set, and serves it to peers.
+// configure takes the configuration from the store unless it is set, and tells
+// peers the version in force.
 func (j *joining) configure() {
 	if j.Configuration != nil {
 		return
 	}
-	d := &config.Distributor{
+	f := &config.Follower{
 		Archive:    &config.Archive{Parallel: config.Concurrent, Store: j.Store},
 		Log:        j.Logger,
-		Members:    j.Members,
-		Peers:      &peer.Config{Client: peer.ConfigClients(j.peers.HTTP, j.peers.Secure), Self: j.Members.Self},
 		Registerer: j.Metrics.Registry,
 		Timer:      j.Timer,
 	}
-	j.Configuration, j.Ready, j.distributor = d, d.Ready, d
-	j.serve("configuration", d.Run)
-	path, handler := (&peer.ConfigHandler{Server: d}).Mount()
+	j.Configuration, j.Ready, j.follower = f, f.Ready, f
+	j.serve("configuration", f.Run)
+	path, handler := (&peer.ConfigHandler{InForce: f.Version}).Mount()
 	j.routes[path] = handler
-	if j.members != nil {
-		j.members.Machine.Extensions = append(j.members.Machine.Extensions, &membership.ConfigExtension{Digests: d})
-	}
 }
 
 // ledger sets the instance's places.
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -9,7 +9,7 @@
 // orders to the engines of its data centre. Both read the configuration of the
 // store.
 func (j *joining) plan() {
-	if j.distributor == nil || j.Store == nil {
+	if j.follower == nil || j.Store == nil {
 		return
 	}
 	leases := &lease.Keeper{Self: j.Self.Tag(), Store: j.Store, Timer: j.Timer}
--- a/internal/faults/check.go
+++ b/internal/faults/check.go
@@ -56,7 +56,7 @@
 		if n.stopping.Load() {
 			continue
 		}
-		if have := n.distributor.Snapshot().Version; have != head.Version {
+		if have := n.follower.Snapshot().Version; have != head.Version {
 			w.fail(ConfigKept, "%s has version %d, %d is in force", n.self.ID, have, head.Version)
 		}
 	}
--- a/internal/faults/node.go
+++ b/internal/faults/node.go
@@ -26,22 +26,22 @@
 
 // A node is one entry instance of the world, built from the real parts.
 type node struct {
-	cancel      context.CancelFunc
-	claims      *claim.Claims
-	client      *http.Client
-	crashed     atomic.Bool // killed, not stopped gracefully
-	distributor *config.Distributor
-	done        chan struct{} // closed when Run has returned
-	gate        *gate
-	listener    *pipe.Listener
-	members     *members
-	places      *places.Places
-	self        persimmoncart.Instance
-	stopping    atomic.Bool // stopped gracefully, perhaps still busy
-	store       *objectapi.Faulty
-	timer       *gatedTimer
-	versions    []uint64 // in force, in order
-	world       *world
+	cancel   context.CancelFunc
+	claims   *claim.Claims
+	client   *http.Client
+	crashed  atomic.Bool   // killed, not stopped gracefully
+	done     chan struct{} // closed when Run has returned
+	follower *config.Follower
+	gate     *gate
+	listener *pipe.Listener
+	members  *members
+	places   *places.Places
+	self     persimmoncart.Instance
+	stopping atomic.Bool // stopped gracefully, perhaps still busy
+	store    *objectapi.Faulty
+	timer    *gatedTimer
+	versions []uint64 // in force, in order
+	world    *world
 
 	mutex sync.Mutex // guards versions
 }
@@ -73,20 +73,18 @@
 func (n *node) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	n.distributor = &config.Distributor{
+	n.follower = &config.Follower{
 		Archive: &config.Archive{Store: n.store},
 		Log:     zerolog.Nop(),
-		Members: n.members,
-		Peers:   &configPeers{node: n},
 		Random:  rand.New(rand.NewPCG(n.world.random.Uint64(), 1)),
 		Timer:   n.timer,
 	}
-	var configuration persimmoncart.Configuration = n.distributor
+	var configuration persimmoncart.Configuration = n.follower
 	if n.world.broken == Leaving {
-		configuration = &undrained{Configuration: n.distributor}
+		configuration = &undrained{Configuration: n.follower}
 	}
 	if n.world.broken == ConfigKept {
-		configuration = &stale{Configuration: n.distributor, first: n.distributor.Snapshot()}
+		configuration = &stale{Configuration: n.follower, first: n.follower.Snapshot()}
 	}
 	n.claims = &claim.Claims{Members: n.members, Peers: &claimPeers{node: n}, Self: n.self.Tag(), Store: n.store, Timer: n.timer}
 	n.places = &places.Places{
@@ -111,10 +109,10 @@
 		Logger:        zerolog.Nop(),
 		Members:       n.members,
 		Places:        n.places,
-		Ready:         n.distributor.Ready,
+		Ready:         n.follower.Ready,
 		Self:          n.self,
 		Services: []control.Service{
-			{Name: "configuration", Run: n.distributor.Run},
+			{Name: "configuration", Run: n.follower.Run},
 			{Name: "claims", Run: n.claims.Run},
 			{Name: "places", Run: n.places.Run},
 			{Name: "sweep", Run: n.sweep().Run},
@@ -199,7 +197,7 @@
 		Log:     zerolog.Nop(),
 		Members: n.members,
 		Owned: func() []persimmoncart.Endpoint {
-			return sweep.Share(n.self, n.members.View(), n.distributor.Snapshot())
+			return sweep.Share(n.self, n.members.View(), n.follower.Snapshot())
 		},
 		Timer: n.timer,
 	}
--- a/internal/faults/peers.go
+++ b/internal/faults/peers.go
@@ -7,10 +7,9 @@
 )
 
 var (
-	_ persimmoncart.ClaimPeers  = (*claimPeers)(nil)
-	_ persimmoncart.ConfigPeers = (*configPeers)(nil)
-	_ persimmoncart.Lender      = (*lender)(nil)
-	_ persimmoncart.Lenders     = (*lenders)(nil)
+	_ persimmoncart.ClaimPeers = (*claimPeers)(nil)
+	_ persimmoncart.Lender     = (*lender)(nil)
+	_ persimmoncart.Lenders    = (*lenders)(nil)
 )
 
 // exchange passes a call from one node to another and its answer back.
@@ -51,39 +50,6 @@
 	return exchange(p.node, to.ID, "settle", func(peer *node) error { return peer.claims.WriteSettlement(ctx, s) })
 }
 
-// A configPeers is one node's access to the configuration of the others.
-type configPeers struct {
-	node *node
-}
-
-// Digest implements persimmoncart.ConfigPeers.
-func (p *configPeers) Digest(_ context.Context, to persimmoncart.Instance, own persimmoncart.ConfigDigest) (digest persimmoncart.ConfigDigest, err error) {
-	err = exchange(p.node, to.ID, "digest", func(peer *node) error {
-		peer.distributor.Heard(p.node.self, own)
-		digest = peer.distributor.Digest()
-		return nil
-	})
-	return digest, err
-}
-
-// Pull implements persimmoncart.ConfigPeers.
-func (p *configPeers) Pull(_ context.Context, to persimmoncart.Instance, request persimmoncart.ConfigPull) (pulled persimmoncart.ConfigPulled, err error) {
-	err = exchange(p.node, to.ID, "pull", func(peer *node) error {
-		pulled = peer.distributor.Answer(request)
-		return nil
-	})
-	return pulled, err
-}
-
-// Push implements persimmoncart.ConfigPeers.
-func (p *configPeers) Push(_ context.Context, to persimmoncart.Instance, sets []persimmoncart.ConfigChangeSet) (digest persimmoncart.ConfigDigest, err error) {
-	err = exchange(p.node, to.ID, "push", func(peer *node) error {
-		digest = peer.distributor.Accept(p.node.self, sets)
-		return nil
-	})
-	return digest, err
-}
-
 // A lender is one node's access to the slots of another.
 type lender struct {
 	node *node
--- a/proto/config/v1/configv1connect/config.connect.go
+++ b/proto/config/v1/configv1connect/config.connect.go
@@ -2,7 +2,7 @@
 //
 // Source: config/v1/config.proto
 
-// Package config.v1 carries the configuration between instances.
+// Package config.v1 tells which configuration an instance serves by.
 package configv1connect
 
 import (
@@ -22,8 +22,8 @@
 const _ = connect.IsAtLeastVersion1_13_0
 
 const (
-	// PeersName is the fully-qualified name of the Peers service.
-	PeersName = "config.v1.Peers"
+	// VersionsName is the fully-qualified name of the Versions service.
+	VersionsName = "config.v1.Versions"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -34,138 +34,78 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
-	// PeersDigestProcedure is the fully-qualified name of the Peers's Digest RPC.
-	PeersDigestProcedure = "/config.v1.Peers/Digest"
-	// PeersPullProcedure is the fully-qualified name of the Peers's Pull RPC.
-	PeersPullProcedure = "/config.v1.Peers/Pull"
-	// PeersPushProcedure is the fully-qualified name of the Peers's Push RPC.
-	PeersPushProcedure = "/config.v1.Peers/Push"
+	// VersionsVersionProcedure is the fully-qualified name of the Versions's Version RPC.
+	VersionsVersionProcedure = "/config.v1.Versions/Version"
 )
 
-// PeersClient is a client for the config.v1.Peers service.
-type PeersClient interface {
-	// Digest exchanges digests.
-	Digest(context.Context, *connect.Request[v1.DigestRequest]) (*connect.Response[v1.DigestReply], error)
-	// Pull returns what the server has beyond a version.
-	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullReply], error)
-	// Push gives new change sets.
-	Push(context.Context, *connect.Request[v1.PushRequest]) (*connect.Response[v1.DigestReply], error)
+// VersionsClient is a client for the config.v1.Versions service.
+type VersionsClient interface {
+	// Version returns the version in force. It may be repeated.
+	Version(context.Context, *connect.Request[v1.VersionRequest]) (*connect.Response[v1.VersionReply], error)
 }
 
-// NewPeersClient constructs a client for the config.v1.Peers service. By default, it uses the
+// NewVersionsClient constructs a client for the config.v1.Versions service. By default, it uses the
 // Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
 // uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
 // connect.WithGRPCWeb() options.
 //
 // The URL supplied here should be the base URL for the Connect or gRPC server (for example,
 // http://api.acme.com or https://acme.com/grpc).
-func NewPeersClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) PeersClient {
+func NewVersionsClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) VersionsClient {
 	baseURL = strings.TrimRight(baseURL, "/")
-	peersMethods := v1.File_config_v1_config_proto.Services().ByName("Peers").Methods()
-	return &peersClient{
-		digest: connect.NewClient[v1.DigestRequest, v1.DigestReply](
+	versionsMethods := v1.File_config_v1_config_proto.Services().ByName("Versions").Methods()
+	return &versionsClient{
+		version: connect.NewClient[v1.VersionRequest, v1.VersionReply](
 			httpClient,
-			baseURL+PeersDigestProcedure,
-			connect.WithSchema(peersMethods.ByName("Digest")),
-			connect.WithClientOptions(opts...),
-		),
-		pull: connect.NewClient[v1.PullRequest, v1.PullReply](
-			httpClient,
-			baseURL+PeersPullProcedure,
-			connect.WithSchema(peersMethods.ByName("Pull")),
-			connect.WithClientOptions(opts...),
-		),
-		push: connect.NewClient[v1.PushRequest, v1.DigestReply](
-			httpClient,
-			baseURL+PeersPushProcedure,
-			connect.WithSchema(peersMethods.ByName("Push")),
+			baseURL+VersionsVersionProcedure,
+			connect.WithSchema(versionsMethods.ByName("Version")),
 			connect.WithClientOptions(opts...),
 		),
 	}
 }
 
-// peersClient implements PeersClient.
-type peersClient struct {
-	digest *connect.Client[v1.DigestRequest, v1.DigestReply]
-	pull   *connect.Client[v1.PullRequest, v1.PullReply]
-	push   *connect.Client[v1.PushRequest, v1.DigestReply]
-}
-
-// Digest calls config.v1.Peers.Digest.
-func (c *peersClient) Digest(ctx context.Context, req *connect.Request[v1.DigestRequest]) (*connect.Response[v1.DigestReply], error) {
-	return c.digest.CallUnary(ctx, req)
-}
-
-// Pull calls config.v1.Peers.Pull.
-func (c *peersClient) Pull(ctx context.Context, req *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullReply], error) {
-	return c.pull.CallUnary(ctx, req)
+// versionsClient implements VersionsClient.
+type versionsClient struct {
+	version *connect.Client[v1.VersionRequest, v1.VersionReply]
 }
 
-// Push calls config.v1.Peers.Push.
-func (c *peersClient) Push(ctx context.Context, req *connect.Request[v1.PushRequest]) (*connect.Response[v1.DigestReply], error) {
-	return c.push.CallUnary(ctx, req)
+// Version calls config.v1.Versions.Version.
+func (c *versionsClient) Version(ctx context.Context, req *connect.Request[v1.VersionRequest]) (*connect.Response[v1.VersionReply], error) {
+	return c.version.CallUnary(ctx, req)
 }
 
-// PeersHandler is an implementation of the config.v1.Peers service.
-type PeersHandler interface {
-	// Digest exchanges digests.
-	Digest(context.Context, *connect.Request[v1.DigestRequest]) (*connect.Response[v1.DigestReply], error)
-	// Pull returns what the server has beyond a version.
-	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullReply], error)
-	// Push gives new change sets.
-	Push(context.Context, *connect.Request[v1.PushRequest]) (*connect.Response[v1.DigestReply], error)
+// VersionsHandler is an implementation of the config.v1.Versions service.
+type VersionsHandler interface {
+	// Version returns the version in force. It may be repeated.
+	Version(context.Context, *connect.Request[v1.VersionRequest]) (*connect.Response[v1.VersionReply], error)
 }
 
-// NewPeersHandler builds an HTTP handler from the service implementation. It returns the path on
+// NewVersionsHandler builds an HTTP handler from the service implementation. It returns the path on
 // which to mount the handler and the handler itself.
 //
 // By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
 // and JSON codecs. They also support gzip compression.
-func NewPeersHandler(svc PeersHandler, opts ...connect.HandlerOption) (string, http.Handler) {
-	peersMethods := v1.File_config_v1_config_proto.Services().ByName("Peers").Methods()
-	peersDigestHandler := connect.NewUnaryHandler(
-		PeersDigestProcedure,
-		svc.Digest,
-		connect.WithSchema(peersMethods.ByName("Digest")),
-		connect.WithHandlerOptions(opts...),
-	)
-	peersPullHandler := connect.NewUnaryHandler(
-		PeersPullProcedure,
-		svc.Pull,
-		connect.WithSchema(peersMethods.ByName("Pull")),
-		connect.WithHandlerOptions(opts...),
-	)
-	peersPushHandler := connect.NewUnaryHandler(
-		PeersPushProcedure,
-		svc.Push,
-		connect.WithSchema(peersMethods.ByName("Push")),
+func NewVersionsHandler(svc VersionsHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	versionsMethods := v1.File_config_v1_config_proto.Services().ByName("Versions").Methods()
+	versionsVersionHandler := connect.NewUnaryHandler(
+		VersionsVersionProcedure,
+		svc.Version,
+		connect.WithSchema(versionsMethods.ByName("Version")),
 		connect.WithHandlerOptions(opts...),
 	)
-	return "/config.v1.Peers/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return "/config.v1.Versions/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
-		case PeersDigestProcedure:
-			peersDigestHandler.ServeHTTP(w, r)
-		case PeersPullProcedure:
-			peersPullHandler.ServeHTTP(w, r)
-		case PeersPushProcedure:
-			peersPushHandler.ServeHTTP(w, r)
+		case VersionsVersionProcedure:
+			versionsVersionHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
 	})
 }
 
-// UnimplementedPeersHandler returns CodeUnimplemented from all methods.
-type UnimplementedPeersHandler struct{}
-
-func (UnimplementedPeersHandler) Digest(context.Context, *connect.Request[v1.DigestRequest]) (*connect.Response[v1.DigestReply], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("config.v1.Peers.Digest is not implemented"))
-}
-
-func (UnimplementedPeersHandler) Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullReply], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("config.v1.Peers.Pull is not implemented"))
-}
+// UnimplementedVersionsHandler returns CodeUnimplemented from all methods.
+type UnimplementedVersionsHandler struct{}
 
-func (UnimplementedPeersHandler) Push(context.Context, *connect.Request[v1.PushRequest]) (*connect.Response[v1.DigestReply], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("config.v1.Peers.Push is not implemented"))
+func (UnimplementedVersionsHandler) Version(context.Context, *connect.Request[v1.VersionRequest]) (*connect.Response[v1.VersionReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("config.v1.Versions.Version is not implemented"))
 }
