fakes: rename the package of the fakes from platform

internal/platform held the fakes of a whole deployment and was mistaken for the adapter in platform/. It is internal/fakes now; persimmonload's reader of the fakes' counters, which had that name, is fakeClient.

Tests of the renamed package and its users, vet and lint are green.

--- a/cmd/persimmoncart/internal/cmd/main_test.go
+++ b/cmd/persimmoncart/internal/cmd/main_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/persimmoncart/persimmoncart/cmd/persimmoncart/internal/cmd"
 	"github.com/persimmoncart/persimmoncart/internal/config"
-	"github.com/persimmoncart/persimmoncart/internal/platform"
+	"github.com/persimmoncart/persimmoncart/internal/fakes"
 )
 
 func TestMain(m *testing.M) {
@@ -35,7 +35,7 @@
 func TestExample(t *testing.T) {
 	static, err := config.LoadStatic("../../../../examples/dar-jaouz.yaml")
 	assert.NilError(t, err)
-	endpoints := platform.DarJaouz().Endpoints()
+	endpoints := fakes.DarJaouz().Endpoints()
 	assert.Equal(t, len(static.Snapshot().Endpoints), len(endpoints))
 	for n, want := range endpoints {
 		have := static.Snapshot().Endpoints[want.ID]
--- a/cmd/persimmonfake/internal/cmd/all.go
+++ b/cmd/persimmonfake/internal/cmd/all.go
@@ -5,7 +5,7 @@
 
 	"github.com/persimmoncart/persimmoncart/internal/flagtype"
 
-	"github.com/persimmoncart/persimmoncart/internal/platform"
+	"github.com/persimmoncart/persimmoncart/internal/fakes"
 )
 
 // An all runs a whole deployment.
@@ -17,11 +17,11 @@
 
 // run implements runner.
 func (a *all) run(ctx context.Context, c common) error {
-	d, err := platform.ByName(a.Deployment)
+	d, err := fakes.ByName(a.Deployment)
 	if err != nil {
 		return err
 	}
-	p := &platform.Platform{Addr: a.Addr.AddrPort, Deployment: d, Log: c.log, Timer: c.timer}
+	p := &fakes.Platform{Addr: a.Addr.AddrPort, Deployment: d, Log: c.log, Timer: c.timer}
 	if err := p.Listen(ctx); err != nil {
 		return err
 	}
--- a/cmd/persimmonfake/internal/cmd/root.go
+++ b/cmd/persimmonfake/internal/cmd/root.go
@@ -13,7 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmoncart/persimmoncart"
-	"github.com/persimmoncart/persimmoncart/internal/platform"
+	"github.com/persimmoncart/persimmoncart/internal/fakes"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
@@ -37,7 +37,7 @@
 
 // serve serves handler at addr until ctx is done.
 func (c common) serve(ctx context.Context, name string, addr netip.AddrPort, handler http.Handler) error {
-	return (&platform.Server{Addr: addr, Handler: handler, Log: c.log, Name: name}).Run(ctx)
+	return (&fakes.Server{Addr: addr, Handler: handler, Log: c.log, Name: name}).Run(ctx)
 }
 
 // A root holds the settings of all commands.
--- a/cmd/persimmonload/internal/cmd/configure.go
+++ b/cmd/persimmonload/internal/cmd/configure.go
@@ -12,10 +12,10 @@
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/config"
 	demos "github.com/persimmoncart/persimmoncart/internal/demo"
+	"github.com/persimmoncart/persimmoncart/internal/fakes"
 	"github.com/persimmoncart/persimmoncart/internal/instancelist"
 	"github.com/persimmoncart/persimmoncart/internal/loadgen"
 	"github.com/persimmoncart/persimmoncart/internal/objectapi"
-	"github.com/persimmoncart/persimmoncart/internal/platform"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 	"github.com/persimmoncart/persimmoncart/internal/transport"
 )
@@ -31,7 +31,7 @@
 
 // run implements runner.
 func (c *configure) run(ctx context.Context, stdout, _ io.Writer) error {
-	deployment, err := platform.ByName(c.Mix)
+	deployment, err := fakes.ByName(c.Mix)
 	if err != nil {
 		return err
 	}
--- a/cmd/persimmonload/internal/cmd/demo.go
+++ b/cmd/persimmonload/internal/cmd/demo.go
@@ -12,7 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	demos "github.com/persimmoncart/persimmoncart/internal/demo"
-	"github.com/persimmoncart/persimmoncart/internal/platform"
+	"github.com/persimmoncart/persimmoncart/internal/fakes"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
@@ -56,9 +56,9 @@
 	ctx, cancel := context.WithTimeout(ctx, demoWithin)
 	defer cancel()
 	log := zerolog.New(zerolog.SyncWriter(stderr)).Level(level).With().Timestamp().Logger()
-	results := make([]*demos.Result, len(platform.Names))
+	results := make([]*demos.Result, len(fakes.Names))
 	group, ctx := errgroup.WithContext(ctx)
-	for n, name := range platform.Names {
+	for n, name := range fakes.Names {
 		one := &demos.Deployment{
 			Drill:    d.Drill,
 			Duration: d.Duration,
--- a/cmd/persimmonload/internal/cmd/run.go
+++ b/cmd/persimmonload/internal/cmd/run.go
@@ -73,8 +73,8 @@
 	for _, a := range r.Addrs {
 		l.Addrs = append(l.Addrs, a.AddrPort)
 	}
-	fakes := &fakes{applications: r.Apps, client: client, engines: r.Engines}
-	before, err := fakes.counters(ctx)
+	observer := &fakeClient{applications: r.Apps, client: client, engines: r.Engines}
+	before, err := observer.counters(ctx)
 	if err != nil {
 		return err
 	}
@@ -82,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	if err := fakes.compare(context.WithoutCancel(ctx), report, before); err != nil {
+	if err := observer.compare(context.WithoutCancel(ctx), report, before); err != nil {
 		return err
 	}
 	if r.Plot != "" {
@@ -151,15 +151,15 @@
 	return &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool}, nil
 }
 
-// A fakes reads the counters and records of fakes over HTTP.
-type fakes struct {
+// A fakeClient reads the counters and records of fakes over HTTP.
+type fakeClient struct {
 	applications []flagtype.Address
 	client       *http.Client
 	engines      []flagtype.Address
 }
 
 // compare checks the report against the fakes' records and counters.
-func (f *fakes) compare(ctx context.Context, report *loadgen.Report, before engine.Counters) error {
+func (f *fakeClient) compare(ctx context.Context, report *loadgen.Report, before engine.Counters) error {
 	if len(f.engines) > 0 {
 		after, err := f.counters(ctx)
 		if err != nil {
@@ -183,7 +183,7 @@
 }
 
 // counters returns the sum of the engines' counters.
-func (f *fakes) counters(ctx context.Context) (engine.Counters, error) {
+func (f *fakeClient) counters(ctx context.Context) (engine.Counters, error) {
 	var sum engine.Counters
 	for _, a := range f.engines {
 		var c engine.Counters
@@ -196,7 +196,7 @@
 }
 
 // get reads one JSON object from a fake.
-func (f *fakes) get(ctx context.Context, addr netip.AddrPort, path string, v any) error {
+func (f *fakeClient) get(ctx context.Context, addr netip.AddrPort, path string, v any) error {
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, transport.URL(addr, false)+path, nil)
 	if err != nil {
 		return err
--- a/internal/demo/configuration.go
+++ b/internal/demo/configuration.go
@@ -7,8 +7,8 @@
 
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/config"
+	"github.com/persimmoncart/persimmoncart/internal/fakes"
 	"github.com/persimmoncart/persimmoncart/internal/loadgen"
-	"github.com/persimmoncart/persimmoncart/internal/platform"
 )
 
 // account is the account that the load runs under.
@@ -28,7 +28,7 @@
 
 // Configuration returns the changes that configure a deployment with the given
 // endpoints, the routes of its mix, and an account with an API key.
-func Configuration(d platform.Deployment, endpoints []persimmoncart.Endpoint, mix loadgen.Mix, key string) ([]persimmoncart.ConfigChange, error) {
+func Configuration(d fakes.Deployment, endpoints []persimmoncart.Endpoint, mix loadgen.Mix, key string) ([]persimmoncart.ConfigChange, error) {
 	f := file{
 		Accounts: []config.AccountSpec{{
 			Class: persimmoncart.ClassInteractive, Keys: []config.KeyHash{config.HashKey(key)}, Name: account, Rate: 1000,
@@ -84,7 +84,7 @@
 }
 
 // routeSpec returns the configuration of the route of one part of a mix.
-func routeSpec(d platform.Deployment, p loadgen.Part) config.RouteSpec {
+func routeSpec(d fakes.Deployment, p loadgen.Part) config.RouteSpec {
 	r := config.RouteSpec{
 		Class:   persimmoncart.ClassInteractive,
 		Name:    string(p.Route),
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -18,9 +18,9 @@
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/config"
 	"github.com/persimmoncart/persimmoncart/internal/engine"
+	"github.com/persimmoncart/persimmoncart/internal/fakes"
 	"github.com/persimmoncart/persimmoncart/internal/loadgen"
 	"github.com/persimmoncart/persimmoncart/internal/objectapi"
-	"github.com/persimmoncart/persimmoncart/internal/platform"
 	"github.com/persimmoncart/persimmoncart/internal/transport"
 )
 
@@ -52,7 +52,7 @@
 	addrs    []netip.AddrPort // of the instances
 	client   *http.Client     // of the callers
 	mix      loadgen.Mix
-	platform *platform.Platform
+	platform *fakes.Platform
 }
 
 // A Result is the end of one demo.
@@ -72,21 +72,21 @@
 	if d.mix, err = loadgen.MixByName(d.Name); err != nil {
 		return nil, err
 	}
-	deployment, err := platform.ByName(d.Name)
+	deployment, err := fakes.ByName(d.Name)
 	if err != nil {
 		return nil, err
 	}
 	d.client = transport.NewClient(nil)
 	defer d.client.CloseIdleConnections()
-	d.platform = &platform.Platform{Addr: loopback, Deployment: deployment, Log: d.Log, Timer: d.Timer}
+	d.platform = &fakes.Platform{Addr: loopback, Deployment: deployment, Log: d.Log, Timer: d.Timer}
 	if err := d.platform.Listen(ctx); err != nil {
 		return nil, err
 	}
 	// The fakes stop after the instances, which finish their work with them.
-	fakes, stop := context.WithCancel(context.WithoutCancel(ctx))
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group errgroup.Group
-	group.Go(func() error { return d.platform.Run(fakes) })
+	group.Go(func() error { return d.platform.Run(running) })
 	result, err := d.drive(ctx, deployment)
 	stop()
 	if stopped := group.Wait(); err == nil {
@@ -96,7 +96,7 @@
 }
 
 // drive configures and runs the instances and the load on them.
-func (d *Deployment) drive(ctx context.Context, deployment platform.Deployment) (*Result, error) {
+func (d *Deployment) drive(ctx context.Context, deployment fakes.Deployment) (*Result, error) {
 	if err := d.configure(ctx, deployment); err != nil {
 		return nil, err
 	}
@@ -108,7 +108,7 @@
 		last = first
 	}
 	var instances []*instance
-	for n, c := range []platform.Centre{first, last} {
+	for n, c := range []fakes.Centre{first, last} {
 		i, err := d.newInstance(ctx, persimmoncart.Instance{
 			DataCentre:  c.Name,
 			ID:          persimmoncart.InstanceID("entry-" + strconv.Itoa(n)),
@@ -134,7 +134,7 @@
 }
 
 // configure writes the configuration to the store.
-func (d *Deployment) configure(ctx context.Context, deployment platform.Deployment) error {
+func (d *Deployment) configure(ctx context.Context, deployment fakes.Deployment) error {
 	changes, err := Configuration(deployment, d.platform.Endpoints, d.mix, apiKey)
 	if err != nil {
 		return err
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/persimmoncart/persimmoncart/internal/demo"
-	"github.com/persimmoncart/persimmoncart/internal/platform"
+	"github.com/persimmoncart/persimmoncart/internal/fakes"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
@@ -16,7 +16,7 @@
 // calls that run twice or get lost, and engine memory that stays held. It checks
 // no speed, so that a slow machine gives the same verdict.
 func TestDeployments(t *testing.T) {
-	for _, name := range platform.Names {
+	for _, name := range fakes.Names {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			d := &demo.Deployment{
--- a/internal/demo/drill.go
+++ b/internal/demo/drill.go
@@ -7,7 +7,7 @@
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/application"
 	"github.com/persimmoncart/persimmoncart/internal/engine"
-	"github.com/persimmoncart/persimmoncart/internal/platform"
+	"github.com/persimmoncart/persimmoncart/internal/fakes"
 )
 
 // lostWrites is how many writes of the store get lost at a time in a drill.
@@ -22,7 +22,7 @@
 
 // drill disturbs the fakes of p over a run of d, one kind of fault after the
 // other, some at the same time, and leaves all of them sound.
-func drill(ctx context.Context, p *platform.Platform, d time.Duration, timer persimmoncart.Timer) error {
+func drill(ctx context.Context, p *fakes.Platform, d time.Duration, timer persimmoncart.Timer) error {
 	faults := drillFaults(p)
 	defer func() {
 		for _, f := range faults {
@@ -45,7 +45,7 @@
 }
 
 // drillFaults returns the faults of a drill.
-func drillFaults(p *platform.Platform) []fault {
+func drillFaults(p *fakes.Platform) []fault {
 	decode, prefill := engines(p, persimmoncart.RoleDecode), engines(p, persimmoncart.RolePrefill)
 	onEngine := func(name string, e *engine.Fake, from, to int, set func(f *engine.Faults, on bool)) fault {
 		return fault{from: from, to: to, name: name, set: func(on bool) {
@@ -82,7 +82,7 @@
 }
 
 // engines returns the fakes with a role.
-func engines(p *platform.Platform, role persimmoncart.Role) []*engine.Fake {
+func engines(p *fakes.Platform, role persimmoncart.Role) []*engine.Fake {
 	var list []*engine.Fake
 	for _, e := range p.Engines {
 		if e.Role == role {
--- a/internal/platform/deployment.go
+++ b/internal/fakes/deployment.go
@@ -1,6 +1,6 @@
-// Package platform runs the fakes of a whole deployment in one process: store,
+// Package fakes runs the fakes of a whole deployment in one process: store,
 // weight store, instance list, engines and application endpoints.
-package platform
+package fakes
 
 import (
 	"fmt"
--- a/internal/platform/platform_test.go
+++ b/internal/fakes/fakes_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package fakes_test
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/engine"
+	"github.com/persimmoncart/persimmoncart/internal/fakes"
 	"github.com/persimmoncart/persimmoncart/internal/objectapi"
-	"github.com/persimmoncart/persimmoncart/internal/platform"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 	"github.com/persimmoncart/persimmoncart/internal/transport"
 )
@@ -19,11 +19,11 @@
 // Guards against a deployment whose sizes differ from the reference page or
 // whose fakes cannot be reached.
 func TestPlatform(t *testing.T) {
-	for name, engines := range map[string]int{platform.NameDarJaouz: 20, platform.NamePeachthread: 12} {
+	for name, engines := range map[string]int{fakes.NameDarJaouz: 20, fakes.NamePeachthread: 12} {
 		t.Run(name, func(t *testing.T) {
-			d, err := platform.ByName(name)
+			d, err := fakes.ByName(name)
 			assert.NilError(t, err)
-			p := &platform.Platform{
+			p := &fakes.Platform{
 				Addr: netip.MustParseAddrPort("127.0.0.1:0"), Deployment: d, Log: zerolog.Nop(), Timer: &timer.System{},
 			}
 			ctx, cancel := context.WithCancel(t.Context())
@@ -55,6 +55,6 @@
 			assert.NilError(t, <-done)
 		})
 	}
-	_, err := platform.ByName("x")
+	_, err := fakes.ByName("x")
 	assert.ErrorContains(t, err, `unknown deployment "x"`)
 }
--- a/internal/platform/main_test.go
+++ b/internal/fakes/main_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package fakes_test
 
 import (
 	"testing"
--- a/internal/loadgen/mix.go
+++ b/internal/loadgen/mix.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/persimmoncart/persimmoncart"
-	"github.com/persimmoncart/persimmoncart/internal/platform"
+	"github.com/persimmoncart/persimmoncart/internal/fakes"
 )
 
 // Kinds of requests.
@@ -61,7 +61,7 @@
 // DarJaouz is the mix of dar-jaouz: long dossiers become short drafts, clerks
 // book weighings and post payments, and stock and prices are looked up.
 func DarJaouz() Mix {
-	return Mix{Model: platform.DarJaouz().Model, Name: platform.NameDarJaouz, Parts: []Part{
+	return Mix{Model: fakes.DarJaouz().Model, Name: fakes.NameDarJaouz, Parts: []Part{
 		{
 			Chat: draftChat, Deadline: draftDeadline, Kind: KindDraft, Name: "certificate", Output: Range{High: 160, Low: 40},
 			Prompt: Range{High: 24_000, Low: 1500}, Route: "drafts", Share: 0.15, Whole: draftWhole,
@@ -76,7 +76,7 @@
 // Peachthread is the mix of peachthread: letters become match summaries, pledges
 // and shipments are recorded, and the catalogue is looked up.
 func Peachthread() Mix {
-	return Mix{Model: platform.Peachthread().Model, Name: platform.NamePeachthread, Parts: []Part{
+	return Mix{Model: fakes.Peachthread().Model, Name: fakes.NamePeachthread, Parts: []Part{
 		{
 			Chat: draftChat, Deadline: draftDeadline, Kind: KindDraft, Name: "summary", Output: Range{High: 120, Low: 30},
 			Prompt: Range{High: 8000, Low: 600}, Route: "drafts", Share: 0.15, Whole: draftWhole,
@@ -87,15 +87,15 @@
 	}}
 }
 
-// MixByName returns the mix of a deployment, or a *platform.NameError.
+// MixByName returns the mix of a deployment, or a *fakes.NameError.
 func MixByName(name string) (Mix, error) {
 	switch name {
-	case platform.NameDarJaouz:
+	case fakes.NameDarJaouz:
 		return DarJaouz(), nil
-	case platform.NamePeachthread:
+	case fakes.NamePeachthread:
 		return Peachthread(), nil
 	default:
-		return Mix{}, &platform.NameError{Value: name}
+		return Mix{}, &fakes.NameError{Value: name}
 	}
 }
 
--- a/internal/loadgen/runner_test.go
+++ b/internal/loadgen/runner_test.go
@@ -19,8 +19,8 @@
 
 	"github.com/persimmoncart/persimmoncart/internal/application"
 	"github.com/persimmoncart/persimmoncart/internal/engine"
+	"github.com/persimmoncart/persimmoncart/internal/fakes"
 	"github.com/persimmoncart/persimmoncart/internal/loadgen"
-	"github.com/persimmoncart/persimmoncart/internal/platform"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 	"github.com/persimmoncart/persimmoncart/internal/transport"
 )
@@ -224,6 +224,6 @@
 	_, err = loadgen.NewSheet("s.csv", []byte(sheet), 0, 1)
 	assert.ErrorContains(t, err, "scale 0")
 	_, err = loadgen.MixByName("x")
-	e := &platform.NameError{}
+	e := &fakes.NameError{}
 	assert.Assert(t, errors.As(err, &e))
 }
--- a/internal/overhead/bench.go
+++ b/internal/overhead/bench.go
@@ -20,7 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/persimmoncart/persimmoncart"
-	"github.com/persimmoncart/persimmoncart/internal/platform"
+	"github.com/persimmoncart/persimmoncart/internal/fakes"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
@@ -49,18 +49,18 @@
 	Seed   uint64
 	Window time.Duration // that is measured in each round
 
-	deployment platform.Deployment
+	deployment fakes.Deployment
 	timer      timer.System
 }
 
 // Run prints one JSON line for each measure. It returns a *TargetError if the
 // instance needs more processor time than the target.
 func (b *Bench) Run(ctx context.Context) error {
-	b.deployment = platform.Deployment{
+	b.deployment = fakes.Deployment{
 		Application: "yard-books",
-		Centres:     []platform.Centre{{Decode: decodeEngines, Name: "sfax-hall1", Prefill: prefillEngines, Region: "sfax-coast"}},
+		Centres:     []fakes.Centre{{Decode: decodeEngines, Name: "sfax-hall1", Prefill: prefillEngines, Region: "sfax-coast"}},
 		Model:       "hull-llm",
-		Name:        platform.NameDarJaouz,
+		Name:        fakes.NameDarJaouz,
 		Pool:        "hull-llm",
 	}
 	var direct, entry sample
@@ -84,7 +84,7 @@
 func (b *Bench) measure(ctx context.Context, through bool, seed uint64) (sample, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	p := &platform.Platform{
+	p := &fakes.Platform{
 		Addr:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0),
 		Deployment: b.deployment,
 		Log:        zerolog.Nop(),
--- a/internal/overhead/clients.go
+++ b/internal/overhead/clients.go
@@ -22,8 +22,8 @@
 	"github.com/persimmoncart/persimmoncart/internal/control"
 	"github.com/persimmoncart/persimmoncart/internal/engine"
 	"github.com/persimmoncart/persimmoncart/internal/entry"
+	"github.com/persimmoncart/persimmoncart/internal/fakes"
 	"github.com/persimmoncart/persimmoncart/internal/places"
-	"github.com/persimmoncart/persimmoncart/internal/platform"
 	"github.com/persimmoncart/persimmoncart/internal/transport"
 )
 
@@ -50,7 +50,7 @@
 }
 
 // newDirect returns a direct client of a platform.
-func newDirect(p *platform.Platform) *direct {
+func newDirect(p *fakes.Platform) *direct {
 	d := &direct{engines: &engine.Clients{HTTP: transport.NewClient(nil)}}
 	for _, e := range p.Endpoints {
 		if e.Role == persimmoncart.RolePrefill {
@@ -132,7 +132,7 @@
 func (fixed) Subscribe(func(*persimmoncart.Snapshot)) (stop func()) { return func() {} }
 
 // newFixed returns the configuration of the bench.
-func newFixed(p *platform.Platform, d platform.Deployment) fixed {
+func newFixed(p *fakes.Platform, d fakes.Deployment) fixed {
 	account := &persimmoncart.Account{Class: persimmoncart.ClassInteractive, Name: "bench", Weight: 1}
 	s := &persimmoncart.Snapshot{
 		Accounts:  map[persimmoncart.AccountID]*persimmoncart.Account{account.Name: account},
@@ -160,7 +160,7 @@
 }
 
 // startEntry starts an instance before the platform, in group until ctx is done.
-func startEntry(ctx context.Context, group *errgroup.Group, p *platform.Platform, d platform.Deployment, clock persimmoncart.Timer) (*viaEntry, error) {
+func startEntry(ctx context.Context, group *errgroup.Group, p *fakes.Platform, d fakes.Deployment, clock persimmoncart.Timer) (*viaEntry, error) {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
