forward: watch the reads of a resumable stream without a timer for each event

A stream that may resume set and stopped a timer for each read. One subscription now looks eight times in the allowed silence whether a read has waited for too long.

TestEventAllocates holds the event at none. TestStreamSilent is new: a silent engine, slow events, a slow caller.

--- a/internal/admin/fleet.go
+++ b/internal/admin/fleet.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
 const (
@@ -41,9 +42,8 @@
 		}
 		g.Go(func() error {
 			s := InstanceStatus{Centre: string(i.DataCentre), ID: string(i.ID), Region: string(i.Region)}
-			ctx, cancel := context.WithCancel(ctx)
-			defer cancel()
-			defer f.Timer.After(fleetTimeout, func(time.Time) { cancel() })()
+			ctx, stop := timer.WithTimeout(ctx, f.Timer, fleetTimeout, nil)
+			defer stop()
 			version, err := f.Versions.Version(ctx, i)
 			if err != nil {
 				s.Error = err.Error()
--- a/internal/claim/lane.go
+++ b/internal/claim/lane.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
 // A lane commits the operations on one bucket, one batch after the other.
@@ -53,15 +55,13 @@
 // commit commits one batch and hands out the results.
 func (l *lane) commit(batch []*waiting) {
 	l.last = l.claims.Timer.Now()
-	ctx, cancel := context.WithCancel(context.Background())
-	stop := l.claims.Timer.After(commitTimeout, func(time.Time) { cancel() })
+	ctx, stop := timer.WithTimeout(context.Background(), l.claims.Timer, commitTimeout, nil)
 	operations := make([]operation, len(batch))
 	for i, w := range batch {
 		operations[i] = w.operation
 	}
 	results, err := l.claims.writer.commit(ctx, l.number, operations)
 	stop()
-	cancel()
 	l.claims.metrics.commits.Inc()
 	l.claims.metrics.batch.Observe(float64(len(batch)))
 	for i, w := range batch {
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
 var _ persimmoncart.Configuration = (*Follower)(nil)
@@ -340,9 +341,8 @@
 
 // call runs do with a timeout of the timer service.
 func (f *Follower) call(ctx context.Context, timeout time.Duration, do func(context.Context) error) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(context.Canceled)
-	defer f.Timer.After(timeout, func(time.Time) { cancel(errLate) })()
+	ctx, stop := timer.WithTimeout(ctx, f.Timer, timeout, errLate)
+	defer stop()
 	return do(ctx)
 }
 
--- a/internal/entry/forwarding.go
+++ b/internal/entry/forwarding.go
@@ -15,6 +15,7 @@
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/control"
 	"github.com/persimmoncart/persimmoncart/internal/forward"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
 const (
@@ -120,9 +121,8 @@
 	}
 	f.publish(control.PhaseChanged{Phase: control.PhaseDraining})
 	f.stopping.Store(true)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	defer f.Timer.After(grace-stopMargin, func(time.Time) { cancel() })()
+	ctx, stop := timer.WithTimeout(context.Background(), f.Timer, grace-stopMargin, nil)
+	defer stop()
 	_ = f.Timer.Sleep(ctx, min(balancerWait, grace/2)) // the grace time ends the stop in any case
 	_ = f.Callers.Close()                              // nothing is lost: its connections stay open
 	f.arriving.Wait(ctx)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -15,6 +15,7 @@
 
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/control"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
 const (
@@ -158,9 +159,7 @@
 
 // probe asks the store once.
 func (a *assembly) probe(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stop := a.instance.Timer.After(probeTimeout, func(time.Time) { cancel() })
+	ctx, stop := timer.WithTimeout(ctx, a.instance.Timer, probeTimeout, nil)
 	defer stop()
 	if _, err := a.instance.Store.Get(ctx, probeKey); err != nil {
 		return errors.Wrap(err, "probe store")
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -12,6 +12,7 @@
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/places"
 	"github.com/persimmoncart/persimmoncart/internal/route"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
 const (
@@ -178,11 +179,9 @@
 // leaving, until ctx is done.
 func (w *watch) followLoad(ctx context.Context, e followedEngine) {
 	for w.Timer.Sleep(ctx, loadPeriod) == nil {
-		bounded, cancel := context.WithCancel(ctx)
-		stop := w.Timer.After(loadTimeout, func(time.Time) { cancel() })
+		bounded, stop := timer.WithTimeout(ctx, w.Timer, loadTimeout, nil)
 		report, err := w.Engines.Engine(e.addr).Load(bounded)
 		stop()
-		cancel()
 		if err != nil {
 			continue
 		}
--- /dev/null
+++ b/internal/forward/bench_test.go
@@ -0,0 +1,137 @@
+package forward_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// An instantUpstream answers everything at once and keeps no record.
+type instantUpstream struct {
+	persimmoncart.Upstream
+	body   func() io.ReadCloser
+	length int64
+}
+
+func (*instantUpstream) Hold(context.Context, *persimmoncart.Endpoint, int, time.Duration) (string, error) {
+	return "h", nil
+}
+
+func (*instantUpstream) Prefill(_ context.Context, call persimmoncart.UpstreamCall) (persimmoncart.PrefilledCache, error) {
+	return persimmoncart.PrefilledCache{Source: persimmoncart.CacheSource{Addr: call.Endpoint.Addr, Handle: "h"}}, nil
+}
+
+func (u *instantUpstream) Send(context.Context, persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+	return &persimmoncart.UpstreamAnswer{Body: u.body(), Header: http.Header{}, Length: u.length, Proven: true, Status: http.StatusOK}, nil
+}
+
+// A tokenReader gives one event for each read.
+type tokenReader struct {
+	left int
+	text []byte
+}
+
+func (*tokenReader) Close() error { return nil }
+
+func (r *tokenReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	r.left--
+	return copy(p, r.text), nil
+}
+
+// request returns a request for a path.
+func request(path string) *persimmoncart.ForwardRequest {
+	now := time.Now()
+	r := &persimmoncart.ForwardRequest{
+		Arrived: now, Deadline: now.Add(14 * time.Second), Header: http.Header{}, Host: "h", ID: "q1",
+		Method: http.MethodPost, Target: path + "x",
+	}
+	if path != "/look/" {
+		r.Prompt = &persimmoncart.Prompt{Expected: 800, Limit: 2000, Tokens: 3200}
+	}
+	return r
+}
+
+// drain serves one request and reads its answer.
+func (w *world) drain(tb testing.TB, path string) {
+	tb.Helper()
+	answer, err := w.Router.Serve(tb.Context(), request(path))
+	assert.NilError(tb, err)
+	for {
+		if _, err = answer.Body.Next(); err != nil {
+			break
+		}
+	}
+	assert.Assert(tb, errors.Is(err, io.EOF))
+	assert.NilError(tb, answer.Body.Close())
+}
+
+// newInstantWorld returns a world whose streams have the given number of events.
+func newInstantWorld(tb testing.TB, events int) *world {
+	tb.Helper()
+	w := newWorld(tb)
+	text := []byte("id: 1\ndata: token\n\n")
+	u := &instantUpstream{length: -1, body: func() io.ReadCloser { return &tokenReader{left: events, text: text} }}
+	if events == 0 {
+		u.body, u.length = func() io.ReadCloser { return io.NopCloser(bytes.NewReader(text)) }, int64(len(text))
+	}
+	w.Router.Upstream = u
+	return w
+}
+
+// Guards against memory that each event of a stream takes: at the plan's rate an
+// instance passes on 10,250 events a second.
+func TestEventAllocates(t *testing.T) {
+	w := newInstantWorld(t, math.MaxInt)
+	answer, err := w.Router.Serve(t.Context(), request("/long/"))
+	assert.NilError(t, err)
+	allocations := testing.AllocsPerRun(1000, func() {
+		_, err = answer.Body.Next()
+	})
+	assert.NilError(t, err)
+	assert.NilError(t, answer.Body.Close())
+	assert.Equal(t, allocations, 0.0)
+}
+
+// BenchmarkPlain measures the routing of a plain request.
+func BenchmarkPlain(b *testing.B) {
+	w := newInstantWorld(b, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		w.drain(b, "/look/")
+	}
+}
+
+// BenchmarkGeneration measures the routing of a generation with one event.
+func BenchmarkGeneration(b *testing.B) {
+	w := newInstantWorld(b, 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		w.drain(b, "/draft/")
+	}
+}
+
+// BenchmarkEvent measures one event of a stream that may resume.
+func BenchmarkEvent(b *testing.B) {
+	w := newInstantWorld(b, math.MaxInt)
+	answer, err := w.Router.Serve(b.Context(), request("/long/"))
+	assert.NilError(b, err)
+	defer func() { assert.NilError(b, answer.Body.Close()) }()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := answer.Body.Next(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -10,6 +10,7 @@
 
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/policy"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
 const (
@@ -134,9 +135,8 @@
 func (g *generation) aside(what string, endpoint *persimmoncart.Endpoint, free func(context.Context) error) {
 	r := g.router
 	go func() {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		defer r.Timer.After(releaseTime, func(time.Time) { cancel() })()
+		ctx, stop := timer.WithTimeout(context.Background(), r.Timer, releaseTime, nil)
+		defer stop()
 		if err := free(ctx); err != nil {
 			r.Logger.Info().Str("endpoint", string(endpoint.ID)).Str("what", what).Err(err).Msg("release failed")
 		}
@@ -193,9 +193,8 @@
 	if g.engine.Hold <= 0 {
 		return true // these engines hold nothing; the request itself finds out
 	}
-	patient, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer g.router.Timer.After(g.part(holdShare), func(time.Time) { cancel() })()
+	patient, stop := timer.WithTimeout(ctx, g.router.Timer, g.part(holdShare), nil)
+	defer stop()
 	hold, err := g.router.Upstream.Hold(patient, &l.Endpoint, tokens, min(g.engine.Hold, holdLifetime))
 	refused := (*persimmoncart.EndpointRefusedError)(nil)
 	switch {
@@ -285,9 +284,8 @@
 // prefillOn has one engine prefill the prompt.
 func (g *generation) prefillOn(ctx context.Context, l *lease) error {
 	started := g.router.Timer.Now()
-	patient, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer g.router.Timer.After(max(g.part(prefillShare), prefillFactor*l.Expected), func(time.Time) { cancel() })()
+	patient, stop := timer.WithTimeout(ctx, g.router.Timer, max(g.part(prefillShare), prefillFactor*l.Expected), nil)
+	defer stop()
 	cache, err := g.router.Upstream.Prefill(patient, g.call(&l.Endpoint))
 	if err != nil {
 		if ctx.Err() == nil {
--- a/internal/forward/generate_test.go
+++ b/internal/forward/generate_test.go
@@ -260,6 +260,61 @@
 	}
 }
 
+// Guards against a stream that waits for ever for a silent engine, one that is
+// given up while its events come, and one that is given up because its caller
+// reads slowly.
+func TestStreamSilent(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		pause  time.Duration // of the engine before each event; then it is silent
+		reads  time.Duration // pause of the caller before each read
+		within time.Duration // of the silence, until the other engine is asked
+		sends  int
+	}{
+		{name: "silent", within: 1400 * time.Millisecond, sends: 2},
+		{name: "slow events", pause: 1100 * time.Millisecond, within: 1400 * time.Millisecond, sends: 2},
+		{name: "slow caller", reads: 5 * time.Second, sends: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				var resumed time.Time
+				silent := make(chan time.Time, 1)
+				w.Upstream.send = func(_ context.Context, n int, _ persimmoncart.UpstreamCall) (*persimmoncart.UpstreamAnswer, error) {
+					if n > 0 {
+						resumed = time.Now()
+						return streamed(events(3, 4), io.EOF), nil
+					}
+					answer := streamed("", nil)
+					body, engine := io.Pipe()
+					answer.Body = body
+					go func() {
+						for id := range 2 {
+							time.Sleep(c.pause)
+							_, _ = io.WriteString(engine, events(id+1, id+1))
+						}
+						silent <- time.Now()
+						if c.sends == 1 {
+							_, _ = io.WriteString(engine, events(3, 4))
+							_ = engine.Close()
+						}
+					}()
+					return answer, nil
+				}
+				w.slow = c.reads
+				_, body, err := w.serve(t.Context(), "/long/")
+				assert.NilError(t, err)
+				assert.Equal(t, body, events(1, 4))
+				assert.Equal(t, w.Upstream.count("send"), c.sends)
+				if c.sends > 1 {
+					waited := resumed.Sub(<-silent)
+					assert.Assert(t, waited <= c.within, "%s", waited)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a stream that ends inside an event and looks complete.
 func TestStreamTorn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -18,6 +18,7 @@
 
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/metrics"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
 const (
@@ -111,13 +112,8 @@
 
 // bound returns a context that ends when the request is out of time.
 func (x *exchange) bound(ctx context.Context) context.Context {
-	ctx, cancel := context.WithCancelCause(ctx)
 	left := x.deadline.Sub(x.router.Timer.Now())
-	stop := x.router.Timer.After(left, func(time.Time) { cancel(errDeadline) })
-	x.stop = func() {
-		stop()
-		cancel(context.Canceled)
-	}
+	ctx, x.stop = timer.WithTimeout(ctx, x.router.Timer, left, errDeadline)
 	return ctx
 }
 
--- a/internal/forward/stager.go
+++ b/internal/forward/stager.go
@@ -9,6 +9,7 @@
 
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/policy"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
 const (
@@ -61,9 +62,8 @@
 
 // call runs f with the bound of one call.
 func (s *Stager) call(ctx context.Context, f func(context.Context) error) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer s.Timer.After(stageCall, func(time.Time) { cancel() })()
+	ctx, stop := timer.WithTimeout(ctx, s.Timer, stageCall, nil)
+	defer stop()
 	return f(ctx)
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -21,6 +22,9 @@
 	// stallGaps is how many of the route's longest pauses a stream that may
 	// resume elsewhere waits for its next event.
 	stallGaps = 4
+	// stallLooks is how often in that time a stream is looked at. A timer for each
+	// event would cost more than the event.
+	stallLooks = 8
 )
 
 // eventEnd ends every event.
@@ -42,9 +46,11 @@
 	first   time.Time // of the first piece; zero before it
 	last    uint64    // last event passed on
 	lease   *lease
-	pieces  int  // passed on
-	skip    bool // drop events up to last, as another engine may repeat them
+	pieces  int          // passed on
+	reading atomic.Int64 // when the read began that waits, Unix nanoseconds; zero if none does
+	skip    bool         // drop events up to last, as another engine may repeat them
 	started time.Time
+	unwatch func() // ends the watch over the reads; nil without one
 }
 
 // Close implements Body.
@@ -117,8 +123,11 @@
 	if s.body == nil {
 		return
 	}
+	if s.unwatch != nil {
+		s.unwatch()
+	}
 	_ = s.body.Close() // the engine stops by the close alone
-	s.body = nil
+	s.body, s.unwatch = nil, nil
 	s.lease.Done()
 }
 
@@ -128,6 +137,9 @@
 	if s.buffer == nil {
 		s.buffer = make([]byte, eventBuffer)
 	}
+	if s.rule.Repeat == persimmoncart.RepeatResume && s.rule.Gap > 0 {
+		s.watch(b)
+	}
 }
 
 // read reads at least once and returns the whole events that are there. It
@@ -141,12 +153,11 @@
 		}
 		s.buffer = append(s.buffer, make([]byte, len(s.buffer))...)
 	}
-	if s.rule.Repeat == persimmoncart.RepeatResume && s.rule.Gap > 0 {
-		b := s.body
-		stop := s.router.Timer.After(stallGaps*s.rule.Gap, func(time.Time) { _ = b.Close() })
-		defer stop()
+	if s.unwatch != nil {
+		s.reading.Store(s.router.Timer.Now().UnixNano())
 	}
 	n, err := s.body.Read(s.buffer[s.filled:])
+	s.reading.Store(0)
 	s.filled += n
 	if piece := s.events(); len(piece) > 0 || err == nil {
 		return piece, nil // an error comes again with the next read
@@ -212,6 +223,16 @@
 	return nil
 }
 
+// watch closes a body when a read of it waits for longer than stallGaps.
+func (s *stream) watch(b io.Closer) {
+	limit := stallGaps * s.rule.Gap
+	s.unwatch = s.router.Timer.Subscribe(limit/stallLooks, func(now time.Time) {
+		if since := s.reading.Load(); since != 0 && now.UnixNano()-since >= int64(limit) {
+			_ = b.Close() // the read fails by it
+		}
+	})
+}
+
 // lastEvent returns the identifier of the last event in piece that has one.
 func lastEvent(piece []byte) (uint64, bool) {
 	for len(piece) > 0 {
--- a/internal/forward/world_test.go
+++ b/internal/forward/world_test.go
@@ -154,11 +154,13 @@
 	Directory *forward.Directory
 	Router    *forward.Router
 	Upstream  *fakeUpstream
+
+	slow time.Duration // pause of the caller before each read
 }
 
 // newWorld returns a world with three application endpoints, two prefill and two
 // decode engines.
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	t.Helper()
 	clock := &timer.System{}
 	d := &forward.Directory{
@@ -239,6 +241,7 @@
 	defer func() { _ = a.Body.Close() }()
 	var b bytes.Buffer
 	for {
+		time.Sleep(w.slow)
 		piece, err := a.Body.Next()
 		if errors.Is(err, io.EOF) {
 			return a.Status, b.String(), nil
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -18,6 +18,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 	"github.com/persimmoncart/persimmoncart/internal/transport"
 )
 
@@ -135,9 +136,8 @@
 		}
 		k.close()
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer c.Timer.After(dialTimeout, func(time.Time) { cancel() })()
+	ctx, stop := timer.WithTimeout(ctx, c.Timer, dialTimeout, nil)
+	defer stop()
 	dial := c.Dial
 	if dial == nil {
 		dial = transport.DialAlive
--- a/internal/order/orders.go
+++ b/internal/order/orders.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
 const (
@@ -212,9 +213,8 @@
 
 // call runs f with a timeout of the timer service.
 func (o *Orders) call(ctx context.Context, f func(context.Context) error) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer o.Timer.After(callTimeout, func(time.Time) { cancel() })()
+	ctx, stop := timer.WithTimeout(ctx, o.Timer, callTimeout, nil)
+	defer stop()
 	return f(ctx)
 }
 
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
 // An attempt holds what one attempt to serve a completion occupies.
@@ -121,7 +122,7 @@
 // load imports the KV cache into the decode engine and releases the export. The
 // engine keeps the deadline, which is the request's, as that of the whole work.
 func (a *attempt) load(ctx context.Context, deadline time.Time) error {
-	bounded, stop := withTimeout(ctx, a.router.Timer, positive(a.router.Transfer, DefaultTransfer), errTransfer)
+	bounded, stop := timer.WithTimeout(ctx, a.router.Timer, positive(a.router.Transfer, DefaultTransfer), errTransfer)
 	defer stop()
 	a.imported = true
 	err := a.decoder.Import(bounded, persimmoncart.ImportRequest{
--- a/internal/route/completion.go
+++ b/internal/route/completion.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
 // A Completion is a request for generated text.
@@ -37,7 +38,7 @@
 // Complete serves a completion. It returns a *persimmoncart.Refusal if there is
 // no whole answer, and a *CallerGoneError if the caller went away.
 func (r *Router) Complete(ctx context.Context, request Completion, sink Sink) (Result, error) {
-	ctx, stop := withTimeout(ctx, r.Timer, request.Deadline.Sub(r.Timer.Now()), errDeadline)
+	ctx, stop := timer.WithTimeout(ctx, r.Timer, request.Deadline.Sub(r.Timer.Now()), errDeadline)
 	defer stop()
 	r.Budgets.First(request.Route.Name, request.Account.Name)
 	c := &completion{Completion: request, prefixes: Prefixes(request.Prompt), router: r, sink: sink}
--- a/internal/route/once.go
+++ b/internal/route/once.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
 const (
@@ -42,7 +43,7 @@
 	if r.Claims == nil {
 		return nil, storeDown(nil)
 	}
-	own, stop := withTimeout(context.WithoutCancel(ctx), r.Timer, c.Deadline.Sub(r.Timer.Now()), errDeadline)
+	own, stop := timer.WithTimeout(context.WithoutCancel(ctx), r.Timer, c.Deadline.Sub(r.Timer.Now()), errDeadline)
 	defer stop()
 	key := ClaimKey(c.Account.Name, c.Route.Name, c.Key)
 	grant, err := c.claim(own, key)
@@ -66,7 +67,7 @@
 
 // claim records the call before its dispatch.
 func (c *call) claim(ctx context.Context, key persimmoncart.ClaimKey) (persimmoncart.ClaimGrant, error) {
-	ctx, stop := withTimeout(ctx, c.router.Timer, claimWait, errDeadline)
+	ctx, stop := timer.WithTimeout(ctx, c.router.Timer, claimWait, errDeadline)
 	defer stop()
 	grant, err := c.router.Claims.Claim(ctx, key)
 	if err != nil {
@@ -218,7 +219,7 @@
 	if r.Claims == nil {
 		return persimmoncart.ClaimRecord{}, storeDown(nil)
 	}
-	ctx, stop := withTimeout(ctx, r.Timer, claimWait, errDeadline)
+	ctx, stop := timer.WithTimeout(ctx, r.Timer, claimWait, errDeadline)
 	defer stop()
 	record, err := r.Claims.Outcome(ctx, key)
 	switch {
--- a/internal/route/plain.go
+++ b/internal/route/plain.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
 // A Plain is a call to an application.
@@ -33,7 +34,7 @@
 		response, err := c.once(ctx)
 		return response, c.outcome(), err
 	}
-	ctx, stop := withTimeout(ctx, r.Timer, request.Deadline.Sub(r.Timer.Now()), errDeadline)
+	ctx, stop := timer.WithTimeout(ctx, r.Timer, request.Deadline.Sub(r.Timer.Now()), errDeadline)
 	defer stop()
 	r.Budgets.First(request.Route.Name, request.Account.Name)
 	response, err := c.repeatable(ctx)
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -10,6 +10,7 @@
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/engine"
 	"github.com/persimmoncart/persimmoncart/internal/metrics"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
 // Defaults of a Router.
@@ -98,7 +99,7 @@
 				return err
 			}
 		}
-		bounded, stop := withTimeout(ctx, r.Timer, positive(r.Cleanup, DefaultCleanup), errDeadline)
+		bounded, stop := timer.WithTimeout(ctx, r.Timer, positive(r.Cleanup, DefaultCleanup), errDeadline)
 		err = f(bounded)
 		stop()
 		if err == nil {
