policy: plan roles only when the longest answers have been seen

It knew 15 answers, those that ended first, which are the short ones, so decode work was underestimated. The engine let its long answers finish for ten seconds and refused everything meanwhile, also requests for which it had reserved a place; 38 prompts were prefilled for nothing, several by the same request, because the engine was chosen again while the others were full.

Change: a plan needs an observation of 2.5 times the longest answer; an engine that twice in a row refuses what it reserved counts as full for four seconds; the engine that changes its role is the one with the least work of all instances, not only of this one.

Tests that failed before: TestStagesStart (4, 40 and 400 generations a second), TestStagesLeastUsed, the last part of TestSpreadRoom.

--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -217,6 +217,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	var changes []policy.StageChange
+	now := d.Timer.Now()
 	waiting := make(map[persimmoncart.EndpointID]bool, len(busy))
 	for id, role := range busy {
 		if e, _ := d.find(id); e == nil || e.Endpoint.Role == role {
@@ -231,7 +232,7 @@
 			regions[e.Endpoint.Region] = append(regions[e.Endpoint.Region], e)
 		}
 		for _, engines := range regions {
-			changes = append(changes, p.stages.Plan(engines, waiting)...)
+			changes = append(changes, p.stages.Plan(now, engines, waiting)...)
 		}
 	}
 	return changes
@@ -311,7 +312,7 @@
 func (l *lease) Decoded(took time.Duration, size persimmoncart.EngineSize) {
 	l.directory.mutex.Lock()
 	defer l.directory.mutex.Unlock()
-	l.pool.stages.Decoded(took, l.tokens, size)
+	l.pool.stages.Decoded(l.directory.Timer.Now(), took, l.tokens, size)
 }
 
 // Prefilled reports a prefill that took as long and did not wait for another.
--- a/internal/policy/spread.go
+++ b/internal/policy/spread.go
@@ -39,6 +39,9 @@
 	// shutTime is how long an engine is left alone that refused a request for
 	// which it had reserved a place: it is changing its role, or about to leave.
 	shutTime = 4 * time.Second
+	// shutSure is how many such refusals in a row show that it takes nothing at
+	// all. A single one may come from KV cache that could not be fetched.
+	shutSure = 2
 	// slowHalfLife is the same for the slowness that an endpoint reports.
 	slowHalfLife = 600 * time.Millisecond
 	// workGain is the weight of one new duration in an average.
@@ -61,8 +64,9 @@
 	Tokens   int // of own requests: to prefill, or held in memory
 	Trust    Trust
 
+	broken int       // refusals in a row of requests that it had reserved a place for
 	full   time.Time // until when it counts as full
-	shut   time.Time // until when it takes nothing
+	shut   time.Time // until when it is left alone
 	load   persimmoncart.EndpointLoad
 	loadAt time.Time
 	work   float64 // seconds for each unit of work, without the way there
@@ -74,8 +78,15 @@
 // Full notes that the endpoint has no place for a request.
 func (e *SpreadEndpoint) Full(now time.Time) { e.full = now.Add(fullTime) }
 
-// Shut notes that the endpoint broke its word to take a request.
-func (e *SpreadEndpoint) Shut(now time.Time) { e.shut = now.Add(shutTime) }
+// Shut notes that the endpoint broke its word to take a request. A second time
+// within twice shutTime shows that it was no chance.
+func (e *SpreadEndpoint) Shut(now time.Time) {
+	if now.After(e.shut.Add(shutTime)) {
+		e.broken = 0
+	}
+	e.broken++
+	e.shut = now.Add(shutTime)
+}
 
 // Learn takes how long the given amount of work took.
 func (e *SpreadEndpoint) Learn(took time.Duration, units float64) {
@@ -113,7 +124,7 @@
 
 // room reports whether the engine is expected to have a free slot and memory.
 func (e *SpreadEndpoint) room(now time.Time, r *SpreadRequest) bool {
-	if now.Before(e.full) {
+	if now.Before(e.full) || now.Before(e.shut) && e.broken >= shutSure {
 		return false
 	}
 	others := e.others(now)
--- a/internal/policy/spread_test.go
+++ b/internal/policy/spread_test.go
@@ -91,6 +91,13 @@
 	assert.Assert(t, s.Pick(now.Add(10*time.Second), random, request) == nil)
 	e.Freed()
 	assert.Assert(t, s.Pick(now.Add(10*time.Second), random, request) != nil)
+	// An engine that reserves places and then refuses would have each prompt
+	// prefilled for nothing, also if there is no other one.
+	e.Shut(now.Add(10 * time.Second))
+	assert.Assert(t, s.Pick(now.Add(10*time.Second), random, request) != nil)
+	e.Shut(now.Add(10 * time.Second))
+	assert.Assert(t, s.Pick(now.Add(11*time.Second), random, request) == nil)
+	assert.Assert(t, s.Pick(now.Add(20*time.Second), random, request) != nil)
 }
 
 // Guards against endpoints that are leaving or gone getting work while others are there.
--- a/internal/policy/stages.go
+++ b/internal/policy/stages.go
@@ -19,6 +19,9 @@
 	stageHigher = 0.02
 	// stageSamples is how many generations a plan needs.
 	stageSamples = 15
+	// stageSpan is how many times the longest generation the observation lasts
+	// before a plan: those that end first are the short ones.
+	stageSpan = 2.5
 	// stageHeadroom is the prefill capacity that is kept for each unit of demand,
 	// as prompts queue one behind the other.
 	stageHeadroom = 1.4
@@ -37,17 +40,24 @@
 type Stages struct {
 	decode   float64 // engine seconds
 	decoded  int     // samples
-	prefill  float64 // engine seconds
-	prefills int     // samples
+	longest  time.Duration
+	prefill  float64   // engine seconds
+	prefills int       // samples
+	since    time.Time // when the first generation known here began
 }
 
-// Decoded takes a generation that held tokens in an engine's memory for a while.
-func (s *Stages) Decoded(took time.Duration, held int, size persimmoncart.EngineSize) {
+// Decoded takes a generation that ended now and held tokens in an engine's memory
+// for as long as it took.
+func (s *Stages) Decoded(now time.Time, took time.Duration, held int, size persimmoncart.EngineSize) {
 	if size.Memory <= 0 || size.Slots <= 0 {
 		return
 	}
 	share := max(float64(held)/float64(size.Memory), 1/float64(size.Slots))
 	gain := math.Max(stageGain, 1/float64(s.decoded+1)) // starts as a plain mean
+	if begin := now.Add(-took); s.since.IsZero() || begin.Before(s.since) {
+		s.since = begin
+	}
+	s.longest = max(s.longest, took)
 	s.decode += gain * (took.Seconds()*share - s.decode)
 	s.decoded++
 }
@@ -67,8 +77,8 @@
 
 // Target returns how many of a number of engines should prefill. It reports
 // false while too little is known.
-func (s *Stages) Target(engines int) (float64, bool) {
-	if s.decoded < stageSamples || s.prefills < stageSamples {
+func (s *Stages) Target(now time.Time, engines int) (float64, bool) {
+	if s.decoded < stageSamples || s.prefills < stageSamples || now.Sub(s.since) < time.Duration(stageSpan*float64(s.longest)) {
 		return 0, false
 	}
 	prefill := stageHeadroom * s.prefill
@@ -86,7 +96,7 @@
 // large gap is closed by half in one step, since the engines are away for seconds
 // while they change. Engines that are leaving, missing or listed in busy do not
 // change, and nothing does while one is busy.
-func (s *Stages) Plan(engines []*SpreadEndpoint, busy map[persimmoncart.EndpointID]bool) []StageChange {
+func (s *Stages) Plan(now time.Time, engines []*SpreadEndpoint, busy map[persimmoncart.EndpointID]bool) []StageChange {
 	var prefill, decode []*SpreadEndpoint
 	for _, e := range engines {
 		switch {
@@ -99,7 +109,7 @@
 			decode = append(decode, e)
 		}
 	}
-	target, known := s.Target(len(prefill) + len(decode))
+	target, known := s.Target(now, len(prefill)+len(decode))
 	if !known {
 		return nil
 	}
@@ -115,16 +125,17 @@
 	}
 	var changes []StageChange
 	for range min(max(1, int(math.Abs(have-target)/2)), len(from)-1) {
-		e := leastUsed(from)
+		e := leastUsed(now, from)
 		from = slices.DeleteFunc(slices.Clone(from), func(o *SpreadEndpoint) bool { return o == e })
 		changes = append(changes, StageChange{Endpoint: e.Endpoint, Role: role, Target: target})
 	}
 	return changes
 }
 
-// leastUsed returns the engine with the least work, of the data centre with the
+// leastUsed returns the engine with the least work, that of other instances
+// included, of the data centre with the
 // most engines of the list.
-func leastUsed(engines []*SpreadEndpoint) *SpreadEndpoint {
+func leastUsed(now time.Time, engines []*SpreadEndpoint) *SpreadEndpoint {
 	centres := make(map[persimmoncart.DataCentre]int)
 	for _, e := range engines {
 		centres[e.Endpoint.DataCentre]++
@@ -132,7 +143,7 @@
 	return slices.MinFunc(engines, func(a, b *SpreadEndpoint) int {
 		return cmp.Or(
 			cmp.Compare(centres[b.Endpoint.DataCentre], centres[a.Endpoint.DataCentre]),
-			cmp.Compare(a.InFlight, b.InFlight),
+			cmp.Compare(float64(a.InFlight)+a.others(now), float64(b.InFlight)+b.others(now)),
 			cmp.Compare(a.Endpoint.ID, b.Endpoint.ID),
 		)
 	})
--- a/internal/policy/stages_test.go
+++ b/internal/policy/stages_test.go
@@ -1,7 +1,11 @@
 package policy_test
 
 import (
+	"cmp"
 	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,12 +15,17 @@
 	"github.com/persimmoncart/persimmoncart/internal/policy"
 )
 
+// later is a time at which all that was learned is of use.
+var later = time.Unix(0, 0).Add(2 * time.Hour)
+
 // learned returns stages that have seen generations of one kind.
 func learned(prefill, decode time.Duration) *policy.Stages {
 	s := &policy.Stages{}
+	start := time.Unix(0, 0)
 	for range 100 {
 		s.Prefilled(prefill)
-		s.Decoded(decode, 4000, persimmoncart.EngineSize{Memory: 32000, Slots: 12})
+		start = start.Add(time.Minute)
+		s.Decoded(start, decode, 4000, persimmoncart.EngineSize{Memory: 32000, Slots: 12})
 	}
 	return s
 }
@@ -40,7 +49,7 @@
 func settle(t *testing.T, s *policy.Stages, list []*policy.SpreadEndpoint) int {
 	t.Helper()
 	for range 2 * len(list) {
-		changes := s.Plan(list, nil)
+		changes := s.Plan(later, list, nil)
 		if len(changes) == 0 {
 			count := 0
 			for _, e := range list {
@@ -84,7 +93,51 @@
 // Guards against orders before anything is known, and against a second order
 // before the first shows its effect.
 func TestStagesWait(t *testing.T) {
-	assert.Equal(t, len((&policy.Stages{}).Plan(engines(6, 12), nil)), 0)
+	assert.Equal(t, len((&policy.Stages{}).Plan(later, engines(6, 12), nil)), 0)
 	s := learned(100*time.Millisecond, 4*time.Second)
-	assert.Equal(t, len(s.Plan(engines(6, 12), map[persimmoncart.EndpointID]bool{"e01": true})), 0)
+	assert.Equal(t, len(s.Plan(later, engines(6, 12), map[persimmoncart.EndpointID]bool{"e01": true})), 0)
+}
+
+// Guards against an instance that has just started and knows only the answers
+// that ended first, which are the short ones: it would order decode engines to
+// prefill in the crest. The same must not follow from more traffic.
+func TestStagesStart(t *testing.T) {
+	size := persimmoncart.EngineSize{Memory: 32000, Slots: 12}
+	for _, rate := range []int{4, 40, 400} { // generations a second
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, uint64(rate)))
+			type end struct{ at, took time.Duration }
+			var ends []end
+			for n := range 30 * rate {
+				begin := time.Duration(n) * time.Second / time.Duration(rate)
+				took := time.Duration(4 * math.Exp(0.7*random.NormFloat64()) * float64(time.Second))
+				ends = append(ends, end{at: begin + took, took: took})
+			}
+			slices.SortFunc(ends, func(a, b end) int { return cmp.Compare(a.at, b.at) })
+			s := &policy.Stages{}
+			start := time.Unix(0, 0)
+			for _, e := range ends {
+				s.Prefilled(230 * time.Millisecond)
+				s.Decoded(start.Add(e.at), e.took, 4000, size)
+				for _, c := range s.Plan(start.Add(e.at), engines(3, 5), nil) {
+					assert.Assert(t, c.Role != persimmoncart.RolePrefill, "after %s, target %f", e.at, c.Target)
+				}
+			}
+		})
+	}
+}
+
+// Guards against an order to an engine that other instances have filled, which
+// serves nothing until their answers have ended, while an idle one is there.
+func TestStagesLeastUsed(t *testing.T) {
+	list := engines(0, 4)
+	for n, e := range list {
+		e.Endpoint.DataCentre = "d0"
+		if n != 2 {
+			e.Report(later, persimmoncart.EndpointLoad{Running: 6, Slots: 12})
+		}
+	}
+	changes := learned(200*time.Millisecond, time.Second).Plan(later, list, nil)
+	assert.Assert(t, len(changes) > 0)
+	assert.Equal(t, changes[0].Endpoint.ID, list[2].Endpoint.ID)
 }
