--- a/forwardtable.go
+++ b/forwardtable.go
@@ -32,17 +32,13 @@
 
 // A ForwardLimits bounds what callers may send.
 type ForwardLimits struct {
-	Body   int64         // bytes of a request body
-	Header int           // bytes of a request header
-	Idle   time.Duration // that a connection may be without a request
-	Read   time.Duration // for a request header
+	Body int64 // bytes of a request body
 }
 
 // A ForwardPool is a pool that forwarded requests go to.
 type ForwardPool struct {
-	Connections int         // that one endpoint accepts from all instances
-	Engine      *EngineSize // nil for application endpoints
-	Name        PoolName
+	Engine *EngineSize // nil for application endpoints
+	Name   PoolName
 }
 
 // An EngineSize is what every engine of a pool holds.
--- a/internal/entry/forwarding.go
+++ b/internal/entry/forwarding.go
@@ -22,6 +22,9 @@
 	// balancerWait is how long a stopping instance still takes new connections:
 	// the load balancer asks each second and believes the second miss.
 	balancerWait = 2500 * time.Millisecond
+	// forwardedHeaderBytes bounds the header of a request above what operators
+	// allow, which changes with the configuration: it protects memory only.
+	forwardedHeaderBytes = 64 << 10
 	// stopMargin is kept before the end of the grace time, after which the
 	// process is killed.
 	stopMargin = 400 * time.Millisecond
@@ -164,7 +167,7 @@
 		ErrorLog:          log.New(&errorLog{logger: f.Logger}, "", 0),
 		Handler:           handler,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    headerBytes,
+		MaxHeaderBytes:    forwardedHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 	}
 }
