forward: measure a stalled stream by spans, and end the soak's processes

Found on reading the change again: the watch over a stream's reads compared Unix times, so that a clock that is set forward by more than four gaps would have ended every resumable stream. It compares spans on the monotonic clock now, as the timers before it did.

An interrupt of the soak left the processes of the seeds in progress running; they were ended by their ids. It now lets those seeds end and starts no other.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -47,10 +47,11 @@
 	last    uint64    // last event passed on
 	lease   *lease
 	pieces  int          // passed on
-	reading atomic.Int64 // when the read began that waits, Unix nanoseconds; zero if none does
+	reading atomic.Int64 // when the read began that waits, after watched; zero if none does
 	skip    bool         // drop events up to last, as another engine may repeat them
 	started time.Time
-	unwatch func() // ends the watch over the reads; nil without one
+	unwatch func()    // ends the watch over the reads; nil without one
+	watched time.Time // begin of that watch
 }
 
 // Close implements Body.
@@ -154,7 +155,7 @@
 		s.buffer = append(s.buffer, make([]byte, len(s.buffer))...)
 	}
 	if s.unwatch != nil {
-		s.reading.Store(s.router.Timer.Now().UnixNano())
+		s.reading.Store(int64(s.router.Timer.Now().Sub(s.watched)))
 	}
 	n, err := s.body.Read(s.buffer[s.filled:])
 	s.reading.Store(0)
@@ -226,8 +227,11 @@
 // watch closes a body when a read of it waits for longer than stallGaps.
 func (s *stream) watch(b io.Closer) {
 	limit := stallGaps * s.rule.Gap
+	// Spans since the begin of the watch do not change when the clock is set.
+	begin := s.router.Timer.Now()
+	s.watched = begin.Add(-time.Nanosecond) // no read begins at zero
 	s.unwatch = s.router.Timer.Subscribe(limit/stallLooks, func(now time.Time) {
-		if since := s.reading.Load(); since != 0 && now.UnixNano()-since >= int64(limit) {
+		if since := time.Duration(s.reading.Load()); since != 0 && now.Sub(begin)-since >= limit {
 			_ = b.Close() // the read fails by it
 		}
 	})
--- a/internal/soak/run/main.go
+++ b/internal/soak/run/main.go
@@ -6,8 +6,10 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -33,18 +35,28 @@
 	if _, err := flags.Parse(&o); err != nil {
 		os.Exit(2)
 	}
-	os.Exit(run(&o))
+	// An interrupt lets the seeds that are being played end, and their processes
+	// with them.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, &o)
+	stop()
+	os.Exit(code)
 }
 
-// run plays the seeds and returns the exit code: 1 if a promise was broken, or if
-// a planted violation was not seen.
-func run(o *options) int {
+// run plays the seeds until ctx is done and returns the exit code: 1 if a promise
+// was broken, a planted violation was not seen, or not all seeds were played.
+func run(ctx context.Context, o *options) int {
 	var group sync.WaitGroup
 	var mutex sync.Mutex
-	failed := 0
+	failed, played := 0, 0
 	slots := make(chan struct{}, max(1, o.Parallel))
 	for seed := o.Seed; seed < o.Seed+o.Seeds; seed++ {
 		slots <- struct{}{}
+		if ctx.Err() != nil {
+			fmt.Printf("interrupted before seed %d\n", seed)
+			break
+		}
+		played++
 		group.Go(func() {
 			defer func() { <-slots }()
 			ok := play(o, seed)
@@ -56,8 +68,8 @@
 		})
 	}
 	group.Wait()
-	fmt.Printf("%d passed, %d failed\n", o.Seeds-uint64(failed), failed)
-	if failed > 0 {
+	fmt.Printf("%d passed, %d failed\n", played-failed, failed)
+	if failed > 0 || ctx.Err() != nil {
 		return 1
 	}
 	return 0
