entry, config: drop what the removed configuration exchange left

A cell kept the membership extensions that it does not start itself; the configuration's digest was the only one, so the list is always empty.

--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -324,7 +325,7 @@
 	f.current.Store(h)
 	f.mutex.Lock()
 	listeners := make([]func(*persimmoncart.Snapshot), 0, len(f.listeners))
-	for _, k := range sortedInts(f.listeners) {
+	for _, k := range slices.Sorted(maps.Keys(f.listeners)) {
 		listeners = append(listeners, f.listeners[k])
 	}
 	f.mutex.Unlock()
@@ -348,13 +349,3 @@
 
 // errLate ends a call of the store that takes too long.
 var errLate = errors.New("the store did not answer in time")
-
-// sortedInts returns the keys of m, sorted.
-func sortedInts[V any](m map[int]V) []int {
-	keys := make([]int, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -109,8 +108,7 @@
 			Members:       j.members,
 			Timer:         j.Timer,
 		},
-		extensions: j.members.Machine.Extensions,
-		members:    j.members,
+		members: j.members,
 		owner: &ownership.Service{
 			Changed:       j.watch(ledger).SetUsable,
 			Configuration: j.Configuration,
@@ -239,10 +237,9 @@
 
 // A cell runs what shares the lock of the members.
 type cell struct {
-	exchange   *load.Exchange
-	extensions []membership.Extension // that are not started by run
-	members    *membership.Service
-	owner      *ownership.Service
+	exchange *load.Exchange
+	members  *membership.Service
+	owner    *ownership.Service
 }
 
 // owns reports whether this instance owns a replica.
@@ -256,7 +253,7 @@
 // they start, also when run is called again after a panic.
 func (c *cell) run(ctx context.Context) error {
 	c.members.Lock.Lock()
-	c.members.Machine.Extensions = slices.Clone(c.extensions)
+	c.members.Machine.Extensions = nil
 	c.members.Lock.Unlock()
 	defer c.owner.Start(ctx)()
 	defer c.exchange.Start()()
