forward: retries, hedges and resumed streams take from one count of runs

Cause: a stream that its engine cut was resumed as long as the retry budget lasted. Only hedges and retries of plain requests looked at the route's number of attempts, so that a stream whose engines cut it twice ran on a third one.

Change: exchange.startRun counts every send that may run the request, and a send that provably did not run it gives its run back. The separate flags and counters for possible runs are gone.

Test: TestStreamRunsLimited failed before (three runs on a route of two).

--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -84,7 +84,7 @@
 			g.abandon(decode)
 			return nil, err
 		}
-		if !g.countSend(persimmoncart.RetryEndpointRefused) {
+		if !g.startRun(persimmoncart.RetryEndpointRefused) {
 			g.abandon(decode)
 			return nil, g.capacityRefusal(errRetryBudget)
 		}
@@ -99,7 +99,7 @@
 			return nil, x.contextError(ctx, true)
 		}
 		outcome := x.recordFailure(ctx, decode, err)
-		x.mayHaveRun = x.mayHaveRun || outcome != sendNotRun
+		x.recordOutcome(outcome)
 		if outcome != sendNotRun || g.cacheRefused {
 			g.releaseCache()
 		}
@@ -107,7 +107,7 @@
 		if outcome == sendNotRun && reserved {
 			decode.ReservationRefused()
 		}
-		if outcome != sendNotRun && x.route.Repeat == persimmoncart.RepeatNever {
+		if !x.mayRun() {
 			return nil, &persimmoncart.Refusal{
 				Code: persimmoncart.RefusalEndpointFailed, Err: err, Message: "the engine failed",
 				Outcome: persimmoncart.OutcomeUnknown,
--- a/internal/forward/generate_test.go
+++ b/internal/forward/generate_test.go
@@ -262,6 +262,37 @@
 	}
 }
 
+// Guards against running a stream on more engines than its route allows: every
+// engine breaks off after some events, and a resumed stream was not counted as a
+// run.
+func TestStreamRunsLimited(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		refused int // resumptions that are refused before one is accepted
+		sends   int
+	}{
+		{name: "each engine breaks off", sends: 2},
+		{name: "a refused resumption is no run", refused: 1, sends: 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				f.Upstream.send = func(_ context.Context, n int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
+					if n > 0 && n <= c.refused {
+						return nil, refused()
+					}
+					first := int(call.LastEventID) + 1
+					return streamed(events(first, first+2), errReset), nil
+				}
+				_, body, err := f.serve(t.Context(), "/long/")
+				assert.Equal(t, refusal(t, err).Outcome, persimmoncart.OutcomeUnknown)
+				assert.Equal(t, body, events(1, 6))
+				assert.Equal(t, f.Upstream.count("send"), c.sends)
+			})
+		})
+	}
+}
+
 // Guards against a stream that waits forever for an engine that stopped sending,
 // one that is resumed elsewhere while its events arrive, and one that is resumed
 // elsewhere because its caller reads slowly.
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -47,11 +47,10 @@
 type plainCall struct {
 	*exchange
 
-	cancel       context.CancelFunc // ends all sends
-	fallback     *sendResult        // first response with a server error, used if no send succeeds
-	inFlight     int                // sends without a result
-	possibleRuns int                // sends that may have run
-	results      chan sendResult
+	cancel   context.CancelFunc // ends all sends
+	fallback *sendResult        // first response with a server error, used if no send succeeds
+	inFlight int                // sends without a result
+	results  chan sendResult
 }
 
 // plain serves a request whose response is one body.
@@ -68,9 +67,9 @@
 		select {
 		case <-ctx.Done():
 			cancel()
-			return nil, x.contextError(ctx, p.inFlight > 0 || p.possibleRuns > 0)
+			return nil, x.contextError(ctx, p.runs > 0)
 		case <-hedge:
-			if p.mayRepeat() {
+			if p.mayRun() {
 				p.send(sendCtx, persimmoncart.RetryHedge)
 			}
 		case result := <-p.results:
@@ -99,13 +98,9 @@
 	return time.Duration(share * float64(x.route.LatencyTarget))
 }
 
-// mayRepeat reports whether the request is idempotent and may run once more.
-func (p *plainCall) mayRepeat() bool {
-	return p.route.Repeat == persimmoncart.RepeatAlways && p.possibleRuns+p.inFlight < p.route.MaxAttempts
-}
-
 // send starts to send the request to one more endpoint; the result goes to
-// results. It reports false if there is no endpoint or the retry budget is used up.
+// results. It reports false if there is no endpoint, or the route or the retry
+// budget does not allow another run.
 func (p *plainCall) send(ctx context.Context, reason persimmoncart.RetryReason) bool {
 	assigned := p.router.Directory.Assign(p.pool, policy.SelectorRequest{
 		Avoid: p.tried, Role: persimmoncart.RoleApplication, RunOnce: p.route.Repeat != persimmoncart.RepeatAlways,
@@ -113,7 +108,7 @@
 	if assigned == nil {
 		return false
 	}
-	if !p.countSend(reason) {
+	if !p.startRun(reason) {
 		assigned.Done()
 		return false
 	}
@@ -127,14 +122,10 @@
 // handleResult handles the result of one send: it sends the request again or
 // returns the end of the call. Done is false while further sends are in flight.
 func (p *plainCall) handleResult(ctx context.Context, result sendResult) (response *Response, done bool, err error) {
-	switch result.outcome {
-	case sendAnswered:
+	if result.outcome == sendAnswered {
 		return p.deliver(&result), true, nil
-	case sendServerError, sendFailed:
-		p.mayHaveRun = true
-		p.possibleRuns++
-	case sendNotRun:
 	}
+	p.recordOutcome(result.outcome)
 	if result.response != nil && p.fallback == nil {
 		p.fallback = &result
 	}
@@ -144,7 +135,7 @@
 	switch {
 	case p.fallback != nil:
 		return p.deliver(p.fallback), true, nil
-	case p.possibleRuns > 0:
+	case p.runs > 0:
 		p.cancel()
 		return nil, true, &persimmoncart.Refusal{
 			Code: persimmoncart.RefusalEndpointFailed, Err: result.err, Message: "the endpoint failed",
@@ -167,9 +158,6 @@
 	}
 	reason := persimmoncart.RetryEndpointRefused
 	if result.outcome != sendNotRun {
-		if !p.mayRepeat() {
-			return false
-		}
 		reason = persimmoncart.RetryEndpointDied
 	}
 	return p.send(ctx, reason)
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -99,7 +99,6 @@
 	deadline     time.Time
 	endpoint     persimmoncart.EndpointID                             // that made the response
 	engine       *persimmoncart.EngineCapacity                        // of the pool's decode engines; nil for a pool without engines
-	mayHaveRun   bool                                                 // an endpoint may have run the request
 	observe      func(persimmoncart.RouteName, persimmoncart.Outcome) // records the end of the request in the metrics
 	pool         persimmoncart.PoolName
 	prefilled    bool // an engine has accepted a prefill
@@ -107,6 +106,7 @@
 	retryPaid    bool // the next retry has already been taken from the budget
 	route        *persimmoncart.ForwardRoute
 	router       *Router
+	runs         int    // sends that may have run the request, those in flight included
 	sends        int    // all sends, up to maxSends
 	stop         func() // releases the context of withDeadline
 	tried        []persimmoncart.EndpointID
@@ -174,7 +174,7 @@
 			Code: persimmoncart.RefusalInternal, Err: err, Message: "internal error", Outcome: persimmoncart.OutcomeUnknown,
 		}
 	}
-	if x.mayHaveRun && refusal.Outcome == persimmoncart.OutcomeNotRun {
+	if x.runs > 0 && refusal.Outcome == persimmoncart.OutcomeNotRun {
 		// The last refusal states nothing about the sends before it.
 		refusal.Outcome, refusal.RetryAfter = persimmoncart.OutcomeUnknown, 0
 	}
@@ -185,6 +185,36 @@
 	return refusal
 }
 
+// maxRuns returns how many endpoints may run the request.
+func (x *exchange) maxRuns() int {
+	if x.route.Repeat == persimmoncart.RepeatNever {
+		return 1
+	}
+	return x.route.MaxAttempts
+}
+
+// mayRun reports whether the route allows the request to run once more.
+func (x *exchange) mayRun() bool { return x.runs < x.maxRuns() }
+
+// startRun counts a send that may run the request, whether it is the first, a
+// retry, a hedge or a resumption. It reports false if the route or the retry budget
+// does not allow it.
+func (x *exchange) startRun(reason persimmoncart.RetryReason) bool {
+	if !x.mayRun() || !x.countSend(reason) {
+		return false
+	}
+	x.runs++
+	return true
+}
+
+// recordOutcome ends the run that startRun counted if the send provably did not
+// run the request.
+func (x *exchange) recordOutcome(outcome sendOutcome) {
+	if outcome == sendNotRun {
+		x.runs--
+	}
+}
+
 // countSend counts one send that an endpoint may count as an arrival of the
 // request, and reports whether maxSends and the retry budget allow it. The first
 // counted send takes nothing from the budget.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -170,7 +170,8 @@
 }
 
 // resume continues the stream at another engine. It returns a refusal with the
-// given cause if the route, the retry budget or the engines do not allow it.
+// given cause if the route's number of runs, the retry budget or the engines do not
+// allow it.
 func (s *stream) resume(cause error) error {
 	if s.route.Repeat != persimmoncart.RepeatResume {
 		return &persimmoncart.Refusal{
@@ -178,11 +179,15 @@
 			Outcome: persimmoncart.OutcomeUnknown,
 		}
 	}
-	for s.ctx.Err() == nil && s.countSend(persimmoncart.RetryResume) {
+	for s.ctx.Err() == nil && s.mayRun() {
 		assigned := s.router.Directory.Assign(s.pool, s.decodeRequest())
 		if assigned == nil {
 			break
 		}
+		if !s.startRun(persimmoncart.RetryResume) {
+			assigned.Done()
+			break
+		}
 		call := s.upstreamCall(&assigned.Endpoint)
 		call.LastEventID = s.lastID
 		s.started = s.router.Timer.Now()
@@ -196,7 +201,7 @@
 			}
 		}
 		if err != nil {
-			s.recordFailure(s.ctx, assigned, err)
+			s.recordOutcome(s.recordFailure(s.ctx, assigned, err))
 			assigned.Done()
 			s.tried = append(s.tried, assigned.Endpoint.ID)
 			continue
