lease: an unreadable, lost or restored record costs one takeover

Cause: a record that could not be decoded failed every acquisition, for good.

Change: a fencing token is never higher than the version of its record, so that the next token after a damaged record follows from the version that the store gives it. persimmoncart.Version counts restores of the store in its upper bits; a record of an earlier epoch, even a free one or the instance's own, is waited for like one of an unknown holder. A record that no instance can have written (term of years, token above its version) counts as unreadable and is logged.

Test: TestKeeperRecordDamaged; before, the first three cases never got the lease and the last three got a token that was used before. The exhaustive and the model test pass with the additional step that creates a record.

Conclusion: the floor of a token needs no state outside the record and its version.

--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -12,7 +12,7 @@
 	if s.follower == nil || s.Store == nil {
 		return
 	}
-	leases := &lease.Keeper{Self: s.Self.Tag(), Store: s.Store, Timer: s.Timer}
+	leases := &lease.Keeper{Logger: s.Logger, Self: s.Self.Tag(), Store: s.Store, Timer: s.Timer}
 	planner := &order.Planner{
 		Configuration: s.Configuration,
 		Leases:        leases,
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/persimmoncart/persimmoncart"
 )
@@ -35,6 +36,7 @@
 // A Keeper implements persimmoncart.Leases for one instance. Its exported
 // fields are set before the first call; it is safe for concurrent use.
 type Keeper struct {
+	Logger zerolog.Logger
 	Margin time.Duration // DefaultMargin if zero
 	Self   persimmoncart.Tag
 	Store  persimmoncart.Store
@@ -52,11 +54,11 @@
 func (k *Keeper) Acquire(ctx context.Context, name string) (persimmoncart.Lease, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	current, version, err := k.read(ctx, name)
+	current, version, err := k.readOrCreate(ctx, name)
 	if err != nil {
 		return persimmoncart.Lease{}, errors.Wrapf(err, "acquire lease %q", name)
 	}
-	if version != 0 && !current.Free && !current.heldBy(k.Self) {
+	if !k.available(current, version) {
 		if wait := k.remainingWait(name, current, version); wait > 0 {
 			return persimmoncart.Lease{}, &persimmoncart.LeaseHeldError{Holder: current.Holder, Name: name, RetryAfter: wait}
 		}
@@ -82,7 +84,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "release lease %q", lease.Name)
 	}
-	if version == 0 || !current.heldBy(k.Self) || current.Fence != lease.Fence {
+	if version == 0 || !current.knownAt(version) || !current.heldBy(k.Self) || current.Fence != lease.Fence {
 		return nil
 	}
 	k.writeCount++
@@ -98,6 +100,16 @@
 	return nil
 }
 
+// available reports whether this instance may write the record at once: the lease
+// is free or its own. A record without a fencing token at epoch zero is new, since
+// a store that was never restored has lost nothing.
+func (k *Keeper) available(current record, version persimmoncart.Version) bool {
+	if !current.knownAt(version) {
+		return current.Free && version.Epoch() == 0
+	}
+	return current.Free || current.heldBy(k.Self)
+}
+
 // margin returns the configured margin.
 func (k *Keeper) margin() time.Duration {
 	if k.Margin == 0 {
@@ -111,19 +123,51 @@
 func (k *Keeper) nextRecord(current record, version persimmoncart.Version) record {
 	k.writeCount++
 	next := record{
-		Fence:       current.Fence,
+		Fence:       max(current.Fence, uint64(version.EpochStart())),
 		Holder:      k.Self.Instance,
 		Incarnation: k.Self.Incarnation,
 		Term:        k.term(),
 		WriteCount:  k.writeCount,
 	}
-	if version == 0 || !current.heldBy(k.Self) {
+	switch {
+	case current.Fence == 0:
+		next.Fence = uint64(version) // above all tokens of earlier records
+	case !current.knownAt(version) || !current.heldBy(k.Self):
 		next.Fence++
 	}
 	return next
 }
 
-// read returns the record of the lease; the version is zero if there is none.
+// readOrCreate returns the record of the lease. If there is none, it creates a
+// free one without a fencing token, whose version the first token follows from.
+func (k *Keeper) readOrCreate(ctx context.Context, name string) (record, persimmoncart.Version, error) {
+	current, version, err := k.read(ctx, name)
+	if err != nil || version != 0 {
+		return current, version, err
+	}
+	created := record{Free: true, Term: k.term()}
+	value, err := created.encode()
+	if err != nil {
+		return record{}, 0, err
+	}
+	version, err = k.Store.Create(ctx, keyPrefix+name, value)
+	if err == nil {
+		return created, version, nil
+	}
+	var ambiguous *persimmoncart.AmbiguousError
+	var conflict *persimmoncart.ConflictError
+	if errors.As(err, &ambiguous) || errors.As(err, &conflict) {
+		current, version, readErr := k.read(ctx, name)
+		if readErr == nil && version == 0 {
+			readErr = err
+		}
+		return current, version, readErr
+	}
+	return record{}, 0, err
+}
+
+// read returns the record of the lease; the version is zero if there is none. A
+// record that cannot be read is returned without a holder or a fencing token.
 func (k *Keeper) read(ctx context.Context, name string) (record, persimmoncart.Version, error) {
 	object, err := k.Store.Get(ctx, keyPrefix+name)
 	if missing := (*persimmoncart.NotFoundError)(nil); errors.As(err, &missing) {
@@ -132,9 +176,10 @@
 	if err != nil {
 		return record{}, 0, err
 	}
-	current, err := decodeRecord(object.Value)
+	current, err := decodeRecord(object.Value, object.Version)
 	if err != nil {
-		return record{}, 0, err
+		k.Logger.Warn().Str("lease", name).Uint64("version", uint64(object.Version)).Err(err).Msg("lease record is unreadable")
+		return record{Term: k.term()}, object.Version, nil
 	}
 	return current, object.Version, nil
 }
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -85,6 +86,18 @@
 	return c.environment.version, nil
 }
 
+// restore brings the store back from a copy that it had made of its objects.
+func (env *environment) restore(copied map[string]persimmoncart.Object) {
+	epoch := env.version.Epoch() + 1
+	env.version = persimmoncart.NewVersion(epoch, 0)
+	env.objects = map[string]persimmoncart.Object{}
+	for key, o := range copied {
+		o.Version = persimmoncart.NewVersion(epoch, o.Version.Revision())
+		env.version = max(env.version, o.Version)
+		env.objects[key] = o
+	}
+}
+
 // keeper returns a keeper with a term of 10 s and a margin of 1 s.
 func (env *environment) keeper(name string, store persimmoncart.Store) *lease.Keeper {
 	return &lease.Keeper{
@@ -171,6 +184,69 @@
 	}
 }
 
+// Guards against a lease that nobody can acquire again after its record became
+// unreadable, was lost or came back from an older copy of the store, against a
+// takeover while the holder may still act, and against a fencing token that was
+// used before.
+func TestKeeperRecordDamaged(t *testing.T) {
+	const key = "leases/plan"
+	for _, tc := range []struct {
+		name   string
+		damage func(env *environment, copied map[string]persimmoncart.Object)
+		wait   time.Duration // from the first try to the takeover
+	}{
+		{name: "bytes that are no record", wait: 11 * time.Second, damage: func(env *environment, _ map[string]persimmoncart.Object) {
+			env.version++
+			env.objects[key] = persimmoncart.Object{Key: key, Value: []byte("x\x10{"), Version: env.version}
+		}},
+		{name: "record without fields", wait: 11 * time.Second, damage: func(env *environment, _ map[string]persimmoncart.Object) {
+			env.version++
+			env.objects[key] = persimmoncart.Object{Key: key, Value: []byte("{}"), Version: env.version}
+		}},
+		{name: "term of years", wait: 11 * time.Second, damage: func(env *environment, _ map[string]persimmoncart.Object) {
+			env.version++
+			value := []byte(`{"fence":9,"holder":"c","term":90000000000000000}`)
+			env.objects[key] = persimmoncart.Object{Key: key, Value: value, Version: env.version}
+		}},
+		{name: "restored from before the first holder", wait: 11 * time.Second, damage: func(env *environment, _ map[string]persimmoncart.Object) {
+			env.restore(nil)
+		}},
+		{name: "restored from an earlier holder", wait: 11 * time.Second, damage: func(env *environment, copied map[string]persimmoncart.Object) {
+			env.restore(copied)
+		}},
+		{name: "restored twice", wait: 11 * time.Second, damage: func(env *environment, copied map[string]persimmoncart.Object) {
+			env.restore(copied)
+			env.restore(copied)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			env := newEnvironment()
+			a, b := env.keeper("a", &storeClient{environment: env}), env.keeper("b", &storeClient{environment: env})
+			first, err := b.Acquire(t.Context(), "plan")
+			assert.NilError(t, err)
+			assert.NilError(t, b.Release(t.Context(), first))
+			copied := maps.Clone(env.objects)
+			held, err := a.Acquire(t.Context(), "plan")
+			assert.NilError(t, err)
+			tc.damage(env, copied)
+			// Neither the holder nor another instance may take it for free or its own.
+			for _, k := range []*lease.Keeper{a, b} {
+				_, err := k.Acquire(t.Context(), "plan")
+				var heldError *persimmoncart.LeaseHeldError
+				assert.Assert(t, errors.As(err, &heldError), "%v", err)
+				assert.Equal(t, heldError.RetryAfter, tc.wait)
+			}
+			env.timer.Advance(tc.wait)
+			next, err := b.Acquire(t.Context(), "plan")
+			assert.NilError(t, err)
+			assert.Assert(t, next.Fence > held.Fence, "token %d after %d", next.Fence, held.Fence)
+			again, err := b.Acquire(t.Context(), "plan")
+			assert.NilError(t, err)
+			assert.Equal(t, again.Fence, next.Fence)
+		})
+	}
+}
+
 // Guards against two holders at a time, a fencing token that is issued twice, and
 // an endpoint that accepts an order with an old fencing token. Explores all
 // interleavings of two instances that acquire, send an order and renew, with one
--- a/store.go
+++ b/store.go
@@ -38,9 +38,30 @@
 	Watch(ctx context.Context, prefix string, from Version) (Watch, error)
 }
 
-// A Version orders the writes to the store; later writes have higher versions.
+// versionEpochShift is the number of bits of a Version below its epoch. A store
+// with a thousand writes a second uses up 40 bits in 35 years.
+const versionEpochShift = 40
+
+// A Version orders the writes to the store; later writes have higher versions. Its
+// upper bits hold the epoch, which counts how often the store has been restored
+// from an older copy: a restored store gives out its revisions again, in the next
+// epoch.
 type Version uint64
 
+// NewVersion returns the version of a revision that the store gave out in an epoch.
+func NewVersion(epoch, revision uint64) Version {
+	return Version(epoch<<versionEpochShift | revision&(1<<versionEpochShift-1))
+}
+
+// Epoch returns how often the store had been restored when it gave out the version.
+func (v Version) Epoch() uint64 { return uint64(v) >> versionEpochShift }
+
+// EpochStart returns the version below all others of the epoch.
+func (v Version) EpochStart() Version { return NewVersion(v.Epoch(), 0) }
+
+// Revision returns the store's own number of the version, without the epoch.
+func (v Version) Revision() uint64 { return uint64(v) & (1<<versionEpochShift - 1) }
+
 // A Watch is an open watch on the store.
 type Watch interface {
 	// Close ends the watch.
