policy, forward: plan roles from the loads that the engines report

With hundreds of instances one sees a generation every few seconds. A prefill counted with its wait behind other instances' prompts, so that fewer prefill engines made prefills look longer: a loop that let the target wander.

Ruled out: shorter samples of the same kind.

Change: one instance holds the lease while there are engines, reads the load of up to 64 of them each second (memory, slots, requests), and compares the loads of both roles, which the same requests cause. Instances count no engine time of their own any more.

--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -40,10 +40,9 @@
 
 // A pool is the state of one pool.
 type pool struct {
-	decodeQueue  admissionQueue // generations that wait for a decode engine
-	retries      policy.RetryWindow
-	roleBalancer policy.RoleBalancer
-	selector     policy.Selector
+	decodeQueue admissionQueue // generations that wait for a decode engine
+	retries     policy.RetryWindow
+	selector    policy.Selector
 }
 
 // An assignment is the use of an endpoint by one request. Done or DoneFull ends it.
@@ -216,32 +215,19 @@
 	})
 }
 
-// RoleChanges returns the role changes that are due. Pending holds the engines
-// whose change has been ordered, by their new role. They are not changed again;
-// those that have the new role or are gone are deleted from the map.
-func (d *Directory) RoleChanges(pending map[persimmoncart.EndpointID]persimmoncart.Role) []policy.RoleChange {
+// Engines returns the engines of each pool that are neither leaving nor missing.
+func (d *Directory) Engines() map[persimmoncart.PoolName][]persimmoncart.Endpoint {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	var changes []policy.RoleChange
-	now := d.Timer.Now()
-	changing := make(map[persimmoncart.EndpointID]bool, len(pending))
-	for id, role := range pending {
-		if e, _ := d.find(id); e == nil || e.Endpoint.Role == role {
-			delete(pending, id)
-			continue
-		}
-		changing[id] = true
-	}
-	for _, p := range d.pools {
-		regions := make(map[persimmoncart.Region][]*policy.EndpointState)
+	engines := make(map[persimmoncart.PoolName][]persimmoncart.Endpoint)
+	for name, p := range d.pools {
 		for _, e := range p.selector.Endpoints {
-			regions[e.Endpoint.Region] = append(regions[e.Endpoint.Region], e)
-		}
-		for _, engines := range regions {
-			changes = append(changes, p.roleBalancer.Plan(now, engines, changing)...)
+			if e.Endpoint.Role != persimmoncart.RoleApplication && !e.Endpoint.Leaving && !e.Missing {
+				engines[name] = append(engines[name], e.Endpoint)
+			}
 		}
 	}
-	return changes
+	return engines
 }
 
 // drop removes an endpoint from its pool. The caller holds the mutex.
@@ -299,24 +285,6 @@
 	return p
 }
 
-// AddDecode reports the end of a generation that occupied the engine's KV cache
-// for the given time.
-func (a *assignment) AddDecode(took time.Duration, size persimmoncart.EngineCapacity) {
-	a.directory.mutex.Lock()
-	defer a.directory.mutex.Unlock()
-	a.pool.roleBalancer.AddDecode(a.directory.Timer.Now(), took, a.tokens, size)
-}
-
-// AddPrefill reports the duration of a prefill. It counts only if no other request
-// was at the engine, since the time includes the queue.
-func (a *assignment) AddPrefill(took time.Duration) {
-	a.directory.mutex.Lock()
-	defer a.directory.mutex.Unlock()
-	if a.state.InFlight == 1 && a.state.Waiting() == 0 {
-		a.pool.roleBalancer.AddPrefill(took)
-	}
-}
-
 // Done ends the assignment and wakes the next generation that waits for a decode
 // engine of the pool.
 func (a *assignment) Done() {
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -303,7 +303,6 @@
 	}
 	now := g.router.Timer.Now()
 	assigned.ReportLoad(cache.Load)
-	assigned.AddPrefill(now.Sub(started))
 	assigned.Succeeded(now.Sub(started), float64(g.request.Generation.PromptTokens)/1000)
 	g.uncountPrefill()
 	g.cache = &exportedCache{exported: now, endpoint: assigned.Endpoint, source: cache.Source}
--- a/internal/forward/rolereconciler.go
+++ b/internal/forward/rolereconciler.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -15,22 +17,34 @@
 const (
 	// rolePeriod is the time between two checks of the roles of engines.
 	rolePeriod = time.Second
+	// roleStartSpread is the longest pause before the first check. Instances that
+	// start together try for the lease at different times.
+	roleStartSpread = 2 * time.Second
 	// roleLease is the name of the lease that an instance holds to change roles.
 	roleLease = "stages"
+	// roleRenewTime is the remaining time of the lease from which it is renewed.
+	roleRenewTime = 3 * time.Second
 	// roleCallTimeout bounds one call to an engine or to the store for the lease.
 	roleCallTimeout = 2 * time.Second
+	// roleReadTimeout bounds one round of reading the states of engines.
+	roleReadTimeout = 800 * time.Millisecond
+	// maxRoleReads is the number of engines whose states are read in one round; of
+	// more, a random selection is read. roleReaders of them are read at a time.
+	maxRoleReads = 64
+	roleReaders  = 8
 	// roleSettleTime is the time after an order before the same engine gets another
 	// one: the engine finishes its work, changes its role and reports it, and an
 	// order without a response may be carried out late.
 	roleSettleTime = 12 * time.Second
 	// roleConfirmations is the number of checks in a row that have to find a change
 	// due, so that an engine that is away for a moment is not replaced.
-	roleConfirmations = 3
+	roleConfirmations = 2
 )
 
 // A RoleReconciler changes the roles of engines to fit the traffic. One instance
-// at a time does so, under a lease that it acquires only when a change is due.
-// The fields are set before Run.
+// at a time does so, the holder of a lease, which reads the load of all engines: an
+// instance's own requests are too few for a plan when hundreds share them. The
+// fields are set before Run.
 type RoleReconciler struct {
 	Controller persimmoncart.RoleController
 	Directory  *Directory
@@ -39,10 +53,12 @@
 	Self       persimmoncart.InstanceID
 	Timer      persimmoncart.Timer
 
-	confirmations int // checks in a row that found a change due
+	balancers     map[persimmoncart.PoolName]*policy.RoleBalancer // while the lease is held
+	confirmations int                                             // checks in a row that found a change due
 	lease         persimmoncart.Lease
-	pending       map[persimmoncart.EndpointID]pendingChange // engines with an order, or that could not be ordered
-	retryAt       time.Time                                  // earliest time to try for the lease again
+	loads         map[persimmoncart.EndpointID]policy.EngineLoad // last load of each engine
+	pending       map[persimmoncart.EndpointID]pendingChange     // engines with an order, or that could not be ordered
+	retryAt       time.Time                                      // earliest time to try for the lease again
 }
 
 // A pendingChange is a role change of one engine that is not repeated for a time.
@@ -54,30 +70,65 @@
 // Run checks the roles every rolePeriod until ctx is done and returns its error.
 func (r *RoleReconciler) Run(ctx context.Context) error {
 	r.pending = make(map[persimmoncart.EndpointID]pendingChange)
-	for r.Timer.Sleep(ctx, rolePeriod) == nil {
+	err := r.Timer.Sleep(ctx, rand.N(roleStartSpread))
+	for err == nil {
 		r.reconcile(ctx)
+		err = r.Timer.Sleep(ctx, rolePeriod)
 	}
-	return ctx.Err()
+	return err
 }
 
-// acquireLease acquires or renews the lease and reports whether this instance
-// holds it.
-func (r *RoleReconciler) acquireLease(ctx context.Context) bool {
+// reconcile orders the changes that have been due for roleConfirmations checks.
+func (r *RoleReconciler) reconcile(ctx context.Context) {
+	engines := r.Directory.Engines()
+	if len(engines) == 0 {
+		return
+	}
+	if !r.holdLease(ctx) {
+		r.balancers, r.loads, r.confirmations = nil, nil, 0
+		return
+	}
+	r.readLoads(ctx, engines)
+	changes := r.plan(engines)
+	if len(changes) == 0 {
+		r.confirmations = 0
+		return
+	}
+	if r.confirmations++; r.confirmations < roleConfirmations {
+		return
+	}
+	r.confirmations = 0
+	for n := range changes {
+		r.order(ctx, &changes[n])
+	}
+}
+
+// holdLease acquires or renews the lease when that is due, and reports whether this
+// instance holds it.
+func (r *RoleReconciler) holdLease(ctx context.Context) bool {
+	now := r.Timer.Now()
+	if now.Before(r.retryAt) || r.lease.Expires.Sub(now) > roleRenewTime {
+		return now.Before(r.lease.Expires)
+	}
+	var lease persimmoncart.Lease
 	err := r.call(ctx, func(ctx context.Context) (err error) {
-		r.lease, err = r.Leases.Acquire(ctx, roleLease)
+		lease, err = r.Leases.Acquire(ctx, roleLease)
 		return err
 	})
 	held := &persimmoncart.LeaseHeldError{}
 	switch {
 	case err == nil:
-		return true
+		if lease.Fence != r.lease.Fence {
+			r.Logger.Info().Uint64("fence", lease.Fence).Msg("lease for role changes acquired")
+		}
+		r.lease = lease
 	case errors.As(err, &held):
-		r.retryAt = r.Timer.Now().Add(held.RetryAfter)
+		r.lease, r.retryAt = persimmoncart.Lease{}, now.Add(held.RetryAfter+rand.N(roleStartSpread))
 		r.Logger.Info().Str("holder", string(held.Holder)).Msg("another instance holds the lease for role changes")
 	default:
 		r.Logger.Warn().Err(err).Msg("lease for role changes not acquired")
 	}
-	return false
+	return r.Timer.Now().Before(r.lease.Expires)
 }
 
 // call runs f with a timeout of roleCallTimeout.
@@ -87,6 +138,106 @@
 	return f(ctx)
 }
 
+// readLoads reads the loads of up to maxRoleReads engines and gives them to the
+// pools' balancers.
+func (r *RoleReconciler) readLoads(ctx context.Context, engines map[persimmoncart.PoolName][]persimmoncart.Endpoint) {
+	if r.balancers == nil {
+		r.balancers = make(map[persimmoncart.PoolName]*policy.RoleBalancer)
+	}
+	var selected []persimmoncart.Endpoint
+	for _, list := range engines {
+		selected = append(selected, list...)
+	}
+	rand.Shuffle(len(selected), func(i, j int) { selected[i], selected[j] = selected[j], selected[i] })
+	read := r.readStates(ctx, selected[:min(len(selected), maxRoleReads)])
+	now := r.Timer.Now()
+	last := r.loads
+	r.loads = make(map[persimmoncart.EndpointID]policy.EngineLoad, len(selected))
+	for name, list := range engines {
+		b := r.balancers[name]
+		if b == nil {
+			b = &policy.RoleBalancer{}
+			r.balancers[name] = b
+		}
+		var loads []policy.EngineLoad
+		count := make(map[persimmoncart.Role]int)
+		for _, e := range list {
+			count[e.Role]++
+			if state, found := read[e.ID]; found {
+				l := policy.NewEngineLoad(e, &state)
+				loads = append(loads, l)
+				r.loads[e.ID] = l
+			} else if l, found := last[e.ID]; found && l.Endpoint.Role == e.Role && len(selected) > maxRoleReads {
+				r.loads[e.ID] = l
+			}
+		}
+		b.Observe(now, loads, count[persimmoncart.RoleDecode], count[persimmoncart.RolePrefill])
+	}
+}
+
+// readStates returns the states of those engines that respond within
+// roleReadTimeout.
+func (r *RoleReconciler) readStates(ctx context.Context, engines []persimmoncart.Endpoint) map[persimmoncart.EndpointID]persimmoncart.RoleState {
+	ctx, stop := timer.WithTimeout(ctx, r.Timer, roleReadTimeout, nil)
+	defer stop()
+	states := make(map[persimmoncart.EndpointID]persimmoncart.RoleState, len(engines))
+	next := make(chan *persimmoncart.Endpoint)
+	var mutex sync.Mutex
+	var readers sync.WaitGroup
+	for range roleReaders {
+		readers.Go(func() {
+			for e := range next {
+				state, err := r.Controller.State(ctx, e)
+				if err != nil {
+					r.Logger.Info().Str("endpoint", string(e.ID)).Err(err).Msg("engine state not read")
+					continue
+				}
+				mutex.Lock()
+				states[e.ID] = state
+				mutex.Unlock()
+			}
+		})
+	}
+	for n := range engines {
+		next <- &engines[n]
+	}
+	close(next)
+	readers.Wait()
+	return states
+}
+
+// plan returns the changes that are due. Engines with a pending change are left
+// out, and no other engine of their region changes.
+func (r *RoleReconciler) plan(engines map[persimmoncart.PoolName][]persimmoncart.Endpoint) []policy.RoleChange {
+	now := r.Timer.Now()
+	for id, p := range r.pending {
+		if !now.Before(p.until) {
+			delete(r.pending, id)
+		}
+	}
+	var changes []policy.RoleChange
+	for name, list := range engines {
+		loads := make(map[persimmoncart.Region][]policy.EngineLoad)
+		changing := make(map[persimmoncart.Region]int)
+		for _, e := range list {
+			if p, found := r.pending[e.ID]; found && p.role != e.Role {
+				changing[e.Region]++
+				continue
+			}
+			delete(r.pending, e.ID)
+			l, found := r.loads[e.ID]
+			if !found {
+				l = policy.EngineLoad{Endpoint: e}
+			}
+			loads[e.Region] = append(loads[e.Region], l)
+		}
+		for region := range loads {
+			changes = append(changes, r.balancers[name].Plan(loads[region], changing[region])...)
+		}
+	}
+	return changes
+}
+
 // order orders one change, unless the engine is busy or its role is no longer the
 // expected one.
 func (r *RoleReconciler) order(ctx context.Context, change *policy.RoleChange) {
@@ -115,30 +266,3 @@
 	})
 	line.AnErr("cause", err).Msg("role ordered")
 }
-
-// reconcile orders the changes that have been due for roleConfirmations checks.
-func (r *RoleReconciler) reconcile(ctx context.Context) {
-	now := r.Timer.Now()
-	pending := make(map[persimmoncart.EndpointID]persimmoncart.Role, len(r.pending))
-	for id, p := range r.pending {
-		if now.Before(p.until) {
-			pending[id] = p.role
-		}
-	}
-	changes := r.Directory.RoleChanges(pending)
-	for id := range r.pending {
-		if _, found := pending[id]; !found {
-			delete(r.pending, id)
-		}
-	}
-	if len(changes) == 0 {
-		r.confirmations = 0
-		return
-	}
-	if r.confirmations++; r.confirmations < roleConfirmations || now.Before(r.retryAt) || !r.acquireLease(ctx) {
-		return
-	}
-	for n := range changes {
-		r.order(ctx, &changes[n])
-	}
-}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -76,7 +76,6 @@
 		case err == nil:
 			continue
 		case isEOF(err):
-			s.assigned.AddDecode(s.router.Timer.Now().Sub(s.started), *s.engine)
 			s.assigned.Succeeded(s.router.Timer.Now().Sub(s.started), 1)
 			s.closeEngine()
 			return nil, io.EOF
--- a/rolecontroller.go
+++ b/rolecontroller.go
@@ -2,11 +2,16 @@
 
 import "context"
 
-// A RoleState is the state of an engine's role as reported by the engine.
+// A RoleState is the state of an engine's role, and its load, as reported by the
+// engine.
 type RoleState struct {
-	Busy     bool // the engine is carrying out an order
-	Role     Role
-	Sequence uint64 // number of orders accepted since the engine's start
+	Busy       bool // the engine is carrying out an order
+	Role       Role
+	Running    int    // requests
+	Sequence   uint64 // number of orders accepted since the engine's start
+	Tokens     int    // size of the KV cache in tokens; zero if not reported
+	UsedTokens int    // tokens of the KV cache that are in use or reserved
+	Waiting    int    // requests
 }
 
 // A RoleOrder orders an engine to change its role.
