policy, forward: reserve a quantile of the output; returning callers leave room

Cause: on the order desk a response is as long as its prompt. And a third of the generations that ran were of callers that had been refused, had come back after their target and took the memory from callers still in time.

Change: policy.OutputEstimator learns which multiple of the caller's expectation, or of its limit, 86 in 100 responses stay within. policy.Patience recognizes a returning caller by the time that it has left, against the usual one of its route; its attempt counts as late. A late generation asks the engine for as much free memory again as it needs, since only the engine knows what other instances hold.

--- a/forwardrequest.go
+++ b/forwardrequest.go
@@ -37,13 +37,3 @@
 	Model                ModelName
 	PromptTokens         int
 }
-
-// ExpectedKVTokens returns the number of tokens that the generation is expected
-// to hold in KV cache at its end. The median of callers' expectations is right,
-// so the errors of several generations on one engine average out.
-func (g *GenerationSize) ExpectedKVTokens() int {
-	if g.ExpectedOutputTokens <= 0 {
-		return g.PromptTokens + g.MaxOutputTokens/2
-	}
-	return g.PromptTokens + min(int(1.25*float64(g.ExpectedOutputTokens)), g.MaxOutputTokens)
-}
--- a/forwardtable.go
+++ b/forwardtable.go
@@ -44,6 +44,7 @@
 // An EngineCapacity is the capacity of every engine of a pool.
 type EngineCapacity struct {
 	CacheTTL       time.Duration // lifetime of exported KV cache
+	EventTokens    int           // output tokens in each event of a stream; zero if unknown
 	KVTokens       int           // size of the KV cache in tokens
 	MaxReservation time.Duration // longest lifetime of a reservation; zero if the engine has no reservations
 	Slots          int           // requests that can run at the same time
--- /dev/null
+++ b/internal/forward/crest_test.go
@@ -0,0 +1,171 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// A memoryModel accounts for the memory of decode engines, which reservations and
+// generations hold.
+type memoryModel struct {
+	free  map[persimmoncart.EndpointID]int
+	holds map[string]hold
+	mutex sync.Mutex
+	next  int
+}
+
+// A hold is memory of one engine.
+type hold struct {
+	endpoint persimmoncart.EndpointID
+	tokens   int
+}
+
+// take reserves memory and returns the identifier of the reservation.
+func (m *memoryModel) take(e persimmoncart.EndpointID, tokens int) (string, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.free[e] < tokens {
+		return "", false
+	}
+	m.free[e] -= tokens
+	m.next++
+	id := fmt.Sprint("hold-", m.next)
+	m.holds[id] = hold{endpoint: e, tokens: tokens}
+	return id, true
+}
+
+// drop frees a reservation.
+func (m *memoryModel) drop(id string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.free[m.holds[id].endpoint] += m.holds[id].tokens
+	delete(m.holds, id)
+}
+
+// A memoryUpstream is a fakeUpstream whose decode engines have the memory of a
+// memoryModel. A generation takes generationTime.
+type memoryUpstream struct {
+	fakeUpstream
+
+	model *memoryModel
+}
+
+const generationTime = 3500 * time.Millisecond
+
+func (u *memoryUpstream) Prefill(ctx context.Context, call persimmoncart.UpstreamCall) (persimmoncart.PrefilledCache, error) {
+	time.Sleep(60 * time.Millisecond)
+	return u.fakeUpstream.Prefill(ctx, call)
+}
+
+func (u *memoryUpstream) ReleaseReservation(_ context.Context, _ *persimmoncart.Endpoint, id string) error {
+	u.model.drop(id)
+	return nil
+}
+
+func (u *memoryUpstream) Reserve(_ context.Context, e *persimmoncart.Endpoint, tokens int, _ time.Duration) (string, error) {
+	time.Sleep(2 * time.Millisecond)
+	id, ok := u.model.take(e.ID, tokens)
+	if !ok {
+		return "", refused()
+	}
+	return id, nil
+}
+
+func (u *memoryUpstream) Send(_ context.Context, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
+	response := streamed("", nil)
+	body, engine := io.Pipe()
+	response.Body = body
+	go func() {
+		_, _ = io.WriteString(engine, events(1, 1))
+		time.Sleep(generationTime)
+		u.model.drop(call.Reservation)
+		_, _ = io.WriteString(engine, events(2, 2))
+		_ = engine.Close()
+	}()
+	return response, nil
+}
+
+// attempt makes one attempt of a caller that has waited for some time before, and
+// returns the time to its first event and the refusal, if there is one.
+func (f *fixture) attempt(ctx context.Context, waited time.Duration) (time.Duration, *persimmoncart.Refusal) {
+	arrived := time.Now()
+	response, err := f.Router.Serve(ctx, &persimmoncart.ForwardRequest{
+		Arrived: arrived, Deadline: arrived.Add(14*time.Second - waited), Header: http.Header{}, Host: "h", ID: "q", Method: http.MethodPost,
+		Generation: &persimmoncart.GenerationSize{ExpectedOutputTokens: 800, MaxOutputTokens: 2000, PromptTokens: 3200}, Target: "/draft/x",
+	})
+	if err != nil {
+		refusal, _ := err.(*persimmoncart.Refusal) //nolint:errorlint // Serve returns it unwrapped
+		return 0, refusal
+	}
+	defer func() { _ = response.Body.Close() }()
+	first := time.Duration(0)
+	for {
+		if _, err := response.Body.Next(); err != nil {
+			return first, nil
+		}
+		if first == 0 {
+			first = time.Since(arrived)
+		}
+	}
+}
+
+// Guards against a crest at which callers that were refused and come back take the
+// engines' memory from those that can still be in time. Two instances share engines
+// whose memory holds 14 generations, 4 a second, while 8 a second arrive for 14
+// seconds; each refused caller comes back once, after the time that it was told. The
+// target is that of the design for crests, 0.95 of what the memory allows.
+func TestCrestOnScarceMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		model := &memoryModel{free: map[persimmoncart.EndpointID]int{"d1": 32000, "d2": 32000}, holds: map[string]hold{}}
+		instances := []*fixture{newFixture(t), newFixture(t)}
+		for _, f := range instances {
+			f.Router.Upstream = &memoryUpstream{model: model}
+		}
+		const (
+			interval = 125 * time.Millisecond
+			length   = 14 * time.Second
+		)
+		var callers sync.WaitGroup
+		var mutex sync.Mutex
+		inTime, late := 0, 0
+		caller := func(f *fixture) {
+			waited, refused := time.Duration(0), false
+			for range 2 {
+				first, refusal := f.attempt(t.Context(), waited)
+				if refusal == nil {
+					mutex.Lock()
+					defer mutex.Unlock()
+					if waited+first <= 900*time.Millisecond {
+						inTime++
+					} else {
+						late++
+					}
+					return
+				}
+				if refused {
+					return
+				}
+				refused = true
+				waited += 700*time.Millisecond + refusal.RetryAfter
+				time.Sleep(refusal.RetryAfter)
+			}
+		}
+		for n := range int(length / interval) {
+			callers.Go(func() { caller(instances[n%2]) })
+			time.Sleep(interval)
+		}
+		callers.Wait()
+		capacity := 14 * int(length/generationTime) // generations that the memory holds in this time
+		assert.Assert(t, inTime >= capacity*95/100, "%d in time and %d late, memory for %d", inTime, late, capacity)
+	})
+}
--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -18,6 +18,10 @@
 // again within two seconds of its return.
 const missingGrace = 2200 * time.Millisecond
 
+// maxPatienceRoutes bounds the routes whose callers' patience is known. Routes come
+// and go with the configuration; beyond it, all are learned anew.
+const maxPatienceRoutes = 4096
+
 // A Directory holds the routes in force and the endpoints of all pools, with the
 // load and failures that this instance has observed. Its exported fields are set
 // before use.
@@ -34,6 +38,7 @@
 	endpointsListed atomic.Bool                            // SetEndpoints was called
 	missing         map[persimmoncart.EndpointID]time.Time // since when the store no longer lists them
 	mutex           sync.Mutex
+	patience        map[persimmoncart.RouteName]*policy.Patience // up to maxPatienceRoutes
 	pools           map[persimmoncart.PoolName]*pool
 	table           atomic.Pointer[persimmoncart.ForwardTable]
 }
@@ -41,6 +46,7 @@
 // A pool is the state of one pool.
 type pool struct {
 	decodeQueue admissionQueue // generations that wait for a decode engine
+	outputs     policy.OutputEstimator
 	retries     policy.RetryWindow
 	selector    policy.Selector
 }
@@ -179,6 +185,37 @@
 	return d.pool(name).retries.TakeRetry(d.Timer.Now())
 }
 
+// OutputTokens returns the number of output tokens of a generation to reserve
+// memory for.
+func (d *Directory) OutputTokens(name persimmoncart.PoolName, g *persimmoncart.GenerationSize) int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.pool(name).outputs.Estimate(g)
+}
+
+// RecordOutput records the number of output tokens of a whole response.
+func (d *Directory) RecordOutput(name persimmoncart.PoolName, g *persimmoncart.GenerationSize, tokens int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.pool(name).outputs.Record(g, tokens)
+}
+
+// Waited returns how long the caller of a request has probably waited before this
+// attempt, whose deadline is the time left away.
+func (d *Directory) Waited(route persimmoncart.RouteName, left time.Duration) time.Duration {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	p, found := d.patience[route]
+	if !found {
+		if d.patience == nil || len(d.patience) >= maxPatienceRoutes {
+			d.patience = make(map[persimmoncart.RouteName]*policy.Patience)
+		}
+		p = &policy.Patience{}
+		d.patience[route] = p
+	}
+	return p.Waited(left)
+}
+
 // Assign chooses an endpoint of a pool and counts a request on it. It returns nil
 // if no endpoint fits. A request without a region is taken to come from Home.
 func (d *Directory) Assign(name persimmoncart.PoolName, r policy.SelectorRequest) *assignment {
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -132,8 +132,13 @@
 	if reservation == "" {
 		return
 	}
-	g.releaseAsync("hold", &assigned.Endpoint, func(ctx context.Context) error {
-		return g.router.Upstream.ReleaseReservation(ctx, &assigned.Endpoint, reservation)
+	g.releaseReservation(&assigned.Endpoint, reservation)
+}
+
+// releaseReservation frees a reservation without waiting for it.
+func (g *generation) releaseReservation(endpoint *persimmoncart.Endpoint, reservation string) {
+	g.releaseAsync("hold", endpoint, func(ctx context.Context) error {
+		return g.router.Upstream.ReleaseReservation(ctx, endpoint, reservation)
 	})
 }
 
@@ -154,15 +159,17 @@
 func (x *exchange) decodeRequest() policy.SelectorRequest {
 	return policy.SelectorRequest{
 		Avoid: x.tried, Role: persimmoncart.RoleDecode, RunOnce: x.route.Repeat == persimmoncart.RepeatNever,
-		Size: *x.engine, Tokens: x.request.Generation.ExpectedKVTokens(),
+		Size: *x.engine, Tokens: x.request.Generation.PromptTokens + x.router.Directory.OutputTokens(x.pool, x.request.Generation),
 	}
 }
 
 // reserveDecode chooses and reserves a decode engine. While all are full, it waits
-// for up to latestStartShare of the latency target.
+// for up to latestStartShare of the latency target. A request that can no longer be
+// in time, which includes most of those refused before, leaves room for one that can.
 func (g *generation) reserveDecode(ctx context.Context) (*assignment, error) {
+	g.waited = g.router.Directory.Waited(g.route.Name, g.request.Deadline.Sub(g.request.Arrived))
 	entry := &policy.WaitlistEntry{
-		TargetStart: g.request.Arrived.Add(g.latencyShare(targetStartShare)),
+		TargetStart: g.request.Arrived.Add(g.latencyShare(targetStartShare) - g.waited),
 		Arrived:     g.request.Arrived,
 		LatestStart: g.request.Arrived.Add(g.latencyShare(latestStartShare)),
 	}
@@ -179,7 +186,7 @@
 			return nil, g.emptyPoolRefusal()
 		}
 		if assigned != nil {
-			if g.reserve(ctx, assigned, request.Tokens) {
+			if g.reserve(ctx, assigned, request.Tokens, request.MinFreeTokens-request.Tokens) {
 				g.logChoice(assigned)
 				return assigned, nil
 			}
@@ -194,20 +201,37 @@
 	}
 }
 
-// reserve reserves a slot and memory on a decode engine and reports whether it
-// succeeded. If the engine is full or does not respond, the assignment ends.
-func (g *generation) reserve(ctx context.Context, assigned *assignment, tokens int) bool {
+// reserve reserves a slot and memory on a decode engine that has the spare tokens
+// free in addition, and reports whether it succeeded. If the engine is full or does
+// not respond, the assignment ends.
+func (g *generation) reserve(ctx context.Context, assigned *assignment, tokens, spare int) bool {
 	if g.engine.MaxReservation <= 0 {
 		return true // these engines take no reservations; they may refuse the request itself
 	}
+	if spare > 0 {
+		// Only the engine knows what other instances have reserved on it.
+		held, ok := g.takeReservation(ctx, assigned, spare)
+		if !ok {
+			return false
+		}
+		defer g.releaseReservation(&assigned.Endpoint, held)
+	}
+	reservation, ok := g.takeReservation(ctx, assigned, tokens)
+	g.reservation = reservation
+	return ok
+}
+
+// takeReservation makes one reservation on a decode engine and returns its
+// identifier. It reports false, and ends the assignment, if the engine is full or
+// does not respond.
+func (g *generation) takeReservation(ctx context.Context, assigned *assignment, tokens int) (string, bool) {
 	reserveCtx, stop := timer.WithTimeout(ctx, g.router.Timer, g.latencyShare(reservationTimeoutShare), nil)
 	defer stop()
 	reservation, err := g.router.Upstream.Reserve(reserveCtx, &assigned.Endpoint, tokens, min(g.engine.MaxReservation, maxReservation))
 	refused := (*persimmoncart.EndpointRefusedError)(nil)
 	switch {
 	case err == nil:
-		g.reservation = reservation
-		return true
+		return reservation, true
 	case errors.As(err, &refused):
 		assigned.DoneFull(refused.Load)
 	case ctx.Err() != nil:
@@ -216,7 +240,7 @@
 		g.recordFailure(ctx, assigned, err)
 		assigned.DoneFull(nil)
 	}
-	return false
+	return "", false
 }
 
 // decode sends the request to the decode engine and returns its stream.
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -110,7 +110,8 @@
 	sends        int    // all sends, up to maxSends
 	stop         func() // releases the context of withDeadline
 	tried        []persimmoncart.EndpointID
-	version      uint64 // of the routes
+	version      uint64        // of the routes
+	waited       time.Duration // of the caller before this attempt, estimated
 }
 
 // withDeadline returns a context that ends at the request's deadline.
@@ -152,6 +153,9 @@
 
 // log adds the fields of the request to a log line.
 func (x *exchange) log(e *zerolog.Event) *zerolog.Event {
+	if x.waited > 0 {
+		e = e.Dur("waited", x.waited)
+	}
 	return e.Str("request", string(x.request.ID)).Str("pool", string(x.pool)).Uint64("version", x.version).
 		Dur("age", x.router.Timer.Now().Sub(x.request.Arrived)).Int("sends", x.sends)
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -76,6 +77,7 @@
 		case err == nil:
 			continue
 		case isEOF(err):
+			s.recordOutput()
 			s.assigned.Succeeded(s.router.Timer.Now().Sub(s.started), 1)
 			s.closeEngine()
 			return nil, io.EOF
@@ -115,6 +117,14 @@
 	}
 }
 
+// recordOutput records the number of output tokens of the whole stream. Events have
+// consecutive identifiers from 1.
+func (s *stream) recordOutput() {
+	if s.engine.EventTokens > 0 && s.lastID > 0 {
+		s.router.Directory.RecordOutput(s.pool, s.request.Generation, int(min(s.lastID, math.MaxInt32))*s.engine.EventTokens)
+	}
+}
+
 // dropSeen drops the events at the start of piece up to lastID, which the caller
 // already has.
 func (s *stream) dropSeen(piece []byte) []byte {
