forward: log the loads that roles are planned from

Cause: an operator could not see why roles change or don't: the line of an order holds the target, nothing shows the loads behind it.

Change: the holder of the lease logs one line for each pool and second, with the number of engines and the average load of each role.

--- a/internal/forward/rolereconciler.go
+++ b/internal/forward/rolereconciler.go
@@ -172,6 +172,9 @@
 			}
 		}
 		b.Observe(now, loads, count[persimmoncart.RoleDecode], count[persimmoncart.RolePrefill])
+		decode, prefill := b.Loads()
+		r.Logger.Info().Str("pool", string(name)).Int("decode", count[persimmoncart.RoleDecode]).Int("prefill", count[persimmoncart.RolePrefill]).
+			Float64("decode_load", decode).Float64("prefill_load", prefill).Int("read", len(loads)).Msg("engine loads")
 	}
 }
 
--- a/internal/policy/rolebalancer.go
+++ b/internal/policy/rolebalancer.go
@@ -85,6 +85,9 @@
 	}
 }
 
+// Loads returns the average loads of both roles, in engines.
+func (b *RoleBalancer) Loads() (decode, prefill float64) { return b.decode.value, b.prefill.value }
+
 // Target returns how many of a number of engines should prefill. It reports
 // false while there is no load.
 func (b *RoleBalancer) Target(engines int) (float64, bool) {
