platform, forward: endpoints that say they leave or ask for a pause

Cause: only the store's record told that an endpoint leaves, and its answer 503 with a time to come back counted like any refusal: the endpoint was asked again after 120 ms by every request.

A leaving process gets nothing new; one that has left stays out even if an older copy of its record comes back, until another process has its name. An endpoint that asks for a pause gets no request, reservation, release or read of its state until the end; when all of a pool ask, callers are refused at once with the time that is left.

--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -18,6 +18,9 @@
 // again within two seconds of its return.
 const missingGrace = 2200 * time.Millisecond
 
+// maxDeparted bounds the endpoints that are remembered as departed.
+const maxDeparted = 4096
+
 // maxPatienceRoutes bounds the routes whose callers' patience is known. Routes come
 // and go with the configuration; beyond it, all are learned anew.
 const maxPatienceRoutes = 4096
@@ -35,8 +38,9 @@
 	RetrySpan       time.Duration // window in which requests and retries are counted
 	Timer           persimmoncart.Timer
 
-	endpointsListed atomic.Bool                            // SetEndpoints was called
-	missing         map[persimmoncart.EndpointID]time.Time // since when the store no longer lists them
+	departed        map[persimmoncart.EndpointID]persimmoncart.Incarnation // that left; up to maxDeparted
+	endpointsListed atomic.Bool                                            // SetEndpoints was called
+	missing         map[persimmoncart.EndpointID]time.Time                 // since when the store no longer lists them
 	mutex           sync.Mutex
 	patience        map[persimmoncart.RouteName]*policy.Patience // up to maxPatienceRoutes
 	pools           map[persimmoncart.PoolName]*pool
@@ -115,10 +119,15 @@
 	d.endpointsListed.Store(true)
 }
 
-// Put adds or replaces an endpoint.
+// Put adds or replaces an endpoint. A process that leaves does not come back: a
+// record that says otherwise is older than what is known of it.
 func (d *Directory) Put(e persimmoncart.Endpoint) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if left, found := d.departed[e.ID]; found && left == e.Incarnation {
+		d.log("record of a departed endpoint ignored", &e)
+		return
+	}
 	delete(d.missing, e.ID)
 	old, oldPool := d.find(e.ID)
 	same := old != nil && old.Endpoint.Addr == e.Addr && old.Endpoint.Incarnation == e.Incarnation && old.Endpoint.Pool == e.Pool
@@ -132,6 +141,7 @@
 		return
 	}
 	old.Missing = false
+	e.Leaving = e.Leaving || old.Endpoint.Leaving
 	if old.Endpoint.Leaving != e.Leaving || old.Endpoint.Role != e.Role {
 		d.log("endpoint changed", &e)
 	}
@@ -161,6 +171,40 @@
 	d.Timer.After(missingGrace, func(time.Time) { d.expire(id) })
 }
 
+// Notice records what an endpoint stated about itself with a response.
+func (d *Directory) Notice(endpoint *persimmoncart.Endpoint, notice persimmoncart.EndpointNotice) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	e, _ := d.find(endpoint.ID)
+	if e == nil || e.Endpoint.Incarnation != endpoint.Incarnation {
+		return
+	}
+	if notice.Leaving && !e.Endpoint.Leaving {
+		e.Endpoint.Leaving = true
+		d.log("endpoint says that it leaves", &e.Endpoint)
+	}
+	if notice.RetryAfter > 0 {
+		e.BackOff(d.Timer.Now().Add(notice.RetryAfter))
+		d.Logger.Info().Str("endpoint", string(e.Endpoint.ID)).Dur("retry", notice.RetryAfter).Msg("endpoint wants no requests")
+	}
+}
+
+// Accepts reports whether an endpoint takes calls of this instance's own.
+func (d *Directory) Accepts(id persimmoncart.EndpointID) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	e, _ := d.find(id)
+	return e == nil || e.BackOffLeft(d.Timer.Now()) == 0
+}
+
+// BackOffLeft returns the time until the first endpoint of a pool with the role
+// takes requests again. It reports false if one does now, or there is none.
+func (d *Directory) BackOffLeft(name persimmoncart.PoolName, role persimmoncart.Role) (time.Duration, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.pool(name).selector.BackOffLeft(d.Timer.Now(), role)
+}
+
 // DropReplaced drops an endpoint at whose address another process responds.
 func (d *Directory) DropReplaced(id persimmoncart.EndpointID) {
 	d.mutex.Lock()
@@ -252,14 +296,16 @@
 	})
 }
 
-// Engines returns the engines of each pool that are neither leaving nor missing.
+// Engines returns the engines of each pool that are neither leaving nor missing and
+// take calls.
 func (d *Directory) Engines() map[persimmoncart.PoolName][]persimmoncart.Endpoint {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	engines := make(map[persimmoncart.PoolName][]persimmoncart.Endpoint)
+	now := d.Timer.Now()
 	for name, p := range d.pools {
 		for _, e := range p.selector.Endpoints {
-			if e.Endpoint.Role != persimmoncart.RoleApplication && !e.Endpoint.Leaving && !e.Missing {
+			if e.Endpoint.Role != persimmoncart.RoleApplication && !e.Endpoint.Leaving && !e.Missing && e.BackOffLeft(now) == 0 {
 				engines[name] = append(engines[name], e.Endpoint)
 			}
 		}
@@ -271,6 +317,12 @@
 func (d *Directory) drop(p *pool, e *policy.EndpointState) {
 	p.selector.Endpoints = slices.DeleteFunc(p.selector.Endpoints, func(o *policy.EndpointState) bool { return o == e })
 	delete(d.missing, e.Endpoint.ID)
+	if e.Endpoint.Leaving {
+		if d.departed == nil || len(d.departed) >= maxDeparted {
+			d.departed = make(map[persimmoncart.EndpointID]persimmoncart.Incarnation)
+		}
+		d.departed[e.Endpoint.ID] = e.Endpoint.Incarnation
+	}
 	d.log("endpoint dropped", &e.Endpoint)
 	if d.EndpointDropped != nil {
 		d.EndpointDropped(e.Endpoint)
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -146,6 +146,10 @@
 // for it. A failure is logged with the kind of resource.
 func (g *generation) releaseAsync(resource string, endpoint *persimmoncart.Endpoint, free func(context.Context) error) {
 	r := g.router
+	if !r.Directory.Accepts(endpoint.ID) {
+		r.Logger.Info().Str("endpoint", string(endpoint.ID)).Str("what", resource).Msg("release left to the endpoint, which wants no requests")
+		return
+	}
 	go func() {
 		ctx, stop := timer.WithTimeout(context.Background(), r.Timer, releaseTimeout, nil)
 		defer stop()
@@ -185,6 +189,9 @@
 		if assigned == nil && !g.router.Directory.HasRole(g.pool, persimmoncart.RoleDecode) {
 			return nil, g.emptyPoolRefusal()
 		}
+		if left, ok := g.router.Directory.BackOffLeft(g.pool, persimmoncart.RoleDecode); ok && now.Add(left).After(entry.LatestStart) {
+			return nil, g.backOffRefusal(left)
+		}
 		if assigned != nil {
 			if g.reserve(ctx, assigned, request.Tokens, request.MinFreeTokens-request.Tokens) {
 				g.logChoice(assigned)
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -59,6 +60,9 @@
 	p := &plainCall{cancel: cancel, exchange: x, results: make(chan sendResult, maxSends)}
 	if !p.send(sendCtx, "") {
 		cancel()
+		if left, ok := x.router.Directory.BackOffLeft(x.pool, persimmoncart.RoleApplication); ok {
+			return nil, x.backOffRefusal(left)
+		}
 		return nil, x.emptyPoolRefusal()
 	}
 	hedge := make(chan time.Time, 1)
@@ -93,6 +97,15 @@
 	}
 }
 
+// backOffRefusal returns the refusal of a request while all endpoints of its pool
+// want no requests. Left is the time until the first one takes requests again.
+func (x *exchange) backOffRefusal(left time.Duration) error {
+	return &persimmoncart.Refusal{
+		Code: persimmoncart.RefusalCapacity, Message: "all endpoints ask for a pause", Outcome: persimmoncart.OutcomeNotRun,
+		RetryAfter: left + rand.N(retryAfterNoEndpoint),
+	}
+}
+
 // latencyShare returns a share of the route's latency target.
 func (x *exchange) latencyShare(share float64) time.Duration {
 	return time.Duration(share * float64(x.route.LatencyTarget))
--- a/internal/policy/selector.go
+++ b/internal/policy/selector.go
@@ -74,6 +74,7 @@
 	Tokens   int  // of this instance's requests: to prefill, or held in memory
 
 	avoidUntil          time.Time                  // used only as a last resort until then
+	backOffUntil        time.Time                  // not used until then
 	fullUntil           time.Time                  // left out until then
 	load                persimmoncart.EndpointLoad // last report; Running is without this instance's requests
 	loadTime            time.Time                  // of the last report; zero if there is none
@@ -81,6 +82,20 @@
 	unitSeconds         float64                    // average time of a unit of work, without the network
 }
 
+// BackOff records that the endpoint wants no requests of this instance until the
+// given time.
+func (e *EndpointState) BackOff(until time.Time) {
+	if until.After(e.backOffUntil) {
+		e.backOffUntil = until
+	}
+}
+
+// BackOffLeft returns the time for which the endpoint is still not to be used; zero
+// if it is.
+func (e *EndpointState) BackOffLeft(now time.Time) time.Duration {
+	return max(0, e.backOffUntil.Sub(now))
+}
+
 // ClearFull records that a request of this instance ended, so that the endpoint
 // counts as full no longer.
 func (e *EndpointState) ClearFull() { e.fullUntil = time.Time{} }
@@ -204,7 +219,7 @@
 	var best *EndpointState
 	var least float64
 	for _, e := range s.Endpoints {
-		if e.Endpoint.Leaving || e.Endpoint.Role != r.Role {
+		if e.Endpoint.Leaving || e.Endpoint.Role != r.Role || e.BackOffLeft(now) > 0 {
 			continue
 		}
 		if r.MinFreeTokens > 0 && !e.hasRoom(now, r) {
@@ -221,6 +236,25 @@
 	return best
 }
 
+// BackOffLeft returns the time until the first endpoint with the role may be used
+// again. It reports false if one may be used now, or there is none.
+func (s *Selector) BackOffLeft(now time.Time, role persimmoncart.Role) (time.Duration, bool) {
+	least, found := time.Duration(0), false
+	for _, e := range s.Endpoints {
+		if e.Endpoint.Leaving || e.Endpoint.Role != role {
+			continue
+		}
+		left := e.BackOffLeft(now)
+		if left == 0 {
+			return 0, false
+		}
+		if !found || left < least {
+			least, found = left, true
+		}
+	}
+	return least, found
+}
+
 // ExpectedTime returns the expected time of a request at an endpoint, its wait
 // included.
 func (s *Selector) ExpectedTime(now time.Time, e *EndpointState, r *SelectorRequest) time.Duration {
--- a/upstream.go
+++ b/upstream.go
@@ -23,6 +23,12 @@
 	Waiting  int
 }
 
+// An EndpointNotice is what an endpoint states about itself with a response.
+type EndpointNotice struct {
+	Leaving    bool          // it will stop; it wants no new requests
+	RetryAfter time.Duration // it wants no requests of this instance for so long; zero for none
+}
+
 // An Upstream sends forwarded requests to endpoints.
 //
 // Errors are *EndpointRefusedError and *EndpointReplacedError if the request
