forward: a stream that only trickles resumes at another engine

Cause: the watchdog of a resumable stream timed single reads, so that an engine that had stalled and sent a byte now and then was waited for until the deadline.

Change: the watchdog sums the time spent in reads since the last whole event. Time in which the caller does not read still does not count, and slow streams whose events come within the limit are left alone.

Test: TestStreamTrickles failed before. TestEndlessResponses shows that bytes without end, in a header or a body, are bounded already: the header by 64 KB, a body by the request's deadline, with at most 256 KB of it in memory.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -51,6 +51,7 @@
 	readStart     atomic.Int64    // start of the pending read, in nanoseconds after watchdogStart; zero if none is pending
 	skipSeen      bool            // drop events up to lastID, which another engine may send again
 	started       time.Time       // when the request was sent to the current engine
+	stalled       atomic.Int64    // time spent in reads since the last whole event, without the pending read, in nanoseconds
 	stopWatchdog  func()          // stops the watchdog; nil without one
 	watchdogStart time.Time       // origin of readStart, before the first read
 }
@@ -167,9 +168,16 @@
 		s.readStart.Store(int64(s.router.Timer.Now().Sub(s.watchdogStart)))
 	}
 	n, err := s.body.Read(s.buffer[s.filled:])
-	s.readStart.Store(0)
+	began := s.readStart.Swap(0)
 	s.filled += n
-	if piece := s.wholeEvents(); len(piece) > 0 || err == nil {
+	piece := s.wholeEvents()
+	switch {
+	case len(piece) > 0:
+		s.stalled.Store(0)
+	case began != 0:
+		s.stalled.Add(int64(s.router.Timer.Now().Sub(s.watchdogStart)) - began)
+	}
+	if len(piece) > 0 || err == nil {
 		return piece, nil // the next read returns the error again
 	}
 	if isEOF(err) && s.filled > s.end {
@@ -225,15 +233,17 @@
 	}
 }
 
-// startWatchdog closes a body when a read of it has been pending for stallGaps
-// times the route's GapTarget.
+// startWatchdog closes a body when reads of it have taken stallGaps times the route's
+// GapTarget without a whole event: an engine that has stalled may send a byte now
+// and then. Time in which the caller does not read does not count.
 func (s *stream) startWatchdog(b io.Closer) {
 	limit := stallGaps * s.route.GapTarget
+	s.stalled.Store(0)
 	// Durations since a fixed start do not change when the clock is set.
 	start := s.router.Timer.Now()
 	s.watchdogStart = start.Add(-time.Nanosecond) // keeps readStart from being zero during a read
 	s.stopWatchdog = s.router.Timer.Subscribe(limit/stallChecks, func(now time.Time) {
-		if began := time.Duration(s.readStart.Load()); began != 0 && now.Sub(start)-began >= limit {
+		if began := time.Duration(s.readStart.Load()); began != 0 && time.Duration(s.stalled.Load())+now.Sub(start)-began >= limit {
 			_ = b.Close() // makes the pending read fail
 		}
 	})
