--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -119,6 +119,17 @@
 	d.endpointsListed.Store(true)
 }
 
+// AddEndpoints adds or replaces endpoints of a list that is not complete yet. From
+// the first ones on, requests are served.
+func (d *Directory) AddEndpoints(endpoints []persimmoncart.Endpoint) {
+	for n := range endpoints {
+		d.Put(endpoints[n])
+	}
+	if len(endpoints) > 0 {
+		d.endpointsListed.Store(true)
+	}
+}
+
 // Put adds or replaces an endpoint. A process that leaves does not come back: a
 // record that says otherwise is older than what is known of it.
 func (d *Directory) Put(e persimmoncart.Endpoint) {
--- a/internal/forward/directory_test.go
+++ b/internal/forward/directory_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -9,7 +10,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/forward"
 	"github.com/persimmoncart/persimmoncart/internal/policy"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
 // assignable reports whether requests to the ledger pool are assigned to id.
@@ -88,6 +91,25 @@
 	})
 }
 
+// Guards against an instance that serves nothing until it has read the records of
+// thousands of endpoints, and against taking those as gone that are not read yet.
+func TestDirectoryServesDuringList(t *testing.T) {
+	d := &forward.Directory{Timer: &timer.System{}}
+	d.SetTable(table(1))
+	assert.Assert(t, !d.Ready())
+	d.AddEndpoints(nil)
+	assert.Assert(t, !d.Ready())
+	for n := range 3 {
+		d.AddEndpoints([]persimmoncart.Endpoint{{
+			ID: persimmoncart.EndpointID(fmt.Sprint("a", n)), Pool: ledger, Role: persimmoncart.RoleApplication, Slots: 1,
+		}})
+		assert.Assert(t, d.Ready())
+	}
+	d.DropReplaced("a1")
+	d.DropReplaced("a2")
+	assert.Assert(t, d.HasRole(ledger, persimmoncart.RoleApplication))
+}
+
 // Guards against replacing the routes by an older version.
 func TestDirectoryVersions(t *testing.T) {
 	f := newFixture(t)
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -238,11 +238,11 @@
 // confirmWrite reads the record back. It returns nil if it is next, otherwise a
 // *persimmoncart.LeaseHeldError.
 func (k *Keeper) confirmWrite(ctx context.Context, name string, next record) error {
-	current, _, err := k.read(ctx, name)
+	current, version, err := k.read(ctx, name)
 	if err != nil {
 		return err
 	}
-	if current != next {
+	if current != next || !current.knownAt(version) {
 		return &persimmoncart.LeaseHeldError{Holder: current.Holder, Name: name, RetryAfter: current.Term}
 	}
 	return nil
