forward: identify an engine that failed before reserving on it

Cause: after a crash another process has the engine's address and reserves memory like the old one; only the request itself is refused.

Ruled out: the answer to a reservation, which bears no identity (trial with the header and body in the log).

Change: an engine that failed since its last response is asked for its state first, whose start time tells whether it is the same process.

Test: TestGenerateEngineReplaced.

--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -59,6 +59,7 @@
 type assignment struct {
 	Endpoint persimmoncart.Endpoint
 	Expected time.Duration       // expected time at the endpoint, its queue included
+	Suspect  bool                // another process may be at its address
 	View     policy.EndpointView // state of the endpoint when it was chosen, for logs
 
 	directory *Directory
@@ -287,7 +288,9 @@
 	expected, view := p.selector.ExpectedTime(now, e, &r), e.View(now)
 	e.InFlight++
 	e.Tokens += r.Tokens
-	return &assignment{Endpoint: e.Endpoint, Expected: expected, View: view, directory: d, pool: p, state: e, tokens: r.Tokens}
+	return &assignment{
+		Endpoint: e.Endpoint, Expected: expected, Suspect: e.Suspect, View: view, directory: d, pool: p, state: e, tokens: r.Tokens,
+	}
 }
 
 // DecodeQueue returns the queue of generations that wait for a decode engine of a
@@ -423,6 +426,14 @@
 	a.directory.mutex.Lock()
 	defer a.directory.mutex.Unlock()
 	a.state.Failures.Fail(a.directory.Timer.Now())
+	a.state.Suspect = true
+}
+
+// Identified records that the endpoint is the process that it is taken for.
+func (a *assignment) Identified() {
+	a.directory.mutex.Lock()
+	defer a.directory.mutex.Unlock()
+	a.Suspect, a.state.Suspect = false, false
 }
 
 // ReportLoad records the load that the endpoint reported; nil is ignored.
@@ -448,5 +459,6 @@
 	a.directory.mutex.Lock()
 	defer a.directory.mutex.Unlock()
 	a.state.Failures.Succeed(a.directory.Timer.Now())
+	a.state.Suspect = false
 	a.state.AddWork(took, units)
 }
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -44,9 +44,10 @@
 // A fakeUpstream records calls and responds to them with the functions that a test
 // sets. Their parameter n counts the earlier calls of the same operation.
 type fakeUpstream struct {
-	prefill func(n int) error
-	reserve func(n int) error
-	send    func(ctx context.Context, n int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error)
+	identify func(id persimmoncart.EndpointID) error
+	prefill  func(n int) error
+	reserve  func(n int) error
+	send     func(ctx context.Context, n int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error)
 
 	calls []recordedCall
 	mutex sync.Mutex
@@ -89,6 +90,14 @@
 	return n
 }
 
+func (u *fakeUpstream) Identify(_ context.Context, e *persimmoncart.Endpoint) error {
+	u.record(recordedCall{Endpoint: e.ID, Op: "identify"})
+	if u.identify == nil {
+		return nil
+	}
+	return u.identify(e.ID)
+}
+
 func (u *fakeUpstream) Prefill(_ context.Context, call persimmoncart.UpstreamCall) (persimmoncart.PrefilledCache, error) {
 	if n := u.record(recordedCall{Call: call, Endpoint: call.Endpoint.ID, Op: "prefill"}); u.prefill != nil {
 		if err := u.prefill(n); err != nil {
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -215,6 +215,9 @@
 	if g.engine.MaxReservation <= 0 {
 		return true // these engines take no reservations; they may refuse the request itself
 	}
+	if !g.identify(ctx, assigned) {
+		return false
+	}
 	if spare > 0 {
 		// Only the engine knows what other instances have reserved on it.
 		held, ok := g.takeReservation(ctx, assigned, spare)
@@ -228,6 +231,29 @@
 	return ok
 }
 
+// identify makes sure that an engine which failed before is still the same process:
+// one that has taken its address reserves memory as well, and then refuses the
+// request, which takes a retry. It ends the assignment and reports false if not.
+func (g *generation) identify(ctx context.Context, assigned *assignment) bool {
+	if !assigned.Suspect {
+		return true
+	}
+	identifyCtx, stop := timer.WithTimeout(ctx, g.router.Timer, g.latencyShare(reservationTimeoutShare), nil)
+	defer stop()
+	err := g.router.Upstream.Identify(identifyCtx, &assigned.Endpoint)
+	switch {
+	case err == nil:
+		assigned.Identified()
+		return true
+	case ctx.Err() != nil:
+		assigned.Done()
+	default:
+		g.recordFailure(ctx, assigned, err)
+		assigned.DoneFull(nil)
+	}
+	return false
+}
+
 // takeReservation makes one reservation on a decode engine and returns its
 // identifier. It reports false, and ends the assignment, if the engine is full or
 // does not respond.
@@ -303,6 +329,10 @@
 			}
 			return nil
 		}
+		if !g.identify(ctx, assigned) {
+			avoid = append(avoid, assigned.Endpoint.ID)
+			continue
+		}
 		if !g.countSend(persimmoncart.RetryEndpointDied) {
 			assigned.Done()
 			return nil
--- a/internal/forward/generate_test.go
+++ b/internal/forward/generate_test.go
@@ -202,6 +202,44 @@
 	})
 }
 
+// Guards against spending the retry budget on engines that were replaced: after a
+// crash another process has the address, reserves memory and then refuses each
+// request, at every instance for itself.
+func TestGenerateEngineReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		replaced := func(id persimmoncart.EndpointID) error {
+			if id == "d1" || id == "p1" {
+				return &persimmoncart.EndpointReplacedError{Want: id}
+			}
+			return nil
+		}
+		crashed := true
+		f.Upstream.reserve = func(int) error {
+			if crashed {
+				return errReset
+			}
+			return nil
+		}
+		_, _, err := f.serve(t.Context(), "/draft/") // fails at both decode engines
+		assert.Equal(t, refusal(t, err).Outcome, persimmoncart.OutcomeNotRun)
+		crashed, f.Upstream.identify = false, replaced
+		before := f.Upstream.count("identify")
+		f.Upstream.send = func(ctx context.Context, n int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
+			if err := replaced(call.Endpoint.ID); err != nil {
+				return nil, err
+			}
+			return sendWhole(ctx, n, call)
+		}
+		for range 20 {
+			_, _, err := f.serve(t.Context(), "/draft/")
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, f.Upstream.count("send"), 20)
+		assert.Assert(t, f.Upstream.count("identify")-before <= 2, "%d", f.Upstream.count("identify")-before)
+	})
+}
+
 // Guards against a queue at the prefill engines that uses up the latency target:
 // the decode engines read the remaining prompts of a burst.
 func TestGenerateLongPrefillQueue(t *testing.T) {
--- a/internal/policy/selector.go
+++ b/internal/policy/selector.go
@@ -71,6 +71,7 @@
 	Failures FailureRate
 	InFlight int  // requests of this instance
 	Missing  bool // no longer listed by the store
+	Suspect  bool // failed since its last response: another process may be at its address
 	Tokens   int  // of this instance's requests: to prefill, or held in memory
 
 	avoidUntil          time.Time                  // used only as a last resort until then
--- a/upstream.go
+++ b/upstream.go
@@ -34,6 +34,9 @@
 // Errors are *EndpointRefusedError and *EndpointReplacedError if the request
 // provably did not run on the endpoint; after any other error it may have run.
 type Upstream interface {
+	// Identify asks an engine for its incarnation. It returns an
+	// *EndpointReplacedError if another process responds at the address.
+	Identify(ctx context.Context, endpoint *Endpoint) error
 	// Prefill has an engine compute and export the KV cache of a prompt.
 	Prefill(ctx context.Context, call UpstreamCall) (PrefilledCache, error)
 	// Release frees exported KV cache that will not be fetched.
