policy: prefill engines change only while decode engines are full

Decode engines at three quarters of their memory counted as too few, so that 7 prefill engines were left of 21; then decode engines read the prompts themselves, which looked like decode load and kept the plan.

Change: prefill engines change only at a decode load of 0.85, and those that remain have a load of at most 0.8.

Test: TestRoleBalancerKeepsPrefill; long prompts in the fluid model now end on the ideal number, 8, in place of 7.

--- a/internal/forward/rolereconciler.go
+++ b/internal/forward/rolereconciler.go
@@ -20,6 +20,9 @@
 	// roleStartSpread is the longest pause before the first check. Instances that
 	// start together try for the lease at different times.
 	roleStartSpread = 2 * time.Second
+	// roleRetrySpread is the longest time that an instance waits for the lease beyond
+	// its earliest end. Each try costs a call, and of many instances one tries early.
+	roleRetrySpread = 10 * time.Second
 	// roleLease is the name of the lease that an instance holds to change roles.
 	roleLease = "stages"
 	// roleRenewTime is the remaining time of the lease from which it is renewed.
@@ -123,7 +126,7 @@
 		}
 		r.lease = lease
 	case errors.As(err, &held):
-		r.lease, r.retryAt = persimmoncart.Lease{}, now.Add(held.RetryAfter+rand.N(roleStartSpread))
+		r.lease, r.retryAt = persimmoncart.Lease{}, now.Add(held.RetryAfter+rand.N(roleRetrySpread))
 		r.Logger.Info().Str("holder", string(held.Holder)).Msg("another instance holds the lease for role changes")
 	default:
 		r.Logger.Warn().Err(err).Msg("lease for role changes not acquired")
--- a/internal/policy/rolebalancer.go
+++ b/internal/policy/rolebalancer.go
@@ -19,8 +19,12 @@
 	roleMaxRise = 0.1
 	// roleMinDecodeLoad and roleMinPrefillLoad are the mean loads from which engines
 	// of that role may be too few. Below, a change gains nothing.
-	roleMinDecodeLoad  = 0.5
+	roleMinDecodeLoad  = 0.85
 	roleMinPrefillLoad = 0.6
+	// roleMaxPrefillLoad is the mean load that prefill engines may have after one of
+	// them has changed. With fewer, decode engines read prompts themselves, which
+	// looks like decode load and would take even more of them away.
+	roleMaxPrefillLoad = 0.8
 	// roleMaxSurplus and roleMaxShortfall are how far the number of prefill
 	// engines may be above and below the target. Together they are more than
 	// one engine, so that plans do not oscillate. A missing prefill engine
@@ -66,6 +70,7 @@
 	lastDecode float64     // last sample of decode
 	observed   time.Time   // last call of Observe
 	prefill    loadAverage // in engines
+	total      int         // engines at the last call of Observe
 }
 
 // Observe records the loads of engines of the pool at now. Loads may be those of a
@@ -75,7 +80,7 @@
 		b.observed = now // the averages start from zero, so that a first sample shows no steady load
 	}
 	passed := now.Sub(b.observed)
-	b.observed = now
+	b.observed, b.total = now, decode+prefill
 	if share, ok := meanShare(loads, persimmoncart.RolePrefill); ok {
 		b.prefill.add(share*float64(prefill), passed)
 	}
@@ -91,11 +96,12 @@
 // Target returns how many of a number of engines should prefill. It reports
 // false while there is no load.
 func (b *RoleBalancer) Target(engines int) (float64, bool) {
-	total := b.prefill.value + b.decode.value
-	if total <= 0 {
+	load := b.prefill.value + b.decode.value
+	if load <= 0 {
 		return 0, false
 	}
-	return float64(engines) * b.prefill.value / total, true
+	share := max(b.prefill.value/load, b.prefill.value/roleMaxPrefillLoad/float64(max(1, b.total)))
+	return float64(engines) * min(1, share), true
 }
 
 // A RoleChange is a change of an engine's role that is due.
--- a/internal/policy/rolebalancer_test.go
+++ b/internal/policy/rolebalancer_test.go
@@ -118,7 +118,7 @@
 		{name: "a third prefill, a tenth needed", prefill: 15, decode: 29, prefillS: 0.055, want: 4, orders: 11},
 		{name: "fits", prefill: 3, decode: 15, prefillS: 0.1, want: 3},
 		{name: "too few prefill engines", prefill: 1, decode: 17, prefillS: 0.2, want: 4, orders: 3},
-		{name: "long prompts", prefill: 2, decode: 10, prefillS: 1, want: 7, orders: 5},
+		{name: "long prompts", prefill: 2, decode: 10, prefillS: 1, want: 8, orders: 6},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := &rolePool{arrivals: 500, decode: c.decode, decodeS: 0.5, lifetime: 4, prefill: c.prefill, prefillS: c.prefillS}
@@ -166,6 +166,30 @@
 	assert.Equal(t, len(lost.Plan(loads, 0)), 1, "no prefill engine is left")
 }
 
+// Guards against taking prefill engines away at a load that all engines serve: the
+// decode engines that read prompts in their place look like a lack of decode
+// engines, which would take even more prefill engines away.
+func TestRoleBalancerKeepsPrefill(t *testing.T) {
+	for _, c := range []struct {
+		name                      string
+		prefillShare, decodeShare float64
+		changes                   int
+	}{
+		{name: "decode engines have room", prefillShare: 0.3, decodeShare: 0.75},
+		{name: "prefill engines are in use", prefillShare: 0.75, decodeShare: 0.95},
+		{name: "decode engines are full", prefillShare: 0.25, decodeShare: 0.95, changes: 5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := &policy.RoleBalancer{}
+			loads := testLoads(8, 32, c.prefillShare, c.decodeShare)
+			for n := range 60 {
+				b.Observe(time.Unix(int64(n), 0), loads, 32, 8)
+			}
+			assert.Equal(t, len(b.Plan(loads, 0)), c.changes)
+		})
+	}
+}
+
 // Guards against changes before there is load, at a load that all engines serve
 // easily, and against a second change before the loads show the effect of the first.
 func TestRoleBalancerWaits(t *testing.T) {
