lease: the time of a suspension counts against the lease

Cause: a holder measured its lease on the monotonic clock, which stands still while the machine is suspended. It woke up with a lease that another instance had taken over, and could order engines that ignore fencing tokens.

Change: the keeper notes how long the machine had been suspended when it asked for the lease, and a lease is held only if the suspensions since leave time.

Test: TestRoleReconcilerSuspended; without the check it sees an order.

--- a/internal/forward/rolereconciler.go
+++ b/internal/forward/rolereconciler.go
@@ -54,6 +54,7 @@
 	Leases     persimmoncart.Leases
 	Logger     zerolog.Logger
 	Self       persimmoncart.InstanceID
+	Suspended  func() time.Duration // how long the machine has been suspended in all; nil means never
 	Timer      persimmoncart.Timer
 
 	balancers     map[persimmoncart.PoolName]*policy.RoleBalancer // while the lease is held
@@ -110,8 +111,8 @@
 // instance holds it.
 func (r *RoleReconciler) holdLease(ctx context.Context) bool {
 	now := r.Timer.Now()
-	if now.Before(r.retryAt) || r.lease.Expires.Sub(now) > roleRenewTime {
-		return now.Before(r.lease.Expires)
+	if now.Before(r.retryAt) || r.leaseHeld(roleRenewTime) {
+		return r.leaseHeld(0)
 	}
 	var lease persimmoncart.Lease
 	err := r.call(ctx, func(ctx context.Context) (err error) {
@@ -131,7 +132,17 @@
 	default:
 		r.Logger.Warn().Err(err).Msg("lease for role changes not acquired")
 	}
-	return r.Timer.Now().Before(r.lease.Expires)
+	return r.leaseHeld(0)
+}
+
+// leaseHeld reports whether this instance holds the lease, and still will after the
+// given time.
+func (r *RoleReconciler) leaseHeld(after time.Duration) bool {
+	suspended := time.Duration(0)
+	if r.Suspended != nil {
+		suspended = r.Suspended()
+	}
+	return r.lease.Held(r.Timer.Now().Add(after), suspended)
 }
 
 // call runs f with a timeout of roleCallTimeout.
@@ -260,7 +271,7 @@
 		line.AnErr("cause", err).Msg("role not ordered")
 		return
 	}
-	if !r.Timer.Now().Before(r.lease.Expires) {
+	if !r.leaseHeld(0) {
 		line.Msg("lease for role changes expired")
 		return
 	}
--- a/internal/forward/rolereconciler_test.go
+++ b/internal/forward/rolereconciler_test.go
@@ -61,6 +61,13 @@
 	return s, nil
 }
 
+// asked reports whether the state of an engine has been read.
+func (c *fakeRoleController) asked() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.states) > 0
+}
+
 // received returns the orders received so far.
 func (c *fakeRoleController) received() []persimmoncart.RoleOrder {
 	c.mutex.Lock()
@@ -119,6 +126,39 @@
 	})
 }
 
+// Guards against an order of a holder that was suspended and wakes up after its
+// lease has ended, while the clock that it measures the lease with stood still.
+func TestRoleReconcilerSuspended(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		suspended time.Duration
+		orders    int
+	}{
+		{name: "not suspended", orders: 1},
+		{name: "for longer than the lease", suspended: 10 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				store := &objectapi.Faulty{Store: &objectapi.Memory{Timer: &timer.System{}}, Timer: &timer.System{}}
+				controller := &fakeRoleController{}
+				r := f.roleReconciler("i1", store, controller)
+				r.Suspended = func() time.Duration {
+					if !controller.asked() {
+						return 0
+					}
+					store.SetDown(true) // a lease that has ended is not renewed
+					return c.suspended
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+				defer cancel()
+				assert.ErrorIs(t, r.Run(ctx), context.DeadlineExceeded)
+				assert.Equal(t, len(controller.received()), c.orders)
+			})
+		})
+	}
+}
+
 // Guards against orders without a lease while the store is unreachable.
 func TestRoleReconcilerWithoutStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -40,8 +40,11 @@
 	Margin time.Duration // DefaultMargin if zero
 	Self   persimmoncart.Tag
 	Store  persimmoncart.Store
-	Term   time.Duration // DefaultTerm if zero
-	Timer  persimmoncart.Timer
+	// Suspended returns how long the machine has been suspended in all; nil means
+	// never. A holder that was suspended has lost its lease when it wakes up.
+	Suspended func() time.Duration
+	Term      time.Duration // DefaultTerm if zero
+	Timer     persimmoncart.Timer
 
 	mutex      sync.Mutex
 	observed   map[string]observation // by lease name
@@ -64,14 +67,18 @@
 		}
 	}
 	next := k.nextRecord(current, version)
-	start := k.Timer.Now()
+	start, suspended := k.Timer.Now(), time.Duration(0)
+	if k.Suspended != nil {
+		suspended = k.Suspended()
+	}
 	if err := k.write(ctx, name, next, version); err != nil {
 		return persimmoncart.Lease{}, errors.Wrapf(err, "acquire lease %q", name)
 	}
 	return persimmoncart.Lease{
-		Expires: start.Add(k.term() - k.margin()),
-		Fence:   next.Fence,
-		Name:    name,
+		Expires:   start.Add(k.term() - k.margin()),
+		Fence:     next.Fence,
+		Name:      name,
+		Suspended: suspended,
 	}, nil
 }
 
--- a/lease.go
+++ b/lease.go
@@ -8,9 +8,16 @@
 
 // A Lease is a named lease that this instance holds.
 type Lease struct {
-	Expires time.Time // local time until which the holder may act
-	Fence   uint64    // fencing token; increases with each change of holder
-	Name    string
+	Expires   time.Time // local time until which the holder may act
+	Fence     uint64    // fencing token; increases with each change of holder
+	Name      string
+	Suspended time.Duration // how long the machine had been suspended in all when the lease was requested
+}
+
+// Held reports whether the holder may still act at now. Suspended is how long the
+// machine has been suspended in all; now does not count that time.
+func (l *Lease) Held(now time.Time, suspended time.Duration) bool {
+	return now.Add(suspended - l.Suspended).Before(l.Expires)
 }
 
 // Leases grants named leases that are recorded in the store.
