forward: an endpoint that left without notice gets nothing beyond its drain time

Two of three application endpoints were removed within a second, without having been draining. An instance learned of it 1.1 s later, since it calls the store again 0.9 s after a change, and kept the endpoint as a last resort for 2.2 s, together longer than the 2.5 s for which it may get requests. At a crest the queues of the others cost more than a last resort, so that it was used.

Change: the last resort lasts for the drain time of the settings less the delay of the news, unless the store was away within the last 5 s or the list was read anew. And while at least two endpoints are listed for each missing one, missing ones are not used at all.

Test: TestDirectoryLeftWithoutNotice, TestSelectorMissingAtCrest.

--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -13,10 +13,18 @@
 	"github.com/persimmoncart/persimmoncart/internal/policy"
 )
 
-// missingGrace is how long an endpoint that the store no longer lists is kept as
-// a last resort. Records that expired while the store was unreachable are listed
-// again within two seconds of its return.
-const missingGrace = 2200 * time.Millisecond
+const (
+	// missingGrace is how long an endpoint that the store no longer lists is kept as
+	// a last resort. Records that expired while the store was unreachable are listed
+	// again within two seconds of its return.
+	missingGrace = 2200 * time.Millisecond
+	// removalDelay is how much later than the store an instance learns that a record
+	// was removed: followCoalesce, and the lag of the watch.
+	removalDelay = followCoalesce + 300*time.Millisecond
+	// settledAfter is the time after the return of the store from which records do
+	// not expire because of its absence.
+	settledAfter = 5 * time.Second
+)
 
 // maxDeparted bounds the endpoints that are remembered as departed.
 const maxDeparted = 4096
@@ -29,6 +37,7 @@
 // load and failures that this instance has observed. Its exported fields are set
 // before use.
 type Directory struct {
+	DrainTime       time.Duration                // longest time for which an endpoint that leaves may get new requests
 	EndpointDropped func(persimmoncart.Endpoint) // called when an endpoint is removed or its process replaced; may be nil
 	Home            persimmoncart.Instance
 	Logger          zerolog.Logger
@@ -40,9 +49,11 @@
 
 	departed        map[persimmoncart.EndpointID]persimmoncart.Incarnation // that left; up to maxDeparted
 	endpointsListed atomic.Bool                                            // SetEndpoints was called
-	missing         map[persimmoncart.EndpointID]time.Time                 // since when the store no longer lists them
+	lost            bool                                                   // the store is unreachable
+	missing         map[persimmoncart.EndpointID]time.Time                 // until when they are kept
 	mutex           sync.Mutex
 	patience        map[persimmoncart.RouteName]*policy.Patience // up to maxPatienceRoutes
+	returned        time.Time                                    // when the store was reached again; zero before
 	pools           map[persimmoncart.PoolName]*pool
 	table           atomic.Pointer[persimmoncart.ForwardTable]
 }
@@ -115,7 +126,7 @@
 		d.Put(endpoints[n])
 	}
 	for _, id := range gone {
-		d.Remove(id)
+		d.remove(id, missingGrace)
 	}
 	d.endpointsListed.Store(true)
 }
@@ -160,10 +171,30 @@
 	old.Endpoint = e
 }
 
-// Remove marks an endpoint that the store no longer lists as missing. It is
-// dropped at once if it was leaving, and otherwise when it is not listed again
-// within missingGrace.
+// SetStoreReachable records whether the store is reachable.
+func (d *Directory) SetStoreReachable(reachable bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.lost = !reachable
+	d.returned = d.Timer.Now()
+}
+
+// Remove marks an endpoint whose record was removed as missing. It is dropped at
+// once if it was leaving, and otherwise when it is not listed again in time. Unless
+// the store was away, it has probably left without notice, and is dropped while it
+// may still get requests.
 func (d *Directory) Remove(id persimmoncart.EndpointID) {
+	d.mutex.Lock()
+	grace := missingGrace
+	if settled := d.returned.IsZero() || d.Timer.Now().Sub(d.returned) >= settledAfter; settled && !d.lost && d.DrainTime > 0 {
+		grace = max(0, min(missingGrace, d.DrainTime-removalDelay))
+	}
+	d.mutex.Unlock()
+	d.remove(id, grace)
+}
+
+// remove marks an endpoint as missing, and drops it after the grace time.
+func (d *Directory) remove(id persimmoncart.EndpointID, grace time.Duration) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	e, p := d.find(id)
@@ -179,8 +210,8 @@
 	if d.missing == nil {
 		d.missing = make(map[persimmoncart.EndpointID]time.Time)
 	}
-	d.missing[id] = d.Timer.Now()
-	d.Timer.After(missingGrace, func(time.Time) { d.expire(id) })
+	d.missing[id] = d.Timer.Now().Add(grace)
+	d.Timer.After(grace, func(time.Time) { d.expire(id) })
 }
 
 // Notice records what an endpoint stated about itself with a response.
@@ -343,12 +374,12 @@
 	}
 }
 
-// expire drops an endpoint that has been missing for missingGrace.
+// expire drops an endpoint that has been missing for its grace time.
 func (d *Directory) expire(id persimmoncart.EndpointID) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	since, missing := d.missing[id]
-	if !missing || d.Timer.Now().Sub(since) < missingGrace {
+	until, missing := d.missing[id]
+	if !missing || d.Timer.Now().Before(until) {
 		return
 	}
 	if e, p := d.find(id); e != nil {
--- a/internal/forward/directory_test.go
+++ b/internal/forward/directory_test.go
@@ -53,6 +53,47 @@
 	})
 }
 
+// Guards against new requests to an endpoint that has left without notice, beyond the
+// time for which it serves: its record is removed while the store is reachable, and
+// the instance learns it late. After an outage of the store, endpoints are kept until
+// they can have written their records again.
+func TestDirectoryLeftWithoutNotice(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		store func(d *forward.Directory)
+		kept  time.Duration
+	}{
+		{name: "store reachable", store: func(*forward.Directory) {}, kept: 1300 * time.Millisecond},
+		{name: "store away", kept: 2200 * time.Millisecond, store: func(d *forward.Directory) { d.SetStoreReachable(false) }},
+		{name: "store just returned", kept: 2200 * time.Millisecond, store: func(d *forward.Directory) {
+			d.SetStoreReachable(false)
+			d.SetStoreReachable(true)
+			time.Sleep(time.Second)
+		}},
+		{name: "store returned long ago", kept: 1300 * time.Millisecond, store: func(d *forward.Directory) {
+			d.SetStoreReachable(false)
+			d.SetStoreReachable(true)
+			time.Sleep(6 * time.Second)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				f.Directory.DrainTime = 2500 * time.Millisecond
+				c.store(f.Directory)
+				for _, id := range []persimmoncart.EndpointID{"a1", "a2", "a3"} {
+					f.Directory.Remove(id)
+				}
+				time.Sleep(c.kept - 10*time.Millisecond)
+				assert.Assert(t, f.assignable("a1"))
+				time.Sleep(20 * time.Millisecond)
+				synctest.Wait()
+				assert.Assert(t, !f.assignable("a1"))
+			})
+		})
+	}
+}
+
 // Guards against new requests to an endpoint that is leaving, also when its record
 // is removed while it still serves.
 func TestDirectoryLeaving(t *testing.T) {
--- a/internal/policy/selector.go
+++ b/internal/policy/selector.go
@@ -30,6 +30,9 @@
 	// that refused a request with a reservation, or that the request avoids,
 	// so that they are used only if there is no other.
 	lastResortCost = 5 * time.Second
+	// fewMissingFactor is the number of listed endpoints for each missing one from
+	// which few are missing.
+	fewMissingFactor = 2
 	// overflowCost is the cost of each request's worth of memory or slots that
 	// an engine lacks.
 	overflowCost = 300 * time.Millisecond
@@ -219,8 +222,9 @@
 func (s *Selector) Pick(now time.Time, random *rand.Rand, r *SelectorRequest) *EndpointState {
 	var best *EndpointState
 	var least float64
+	withoutMissing := s.fewMissing(r.Role)
 	for _, e := range s.Endpoints {
-		if e.Endpoint.Leaving || e.Endpoint.Role != r.Role || e.BackOffLeft(now) > 0 {
+		if e.Endpoint.Leaving || e.Endpoint.Role != r.Role || e.BackOffLeft(now) > 0 || withoutMissing && e.Missing {
 			continue
 		}
 		if r.MinFreeTokens > 0 && !e.hasRoom(now, r) {
@@ -237,6 +241,24 @@
 	return best
 }
 
+// fewMissing reports whether so few endpoints with the role are missing that they
+// have probably left: then none of them is used, however loaded the others are.
+// After an outage of the store many records are missing at once, most of which come
+// back, and those that come back first must not get the load of all.
+func (s *Selector) fewMissing(role persimmoncart.Role) bool {
+	listed, missing := 0, 0
+	for _, e := range s.Endpoints {
+		switch {
+		case e.Endpoint.Leaving || e.Endpoint.Role != role:
+		case e.Missing:
+			missing++
+		default:
+			listed++
+		}
+	}
+	return listed >= fewMissingFactor*missing
+}
+
 // BackOffLeft returns the time until the first endpoint with the role may be used
 // again. It reports false if one may be used now, or there is none.
 func (s *Selector) BackOffLeft(now time.Time, role persimmoncart.Role) (time.Duration, bool) {
--- a/internal/policy/selector_test.go
+++ b/internal/policy/selector_test.go
@@ -114,3 +114,37 @@
 	s.Endpoints = s.Endpoints[:2]
 	assert.Equal(t, countPicks(s, now, false)["b"], 1000)
 }
+
+// Guards against requests to an endpoint that has left without notice, at a crest at
+// which the queues of the others cost more than a last resort, and against giving
+// the load of all to the few endpoints that the store lists first after an outage.
+func TestSelectorMissingAtCrest(t *testing.T) {
+	now := time.Unix(100, 0)
+	for _, c := range []struct {
+		name    string
+		missing int // of 6 endpoints
+		used    bool
+	}{
+		{name: "one has left", missing: 1},
+		{name: "two have left", missing: 2},
+		{name: "records lapsed", missing: 5, used: true},
+		{name: "all records lapsed", missing: 6, used: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := policy.Selector{}
+			for n := range 6 {
+				e := &policy.EndpointState{Endpoint: persimmoncart.Endpoint{Role: persimmoncart.RoleApplication, Slots: 6}, Missing: n < c.missing}
+				if !e.Missing {
+					e.InFlight = 2000
+				}
+				s.Endpoints = append(s.Endpoints, e)
+			}
+			used := false
+			for seed := range uint64(50) {
+				got := s.Pick(now, rand.New(rand.NewPCG(seed, 1)), &policy.SelectorRequest{Role: persimmoncart.RoleApplication})
+				used = used || got.Missing
+			}
+			assert.Equal(t, used, c.used)
+		})
+	}
+}
