--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -49,12 +49,12 @@
 
 	departed        map[persimmoncart.EndpointID]persimmoncart.Incarnation // that left; up to maxDeparted
 	endpointsListed atomic.Bool                                            // SetEndpoints was called
-	lost            bool                                                   // the store is unreachable
 	missing         map[persimmoncart.EndpointID]time.Time                 // until when they are kept
 	mutex           sync.Mutex
 	patience        map[persimmoncart.RouteName]*policy.Patience // up to maxPatienceRoutes
-	returned        time.Time                                    // when the store was reached again; zero before
 	pools           map[persimmoncart.PoolName]*pool
+	storeLost       bool      // the store is unreachable
+	storeReturned   time.Time // when the store was reached again; zero before
 	table           atomic.Pointer[persimmoncart.ForwardTable]
 }
 
@@ -66,19 +66,6 @@
 	selector    policy.Selector
 }
 
-// An assignment is the use of an endpoint by one request. Done or DoneFull ends it.
-type assignment struct {
-	Endpoint persimmoncart.Endpoint
-	Expected time.Duration       // expected time at the endpoint, its queue included
-	Suspect  bool                // another process may be at its address
-	View     policy.EndpointView // state of the endpoint when it was chosen, for logs
-
-	directory *Directory
-	pool      *pool
-	state     *policy.EndpointState
-	tokens    int // counted on the endpoint; negative after the end
-}
-
 // Ready reports whether routes and endpoints have been read from the store.
 func (d *Directory) Ready() bool { return d.endpointsListed.Load() && d.table.Load() != nil }
 
@@ -175,8 +162,8 @@
 func (d *Directory) SetStoreReachable(reachable bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.lost = !reachable
-	d.returned = d.Timer.Now()
+	d.storeLost = !reachable
+	d.storeReturned = d.Timer.Now()
 }
 
 // Remove marks an endpoint whose record was removed as missing. It is dropped at
@@ -186,7 +173,7 @@
 func (d *Directory) Remove(id persimmoncart.EndpointID) {
 	d.mutex.Lock()
 	grace := missingGrace
-	if settled := d.returned.IsZero() || d.Timer.Now().Sub(d.returned) >= settledAfter; settled && !d.lost && d.DrainTime > 0 {
+	if settled := d.storeReturned.IsZero() || d.Timer.Now().Sub(d.storeReturned) >= settledAfter; settled && !d.storeLost && d.DrainTime > 0 {
 		grace = max(0, min(missingGrace, d.DrainTime-removalDelay))
 	}
 	d.mutex.Unlock()
@@ -418,78 +405,3 @@
 	}
 	return p
 }
-
-// Done ends the assignment and wakes the next generation that waits for a decode
-// engine of the pool.
-func (a *assignment) Done() {
-	if a.end() {
-		a.pool.decodeQueue.WakeNext()
-	}
-}
-
-// DoneFull ends the assignment to an endpoint that had no capacity for the
-// request. Load may be nil.
-func (a *assignment) DoneFull(load *persimmoncart.EndpointLoad) {
-	a.end()
-	a.ReportLoad(load)
-	a.directory.mutex.Lock()
-	defer a.directory.mutex.Unlock()
-	a.state.MarkFull(a.directory.Timer.Now())
-}
-
-// end removes the request from the load of the endpoint. It reports false if an
-// earlier call has done so.
-func (a *assignment) end() bool {
-	a.directory.mutex.Lock()
-	defer a.directory.mutex.Unlock()
-	if a.tokens < 0 {
-		return false
-	}
-	a.state.InFlight--
-	a.state.Tokens -= a.tokens
-	a.state.ClearFull()
-	a.tokens = -1
-	return true
-}
-
-// Failed counts a failure of the endpoint.
-func (a *assignment) Failed() {
-	a.directory.mutex.Lock()
-	defer a.directory.mutex.Unlock()
-	a.state.Failures.Fail(a.directory.Timer.Now())
-	a.state.Suspect = true
-}
-
-// Identified records that the endpoint is the process that it is taken for.
-func (a *assignment) Identified() {
-	a.directory.mutex.Lock()
-	defer a.directory.mutex.Unlock()
-	a.Suspect, a.state.Suspect = false, false
-}
-
-// ReportLoad records the load that the endpoint reported; nil is ignored.
-func (a *assignment) ReportLoad(load *persimmoncart.EndpointLoad) {
-	if load == nil {
-		return
-	}
-	a.directory.mutex.Lock()
-	defer a.directory.mutex.Unlock()
-	a.state.SetLoad(a.directory.Timer.Now(), *load)
-}
-
-// ReservationRefused reports that the endpoint refused a request for which it had
-// reserved a slot and memory.
-func (a *assignment) ReservationRefused() {
-	a.directory.mutex.Lock()
-	defer a.directory.mutex.Unlock()
-	a.state.ReservationRefused(a.directory.Timer.Now())
-}
-
-// Succeeded counts a response after the given time for the given units of work.
-func (a *assignment) Succeeded(took time.Duration, units float64) {
-	a.directory.mutex.Lock()
-	defer a.directory.mutex.Unlock()
-	a.state.Failures.Succeed(a.directory.Timer.Now())
-	a.state.Suspect = false
-	a.state.AddWork(took, units)
-}
