lease: a first record needs no second write while the store was never restored

Each first acquisition wrote a record without a token first, one more step of both instances in the exhaustive test, whose schedules and memory multiply with it.

Change: a missing object's error tells the epoch of the store.

Test: TestKeeperRecordDamaged as before, the exhaustive test on its former steps.

--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -57,7 +57,10 @@
 func (k *Keeper) Acquire(ctx context.Context, name string) (persimmoncart.Lease, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	current, version, err := k.readOrCreate(ctx, name)
+	current, version, err := k.read(ctx, name)
+	if lost := (*lostRecordError)(nil); errors.As(err, &lost) {
+		current, version, err = k.replaceLost(ctx, name)
+	}
 	if err != nil {
 		return persimmoncart.Lease{}, errors.Wrapf(err, "acquire lease %q", name)
 	}
@@ -107,14 +110,10 @@
 	return nil
 }
 
-// available reports whether this instance may write the record at once: the lease
-// is free or its own. A record without a fencing token at epoch zero is new, since
-// a store that was never restored has lost nothing.
+// available reports whether this instance may write the record at once: there is
+// none, or the lease is free or its own.
 func (k *Keeper) available(current record, version persimmoncart.Version) bool {
-	if !current.knownAt(version) {
-		return current.Free && version.Epoch() == 0
-	}
-	return current.Free || current.heldBy(k.Self)
+	return version == 0 || current.knownAt(version) && (current.Free || current.heldBy(k.Self))
 }
 
 // margin returns the configured margin.
@@ -137,7 +136,7 @@
 		WriteCount:  k.writeCount,
 	}
 	switch {
-	case current.Fence == 0:
+	case current.Fence == 0 && version != 0:
 		next.Fence = uint64(version) // above all tokens of earlier records
 	case !current.knownAt(version) || !current.heldBy(k.Self):
 		next.Fence++
@@ -145,39 +144,36 @@
 	return next
 }
 
-// readOrCreate returns the record of the lease. If there is none, it creates a
-// free one without a fencing token, whose version the first token follows from.
-func (k *Keeper) readOrCreate(ctx context.Context, name string) (record, persimmoncart.Version, error) {
-	current, version, err := k.read(ctx, name)
-	if err != nil || version != 0 {
-		return current, version, err
-	}
-	created := record{Free: true, Term: k.term()}
+// replaceLost creates a record without a holder or a fencing token in place of one
+// that a restored store may have lost, and returns it. It is waited for like one of
+// an unknown holder, and the next fencing token follows from its version.
+func (k *Keeper) replaceLost(ctx context.Context, name string) (record, persimmoncart.Version, error) {
+	created := record{Term: k.term()}
 	value, err := created.encode()
 	if err != nil {
 		return record{}, 0, err
 	}
-	version, err = k.Store.Create(ctx, keyPrefix+name, value)
+	version, err := k.Store.Create(ctx, keyPrefix+name, value)
 	if err == nil {
 		return created, version, nil
 	}
 	var ambiguous *persimmoncart.AmbiguousError
 	var conflict *persimmoncart.ConflictError
 	if errors.As(err, &ambiguous) || errors.As(err, &conflict) {
-		current, version, readErr := k.read(ctx, name)
-		if readErr == nil && version == 0 {
-			readErr = err
-		}
-		return current, version, readErr
+		return k.read(ctx, name)
 	}
 	return record{}, 0, err
 }
 
 // read returns the record of the lease; the version is zero if there is none. A
-// record that cannot be read is returned without a holder or a fencing token.
+// record that cannot be read is returned without a holder or a fencing token. If
+// there is none and the store has been restored, it returns a *lostRecordError.
 func (k *Keeper) read(ctx context.Context, name string) (record, persimmoncart.Version, error) {
 	object, err := k.Store.Get(ctx, keyPrefix+name)
 	if missing := (*persimmoncart.NotFoundError)(nil); errors.As(err, &missing) {
+		if missing.Epoch > 0 {
+			return record{}, 0, &lostRecordError{name: name}
+		}
 		return record{}, 0, nil
 	}
 	if err != nil {
@@ -261,3 +257,14 @@
 	since   time.Time
 	version persimmoncart.Version
 }
+
+// A lostRecordError reports that there is no record of a lease in a store that has
+// been restored from an older copy, which may have lost it.
+type lostRecordError struct {
+	name string
+}
+
+// Error implements error.
+func (e *lostRecordError) Error() string {
+	return "record of lease " + e.name + " may have been lost"
+}
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -53,7 +53,7 @@
 	}
 	object, ok := c.environment.objects[key]
 	if !ok {
-		return persimmoncart.Object{}, &persimmoncart.NotFoundError{Key: key}
+		return persimmoncart.Object{}, &persimmoncart.NotFoundError{Epoch: c.environment.version.Epoch(), Key: key}
 	}
 	return object, nil
 }
--- a/store.go
+++ b/store.go
@@ -106,7 +106,8 @@
 
 // A NotFoundError reports a key without an object.
 type NotFoundError struct {
-	Key string
+	Epoch uint64 // of the store, which may have lost the object; see Version
+	Key   string
 }
 
 // Error implements error.
