forward: an engine that asks for a pause keeps its role; callers hear its time

Cause: found on reading the change. Engines that ask for a pause were left out of the plan of roles, so that a region whose prefill engines paused for a moment seemed to have none, and a decode engine would have been ordered to prefill. And a plain request that met the pause itself was told 200 ms in place of the time that is left.

Change: a pausing engine counts as full, its state is not read, and it gets no order. One function gives both refusals of a plain request.

Measured: race tests of the three packages.

--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -328,16 +328,14 @@
 	})
 }
 
-// Engines returns the engines of each pool that are neither leaving nor missing and
-// take calls.
+// Engines returns the engines of each pool that are neither leaving nor missing.
 func (d *Directory) Engines() map[persimmoncart.PoolName][]persimmoncart.Endpoint {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	engines := make(map[persimmoncart.PoolName][]persimmoncart.Endpoint)
-	now := d.Timer.Now()
 	for name, p := range d.pools {
 		for _, e := range p.selector.Endpoints {
-			if e.Endpoint.Role != persimmoncart.RoleApplication && !e.Endpoint.Leaving && !e.Missing && e.BackOffLeft(now) == 0 {
+			if e.Endpoint.Role != persimmoncart.RoleApplication && !e.Endpoint.Leaving && !e.Missing {
 				engines[name] = append(engines[name], e.Endpoint)
 			}
 		}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -60,10 +60,7 @@
 	p := &plainCall{cancel: cancel, exchange: x, results: make(chan sendResult, maxSends)}
 	if !p.send(sendCtx, "") {
 		cancel()
-		if left, ok := x.router.Directory.BackOffLeft(x.pool, persimmoncart.RoleApplication); ok {
-			return nil, x.backOffRefusal(left)
-		}
-		return nil, x.emptyPoolRefusal()
+		return nil, x.noEndpointRefusal(x.emptyPoolRefusal())
 	}
 	hedge := make(chan time.Time, 1)
 	defer x.router.Timer.After(x.latencyShare(hedgeDelayShare), func(now time.Time) { hedge <- now })()
@@ -97,6 +94,15 @@
 	}
 }
 
+// noEndpointRefusal returns refusal, or that of backOffRefusal if all application
+// endpoints of the pool want no requests.
+func (x *exchange) noEndpointRefusal(refusal error) error {
+	if left, ok := x.router.Directory.BackOffLeft(x.pool, persimmoncart.RoleApplication); ok {
+		return x.backOffRefusal(left)
+	}
+	return refusal
+}
+
 // backOffRefusal returns the refusal of a request while all endpoints of its pool
 // want no requests. Left is the time until the first one takes requests again.
 func (x *exchange) backOffRefusal(left time.Duration) error {
@@ -156,10 +162,10 @@
 		}
 	default:
 		p.cancel()
-		return nil, true, &persimmoncart.Refusal{
+		return nil, true, p.noEndpointRefusal(&persimmoncart.Refusal{
 			Code: persimmoncart.RefusalCapacity, Err: result.err, Message: "no endpoint took the request",
 			Outcome: persimmoncart.OutcomeNotRun, RetryAfter: retryAfterNoEndpoint,
-		}
+		})
 	}
 }
 
--- a/internal/forward/rolereconciler.go
+++ b/internal/forward/rolereconciler.go
@@ -160,7 +160,11 @@
 	}
 	var selected []persimmoncart.Endpoint
 	for _, list := range engines {
-		selected = append(selected, list...)
+		for _, e := range list {
+			if r.Directory.Accepts(e.ID) {
+				selected = append(selected, e)
+			}
+		}
 	}
 	rand.Shuffle(len(selected), func(i, j int) { selected[i], selected[j] = selected[j], selected[i] })
 	read := r.readStates(ctx, selected[:min(len(selected), maxRoleReads)])
@@ -243,7 +247,10 @@
 			}
 			delete(r.pending, e.ID)
 			l, found := r.loads[e.ID]
-			if !found {
+			switch {
+			case !r.Directory.Accepts(e.ID):
+				l = policy.FullEngineLoad(e)
+			case !found:
 				l = policy.EngineLoad{Endpoint: e}
 			}
 			loads[e.Region] = append(loads[e.Region], l)
@@ -255,11 +262,15 @@
 	return changes
 }
 
-// order orders one change, unless the engine is busy or its role is no longer the
-// expected one.
+// order orders one change, unless the engine wants no requests, is busy, or has
+// another role than expected.
 func (r *RoleReconciler) order(ctx context.Context, change *policy.RoleChange) {
 	var state persimmoncart.RoleState
 	e := &change.Endpoint
+	if !r.Directory.Accepts(e.ID) {
+		r.Logger.Info().Str("endpoint", string(e.ID)).Msg("role not ordered: the engine wants no requests")
+		return
+	}
 	err := r.call(ctx, func(ctx context.Context) (err error) {
 		state, err = r.Controller.State(ctx, e)
 		return err
--- a/internal/forward/rolereconciler_test.go
+++ b/internal/forward/rolereconciler_test.go
@@ -126,6 +126,28 @@
 	})
 }
 
+// Guards against an order that replaces a prefill engine which only asks for a pause,
+// and against reading its state meanwhile.
+func TestRoleReconcilerPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		for pool, engines := range f.Directory.Engines() {
+			for n := range engines {
+				if e := &engines[n]; pool == llm && e.Role == persimmoncart.RolePrefill {
+					f.Directory.Notice(e, persimmoncart.EndpointNotice{RetryAfter: 30 * time.Second})
+				}
+			}
+		}
+		controller := &fakeRoleController{}
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		r := f.roleReconciler("i1", &objectapi.Memory{Timer: &timer.System{}}, controller)
+		assert.ErrorIs(t, r.Run(ctx), context.DeadlineExceeded)
+		assert.Equal(t, len(controller.received()), 0)
+		assert.Equal(t, len(controller.states), 2, "only the decode engines are asked")
+	})
+}
+
 // Guards against an order of a holder that was suspended and wakes up after its
 // lease has ended, while the clock that it measures the lease with stood still.
 func TestRoleReconcilerSuspended(t *testing.T) {
--- a/internal/policy/patience.go
+++ b/internal/policy/patience.go
@@ -22,8 +22,7 @@
 
 // A Patience tells how long a caller has waited before its present attempt. Callers
 // whose attempts were refused come back with less time left than the others of
-// their route. In an overload they are up to half of all, so the median of the
-// route is the patience of a first attempt.
+// their route.
 type Patience struct {
 	count   int // samples so far
 	samples [patienceSamples]time.Duration
--- a/internal/policy/rolebalancer.go
+++ b/internal/policy/rolebalancer.go
@@ -59,6 +59,12 @@
 	return l
 }
 
+// FullEngineLoad returns the load of an engine that wants no requests. It keeps its
+// role while another engine can change.
+func FullEngineLoad(e persimmoncart.Endpoint) EngineLoad {
+	return EngineLoad{Endpoint: e, Requests: math.MaxInt, Share: 1}
+}
+
 // A RoleBalancer plans how many engines of a pool should prefill, so that at peak
 // load both roles are fully used. It compares the loads of both roles, which the
 // same requests cause: while one role is the bottleneck, the other has the load of
