forward: a failing test of streams whose engine falls silent for a while

Cause, as suspected: the watchdog of resumable streams closes the connection to an engine after four times the route's gap without a whole event, and looks for another engine only then.

Evidence: TestStreamSilentWithoutReplacement fails in all five cases (runs used up, retry budget used up, the other engine full, silent or gone).

--- /dev/null
+++ b/internal/forward/stallwatch_test.go
@@ -0,0 +1,83 @@
+package forward_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// Guards against ending a stream because its engine falls silent for a while: if no
+// other engine can take over, the stream goes on when the engine does.
+func TestStreamSilentWithoutReplacement(t *testing.T) {
+	const silence = 2500 * time.Millisecond
+	for _, c := range []struct {
+		name    string
+		breaks  int               // engines that break off before the one that falls silent
+		prepare func(*fixture)    // called before the request
+		reserve func(n int) error // of reservations; nil accepts all
+	}{
+		{name: "runs used up", breaks: 1},
+		{name: "retry budget used up", prepare: func(f *fixture) {
+			for f.Directory.TakeRetry(llm) {
+			}
+		}},
+		{name: "other engine is full", reserve: func(n int) error {
+			if n > 0 {
+				return refused()
+			}
+			return nil
+		}},
+		{name: "other engine is silent too", reserve: func(n int) error {
+			if n > 0 {
+				return errReset
+			}
+			return nil
+		}},
+		{name: "other engine is gone", prepare: func(f *fixture) {
+			f.Directory.DropReplaced("d2")
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				f.Upstream.reserve = c.reserve
+				f.Upstream.send = func(_ context.Context, n int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
+					next := int(call.LastEventID) + 1
+					if n < c.breaks {
+						return streamed(events(next, next+1), errReset), nil
+					}
+					return silentStream(next, silence), nil
+				}
+				if c.prepare != nil {
+					c.prepare(f)
+				}
+				_, body, err := f.serve(t.Context(), "/long/")
+				time.Sleep(silence) // the engine ends
+				assert.NilError(t, err)
+				assert.Equal(t, body, events(1, 4+2*c.breaks))
+				assert.Equal(t, f.Upstream.count("send"), 1+c.breaks)
+			})
+		})
+	}
+}
+
+// silentStream returns a stream of four events from the one with identifier first,
+// whose engine is silent for a time after the second.
+func silentStream(first int, silence time.Duration) *persimmoncart.UpstreamResponse {
+	response := streamed("", nil)
+	body, engine := io.Pipe()
+	response.Body = body
+	go func() {
+		_, _ = io.WriteString(engine, events(first, first+1))
+		time.Sleep(silence)
+		_, _ = io.WriteString(engine, events(first+2, first+3)) // fails if the reader has closed
+		_ = engine.Close()
+	}()
+	return response
+}
