forward: a file of their own for reservations on decode engines

Cause: a stream whose engine has stalled is to reserve its next engine, as a new generation does; the code for that belonged to generations alone.

Change: reserve, identify and the releases are methods of the exchange, in reservation.go; reserve returns the reservation in place of storing it. No behaviour changes.

--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -30,18 +30,10 @@
 	// latestStartShare is the share of the latency target after which a request
 	// without a decode engine is refused, so that its caller retries after the overload.
 	latestStartShare = 0.75
-	// reservationTimeoutShare is the share of the latency target after which an engine that
-	// does not respond to a reservation counts as failing.
-	reservationTimeoutShare = 0.25
-	// maxReservation bounds the lifetime of a reservation, which has to last until the
-	// prompt is prefilled.
-	maxReservation = 1500 * time.Millisecond
 	// retryAfterOverload is the shortest pause before a caller retries a generation that
 	// found no decode engine, and the span over which the retries are spread: overloads
 	// last some seconds.
 	retryAfterOverload = 2 * time.Second
-	// releaseTimeout bounds a call that frees a reservation or exported KV cache.
-	releaseTimeout = time.Second
 	// cacheReuseShare is the share of its lifetime during which exported KV cache is
 	// offered to a second decode engine.
 	cacheReuseShare = 0.6
@@ -135,30 +127,6 @@
 	g.releaseReservation(&assigned.Endpoint, reservation)
 }
 
-// releaseReservation frees a reservation without waiting for it.
-func (g *generation) releaseReservation(endpoint *persimmoncart.Endpoint, reservation string) {
-	g.releaseAsync("hold", endpoint, func(ctx context.Context) error {
-		return g.router.Upstream.ReleaseReservation(ctx, endpoint, reservation)
-	})
-}
-
-// releaseAsync calls free, which frees a resource at an endpoint, without waiting
-// for it. A failure is logged with the kind of resource.
-func (g *generation) releaseAsync(resource string, endpoint *persimmoncart.Endpoint, free func(context.Context) error) {
-	r := g.router
-	if !r.Directory.Accepts(endpoint.ID) {
-		r.Logger.Info().Str("endpoint", string(endpoint.ID)).Str("what", resource).Msg("release left to the endpoint, which wants no requests")
-		return
-	}
-	go func() {
-		ctx, stop := timer.WithTimeout(context.Background(), r.Timer, releaseTimeout, nil)
-		defer stop()
-		if err := free(ctx); err != nil {
-			r.Logger.Info().Str("endpoint", string(endpoint.ID)).Str("what", resource).Err(err).Msg("release failed")
-		}
-	}()
-}
-
 // decodeRequest returns the request by which a decode engine is chosen.
 func (x *exchange) decodeRequest() policy.SelectorRequest {
 	return policy.SelectorRequest{
@@ -193,7 +161,9 @@
 			return nil, g.backOffRefusal(left)
 		}
 		if assigned != nil {
-			if g.reserve(ctx, assigned, request.Tokens, request.MinFreeTokens-request.Tokens) {
+			reservation, ok := g.reserve(ctx, assigned, request.Tokens, request.MinFreeTokens-request.Tokens)
+			if ok {
+				g.reservation = reservation
 				g.logChoice(assigned)
 				return assigned, nil
 			}
@@ -208,74 +178,6 @@
 	}
 }
 
-// reserve reserves a slot and memory on a decode engine that has the spare tokens
-// free in addition, and reports whether it succeeded. If the engine is full or does
-// not respond, the assignment ends.
-func (g *generation) reserve(ctx context.Context, assigned *assignment, tokens, spare int) bool {
-	if g.engine.MaxReservation <= 0 {
-		return true // these engines take no reservations; they may refuse the request itself
-	}
-	if !g.identify(ctx, assigned) {
-		return false
-	}
-	if spare > 0 {
-		// Only the engine knows what other instances have reserved on it.
-		held, ok := g.takeReservation(ctx, assigned, spare)
-		if !ok {
-			return false
-		}
-		defer g.releaseReservation(&assigned.Endpoint, held)
-	}
-	reservation, ok := g.takeReservation(ctx, assigned, tokens)
-	g.reservation = reservation
-	return ok
-}
-
-// identify makes sure that an engine which failed before is still the same process:
-// one that has taken its address reserves memory as well, and then refuses the
-// request, which takes a retry. It ends the assignment and reports false if not.
-func (g *generation) identify(ctx context.Context, assigned *assignment) bool {
-	if !assigned.Suspect {
-		return true
-	}
-	identifyCtx, stop := timer.WithTimeout(ctx, g.router.Timer, g.latencyShare(reservationTimeoutShare), nil)
-	defer stop()
-	err := g.router.Upstream.Identify(identifyCtx, &assigned.Endpoint)
-	switch {
-	case err == nil:
-		assigned.Identified()
-		return true
-	case ctx.Err() != nil:
-		assigned.Done()
-	default:
-		g.recordFailure(ctx, assigned, err)
-		assigned.DoneFull(nil)
-	}
-	return false
-}
-
-// takeReservation makes one reservation on a decode engine and returns its
-// identifier. It reports false, and ends the assignment, if the engine is full or
-// does not respond.
-func (g *generation) takeReservation(ctx context.Context, assigned *assignment, tokens int) (string, bool) {
-	reserveCtx, stop := timer.WithTimeout(ctx, g.router.Timer, g.latencyShare(reservationTimeoutShare), nil)
-	defer stop()
-	reservation, err := g.router.Upstream.Reserve(reserveCtx, &assigned.Endpoint, tokens, min(g.engine.MaxReservation, maxReservation))
-	refused := (*persimmoncart.EndpointRefusedError)(nil)
-	switch {
-	case err == nil:
-		return reservation, true
-	case errors.As(err, &refused):
-		assigned.DoneFull(refused.Load)
-	case ctx.Err() != nil:
-		assigned.Done()
-	default:
-		g.recordFailure(ctx, assigned, err)
-		assigned.DoneFull(nil)
-	}
-	return "", false
-}
-
 // decode sends the request to the decode engine and returns its stream.
 func (g *generation) decode(ctx context.Context, assigned *assignment) (*Response, error) {
 	call := g.upstreamCall(&assigned.Endpoint)
