forward: a stalled stream keeps its engine until another has reserved capacity

Cause: the watchdog of resumable streams closed the connection to an engine that had sent no whole event for four times the route's gap, and looked for another engine only then. If the route's runs or the retry budget were used up, or no other engine had room or responded, the caller's stream ended, although its engine was sound and went on a moment later. Class: something that works is given up before its replacement is secured.

Ruled out: plain requests wait for their endpoint until the deadline; streams that may not resume have no watchdog; TCP's own limit is two seconds.

Change: a stallWatch of its own. On a stall it takes a retry and reserves slot and memory on another engine, as a new generation does, and closes the response only with the reservation in hand; if the engine has gone on meanwhile, the reservation is released. A stream that has used up its runs is not watched. 'stalled stream stays' gives the reason why a stream stays.

Why it works: the response is closed only when the run, the retry and the capacity of the next engine are granted, so silence alone ends no stream. The old engine's connection is still closed before the request is sent elsewhere.

--- /dev/null
+++ b/internal/forward/stallwatch.go
@@ -0,0 +1,131 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+const (
+	// stallGaps is the multiple of the route's GapTarget for which a stream that may
+	// resume at another engine waits for its next event.
+	stallGaps = 4
+	// stallChecks is the number of checks of a stream within the time of stallGaps.
+	// A timer for each event would cost more than the event.
+	stallChecks = 8
+)
+
+// A stallWatch moves a stream to another engine after its engine has sent no whole
+// event for Limit: the engine may have stalled, or send a byte now and then. As the
+// engine may also go on, its response is closed only when another engine has
+// reserved capacity for the rest. Time in which the caller does not read does not
+// count. Its exported fields are set before Start.
+type stallWatch struct {
+	Body    io.Closer                            // response of the engine
+	Limit   time.Duration                        // time in reads without a whole event
+	Reserve func(ctx context.Context) *successor // returns nil if no engine can take over now
+	Timer   persimmoncart.Timer
+
+	cancel      context.CancelFunc // ends the pending call of Reserve
+	ctx         context.Context    //nolint:containedctx // of Reserve, from Start to Stop
+	mutex       sync.Mutex         // guards the fields below
+	readStart   time.Time          // start of the pending read; zero if none is pending
+	reserving   sync.WaitGroup     // pending call of Reserve
+	reserves    bool               // Reserve is being called
+	stalled     time.Duration      // spent in reads since the last whole event, without the pending read
+	stopped     bool
+	successor   *successor // engine that takes over; nil before
+	unsubscribe func()
+}
+
+// Start begins to watch. ctx is the one of the request.
+func (w *stallWatch) Start(ctx context.Context) {
+	w.ctx, w.cancel = context.WithCancel(ctx)
+	w.unsubscribe = w.Timer.Subscribe(w.Limit/stallChecks, w.check)
+}
+
+// Stop ends the watch and returns the engine that takes over, or nil. After Stop,
+// Reserve is not running.
+func (w *stallWatch) Stop() *successor {
+	w.mutex.Lock()
+	w.stopped = true
+	w.mutex.Unlock()
+	w.unsubscribe()
+	w.cancel()
+	w.reserving.Wait()
+	return w.successor
+}
+
+// BeginRead records the start of a read of the response.
+func (w *stallWatch) BeginRead() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.readStart = w.Timer.Now()
+}
+
+// EndRead records the end of a read, and whether it completed an event.
+func (w *stallWatch) EndRead(whole bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.stalled += w.Timer.Now().Sub(w.readStart)
+	if whole {
+		w.stalled = 0
+	}
+	w.readStart = time.Time{}
+}
+
+// check reserves another engine if the stream has stalled and none has been
+// reserved.
+func (w *stallWatch) check(now time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.stopped || w.reserves || w.successor != nil || !w.hasStalled(now) {
+		return
+	}
+	w.reserves = true
+	w.reserving.Go(w.replace)
+}
+
+// replace reserves another engine and closes the response. If the engine has gone on
+// meanwhile, the reservation is released.
+func (w *stallWatch) replace() {
+	next := w.Reserve(w.ctx)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.reserves = false
+	switch {
+	case next == nil:
+	case w.stopped || !w.hasStalled(w.Timer.Now()):
+		next.Abandon()
+	default:
+		w.successor = next
+		_ = w.Body.Close() // makes the pending read fail
+	}
+}
+
+// hasStalled reports whether reads have taken Limit without a whole event. The
+// caller holds the mutex.
+func (w *stallWatch) hasStalled(now time.Time) bool {
+	return !w.readStart.IsZero() && w.stalled+now.Sub(w.readStart) >= w.Limit
+}
+
+// A successor is the engine that continues a stream.
+type successor struct {
+	assigned    *assignment
+	exchange    *exchange
+	reservation string // identifier of its reservation; empty without one
+}
+
+// Abandon frees the engine if it is not used. It does nothing for nil.
+func (s *successor) Abandon() {
+	if s == nil {
+		return
+	}
+	s.assigned.Done()
+	if s.reservation != "" {
+		s.exchange.releaseReservation(&s.assigned.Endpoint, s.reservation)
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -6,8 +6,8 @@
 	"io"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,12 +20,6 @@
 	// grows to hold an event of up to maxEventSize.
 	eventBufferSize = 4 << 10
 	maxEventSize    = 1 << 20
-	// stallGaps is the multiple of the route's GapTarget for which a stream that may
-	// resume at another engine waits for its next event.
-	stallGaps = 4
-	// stallChecks is the number of checks of a stream within the time of stallGaps.
-	// A timer for each event would cost more than the event.
-	stallChecks = 8
 )
 
 // eventEnd terminates every event.
@@ -39,26 +33,24 @@
 type stream struct {
 	*exchange
 
-	assigned      *assignment
-	body          io.ReadCloser
-	buffer        []byte
-	ctx           context.Context //nolint:containedctx // Body has no context
-	end           int             // bytes at the start of buffer that the last call of read passed on
-	filled        int             // bytes in buffer
-	first         time.Time       // when the first piece was passed on; zero before
-	lastID        uint64          // identifier of the last event passed on
-	pieces        int             // number of pieces passed on
-	readStart     atomic.Int64    // start of the pending read, in nanoseconds after watchdogStart; zero if none is pending
-	skipSeen      bool            // drop events up to lastID, which another engine may send again
-	started       time.Time       // when the request was sent to the current engine
-	stalled       atomic.Int64    // time spent in reads since the last whole event, without the pending read, in nanoseconds
-	stopWatchdog  func()          // stops the watchdog; nil without one
-	watchdogStart time.Time       // origin of readStart, before the first read
+	assigned    *assignment
+	body        io.ReadCloser
+	buffer      []byte
+	ctx         context.Context //nolint:containedctx // Body has no context
+	end         int             // bytes at the start of buffer that the last call of read passed on
+	filled      int             // bytes in buffer
+	first       time.Time       // when the first piece was passed on; zero before
+	lastID      uint64          // identifier of the last event passed on
+	noSuccessor bool            // it was logged that no engine can take over
+	pieces      int             // number of pieces passed on
+	skipSeen    bool            // drop events up to lastID, which another engine may send again
+	started     time.Time       // when the request was sent to the current engine
+	watch       *stallWatch     // of the current engine; nil if the stream may not resume
 }
 
 // Close implements Body.
 func (s *stream) Close() error {
-	s.closeEngine()
+	s.closeEngine().Abandon()
 	if s.pieces > 0 {
 		gap := s.router.Timer.Now().Sub(s.first) / time.Duration(max(1, s.pieces-1))
 		s.router.Metrics.EndStream(s.pieces, gap)
@@ -80,34 +72,37 @@
 		case isEOF(err):
 			s.recordOutput()
 			s.assigned.Succeeded(s.router.Timer.Now().Sub(s.started), 1)
-			s.closeEngine()
+			s.closeEngine().Abandon()
 			return nil, io.EOF
 		case s.ctx.Err() != nil:
-			s.closeEngine()
+			s.closeEngine().Abandon()
 			return nil, s.contextError(s.ctx, true)
 		}
 		s.assigned.Failed()
-		s.log(s.router.Logger.Warn()).Str("endpoint", string(s.endpoint)).Uint64("last", s.lastID).Err(err).Msg("stream broke")
+		next := s.closeEngine()
+		s.log(s.router.Logger.Warn()).Str("endpoint", string(s.endpoint)).Uint64("last", s.lastID).Bool("stalled", next != nil).
+			Err(err).Msg("stream broke")
 		s.tried = append(s.tried, s.endpoint)
-		s.closeEngine()
-		if err := s.resume(err); err != nil {
+		if err := s.resume(err, next); err != nil {
 			return nil, err
 		}
 	}
 }
 
 // closeEngine closes the connection to the engine, if it is open, and ends the
-// assignment.
-func (s *stream) closeEngine() {
+// assignment. It returns the engine that takes over after a stall, or nil.
+func (s *stream) closeEngine() *successor {
 	if s.body == nil {
-		return
+		return nil
 	}
-	if s.stopWatchdog != nil {
-		s.stopWatchdog()
+	var next *successor
+	if s.watch != nil {
+		next = s.watch.Stop()
 	}
 	_ = s.body.Close() // closing the connection is enough to stop the engine
-	s.body, s.stopWatchdog = nil, nil
+	s.body, s.watch = nil, nil
 	s.assigned.Done()
+	return next
 }
 
 // countPiece counts a piece and records the time to the first one in the metrics.
@@ -141,15 +136,16 @@
 	return nil
 }
 
-// open starts to read events from an engine's response. The watchdog runs only for
-// a stream that may resume.
+// open starts to read events from an engine's response, and watches it if the stream
+// may resume at another engine.
 func (s *stream) open(b io.ReadCloser) {
 	s.body, s.end, s.filled = b, 0, 0
 	if s.buffer == nil {
 		s.buffer = make([]byte, eventBufferSize)
 	}
-	if s.route.Repeat == persimmoncart.RepeatResume && s.route.GapTarget > 0 {
-		s.startWatchdog(b)
+	if s.route.Repeat == persimmoncart.RepeatResume && s.route.GapTarget > 0 && s.mayRun() {
+		s.watch = &stallWatch{Body: b, Limit: stallGaps * s.route.GapTarget, Reserve: s.reserveSuccessor, Timer: s.router.Timer}
+		s.watch.Start(s.ctx)
 	}
 }
 
@@ -164,18 +160,14 @@
 		}
 		s.buffer = append(s.buffer, make([]byte, len(s.buffer))...)
 	}
-	if s.stopWatchdog != nil {
-		s.readStart.Store(int64(s.router.Timer.Now().Sub(s.watchdogStart)))
+	if s.watch != nil {
+		s.watch.BeginRead()
 	}
 	n, err := s.body.Read(s.buffer[s.filled:])
-	began := s.readStart.Swap(0)
 	s.filled += n
 	piece := s.wholeEvents()
-	switch {
-	case len(piece) > 0:
-		s.stalled.Store(0)
-	case began != 0:
-		s.stalled.Add(int64(s.router.Timer.Now().Sub(s.watchdogStart)) - began)
+	if s.watch != nil {
+		s.watch.EndRead(len(piece) > 0)
 	}
 	if len(piece) > 0 || err == nil {
 		return piece, nil // the next read returns the error again
@@ -186,10 +178,48 @@
 	return nil, err
 }
 
-// resume continues the stream at another engine. It returns a refusal with the
-// given cause if the route's number of runs, the retry budget or the engines do not
-// allow it.
-func (s *stream) resume(cause error) error {
+// reserveSuccessor reserves another engine for the rest of the stream and takes a
+// retry for it. It returns nil if the retry budget or the engines do not allow that.
+func (s *stream) reserveSuccessor(ctx context.Context) *successor {
+	if !s.retryPaid && !s.router.Directory.TakeRetry(s.pool) {
+		s.logNoSuccessor("retry budget is used up")
+		return nil
+	}
+	s.retryPaid = true
+	request := s.decodeRequest()
+	request.Avoid = append(slices.Clone(s.tried), s.endpoint)
+	request.MinFreeTokens = request.Tokens
+	assigned := s.router.Directory.Assign(s.pool, request)
+	if assigned == nil {
+		s.logNoSuccessor("no engine has room")
+		return nil
+	}
+	if assigned.Endpoint.ID == s.endpoint {
+		assigned.Done()
+		s.logNoSuccessor("no other engine has room")
+		return nil
+	}
+	reservation, ok := s.reserve(ctx, assigned, request.Tokens, 0)
+	if !ok {
+		s.logNoSuccessor("no reservation")
+		return nil
+	}
+	return &successor{assigned: assigned, exchange: s.exchange, reservation: reservation}
+}
+
+// logNoSuccessor logs, once for each stream, that it stays with a stalled engine.
+func (s *stream) logNoSuccessor(reason string) {
+	if s.noSuccessor {
+		return
+	}
+	s.noSuccessor = true
+	s.log(s.router.Logger.Info()).Str("endpoint", string(s.endpoint)).Str("reason", reason).Msg("stalled stream stays")
+}
+
+// resume continues the stream at next or, if that is nil, at another engine. It
+// returns a refusal with the given cause if the route's number of runs, the retry
+// budget or the engines do not allow it.
+func (s *stream) resume(cause error, next *successor) error {
 	if s.route.Repeat != persimmoncart.RepeatResume {
 		return &persimmoncart.Refusal{
 			Code: persimmoncart.RefusalStreamBroken, Err: cause, Message: "the engine broke off",
@@ -197,56 +227,59 @@
 		}
 	}
 	for s.ctx.Err() == nil && s.mayRun() {
-		assigned := s.router.Directory.Assign(s.pool, s.decodeRequest())
-		if assigned == nil {
-			break
+		if next == nil {
+			next = s.assignSuccessor()
 		}
-		if !s.startRun(persimmoncart.RetryResume) {
-			assigned.Done()
+		if next == nil || !s.startRun(persimmoncart.RetryResume) {
 			break
 		}
-		call := s.upstreamCall(&assigned.Endpoint)
-		call.LastEventID = s.lastID
-		s.started = s.router.Timer.Now()
-		response, err := s.router.Upstream.Send(s.ctx, call)
+		err := s.resumeAt(next)
 		if err == nil {
-			if err = s.checkResponse(response); err == nil && response.Status != http.StatusOK {
-				err = &StatusError{Status: response.Status}
-			}
-			if err != nil {
-				_ = response.Body.Close()
-			}
-		}
-		if err != nil {
-			s.recordOutcome(s.recordFailure(s.ctx, assigned, err))
-			assigned.Done()
-			s.tried = append(s.tried, assigned.Endpoint.ID)
-			continue
+			return nil
 		}
-		s.assigned, s.endpoint, s.skipSeen = assigned, assigned.Endpoint.ID, true
-		s.open(response.Body)
-		return nil
+		s.recordOutcome(s.recordFailure(s.ctx, next.assigned, err))
+		next.Abandon()
+		s.tried = append(s.tried, next.assigned.Endpoint.ID)
+		next = nil
 	}
+	next.Abandon()
 	return &persimmoncart.Refusal{
 		Code: persimmoncart.RefusalStreamBroken, Err: cause, Message: "no engine resumed the stream",
 		Outcome: persimmoncart.OutcomeUnknown,
 	}
 }
 
-// startWatchdog closes a body when reads of it have taken stallGaps times the route's
-// GapTarget without a whole event: an engine that has stalled may send a byte now
-// and then. Time in which the caller does not read does not count.
-func (s *stream) startWatchdog(b io.Closer) {
-	limit := stallGaps * s.route.GapTarget
-	s.stalled.Store(0)
-	// Durations since a fixed start do not change when the clock is set.
-	start := s.router.Timer.Now()
-	s.watchdogStart = start.Add(-time.Nanosecond) // keeps readStart from being zero during a read
-	s.stopWatchdog = s.router.Timer.Subscribe(limit/stallChecks, func(now time.Time) {
-		if began := time.Duration(s.readStart.Load()); began != 0 && time.Duration(s.stalled.Load())+now.Sub(start)-began >= limit {
-			_ = b.Close() // makes the pending read fail
-		}
-	})
+// assignSuccessor chooses another engine for the rest of the stream, without a
+// reservation. It returns nil if there is none.
+func (s *stream) assignSuccessor() *successor {
+	assigned := s.router.Directory.Assign(s.pool, s.decodeRequest())
+	if assigned == nil {
+		return nil
+	}
+	return &successor{assigned: assigned, exchange: s.exchange}
+}
+
+// resumeAt sends the request for the rest of the stream to an engine.
+func (s *stream) resumeAt(next *successor) error {
+	call := s.upstreamCall(&next.assigned.Endpoint)
+	call.LastEventID, call.Reservation = s.lastID, next.reservation
+	s.started = s.router.Timer.Now()
+	response, err := s.router.Upstream.Send(s.ctx, call)
+	if err != nil {
+		return errors.Wrap(err, "resume")
+	}
+	next.reservation = "" // the engine has used it
+	err = s.checkResponse(response)
+	if err == nil && response.Status != http.StatusOK {
+		err = &StatusError{Status: response.Status}
+	}
+	if err != nil {
+		_ = response.Body.Close()
+		return err
+	}
+	s.assigned, s.endpoint, s.skipSeen = next.assigned, next.assigned.Endpoint.ID, true
+	s.open(response.Body)
+	return nil
 }
 
 // wholeEvents returns the complete events in the buffer, without those that
