forward: a caller that leaves during a resumption is logged as gone

Cause: the loop over the next engines ended with the request's context, and the error after it did not look at the context.

Change: the error of a context that has ended comes first.

Test: TestStreamCallerLeavesDuringResume failed before (stream_broken).

--- a/internal/forward/stallwatch_test.go
+++ b/internal/forward/stallwatch_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/forward"
 )
 
 // Guards against ending a stream because its engine falls silent for a while: if no
@@ -81,3 +82,23 @@
 	}()
 	return response
 }
+
+// Guards against logging a stream whose caller left during a resumption as one that
+// no engine resumed.
+func TestStreamCallerLeavesDuringResume(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		ctx, leave := context.WithCancel(t.Context())
+		f.Upstream.send = func(ctx context.Context, n int, _ persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
+			if n == 0 {
+				return streamed(events(1, 2), errReset), nil
+			}
+			leave()
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		_, body, err := f.serve(ctx, "/long/")
+		assert.ErrorType(t, err, &forward.CallerGoneError{})
+		assert.Equal(t, body, events(1, 2))
+	})
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -243,6 +243,9 @@
 		next = nil
 	}
 	next.Abandon()
+	if s.ctx.Err() != nil {
+		return s.contextError(s.ctx, true)
+	}
 	return &persimmoncart.Refusal{
 		Code: persimmoncart.RefusalStreamBroken, Err: cause, Message: "no engine resumed the stream",
 		Outcome: persimmoncart.OutcomeUnknown,
