forward: endpoints of a restored store stay until this instance sees them again

What callers saw: TestStoreRestoredEmpty failed once beside load (503, no endpoint).

Cause: an endpoint that the store does not list after its return was kept for 2.2 s, 0.2 s more than the records need to come back. The first record that comes back ends the watch, and the next call follows 0.9 s later, so that the other records were read after their endpoints had been dropped. Which record is first is left to chance.

Change: the time is that of the records' return and the delay with which an instance learns of them.

--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -15,9 +15,11 @@
 
 const (
 	// missingGrace is how long an endpoint that the store no longer lists is kept as
-	// a last resort. Records that expired while the store was unreachable are listed
-	// again within two seconds of its return.
-	missingGrace = 2200 * time.Millisecond
+	// a last resort: until its record is back and this instance has learned of it.
+	missingGrace = recordReturn + removalDelay
+	// recordReturn is the time after the return of the store within which endpoints
+	// whose records expired meanwhile are listed again.
+	recordReturn = 2 * time.Second
 	// removalDelay is how much later than the store an instance learns that a record
 	// was removed: followCoalesce, and the lag of the watch.
 	removalDelay = followCoalesce + 300*time.Millisecond
