forward: a stalled stream moves only if its last send and its retry are certain

Cause: whether a stream may be resumed was asked of the route's runs alone. A request whose sends were used up by refusals reserved its next engine, closed the silent one and was then not sent: the caller's stream ended with its engine sound. And the retry was taken before a reservation was known, and kept by a stream whose engine went on: it was missing to other requests, or was used in a later window on top of that one's.

Change: mayResume asks for all that startRun asks for; the retry is taken together with the close of the response; two attempts to reserve are half of the stall's time apart, as the engines that are asked may be silent as well.

Test: case 'sends used up' of TestStreamSilentWithoutReplacement (stream_broken before) and TestStreamSilentKeepsBudget (one of two retries left before).

--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -253,6 +253,13 @@
 	d.pool(name).retries.RecordRequest(d.Timer.Now())
 }
 
+// MayRetry reports whether the retry budget of a pool allows one more retry.
+func (d *Directory) MayRetry(name persimmoncart.PoolName) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.pool(name).retries.MayRetry(d.Timer.Now())
+}
+
 // TakeRetry takes one retry from the budget of a pool. It reports false if the
 // budget is used up.
 func (d *Directory) TakeRetry(name persimmoncart.PoolName) bool {
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -205,6 +205,21 @@
 	}}
 }
 
+// addDecodeEngines adds decode engines, and requests whose share of the retry budget
+// allows a retry for each.
+func (f *fixture) addDecodeEngines(count int) {
+	for n := range count {
+		f.Directory.Put(persimmoncart.Endpoint{
+			Addr:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, byte(n)}), 80),
+			DataCentre: "d1", ID: persimmoncart.EndpointID(fmt.Sprintf("e%d", n)), Incarnation: 1, Pool: llm, Region: "r1",
+			Role: persimmoncart.RoleDecode, Slots: 12,
+		})
+	}
+	for range 20 * count {
+		f.Directory.RecordRequest(llm)
+	}
+}
+
 // table returns a version of the routes of the tests.
 func table(version uint64) *persimmoncart.ForwardTable {
 	route := func(prefix string, repeat persimmoncart.Repeat, pool persimmoncart.PoolName) *persimmoncart.ForwardRoute {
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -200,6 +200,12 @@
 // mayRun reports whether the route allows the request to run once more.
 func (x *exchange) mayRun() bool { return x.runs < x.maxRuns() }
 
+// mayResume reports whether the route and the number of sends allow that the stream
+// resumes at another engine.
+func (x *exchange) mayResume() bool {
+	return x.route.Repeat == persimmoncart.RepeatResume && x.mayRun() && x.sends < maxSends
+}
+
 // startRun counts a send that may run the request, whether it is the first, a
 // retry, a hedge or a resumption. It reports false if the route or the retry budget
 // does not allow it.
--- a/internal/forward/stallwatch.go
+++ b/internal/forward/stallwatch.go
@@ -16,6 +16,9 @@
 	// stallChecks is the number of checks of a stream within the time of stallGaps.
 	// A timer for each event would cost more than the event.
 	stallChecks = 8
+	// reservePauseShare is the share of the time of stallGaps between two attempts to
+	// reserve another engine: those that are asked may be silent or full as well.
+	reservePauseShare = 0.5
 )
 
 // A stallWatch moves a stream to another engine after its engine has sent no whole
@@ -32,6 +35,7 @@
 	cancel      context.CancelFunc // ends the pending call of Reserve
 	ctx         context.Context    //nolint:containedctx // of Reserve, from Start to Stop
 	mutex       sync.Mutex         // guards the fields below
+	pauseUntil  time.Time          // Reserve is not called again before
 	readStart   time.Time          // start of the pending read; zero if none is pending
 	reserving   sync.WaitGroup     // pending call of Reserve
 	reserves    bool               // Reserve is being called
@@ -82,23 +86,26 @@
 func (w *stallWatch) check(now time.Time) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.stopped || w.reserves || w.successor != nil || !w.hasStalled(now) {
+	if w.stopped || w.reserves || w.successor != nil || now.Before(w.pauseUntil) || !w.hasStalled(now) {
 		return
 	}
 	w.reserves = true
 	w.reserving.Go(w.replace)
 }
 
-// replace reserves another engine and closes the response. If the engine has gone on
-// meanwhile, the reservation is released.
+// replace reserves another engine, takes a retry for it and closes the response. If
+// the engine has gone on meanwhile or the retry budget is used up, the reservation is
+// released.
 func (w *stallWatch) replace() {
 	next := w.Reserve(w.ctx)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.reserves = false
+	now := w.Timer.Now()
+	w.pauseUntil = now.Add(time.Duration(reservePauseShare * float64(w.Limit)))
 	switch {
 	case next == nil:
-	case w.stopped || !w.hasStalled(w.Timer.Now()):
+	case w.stopped || !w.hasStalled(now) || !next.TakeRetry():
 		next.Abandon()
 	default:
 		w.successor = next
@@ -119,6 +126,14 @@
 	reservation string // identifier of its reservation; empty without one
 }
 
+// TakeRetry takes the retry for the resumption, unless it has been taken already, and
+// reports whether the budget allows it.
+func (s *successor) TakeRetry() bool {
+	x := s.exchange
+	x.retryPaid = x.retryPaid || x.router.Directory.TakeRetry(x.pool)
+	return x.retryPaid
+}
+
 // Abandon frees the engine if it is not used. It does nothing for nil.
 func (s *successor) Abandon() {
 	if s == nil {
--- a/internal/forward/stallwatch_test.go
+++ b/internal/forward/stallwatch_test.go
@@ -18,12 +18,14 @@
 func TestStreamSilentWithoutReplacement(t *testing.T) {
 	const silence = 2500 * time.Millisecond
 	for _, c := range []struct {
-		name    string
-		breaks  int               // engines that break off before the one that falls silent
-		prepare func(*fixture)    // called before the request
-		reserve func(n int) error // of reservations; nil accepts all
+		name     string
+		breaks   int               // engines that break off before the one that falls silent
+		prepare  func(*fixture)    // called before the request
+		refusals int               // engines that refuse the request before the one that falls silent
+		reserve  func(n int) error // of reservations; nil accepts all
 	}{
 		{name: "runs used up", breaks: 1},
+		{name: "sends used up", refusals: 3},
 		{name: "retry budget used up", prepare: func(f *fixture) {
 			for f.Directory.TakeRetry(llm) {
 			}
@@ -50,11 +52,17 @@
 				f.Upstream.reserve = c.reserve
 				f.Upstream.send = func(_ context.Context, n int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
 					next := int(call.LastEventID) + 1
-					if n < c.breaks {
+					switch {
+					case n < c.refusals:
+						return nil, refused()
+					case n < c.breaks:
 						return streamed(events(next, next+1), errReset), nil
 					}
 					return silentStream(next, silence), nil
 				}
+				if c.refusals > 0 {
+					f.addDecodeEngines(c.refusals)
+				}
 				if c.prepare != nil {
 					c.prepare(f)
 				}
@@ -62,12 +70,37 @@
 				time.Sleep(silence) // the engine ends
 				assert.NilError(t, err)
 				assert.Equal(t, body, events(1, 4+2*c.breaks))
-				assert.Equal(t, f.Upstream.count("send"), 1+c.breaks)
+				assert.Equal(t, f.Upstream.count("send"), 1+c.breaks+c.refusals)
 			})
 		})
 	}
 }
 
+// Guards against taking a retry for a stalled stream that then stays with its engine:
+// the budget is missing elsewhere, or is used in a later window on top of that one's.
+func TestStreamSilentKeepsBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.Upstream.reserve = func(n int) error {
+			if n > 0 {
+				return refused()
+			}
+			return nil
+		}
+		f.Upstream.send = func(_ context.Context, _ int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
+			return silentStream(int(call.LastEventID)+1, 2500*time.Millisecond), nil
+		}
+		_, _, err := f.serve(t.Context(), "/long/")
+		assert.NilError(t, err)
+		left := 0
+		for f.Directory.TakeRetry(llm) {
+			left++
+		}
+		assert.Equal(t, left, 2)
+		assert.Assert(t, f.Upstream.count("hold") <= 8, "%d reservations", f.Upstream.count("hold"))
+	})
+}
+
 // silentStream returns a stream of four events from the one with identifier first,
 // whose engine is silent for a time after the second.
 func silentStream(first int, silence time.Duration) *persimmoncart.UpstreamResponse {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -143,7 +143,7 @@
 	if s.buffer == nil {
 		s.buffer = make([]byte, eventBufferSize)
 	}
-	if s.route.Repeat == persimmoncart.RepeatResume && s.route.GapTarget > 0 && s.mayRun() {
+	if s.mayResume() && s.route.GapTarget > 0 {
 		s.watch = &stallWatch{Body: b, Limit: stallGaps * s.route.GapTarget, Reserve: s.reserveSuccessor, Timer: s.router.Timer}
 		s.watch.Start(s.ctx)
 	}
@@ -178,14 +178,13 @@
 	return nil, err
 }
 
-// reserveSuccessor reserves another engine for the rest of the stream and takes a
-// retry for it. It returns nil if the retry budget or the engines do not allow that.
+// reserveSuccessor reserves another engine for the rest of the stream. It returns nil
+// if the retry budget or the engines do not allow that.
 func (s *stream) reserveSuccessor(ctx context.Context) *successor {
-	if !s.retryPaid && !s.router.Directory.TakeRetry(s.pool) {
+	if !s.retryPaid && !s.router.Directory.MayRetry(s.pool) {
 		s.logNoSuccessor("retry budget is used up")
 		return nil
 	}
-	s.retryPaid = true
 	request := s.decodeRequest()
 	request.Avoid = append(slices.Clone(s.tried), s.endpoint)
 	request.MinFreeTokens = request.Tokens
--- a/internal/policy/retrywindow.go
+++ b/internal/policy/retrywindow.go
@@ -34,15 +34,20 @@
 // RecordRequest counts a request.
 func (w *RetryWindow) RecordRequest(now time.Time) { w.bucket(now).requests++ }
 
-// TakeRetry takes one retry and reports whether the budget allows it. The budget
-// follows the largest number of requests in the current window, the one that ended
-// half a window ago and the one before.
-func (w *RetryWindow) TakeRetry(now time.Time) bool {
+// MayRetry reports whether the budget allows one more retry. The budget follows the
+// largest number of requests in the current window, the one that ended half a window
+// ago and the one before.
+func (w *RetryWindow) MayRetry(now time.Time) bool {
 	current, retries := w.count(now, 0)
 	halfBefore, _ := w.count(now, retryBuckets/2)
 	before, _ := w.count(now, retryBuckets)
 	allowed := retryBudgetShare*w.Ratio*float64(max(current, halfBefore, before)) + float64(w.Slack)
-	if float64(retries+1) > allowed {
+	return float64(retries+1) <= allowed
+}
+
+// TakeRetry takes one retry and reports whether the budget allows it.
+func (w *RetryWindow) TakeRetry(now time.Time) bool {
+	if !w.MayRetry(now) {
 		return false
 	}
 	w.bucket(now).retries++
