policy: retries of a window are counted over its whole span

Cause: RetryWindow counted nine whole buckets and the current one, so that retries left the window after 0.9 to 1.0 of its span. When requests fail for that long, the budget was granted again within the span.

Change: retries are counted over the current bucket and the ten before it; requests as before.

Why it works: a retry leaves the count only with a bucket that ended at least a span ago. The budget is a little smaller for it, by up to a tenth of the span's retries.

TestRetryWindowKeepsSharedBudget, which allows a bucket more, is unchanged.

--- a/internal/policy/retrywindow.go
+++ b/internal/policy/retrywindow.go
@@ -38,11 +38,12 @@
 // largest number of requests in the current window, the one that ended half a window
 // ago and the one before.
 func (w *RetryWindow) MayRetry(now time.Time) bool {
-	current, retries := w.count(now, 0)
-	halfBefore, _ := w.count(now, retryBuckets/2)
-	before, _ := w.count(now, retryBuckets)
+	last := w.bucketNumber(now)
+	current := w.requests(last)
+	halfBefore := w.requests(last - retryBuckets/2)
+	before := w.requests(last - retryBuckets)
 	allowed := retryBudgetShare*w.Ratio*float64(max(current, halfBefore, before)) + float64(w.Slack)
-	return float64(retries+1) <= allowed
+	return float64(w.retries(last)+1) <= allowed
 }
 
 // TakeRetry takes one retry and reports whether the budget allows it.
@@ -72,14 +73,25 @@
 	return 1 + int64(now.Sub(w.start)/(w.Span/retryBuckets))
 }
 
-// count returns the counts of the window that ended ago buckets before now.
-func (w *RetryWindow) count(now time.Time, ago int64) (requests, retries int) {
-	last := w.bucketNumber(now) - ago
+// requests returns the number of requests in the window whose last bucket is given.
+func (w *RetryWindow) requests(last int64) int {
+	n := 0
 	for _, b := range w.buckets {
 		if b.number > 0 && b.number > last-retryBuckets && b.number <= last {
-			requests += b.requests
-			retries += b.retries
+			n += b.requests
 		}
 	}
-	return requests, retries
+	return n
+}
+
+// retries returns the number of retries in the last Span. It includes the whole
+// bucket in which the span begins: the current one has just begun.
+func (w *RetryWindow) retries(last int64) int {
+	n := 0
+	for _, b := range w.buckets {
+		if b.number > 0 && b.number >= last-retryBuckets && b.number <= last {
+			n += b.retries
+		}
+	}
+	return n
 }
--- a/internal/policy/retrywindow_test.go
+++ b/internal/policy/retrywindow_test.go
@@ -73,3 +73,34 @@
 	assert.Assert(t, !w.TakeRetry(now.Add(5*time.Second)))
 	assert.Assert(t, w.TakeRetry(now.Add(11*time.Second)))
 }
+
+// Guards against granting the budget of a window twice within its span: under a
+// constant load whose requests all fail, retries were granted anew a bucket too early.
+func TestRetryWindowSlides(t *testing.T) {
+	const (
+		span   = 10 * time.Second
+		period = 10 * time.Millisecond // between two requests
+	)
+	w := &policy.RetryWindow{Ratio: 0.2, Slack: 2, Span: span}
+	start := time.Unix(1000, 0)
+	var taken []time.Time
+	for at := time.Duration(0); at < time.Minute; at += period {
+		now := start.Add(at)
+		w.RecordRequest(now)
+		for at >= 21900*time.Millisecond && w.TakeRetry(now) {
+			taken = append(taken, now)
+		}
+	}
+	most := 0
+	for n, first := range taken {
+		inSpan := 0
+		for _, at := range taken[n:] {
+			if at.Sub(first) < span {
+				inSpan++
+			}
+		}
+		most = max(most, inSpan)
+	}
+	allowed := int(0.2*float64(span/period)) + 2
+	assert.Assert(t, most <= allowed, "%d retries within %s, %d allowed", most, span, allowed)
+}
