http1: a response without a length is complete only if its request was written

Cause: while a request body of more than 8 KiB is still being written, its write may take the error of a reset. The read of the response then sees a clean end, which such a response takes for its own.

Change: at the end of a response that lasts until the connection ends, the end of the request's write is awaited; if it failed, the read fails with io.ErrUnexpectedEOF. A sound endpoint that responds early, without a length, and closes before it has read the request counts as failed for it, which is the safe side.

Test: TestResetDuringRequestBody failed before.

--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -222,3 +222,60 @@
 		synctest.Wait()
 	})
 }
+
+// A resetConn is a connection whose peer reads the header of a request, responds and
+// resets the connection: the write of the body fails, after which reads return io.EOF.
+type resetConn struct {
+	net.Conn
+
+	failed   chan struct{} // closed when the write of the body has failed
+	response io.Reader
+	wrote    bool // the header was written
+}
+
+func (*resetConn) Close() error                { return nil }
+func (*resetConn) SetDeadline(time.Time) error { return nil }
+
+func (c *resetConn) Read(p []byte) (int, error) {
+	n, err := c.response.Read(p)
+	if err != nil {
+		<-c.failed
+	}
+	return n, err
+}
+
+func (c *resetConn) Write(p []byte) (int, error) {
+	if c.wrote {
+		defer close(c.failed)
+		return 0, errors.New("connection reset")
+	}
+	c.wrote = true
+	return len(p), nil
+}
+
+// Guards against a response that looks complete although the endpoint reset the
+// connection: it has no length, and the concurrent write of a long request body takes
+// the error of the reset.
+func TestResetDuringRequestBody(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		header string
+		ok     bool
+	}{
+		{name: "until the connection ends"},
+		{name: "with a length", header: "Content-Length: 2\r\n", ok: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			client := &http1.Client{Timer: &timer.System{}, Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
+				return &resetConn{failed: make(chan struct{}), response: strings.NewReader("HTTP/1.1 200 OK\r\n" + c.header + "\r\nab")}, nil
+			}}
+			response, err := client.Do(t.Context(), addr, &http1.Request{
+				Body: make([]byte, 1<<20), Header: http.Header{}, Host: "h", Method: http.MethodPost, Target: "/",
+			})
+			assert.NilError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			_, err = io.ReadAll(response.Body)
+			assert.Equal(t, err == nil, c.ok, "%v", err)
+		})
+	}
+}
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -101,7 +101,10 @@
 		return nil, err
 	}
 	idle, reuse := idleTimeout(response)
-	b := &body{conn: k, ctx: ctx, idle: idle, reader: response.Body, reuse: reuse && !k.mismatched, stop: stop, written: written}
+	b := &body{
+		conn: k, ctx: ctx, idle: idle, reader: response.Body, reuse: reuse && !k.mismatched, stop: stop,
+		untilClose: response.ContentLength < 0 && len(response.TransferEncoding) == 0, written: written,
+	}
 	if response.ContentLength == 0 || r.Method == http.MethodHead {
 		b.finish()
 	}
@@ -111,7 +114,7 @@
 // send writes the request, a body of more than maxInlineBody concurrently. The
 // channel receives whether the complete body has been written. The error is a
 // *NotSentError if no byte was written.
-func (k *conn) send(r *Request) (<-chan bool, error) {
+func (k *conn) send(r *Request) (chan bool, error) {
 	head := encodeHead(r)
 	written := make(chan bool, 1)
 	if len(r.Body) <= maxInlineBody {
@@ -211,16 +214,17 @@
 // A body reads the body of a response and returns the connection to the client at
 // its end.
 type body struct {
-	closed  bool // Close was called before the end
-	conn    *conn
-	ctx     context.Context //nolint:containedctx // io.Reader has no context
-	done    bool            // the end was reached or Close was called
-	idle    time.Duration   // how long the connection may be idle afterwards
-	mutex   sync.Mutex      // Close may be called during Read
-	reader  io.ReadCloser
-	reuse   bool        // the connection may carry another request
-	stop    func() bool // detaches the connection from ctx; false if ctx has ended
-	written <-chan bool // receives whether the complete request body was written
+	closed     bool // Close was called before the end
+	conn       *conn
+	ctx        context.Context //nolint:containedctx // io.Reader has no context
+	done       bool            // the end was reached or Close was called
+	idle       time.Duration   // how long the connection may be idle afterwards
+	mutex      sync.Mutex      // Close may be called during Read
+	reader     io.ReadCloser
+	reuse      bool        // the connection may carry another request
+	stop       func() bool // detaches the connection from ctx; false if ctx has ended
+	untilClose bool        // the body has no length and ends with the connection
+	written    chan bool   // receives whether the complete request body was written
 }
 
 // Read implements io.Reader.
@@ -238,6 +242,10 @@
 	switch {
 	case err == nil:
 		return n, nil
+	case errors.Is(err, io.EOF) && b.untilClose && !b.requestWritten():
+		// The write has taken the error of a reset, and the read shows a clean end.
+		_ = b.Close()
+		return n, errors.Wrap(io.ErrUnexpectedEOF, "read body: request was not written")
 	case errors.Is(err, io.EOF):
 		b.finish()
 		return n, io.EOF
@@ -260,6 +268,14 @@
 	return nil
 }
 
+// requestWritten waits for the end of the request's write and reports whether the
+// complete body was written.
+func (b *body) requestWritten() bool {
+	complete := <-b.written
+	b.written <- complete // for finish
+	return complete
+}
+
 // finish returns the connection to the client if it is clean after the response,
 // and closes it otherwise.
 func (b *body) finish() {
