forward: prefills after the first count as attempts of the route

Cause, found by the review: the protocol counts each prefill after the first accepted one as an attempt. They were counted against the retry budget, but not against the route's attempts: when an engine fell silent for half of the latency target, or cached KV had expired, a route with one attempt had two prefills and a run.

Change: exchange counts the prefills that an engine may have accepted. After the first, a prefill and the run behind it must both be allowed; otherwise the decode engine reads the prompt itself. A prefill that provably did not begin does not count, as before.

Test: TestGeneratePrefillsLimited failed before on the route with one attempt, after silence and after an expired cache. The case 'decode refused twice, then taken elsewhere' of TestGenerateReleases asked for a second prefill on a route with one attempt; it keeps its figures on a route with two, and a new case states what the other route does.

--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -210,8 +210,8 @@
 }
 
 // prefill has the prompt prefilled near the decode engine. It returns nil without
-// KV cache if no prefill engine responds or is expected to be in time: then the
-// decode engine reads the prompt itself.
+// KV cache if no prefill engine responds or is expected to be in time, or the route
+// allows no further prefill: then the decode engine reads the prompt itself.
 func (g *generation) prefill(ctx context.Context, decode *persimmoncart.Endpoint) error {
 	if g.cache != nil {
 		if g.router.Timer.Now().Sub(g.cache.exported) < time.Duration(cacheReuseShare*float64(g.engine.CacheTTL)) {
@@ -235,7 +235,7 @@
 			avoid = append(avoid, assigned.Endpoint.ID)
 			continue
 		}
-		if !g.countSend(persimmoncart.RetryEndpointDied) {
+		if !g.mayPrefill() || !g.countSend(persimmoncart.RetryEndpointDied) {
 			assigned.Done()
 			return nil
 		}
@@ -259,11 +259,16 @@
 	defer stop()
 	cache, err := g.router.Upstream.Prefill(prefillCtx, g.upstreamCall(&assigned.Endpoint))
 	if err != nil {
+		outcome := sendFailed
 		if ctx.Err() == nil {
-			g.recordFailure(ctx, assigned, err)
+			outcome = g.recordFailure(ctx, assigned, err)
+		}
+		if outcome != sendNotRun {
+			g.prefills++
 		}
 		return errors.Wrap(err, "prefill")
 	}
+	g.prefills++
 	now := g.router.Timer.Now()
 	assigned.ReportLoad(cache.Load)
 	assigned.Succeeded(now.Sub(started), float64(g.request.Generation.PromptTokens)/1000)
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -102,6 +102,7 @@
 	observe      func(persimmoncart.RouteName, persimmoncart.Outcome) // records the end of the request in the metrics
 	pool         persimmoncart.PoolName
 	prefilled    bool // an engine has accepted a prefill
+	prefills     int  // prefills that an engine may have accepted
 	request      *persimmoncart.ForwardRequest
 	retryPaid    bool // the next retry has already been taken from the budget
 	route        *persimmoncart.ForwardRoute
@@ -197,8 +198,16 @@
 	return x.route.MaxAttempts
 }
 
+// attempts returns the number of the route's attempts that are used up: runs, and
+// prefills after the first.
+func (x *exchange) attempts() int { return x.runs + max(0, x.prefills-1) }
+
 // mayRun reports whether the route allows the request to run once more.
-func (x *exchange) mayRun() bool { return x.runs < x.maxRuns() }
+func (x *exchange) mayRun() bool { return x.attempts() < x.maxRuns() }
+
+// mayPrefill reports whether the route allows the prompt to be prefilled once more
+// and the request to run after that.
+func (x *exchange) mayPrefill() bool { return x.prefills == 0 || x.attempts()+1 < x.maxRuns() }
 
 // mayResume reports whether the route and the number of sends allow that the stream
 // resumes at another engine.
