--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -193,7 +193,7 @@
 // putEndpoint writes a replica's endpoint record to the store.
 func (s *Soak) putEndpoint(r *replica) {
 	s.store.PutEndpoint(&standin.EndpointRecord{
-		Addr: r.addr, DataCentre: r.zone, Draining: !r.drainingSince.IsZero(), ID: r.ID, Pool: r.service, Role: r.CurrentRole(), Slots: replicaSlots,
+		Addr: r.addr, Born: r.Born, DataCentre: r.zone, Draining: !r.drainingSince.IsZero(), ID: r.ID, Pool: r.service, Role: r.CurrentRole(), Slots: replicaSlots,
 	})
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -178,7 +178,7 @@
 			r.service = serviceLLM
 		}
 		r.Endpoint = &standin.Endpoint{
-			EndpointAt: s.endpointAt, EventInterval: 30 * time.Millisecond, Events: streamEvents, Fault: r.fault.next, ID: fmt.Sprintf("i-%d", n),
+			Born: time.Now(), EndpointAt: s.endpointAt, EventInterval: 30 * time.Millisecond, Events: streamEvents, Fault: r.fault.next, ID: fmt.Sprintf("i-%d", n),
 			Role: role, RoleChanged: func() { s.putEndpoint(r) }, Slots: replicaSlots, Timer: clock, WorkTime: 15 * time.Millisecond,
 		}
 		r.fault.random = rand.New(rand.NewPCG(s.Seed, uint64(10+n)))
