soak: silent and unframed responses, and requests that crash their engines

The faults of replicas drawn at random include FaultSilent, FaultUnframed and FaultUnframedCut. All streams share a part of their prompts; in the middle half of the faults, one stream in ten also has a part that crashes its engine. The engine's connections are reset and its listener closes; two seconds later another process with another identifier, address and start time takes its place. Requests with that part need no response, but a refusal of any of them, also on the route that resumes, must be true. The replicas move to replica.go.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/persimmoncart/persimmoncart/platform/standin"
@@ -26,6 +27,11 @@
 	meanRequestInterval = 60 * time.Millisecond
 	// disconnectShare is the share of requests whose caller disconnects early.
 	disconnectShare = 0.05
+	// crashShare is the share of streams whose prompt has crashPart, while crashing is
+	// set.
+	crashShare = 0.1
+	// sharedPart is a part of the prompts of all streams.
+	sharedPart = "a100"
 	// streamEvents is the number of events in each stream.
 	streamEvents = 12
 )
@@ -38,6 +44,7 @@
 // to it, also while the instance stops.
 type caller struct {
 	client   *http.Client
+	crashing *atomic.Bool
 	instance int
 	name     string
 	process  *process
@@ -73,17 +80,22 @@
 	request := &standin.Request{
 		Addr: c.process.Callers, Body: body, Generation: stream, ID: id, Path: fmt.Sprintf("/%s/%d", kind, c.instance), Timeout: timeout,
 	}
-	httpRequest, err := request.HTTP(ctx)
-	if err != nil {
-		panic(err) // the address is valid
-	}
 	if stream {
+		request.Parts = sharedPart + ":900,"
+		if o.crashing = c.crashing.Load() && c.random.Float64() < crashShare; o.crashing {
+			request.Parts += crashPart + ":700,"
+		}
+		request.Parts += fmt.Sprintf("%x:200", c.random.Uint32())
 		var events strings.Builder
 		for n := range streamEvents {
 			events.WriteString(standin.Event(n + 1))
 		}
 		o.wantBody = events.String()
 	}
+	httpRequest, err := request.HTTP(ctx)
+	if err != nil {
+		panic(err) // the address is valid
+	}
 	response, err := c.client.Do(httpRequest)
 	if err == nil {
 		o.status = response.StatusCode
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -58,7 +58,9 @@
 // time of at most maxFaultDuration.
 func (s *Soak) injectFaults() {
 	var active []injection
+	crashStart, crashEnd := time.Now().Add(s.FaultDuration/4), time.Now().Add(s.FaultDuration*3/4)
 	for end := time.Now().Add(s.FaultDuration); time.Now().Before(end); {
+		s.crashing.Store(time.Now().After(crashStart) && time.Now().Before(crashEnd))
 		time.Sleep(time.Duration(s.random.ExpFloat64() * float64(meanFaultInterval)))
 		remaining := active[:0]
 		for _, i := range active {
@@ -74,6 +76,7 @@
 		s.logf("%s until %7.3fs", i.name, i.endTime.Sub(s.recorder.started).Seconds())
 		active = append(active, i)
 	}
+	s.crashing.Store(false)
 	for _, i := range active {
 		i.revert()
 	}
@@ -83,6 +86,7 @@
 func (s *Soak) inject() injection {
 	n := s.random.IntN(len(s.processes))
 	p, r := s.processes[n], s.replicas[s.random.IntN(len(s.replicas))]
+	running := r.running()
 	noRevert := func() {}
 	switch s.random.IntN(12) {
 	case 0:
@@ -109,8 +113,8 @@
 		return injection{name: fmt.Sprintf("connections of %s to the store: proxy mode %d", p.Name, mode), revert: func() { s.storeProxies[n].SetMode(ProxyForward) }}
 	case 6, 7:
 		mode := []ProxyMode{ProxyDropRequests, ProxyDelay, ProxyReset, ProxyDropAll}[s.random.IntN(4)]
-		r.proxy.SetMode(mode)
-		return injection{name: fmt.Sprintf("connections to %s: proxy mode %d", r.ID, mode), revert: func() { r.proxy.SetMode(ProxyForward) }}
+		running.proxy.SetMode(mode)
+		return injection{name: fmt.Sprintf("connections to %s: proxy mode %d", running.ID, mode), revert: func() { running.proxy.SetMode(ProxyForward) }}
 	case 8:
 		mode := []standin.StoreMode{standin.StoreUnavailable, standin.StoreResets, standin.StoreHangs}[s.random.IntN(3)]
 		s.store.SetMode(mode)
@@ -123,9 +127,9 @@
 		s.writeConfiguration()
 		return injection{name: fmt.Sprintf("configuration version %d is written", s.configVersion), revert: noRevert}
 	default:
-		fault := standin.Fault(1 + s.random.IntN(int(standin.FaultUnauthenticated)))
+		fault := standin.Fault(1 + s.random.IntN(int(standin.FaultUnframedCut)))
 		r.fault.set(fault)
-		return injection{name: fmt.Sprintf("%s: fault %d", r.ID, fault), revert: func() { r.fault.set(standin.FaultNone) }}
+		return injection{name: fmt.Sprintf("%s: fault %d", running.ID, fault), revert: func() { r.fault.set(standin.FaultNone) }}
 	}
 }
 
@@ -139,7 +143,7 @@
 		p.SetMode(ProxyForward)
 	}
 	for _, r := range s.replicas {
-		r.proxy.SetMode(ProxyForward)
+		r.running().proxy.SetMode(ProxyForward)
 		r.fault.set(standin.FaultNone)
 	}
 	if s.Violate == Resumed {
@@ -190,13 +194,6 @@
 	s.store.PutConfiguration(s.configVersion, routes, map[string]standin.EngineCapacity{serviceLLM: {KVTokens: 60000, Slots: replicaSlots}})
 }
 
-// putEndpoint writes a replica's endpoint record to the store.
-func (s *Soak) putEndpoint(r *replica) {
-	s.store.PutEndpoint(&standin.EndpointRecord{
-		Addr: r.addr, Born: r.Born, DataCentre: r.zone, Draining: !r.drainingSince.IsZero(), ID: r.ID, Pool: r.service, Role: r.CurrentRole(), Slots: replicaSlots,
-	})
-}
-
 // checkConfig checks that a change of the configuration is in force within
 // configApplyTime, and that the version before it no longer is.
 func (s *Soak) checkConfig() {
@@ -233,12 +230,12 @@
 		r.drainingSince = time.Now()
 	}
 	s.putEndpoint(r)
-	s.logf("%s is draining", r.ID)
+	s.logf("%s is draining", r.running().ID)
 	time.Sleep(drainTime)
-	before := len(r.Executions())
+	before := len(r.running().Executions())
 	time.Sleep(drainTime)
-	if after := len(r.Executions()); after > before {
-		s.recorder.addViolation(Leaving, "%s ran %d requests after %s of draining", r.ID, after-before, drainTime)
+	if after := len(r.running().Executions()); after > before {
+		s.recorder.addViolation(Leaving, "%s ran %d requests after %s of draining", r.running().ID, after-before, drainTime)
 	}
 	r.drainingSince = time.Time{}
 	s.putEndpoint(r)
@@ -248,7 +245,7 @@
 // plantViolation causes the violation that Violate selects, after the callers have
 // ended. Violations that need callers are caused elsewhere.
 func (s *Soak) plantViolation() {
-	r := s.replicas[0]
+	r := s.replicas[0].running()
 	repeat := func(status int, answered bool) {
 		for n := range s.recorder.outcomes {
 			o := &s.recorder.outcomes[n]
--- /dev/null
+++ b/internal/soak/replica.go
@@ -0,0 +1,164 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+	"github.com/persimmoncart/persimmoncart/platform/standin"
+)
+
+const (
+	// replicaSlots is the number of requests that a replica runs at the same time.
+	replicaSlots = 16
+	// crashPart is the part of a prompt under which the engines crash.
+	crashPart = "bad0"
+	// crashDownTime is the time for which a replica that crashed is down.
+	crashDownTime = 2 * time.Second
+)
+
+// A replica is a stand-in of a replica. After a crash, another process takes the
+// place of the one that crashed.
+type replica struct {
+	drainingSince time.Time // zero while it is not draining
+	fault         faultSource
+	number        int
+	service       string // name of its pool
+	zone          string
+
+	mutex     sync.Mutex
+	processes []*replicaProcess // the last one is running
+}
+
+// A replicaProcess is one process of a replica, behind a proxy.
+type replicaProcess struct {
+	*standin.Endpoint
+
+	addr  netip.AddrPort // of the proxy
+	proxy *Proxy
+}
+
+// add makes a process the running one.
+func (r *replica) add(p *replicaProcess) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.processes = append(r.processes, p)
+}
+
+// all returns the processes, the running one last.
+func (r *replica) all() []*replicaProcess {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.processes
+}
+
+// running returns the running process, or the one that crashed while it is down.
+func (r *replica) running() *replicaProcess {
+	all := r.all()
+	return all[len(all)-1]
+}
+
+// Crashes returns the number of replicas' processes that crashed and were replaced.
+func (s *Soak) Crashes() int {
+	n := 0
+	for _, r := range s.replicas {
+		n += len(r.all()) - 1
+	}
+	return n
+}
+
+// startReplica starts a process of a replica and writes its record. The process has
+// another identifier, address and start time than those before it.
+func (s *Soak) startReplica(ctx context.Context, r *replica, role string) error {
+	p := &replicaProcess{}
+	p.Endpoint = &standin.Endpoint{
+		Born: time.Now(), CrashPart: crashPart, Crashed: func() { s.crashed(ctx, r, p) }, EndpointAt: s.endpointAt,
+		EventInterval: 30 * time.Millisecond, Events: streamEvents, Fault: r.fault.next, ID: fmt.Sprintf("i-%d", r.number),
+		Role: role, RoleChanged: func() { s.putEndpoint(r) }, Slots: replicaSlots, Timer: &timer.System{}, WorkTime: 15 * time.Millisecond,
+	}
+	if n := len(r.all()); n > 0 {
+		p.ID = fmt.Sprintf("i-%d-%d", r.number, n)
+	}
+	addr, err := serve(ctx, p.Endpoint)
+	if err != nil {
+		return err
+	}
+	p.proxy = &Proxy{Server: addr}
+	if p.addr, err = p.proxy.Listen(ctx); err != nil {
+		return err
+	}
+	r.add(p)
+	s.putEndpoint(r)
+	return nil
+}
+
+// startReplicas starts the replicas: three application endpoints, two engines for
+// prefill and three for decode.
+func (s *Soak) startReplicas(ctx context.Context) error {
+	for n, role := range []string{"", "", "", "prefill", "prefill", "decode", "decode", "decode"} {
+		r := &replica{number: n, service: serviceBooks, zone: zone(n)}
+		if role != "" {
+			r.service = serviceLLM
+		}
+		r.fault.random = rand.New(rand.NewPCG(s.Seed, uint64(10+n)))
+		s.replicas = append(s.replicas, r)
+		if err := s.startReplica(ctx, r, role); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// crashed closes the connections of a process that crashed, so that others are
+// refused, and starts another one after crashDownTime.
+func (s *Soak) crashed(ctx context.Context, r *replica, p *replicaProcess) {
+	p.proxy.Close()
+	s.logf("%s crashes", p.ID)
+	s.restarts.Go(func() {
+		if (&timer.System{}).Sleep(ctx, crashDownTime) != nil {
+			return // the soak ends
+		}
+		s.store.Delete("servers", p.ID)
+		if err := s.startReplica(ctx, r, p.CurrentRole()); err != nil {
+			s.logf("%s does not start again: %v", p.ID, err)
+			return
+		}
+		s.logf("%s is back as %s", p.ID, r.running().ID)
+	})
+}
+
+// putEndpoint writes the record of a replica's running process to the store.
+func (s *Soak) putEndpoint(r *replica) {
+	p := r.running()
+	s.store.PutEndpoint(&standin.EndpointRecord{
+		Addr: p.addr, Born: p.Born, DataCentre: r.zone, Draining: !r.drainingSince.IsZero(), ID: p.ID, Pool: r.service, Role: p.CurrentRole(), Slots: replicaSlots,
+	})
+}
+
+// endpointAt returns the stand-in of the replica whose proxy has the given address,
+// or nil.
+func (s *Soak) endpointAt(addr string) *standin.Endpoint {
+	for _, r := range s.replicas {
+		if p := r.running(); p.addr.String() == addr {
+			return p.Endpoint
+		}
+	}
+	return nil
+}
+
+// executions returns the number of executions of each request on all replicas.
+func (s *Soak) executions() map[string]int {
+	executions := make(map[string]int)
+	for _, r := range s.replicas {
+		for _, p := range r.all() {
+			for id, n := range p.Executions() {
+				executions[id] += n
+			}
+		}
+	}
+	return executions
+}
--- a/internal/soak/run/main.go
+++ b/internal/soak/run/main.go
@@ -98,7 +98,7 @@
 	for _, v := range violations {
 		fmt.Printf("seed %d: %s\n", seed, v)
 	}
-	fmt.Printf("seed %d: %d requests, %d violations\n", seed, s.Requests(), len(violations))
+	fmt.Printf("seed %d: %d requests, %d crashes, %d violations\n", seed, s.Requests(), s.Crashes(), len(violations))
 	if o.Break != "" {
 		for _, v := range violations {
 			if v.Invariant == soak.Invariant(o.Break) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,8 +25,6 @@
 const (
 	// startTimeout is the longest time until all instances are ready.
 	startTimeout = 10 * time.Second
-	// replicaSlots is the number of requests that a replica runs at the same time.
-	replicaSlots = 16
 	// recoveryTime is the time after the last fault from which invariants with a time
 	// limit are checked.
 	recoveryTime = 6 * time.Second
@@ -63,27 +62,18 @@
 	Violate       Invariant // violated on purpose; empty for none
 
 	configVersion int
+	crashing      atomic.Bool    // callers send requests with crashPart
 	group         sync.WaitGroup // of the callers
+	logMutex      sync.Mutex
 	processes     []*process
 	random        *rand.Rand
 	recorder      recorder
 	replicas      []*replica
+	restarts      sync.WaitGroup // of replicas that crashed
 	store         *standin.Store
 	storeProxies  []*Proxy // between each instance and the store
 }
 
-// A replica is a stand-in of a replica behind a proxy.
-type replica struct {
-	*standin.Endpoint
-
-	addr          netip.AddrPort // of the proxy
-	drainingSince time.Time      // zero while it is not draining
-	fault         faultSource
-	proxy         *Proxy
-	service       string // name of its pool
-	zone          string
-}
-
 // Requests returns the number of requests that have ended.
 func (s *Soak) Requests() int {
 	s.recorder.mutex.Lock()
@@ -119,11 +109,12 @@
 	s.restartInOrder()
 	stopCallers()
 	s.group.Wait()
+	s.restarts.Wait()
 	time.Sleep(releaseTime)
 	s.plantViolation()
 	for _, r := range s.replicas {
-		if held := r.Unreleased(); held > 0 {
-			s.recorder.addViolation(Freed, "%s still holds %d reservations", r.ID, held)
+		if held := r.running().Unreleased(); held > 0 {
+			s.recorder.addViolation(Freed, "%s still holds %d reservations", r.running().ID, held)
 		}
 	}
 	s.recorder.checkExecutions(s.executions())
@@ -136,7 +127,7 @@
 		for k := range s.Callers {
 			c := &caller{
 				client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
-				instance: n, name: fmt.Sprintf("c%d.%d", n, k), process: p,
+				crashing: &s.crashing, instance: n, name: fmt.Sprintf("c%d.%d", n, k), process: p,
 				random: rand.New(rand.NewPCG(s.Seed, uint64(100+n*s.Callers+k))), recorder: &s.recorder,
 			}
 			s.group.Go(func() { c.run(ctx) })
@@ -155,43 +146,26 @@
 		p.Close()
 	}
 	for _, r := range s.replicas {
-		r.proxy.Close()
+		r.running().proxy.Close()
 	}
 }
 
 // logf writes one line to Log, with the time since the start of the run.
 func (s *Soak) logf(format string, arguments ...any) {
+	s.logMutex.Lock()
+	defer s.logMutex.Unlock()
 	_, _ = fmt.Fprintf(s.Log, "%7.3fs %s\n", time.Since(s.recorder.started).Seconds(), fmt.Sprintf(format, arguments...))
 }
 
 // start starts the stand-ins, the proxies and the processes.
 func (s *Soak) start(ctx context.Context) error {
-	clock := &timer.System{}
-	s.store = &standin.Store{Timer: clock}
+	s.store = &standin.Store{Timer: &timer.System{}}
 	storeAddr, err := serve(ctx, s.store)
 	if err != nil {
 		return err
 	}
-	for n, role := range []string{"", "", "", "prefill", "prefill", "decode", "decode", "decode"} {
-		r := &replica{service: serviceBooks, zone: zone(n)}
-		if role != "" {
-			r.service = serviceLLM
-		}
-		r.Endpoint = &standin.Endpoint{
-			Born: time.Now(), EndpointAt: s.endpointAt, EventInterval: 30 * time.Millisecond, Events: streamEvents, Fault: r.fault.next, ID: fmt.Sprintf("i-%d", n),
-			Role: role, RoleChanged: func() { s.putEndpoint(r) }, Slots: replicaSlots, Timer: clock, WorkTime: 15 * time.Millisecond,
-		}
-		r.fault.random = rand.New(rand.NewPCG(s.Seed, uint64(10+n)))
-		addr, err := serve(ctx, r.Endpoint)
-		if err != nil {
-			return err
-		}
-		r.proxy = &Proxy{Server: addr}
-		if r.addr, err = r.proxy.Listen(ctx); err != nil {
-			return err
-		}
-		s.replicas = append(s.replicas, r)
-		s.putEndpoint(r)
+	if err := s.startReplicas(ctx); err != nil {
+		return err
 	}
 	s.writeConfiguration()
 	for n := range s.Instances {
@@ -216,17 +190,6 @@
 	return nil
 }
 
-// endpointAt returns the stand-in of the replica whose proxy has the given address,
-// or nil.
-func (s *Soak) endpointAt(addr string) *standin.Endpoint {
-	for _, r := range s.replicas {
-		if r.addr.String() == addr {
-			return r.Endpoint
-		}
-	}
-	return nil
-}
-
 // awaitReady waits until all instances are ready, and returns an error after limit.
 func (s *Soak) awaitReady(limit time.Duration) error {
 	deadline := time.Now().Add(limit)
@@ -243,17 +206,6 @@
 	return nil
 }
 
-// executions returns the number of executions of each request on all replicas.
-func (s *Soak) executions() map[string]int {
-	executions := make(map[string]int)
-	for _, r := range s.replicas {
-		for id, n := range r.Executions() {
-			executions[id] += n
-		}
-	}
-	return executions
-}
-
 // freeAddr returns a free address on the loopback interface. Its port is below the
 // range of ephemeral ports: another program's outgoing connection could take one of
 // those while the instance is down.
