--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -161,6 +161,23 @@
 		Dur("age", x.router.Timer.Now().Sub(x.request.Arrived)).Int("sends", x.sends)
 }
 
+// logFailure adds the fields of the request to a log line on an endpoint that failed
+// under it.
+func (x *exchange) logFailure(e *zerolog.Event) *zerolog.Event {
+	if parts := x.promptParts(); len(parts) > 0 {
+		e = e.Any("parts", parts)
+	}
+	return x.log(e)
+}
+
+// promptParts returns the shared parts of the request's prompt.
+func (x *exchange) promptParts() []persimmoncart.PromptPart {
+	if x.request.Generation == nil {
+		return nil
+	}
+	return x.request.Generation.Parts
+}
+
 // refuse counts and logs the end of a request without a response and returns the
 // error for its caller.
 func (x *exchange) refuse(err error) error {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -80,7 +80,7 @@
 		}
 		s.assigned.Failed()
 		next := s.closeEngine()
-		s.log(s.router.Logger.Warn()).Str("endpoint", string(s.endpoint)).Uint64("last", s.lastID).Bool("stalled", next != nil).
+		s.logFailure(s.router.Logger.Warn()).Str("endpoint", string(s.endpoint)).Uint64("last", s.lastID).Bool("stalled", next != nil).
 			Err(err).Msg("stream broke")
 		s.tried = append(s.tried, s.endpoint)
 		if err := s.resume(err, next); err != nil {
