forward: prompt parts that crash engines are shared through the store and refused

Cause: nothing remembered under which prompts an engine had ended. Each instance sees a fraction of the crashes, and each new request with the part was sent like any other; a resumable one was sent to a second engine as well. Class: a request that harms every server it reaches, with no memory of it beyond the request.

Ruled out: load (each crash follows exactly one request that had received no event); retries alone (nine tenths of these requests run once).

Change: when an engine breaks off as it begins to respond, it is asked for its state; if its process is gone, that is a crash under the parts of the request. policy.CrashSuspects blames a part for three crashes that no other part explains, so that parts which sound requests share are not blamed; a complete response clears a part. An engine that is only silent, or that resets connections and still responds, is no crash.

--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -201,7 +201,7 @@
 	d.SetEndpoints(list)
 	u := &fakeUpstream{}
 	return &fixture{Directory: d, Upstream: u, Router: &forward.Router{
-		Directory: d, Logger: zerolog.Nop(), Metrics: metrics.New(), StoreReachable: func() bool { return true }, Timer: clock, Upstream: u,
+		Directory: d, Logger: zerolog.Nop(), Metrics: metrics.New(), Quarantine: &forward.Quarantine{Logger: zerolog.Nop(), Timer: clock}, StoreReachable: func() bool { return true }, Timer: clock, Upstream: u,
 	}}
 }
 
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -67,13 +67,8 @@
 func (x *exchange) generate(ctx context.Context) (*Response, error) {
 	g := &generation{exchange: x}
 	for {
-		decode, err := g.reserveDecode(ctx)
+		decode, err := g.prepare(ctx)
 		if err != nil {
-			g.releaseCache()
-			return nil, err
-		}
-		if err := g.prefill(ctx, &decode.Endpoint); err != nil {
-			g.abandon(decode)
 			return nil, err
 		}
 		if !g.startRun(persimmoncart.RetryEndpointRefused) {
@@ -92,6 +87,9 @@
 		}
 		outcome := x.recordFailure(ctx, decode, err)
 		x.recordOutcome(outcome)
+		if outcome != sendNotRun {
+			x.checkCrash(decode.Endpoint)
+		}
 		if outcome != sendNotRun || g.cacheRefused {
 			g.releaseCache()
 		}
@@ -99,7 +97,7 @@
 		if outcome == sendNotRun && reserved {
 			decode.ReservationRefused()
 		}
-		if !x.mayRun() {
+		if !x.mayRun() || outcome != sendNotRun && x.suspected() {
 			return nil, &persimmoncart.Refusal{
 				Code: persimmoncart.RefusalEndpointFailed, Err: err, Message: "the engine failed",
 				Outcome: persimmoncart.OutcomeUnknown,
@@ -109,6 +107,31 @@
 	}
 }
 
+// prepare reserves a decode engine and has the prompt prefilled near it. The prompt is
+// checked before each of the two and after them, as both take time.
+func (g *generation) prepare(ctx context.Context) (*assignment, error) {
+	if err := g.quarantineRefusal(); err != nil {
+		g.releaseCache()
+		return nil, err
+	}
+	decode, err := g.reserveDecode(ctx)
+	if err != nil {
+		g.releaseCache()
+		return nil, err
+	}
+	if err = g.quarantineRefusal(); err == nil {
+		err = g.prefill(ctx, &decode.Endpoint)
+	}
+	if err == nil {
+		err = g.quarantineRefusal()
+	}
+	if err != nil {
+		g.abandon(decode)
+		return nil, err
+	}
+	return decode, nil
+}
+
 // abandon frees the decode engine and the exported KV cache.
 func (g *generation) abandon(assigned *assignment) {
 	g.releaseDecode(assigned)
@@ -200,7 +223,11 @@
 	g.endpoint = assigned.Endpoint.ID
 	if response.Status != http.StatusOK || !g.route.Stream {
 		defer assigned.Done()
-		return g.readResponse(response)
+		result, err := g.readResponse(response)
+		if err == nil {
+			g.router.Quarantine.RecordCompletion(g.promptParts())
+		}
+		return result, err
 	}
 	s := &stream{
 		ctx: ctx, exchange: g.exchange, assigned: assigned, lastID: g.request.LastEventID, started: g.router.Timer.Now(),
@@ -263,6 +290,9 @@
 		if ctx.Err() == nil {
 			outcome = g.recordFailure(ctx, assigned, err)
 		}
+		if outcome == sendFailed && prefillCtx.Err() == nil {
+			g.checkCrash(assigned.Endpoint)
+		}
 		if outcome != sendNotRun {
 			g.prefills++
 		}
--- /dev/null
+++ b/internal/forward/quarantine.go
@@ -0,0 +1,135 @@
+package forward
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/metrics"
+	"github.com/persimmoncart/persimmoncart/internal/policy"
+)
+
+// A Quarantine keeps requests from the engines whose prompts have a part that crashes
+// engines. It decides by the crashes that all instances have seen; CrashReports shares
+// them. Its exported fields are set before use. It is safe for concurrent use.
+type Quarantine struct {
+	Changed func(persimmoncart.PromptPart) // called when the reports of a part have changed here; must not block; may be nil
+	Logger  zerolog.Logger
+	Metrics *metrics.Metrics
+	Timer   persimmoncart.Timer
+
+	mutex    sync.Mutex
+	suspects policy.CrashSuspects
+}
+
+// Add adds crash reports of other instances.
+func (q *Quarantine) Add(reports []policy.CrashReport) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	for _, r := range reports {
+		q.update([]persimmoncart.PromptPart{r.Part}, func(now time.Time) { q.suspects.AddReport(now, r) })
+	}
+}
+
+// Check returns the part for which a request with these parts is to be refused, and
+// the time until its quarantine ends. It reports false if there is none.
+func (q *Quarantine) Check(parts []persimmoncart.PromptPart) (part persimmoncart.PromptPart, left time.Duration, found bool) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.suspects.Quarantined(q.Timer.Now(), parts)
+}
+
+// Clear forgets the crash reports of a part whose record was removed.
+func (q *Quarantine) Clear(part persimmoncart.PromptPart) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if len(q.suspects.Reports(part)) > 0 {
+		q.Logger.Info().Str("part", string(part)).Msg("prompt part cleared by another instance")
+	}
+	q.suspects.Clear(q.Timer.Now(), part)
+}
+
+// Expire forgets old crash reports.
+func (q *Quarantine) Expire() {
+	q.mutex.Lock()
+	expired := q.suspects.Expire(q.Timer.Now())
+	q.mutex.Unlock()
+	q.notify(expired)
+}
+
+// RecordCompletion records that a request with these parts was answered completely.
+func (q *Quarantine) RecordCompletion(parts []persimmoncart.PromptPart) {
+	if len(parts) == 0 {
+		return
+	}
+	q.mutex.Lock()
+	cleared := q.suspects.RecordCompletion(q.Timer.Now(), parts)
+	q.mutex.Unlock()
+	for _, p := range cleared {
+		q.Logger.Info().Str("part", string(p)).Msg("prompt part cleared")
+	}
+	q.notify(cleared)
+}
+
+// RecordCrash records that an engine crashed when it began to respond to a request
+// with these parts.
+func (q *Quarantine) RecordCrash(engine *persimmoncart.Endpoint, parts []persimmoncart.PromptPart) {
+	process := string(engine.ID) + "/" + strconv.FormatUint(uint64(engine.Incarnation), 10)
+	q.Metrics.CountEngineCrash()
+	q.Logger.Warn().Str("endpoint", string(engine.ID)).Uint64("incarnation", uint64(engine.Incarnation)).Any("parts", parts).
+		Msg("engine crashed when it began to respond")
+	var changed []persimmoncart.PromptPart
+	q.mutex.Lock()
+	q.update(parts, func(now time.Time) {
+		for _, r := range q.suspects.RecordCrash(now, process, parts) {
+			changed = append(changed, r.Part)
+		}
+	})
+	q.mutex.Unlock()
+	q.notify(changed)
+}
+
+// Reports returns the crash reports of a part in ascending order of their engines.
+func (q *Quarantine) Reports(part persimmoncart.PromptPart) []policy.CrashReport {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.suspects.Reports(part)
+}
+
+// Suspected reports whether a request with these parts must not be sent again after an
+// engine broke off.
+func (q *Quarantine) Suspected(parts []persimmoncart.PromptPart) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.suspects.Suspected(q.Timer.Now(), parts)
+}
+
+// notify calls Changed for each part.
+func (q *Quarantine) notify(parts []persimmoncart.PromptPart) {
+	if q.Changed == nil {
+		return
+	}
+	for _, p := range parts {
+		q.Changed(p)
+	}
+}
+
+// update calls a function that adds crash reports of some parts, and logs a quarantine
+// that begins with them. The caller holds the mutex.
+func (q *Quarantine) update(parts []persimmoncart.PromptPart, add func(now time.Time)) {
+	now := q.Timer.Now()
+	_, _, before := q.suspects.Quarantined(now, parts)
+	add(now)
+	part, left, found := q.suspects.Quarantined(now, parts)
+	if !found || before {
+		return
+	}
+	var engines []string
+	for _, r := range q.suspects.Reports(part) {
+		engines = append(engines, r.Engine)
+	}
+	q.Logger.Warn().Str("part", string(part)).Strs("engines", engines).Dur("left", left).Msg("prompt part quarantined")
+}
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -58,6 +58,7 @@
 	Directory      *Directory
 	Logger         zerolog.Logger
 	Metrics        *metrics.Metrics
+	Quarantine     *Quarantine
 	StoreReachable func() bool // while it returns false, an unknown route may be a new one
 	Timer          persimmoncart.Timer
 	Upstream       persimmoncart.Upstream
@@ -95,7 +96,8 @@
 
 // An exchange is the state of one request while it is served.
 type exchange struct {
-	countedSends int // sends that count as arrivals at endpoints; those after the first use the retry budget
+	crashChecked <-chan struct{} // closed after the last check whether an engine has crashed; nil without one
+	countedSends int             // sends that count as arrivals at endpoints; those after the first use the retry budget
 	deadline     time.Time
 	endpoint     persimmoncart.EndpointID                             // that made the response
 	engine       *persimmoncart.EngineCapacity                        // of the pool's decode engines; nil for a pool without engines
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -42,6 +42,7 @@
 	first       time.Time       // when the first piece was passed on; zero before
 	lastID      uint64          // identifier of the last event passed on
 	noSuccessor bool            // it was logged that no engine can take over
+	openedAfter uint64          // lastID when the response of the current engine was opened
 	pieces      int             // number of pieces passed on
 	skipSeen    bool            // drop events up to lastID, which another engine may send again
 	started     time.Time       // when the request was sent to the current engine
@@ -71,6 +72,7 @@
 			continue
 		case isEOF(err):
 			s.recordOutput()
+			s.router.Quarantine.RecordCompletion(s.promptParts())
 			s.assigned.Succeeded(s.router.Timer.Now().Sub(s.started), 1)
 			s.closeEngine().Abandon()
 			return nil, io.EOF
@@ -83,6 +85,9 @@
 		s.logFailure(s.router.Logger.Warn()).Str("endpoint", string(s.endpoint)).Uint64("last", s.lastID).Bool("stalled", next != nil).
 			Err(err).Msg("stream broke")
 		s.tried = append(s.tried, s.endpoint)
+		if next == nil && s.lastID <= s.openedAfter+maxBeginningEvents {
+			s.checkCrash(s.assigned.Endpoint)
+		}
 		if err := s.resume(err, next); err != nil {
 			return nil, err
 		}
@@ -139,7 +144,7 @@
 // open starts to read events from an engine's response, and watches it if the stream
 // may resume at another engine.
 func (s *stream) open(b io.ReadCloser) {
-	s.body, s.end, s.filled = b, 0, 0
+	s.body, s.end, s.filled, s.openedAfter = b, 0, 0, s.lastID
 	if s.buffer == nil {
 		s.buffer = make([]byte, eventBufferSize)
 	}
@@ -225,7 +230,7 @@
 			Outcome: persimmoncart.OutcomeUnknown,
 		}
 	}
-	for s.ctx.Err() == nil && s.mayRun() {
+	for s.ctx.Err() == nil && s.mayRun() && !s.suspected() {
 		if next == nil {
 			next = s.assignSuccessor()
 		}
@@ -236,7 +241,11 @@
 		if err == nil {
 			return nil
 		}
-		s.recordOutcome(s.recordFailure(s.ctx, next.assigned, err))
+		outcome := s.recordFailure(s.ctx, next.assigned, err)
+		s.recordOutcome(outcome)
+		if outcome != sendNotRun && s.ctx.Err() == nil {
+			s.checkCrash(next.assigned.Endpoint)
+		}
 		next.Abandon()
 		s.tried = append(s.tried, next.assigned.Endpoint.ID)
 		next = nil
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -37,6 +37,7 @@
 	Registry *prometheus.Registry
 
 	calls       *prometheus.HistogramVec
+	crashes     prometheus.Counter
 	discarded   prometheus.Counter
 	firstToken  *prometheus.HistogramVec
 	labelValues map[string]bool
@@ -58,6 +59,7 @@
 	m := &Metrics{
 		Registry:    r,
 		calls:       histogram(r, "call_seconds", "Latency of answered plain calls.", latencyBuckets, "route"),
+		crashes:     counter(r, "engine_crashes_total", "Engines that crashed when they began to respond to a request."),
 		discarded:   counter(r, "discarded_answers_total", "Answers and tokens that belonged to another attempt or were repeated."),
 		firstToken:  histogram(r, "first_token_seconds", "Time from the request to its first token.", latencyBuckets, "route"),
 		labelValues: make(map[string]bool),
@@ -85,6 +87,13 @@
 	}
 }
 
+// CountEngineCrash counts an engine that crashed when it began to respond to a request.
+func (m *Metrics) CountEngineCrash() {
+	if m != nil {
+		m.crashes.Inc()
+	}
+}
+
 // CountRefusal counts a refusal. An unknown code counts as RefusalInternal.
 func (m *Metrics) CountRefusal(code persimmoncart.RefusalCode) {
 	if m == nil {
--- a/internal/policy/crashsuspects.go
+++ b/internal/policy/crashsuspects.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// completionMemory is how long a completed request proves that its parts crash no
-	// engine. A new version of the engines may crash on parts that the last one served.
-	completionMemory = 5 * time.Minute
+	// completionMemory is how long a completed request excuses its parts from reports of
+	// later crashes. It only saves reports of parts that are in constant use: a part
+	// may also begin to crash engines, for example with their new version.
+	completionMemory = 2 * time.Second
 	// maxCompletions is the largest number of completed parts that are remembered.
 	maxCompletions = 8192
 	// maxEnginesPerPart is the largest number of crashed engines kept for one part.
--- a/internal/policy/crashsuspects_test.go
+++ b/internal/policy/crashsuspects_test.go
@@ -17,6 +17,9 @@
 	"github.com/persimmoncart/persimmoncart/internal/policy"
 )
 
+// completionMemory is how long a completed request excuses its parts.
+const completionMemory = 2 * time.Second
+
 // crashStart is when the tests of CrashSuspects begin.
 var crashStart = time.Unix(1000, 0)
 
@@ -163,11 +166,11 @@
 	s.RecordCompletion(crashStart, promptParts("a", "y"))
 	report := policy.CrashReport{Depth: 1, Engine: "e2", Part: "x"}
 	harmful := promptParts("a", "x", "x")
-	assert.DeepEqual(t, s.RecordCrash(crashStart.Add(5*time.Minute-1), "e2", harmful), []policy.CrashReport{report})
+	assert.DeepEqual(t, s.RecordCrash(crashStart.Add(completionMemory-1), "e2", harmful), []policy.CrashReport{report})
 	assert.Equal(t, len(s.Reports("a")), 0)
 	first := policy.CrashReport{Depth: 0, Engine: "e1", Part: "a"}
 	second := policy.CrashReport{Depth: 1, Engine: "e1", Part: "x"}
-	assert.DeepEqual(t, s.RecordCrash(crashStart.Add(5*time.Minute), "e1", harmful), []policy.CrashReport{first, second})
+	assert.DeepEqual(t, s.RecordCrash(crashStart.Add(completionMemory), "e1", harmful), []policy.CrashReport{first, second})
 	assert.DeepEqual(t, s.Reports("x"), []policy.CrashReport{second, report})
 	assert.DeepEqual(t, s.Reports("a"), []policy.CrashReport{first})
 	assert.Equal(t, s.Len(), 2)
@@ -180,7 +183,7 @@
 	var s policy.CrashSuspects
 	parts := promptParts("a", "x")
 	s.RecordCompletion(crashStart, promptParts("a", "y"))
-	now := crashStart.Add(time.Minute)
+	now := crashStart.Add(completionMemory / 2)
 	for n := range 5 {
 		for depth, p := range parts {
 			if p == "a" || n < 3 { // a has more reports and would explain those of x
@@ -192,8 +195,8 @@
 	assert.Assert(t, found && part == "x")
 	assert.Assert(t, !s.Suspected(now, promptParts("a", "y")))
 
-	// Without a completion in the next minutes, the reports count.
-	later := crashStart.Add(5 * time.Minute)
+	// Without a further completion, the reports count.
+	later := crashStart.Add(completionMemory)
 	_, _, found = s.Quarantined(later.Add(-1), promptParts("a"))
 	assert.Assert(t, !found)
 	part, _, found = s.Quarantined(later, parts)
@@ -235,7 +238,7 @@
 			_, _, found = s.Quarantined(crashStart, promptParts("b", "x"))
 			assert.Assert(t, !found)
 			// A crash right after the completion is not the part's.
-			reports := s.RecordCrash(crashStart.Add(time.Minute), "3", promptParts("c", "x"))
+			reports := s.RecordCrash(crashStart.Add(completionMemory/2), "3", promptParts("c", "x"))
 			assert.DeepEqual(t, reports, []policy.CrashReport{{Engine: "3", Part: "c"}})
 		})
 	}
@@ -430,7 +433,7 @@
 // sound reports whether a part was completed in the last five minutes.
 func (s *naiveSuspects) sound(now time.Time, p persimmoncart.PromptPart) bool {
 	at, found := s.completed[p]
-	return found && now.Sub(at) < 5*time.Minute
+	return found && now.Sub(at) < completionMemory
 }
 
 // last returns when the last report of a part was added.
@@ -513,7 +516,7 @@
 				assert.DeepEqual(t, s.Expire(now), want)
 			},
 			"wait": func(t *rapid.T) {
-				now = now.Add(rapid.SampledFrom([]time.Duration{time.Second, time.Minute, 5 * time.Minute, 20 * time.Minute}).Draw(t, "time"))
+				now = now.Add(rapid.SampledFrom([]time.Duration{time.Second, completionMemory, 5 * time.Minute, 20 * time.Minute}).Draw(t, "time"))
 			},
 			"": func(t *rapid.T) {
 				harmful, suspected := n.harmful(now, 3), n.harmful(now, 2)
