forward: a lost renewal does not end the lease for role changes

Cause: when a renewal did not reach the store and the write's outcome was unknown, the Keeper read its own earlier record back and returned a LeaseHeldError with this instance as the holder. The reconciler took every LeaseHeldError for a takeover: it dropped its unexpired lease, wrote "another instance holds the lease" and waited for a full term plus up to 10 s.

Change: a LeaseHeldError ends the lease only once it has expired. Until then the failed renewal is logged as such and repeated at the next check, as after any other failure. No other instance can hold the lease before: it waits for the term and the margin on its own clock.

Test: TestRoleReconcilerRenewalLost drops one renewal. Before the change it failed with the line {"holder":"i1","message":"another instance holds the lease for role changes"} of instance i1 itself; after it, go test -race -run RoleReconciler -count=20 passes.

--- a/internal/forward/rolereconciler.go
+++ b/internal/forward/rolereconciler.go
@@ -126,7 +126,7 @@
 			r.Logger.Info().Uint64("fence", lease.Fence).Msg("lease for role changes acquired")
 		}
 		r.lease = lease
-	case errors.As(err, &held):
+	case errors.As(err, &held) && !r.leaseHeld(0):
 		r.lease, r.retryAt = persimmoncart.Lease{}, now.Add(held.RetryAfter+rand.N(roleRetrySpread))
 		r.Logger.Info().Str("holder", string(held.Holder)).Msg("another instance holds the lease for role changes")
 	default:
--- a/internal/forward/rolereconciler_test.go
+++ b/internal/forward/rolereconciler_test.go
@@ -1,7 +1,9 @@
 package forward_test
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -194,3 +196,26 @@
 		assert.Equal(t, len(controller.received()), 0)
 	})
 }
+
+// Guards against a holder that gives up its unexpired lease, and reports another
+// holder, because a renewal did not reach the store.
+func TestRoleReconcilerRenewalLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		clock := &timer.System{}
+		store := &objectapi.Faulty{Store: &objectapi.Memory{Timer: clock}, Timer: clock}
+		var log bytes.Buffer
+		r := f.roleReconciler("i1", store, &fakeRoleController{})
+		r.Logger = zerolog.New(&log)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- r.Run(ctx) }()
+		time.Sleep(3 * time.Second) // the first check follows within 2 s
+		store.DropRequests(1)
+		time.Sleep(10 * time.Second)
+		cancel()
+		assert.ErrorIs(t, <-ended, context.Canceled)
+		assert.Equal(t, strings.Count(log.String(), "lease for role changes acquired"), 1, log.String())
+		assert.Assert(t, !strings.Contains(log.String(), "another instance holds"), log.String())
+	})
+}
