lease, order, forward: one Holder for a lease that is kept renewed

Cause: order.leaseHolder and forward.RoleReconciler held a lease with the same logic written twice: no call while enough of the term is left, one attempt when it is due, the unexpired lease stays when a renewal fails, a pause after a failed attempt to acquire it.

Change: lease.Holder has this logic. Both users set what differs in its fields: remaining time at renewal, shortest pause, random spread of the next attempt, candidates by membership, time of suspensions. forward keeps its log lines with their texts. Three details of order change: its error (logged at debug level) is no longer prefixed with "acquire plan lease" or "acquire orders lease", since the Keeper's error names the lease; Tick returns nil during the pause in place of a LeaseHeldError without a holder; and a lease that has expired before Acquire returns is not used for a plan.

--- a/internal/forward/rolereconciler.go
+++ b/internal/forward/rolereconciler.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/lease"
 	"github.com/persimmoncart/persimmoncart/internal/policy"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
@@ -21,7 +22,7 @@
 	// start together try for the lease at different times.
 	roleStartSpread = 2 * time.Second
 	// roleRetrySpread is the longest time that an instance waits for the lease beyond
-	// its earliest end. Each try costs a call, and of many instances one tries early.
+	// its earliest end.
 	roleRetrySpread = 10 * time.Second
 	// roleLease is the name of the lease that an instance holds to change roles.
 	roleLease = "stages"
@@ -59,10 +60,10 @@
 
 	balancers     map[persimmoncart.PoolName]*policy.RoleBalancer // while the lease is held
 	confirmations int                                             // checks in a row that found a change due
-	lease         persimmoncart.Lease
+	fence         uint64                                          // fencing token of the lease that was logged last
+	lease         *lease.Holder
 	loads         map[persimmoncart.EndpointID]policy.EngineLoad // last load of each engine
 	pending       map[persimmoncart.EndpointID]pendingChange     // engines with an order, or that could not be ordered
-	retryAt       time.Time                                      // earliest time to try for the lease again
 }
 
 // A pendingChange is a role change of one engine that is not repeated for a time.
@@ -73,6 +74,9 @@
 
 // Run checks the roles every rolePeriod until ctx is done and returns its error.
 func (r *RoleReconciler) Run(ctx context.Context) error {
+	r.lease = &lease.Holder{
+		Leases: r.Leases, Name: roleLease, RenewBefore: roleRenewTime, RetrySpread: roleRetrySpread, Suspended: r.Suspended, Timer: r.Timer,
+	}
 	r.pending = make(map[persimmoncart.EndpointID]pendingChange)
 	err := r.Timer.Sleep(ctx, rand.N(roleStartSpread))
 	for err == nil {
@@ -110,39 +114,19 @@
 // holdLease acquires or renews the lease when that is due, and reports whether this
 // instance holds it.
 func (r *RoleReconciler) holdLease(ctx context.Context) bool {
-	now := r.Timer.Now()
-	if now.Before(r.retryAt) || r.leaseHeld(roleRenewTime) {
-		return r.leaseHeld(0)
-	}
-	var lease persimmoncart.Lease
-	err := r.call(ctx, func(ctx context.Context) (err error) {
-		lease, err = r.Leases.Acquire(ctx, roleLease)
-		return err
-	})
+	err := r.call(ctx, r.lease.Renew)
 	held := &persimmoncart.LeaseHeldError{}
 	switch {
-	case err == nil:
-		if lease.Fence != r.lease.Fence {
-			r.Logger.Info().Uint64("fence", lease.Fence).Msg("lease for role changes acquired")
-		}
-		r.lease = lease
-	case errors.As(err, &held) && !r.leaseHeld(0):
-		r.lease, r.retryAt = persimmoncart.Lease{}, now.Add(held.RetryAfter+rand.N(roleRetrySpread))
+	case err == nil && r.lease.Held() && r.fence != r.lease.Lease().Fence:
+		r.fence = r.lease.Lease().Fence
+		r.Logger.Info().Uint64("fence", r.fence).Msg("lease for role changes acquired")
+	case errors.As(err, &held) && !r.lease.Held():
+		r.fence = 0
 		r.Logger.Info().Str("holder", string(held.Holder)).Msg("another instance holds the lease for role changes")
-	default:
+	case err != nil:
 		r.Logger.Warn().Err(err).Msg("lease for role changes not acquired")
 	}
-	return r.leaseHeld(0)
-}
-
-// leaseHeld reports whether this instance holds the lease, and still will after the
-// given time.
-func (r *RoleReconciler) leaseHeld(after time.Duration) bool {
-	suspended := time.Duration(0)
-	if r.Suspended != nil {
-		suspended = r.Suspended()
-	}
-	return r.lease.Held(r.Timer.Now().Add(after), suspended)
+	return r.lease.Held()
 }
 
 // call runs f with a timeout of roleCallTimeout.
@@ -276,20 +260,20 @@
 		return err
 	})
 	line := r.Logger.Info().Str("endpoint", string(e.ID)).Stringer("from", e.Role).Stringer("to", change.Role).
-		Float64("target", change.Target).Uint64("fence", r.lease.Fence).Bool("busy", state.Busy)
+		Float64("target", change.Target).Uint64("fence", r.lease.Lease().Fence).Bool("busy", state.Busy)
 	if err != nil || state.Busy || state.Role != e.Role {
 		r.pending[e.ID] = pendingChange{role: change.Role, until: r.Timer.Now().Add(2 * rolePeriod)}
 		line.AnErr("cause", err).Msg("role not ordered")
 		return
 	}
-	if !r.leaseHeld(0) {
+	if !r.lease.Held() {
 		line.Msg("lease for role changes expired")
 		return
 	}
 	r.pending[e.ID] = pendingChange{role: change.Role, until: r.Timer.Now().Add(roleSettleTime)}
 	err = r.call(ctx, func(ctx context.Context) error {
 		return r.Controller.SetRole(ctx, e, persimmoncart.RoleOrder{
-			Fence: r.lease.Fence, Role: change.Role, Sender: r.Self, Sequence: state.Sequence,
+			Fence: r.lease.Lease().Fence, Role: change.Role, Sender: r.Self, Sequence: state.Sequence,
 		})
 	})
 	line.AnErr("cause", err).Msg("role ordered")
--- a/internal/order/planner.go
+++ b/internal/order/planner.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/lease"
 	"github.com/persimmoncart/persimmoncart/internal/policy"
 )
 
@@ -58,7 +59,7 @@
 
 	fallback    *prometheus.GaugeVec
 	lastWarning map[persimmoncart.PoolName]string
-	lease       leaseHolder
+	lease       *lease.Holder
 	planners    map[persimmoncart.PoolName]persimmoncart.RolePlanner
 }
 
@@ -79,15 +80,14 @@
 // errors it goes on with the next pool and returns the first error.
 func (p *Planner) Tick(ctx context.Context) error {
 	p.init()
-	lease, err := p.lease.acquire(ctx, p.Leases, p.Members, p.Timer, planLease)
-	if err != nil {
-		return errors.Wrap(err, "acquire plan lease")
+	if err := p.lease.Renew(ctx); !p.lease.Held() {
+		return err
 	}
 	s := p.Configuration.Snapshot()
 	var firstErr error
 	for _, name := range sortedKeys(s.Pools) {
 		if pool := s.Pools[name]; pool.Role != persimmoncart.RoleApplication {
-			if err := p.planPool(ctx, s, pool, lease); err != nil && firstErr == nil {
+			if err := p.planPool(ctx, s, pool, p.lease.Lease()); err != nil && firstErr == nil {
 				firstErr = errors.Wrapf(err, "plan pool %s", name)
 			}
 		}
@@ -100,6 +100,7 @@
 	if p.planners != nil {
 		return
 	}
+	p.lease = newLeaseHolder(p.Leases, p.Members, p.Timer, planLease)
 	p.planners = map[persimmoncart.PoolName]persimmoncart.RolePlanner{}
 	p.lastWarning = map[persimmoncart.PoolName]string{}
 	p.fallback = prometheus.NewGaugeVec(prometheus.GaugeOpts{
--- a/internal/order/reconciler.go
+++ b/internal/order/reconciler.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/lease"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
@@ -53,7 +54,7 @@
 
 	fence      uint64    // fencing token of the lease in the last tick
 	firstOrder time.Time // no order is sent before
-	lease      leaseHolder
+	lease      *lease.Holder
 	mutex      sync.Mutex                             // guards nextCheck during a tick
 	nextCheck  map[persimmoncart.EndpointID]time.Time // when to check the engine again
 	orderCount *prometheus.CounterVec
@@ -78,12 +79,11 @@
 // those that differ from their desired state.
 func (r *Reconciler) Tick(ctx context.Context) error {
 	r.init()
-	lease, err := r.lease.acquire(ctx, r.Leases, r.Members, r.Timer, "orders/"+string(r.DataCentre))
-	if err != nil {
+	if err := r.lease.Renew(ctx); !r.lease.Held() {
 		r.fence = 0 // after the next acquisition takeoverDelay applies again
-		return errors.Wrap(err, "acquire orders lease")
+		return err
 	}
-	now := r.Timer.Now()
+	lease, now := r.lease.Lease(), r.Timer.Now()
 	if lease.Fence != r.fence {
 		r.fence, r.firstOrder, r.readAt = lease.Fence, now.Add(takeoverDelay), time.Time{}
 		clear(r.nextCheck)
@@ -112,6 +112,7 @@
 	if r.nextCheck != nil {
 		return
 	}
+	r.lease = newLeaseHolder(r.Leases, r.Members, r.Timer, "orders/"+string(r.DataCentre))
 	r.nextCheck = map[persimmoncart.EndpointID]time.Time{}
 	r.orderCount = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Help: "Orders to engines by kind and result.", Name: "persimmoncart_orders_total",
