order, capacity, bench, membership, ownership: sorted keys by the standard library

Change: they use slices.Sorted(maps.Keys(m)), as other packages do. Order and contents are the same.

Test: go test -race -p 2 of the five packages passes.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -251,9 +250,6 @@
 // round rounds v to five decimal places, which keeps the lines short.
 func round(v float64) float64 { return float64(int64(v*1e5+0.5)) / 1e5 }
 
-// sorted returns the keys of m in ascending order.
-func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
-
 // An UnknownError reports a case or deployment that does not exist.
 type UnknownError struct {
 	Value string
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -113,7 +114,7 @@
 	}
 	level := maxMinShare(demand, total)
 	var n, sum, squares float64
-	for _, account := range sorted(demand) {
+	for _, account := range slices.Sorted(maps.Keys(demand)) {
 		if demand[account] <= 0 {
 			continue
 		}
@@ -133,7 +134,7 @@
 func maxMinShare(demand map[int]float64, total float64) float64 {
 	remaining, accounts := total, len(demand)
 	values := make([]float64, 0, len(demand))
-	for _, account := range sorted(demand) {
+	for _, account := range slices.Sorted(maps.Keys(demand)) {
 		values = append(values, demand[account])
 	}
 	slices.Sort(values)
--- a/internal/capacity/slotmodel.go
+++ b/internal/capacity/slotmodel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -145,7 +146,7 @@
 	}
 	endedShare := stepPeriod.Seconds() / requestDuration.Seconds()
 	s.ownUsed -= s.poisson(float64(s.ownUsed) * endedShare)
-	for _, id := range sortedKeys(s.borrowed) {
+	for _, id := range slices.Sorted(maps.Keys(s.borrowed)) {
 		if n := min(s.borrowed[id], s.poisson(float64(s.borrowed[id])*endedShare)); n > 0 {
 			s.borrowed[id] -= n
 			s.pendingReturns[id] += n
@@ -160,7 +161,7 @@
 		s.borrow(min(s.waiting, borrowBatch))
 		s.waiting = 0
 	}
-	for _, id := range sortedKeys(s.pendingReturns) {
+	for _, id := range slices.Sorted(maps.Keys(s.pendingReturns)) {
 		// As in load.Lenders, returns are delayed only near the bandwidth budget, where
 		// BorrowDelay is positive.
 		if now.Sub(s.lastReturn) >= 2*s.node.exchange.Governor.BorrowDelay() {
@@ -182,7 +183,7 @@
 // borrow requests n decode slots from one of two random owners, the one with more free
 // slots.
 func (s *slotModel) borrow(n int) {
-	ids := sortedKeys(s.freeSlots)
+	ids := slices.Sorted(maps.Keys(s.freeSlots))
 	if len(ids) == 0 {
 		s.rejected += n
 		return
@@ -231,14 +232,3 @@
 	}
 	s.node.transport.Call(m.Instance.Addr, r, 250*time.Millisecond, func(proto.Message, error) {})
 }
-
-// sortedKeys returns the keys of m, sorted. Iteration in this order makes runs
-// repeatable.
-func sortedKeys[V any](m map[persimmoncart.InstanceID]V) []persimmoncart.InstanceID {
-	keys := make([]persimmoncart.InstanceID, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -11,6 +11,7 @@
 package membership
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -287,10 +288,7 @@
 				return p
 			}
 		}
-		for id := range m.peers {
-			m.probeOrder = append(m.probeOrder, id)
-		}
-		slices.Sort(m.probeOrder) // makes the shuffle independent of the map order
+		m.probeOrder = m.peerIDs() // sorted, which makes the shuffle independent of the map order
 		m.Rand.Shuffle(len(m.probeOrder), func(i, j int) { m.probeOrder[i], m.probeOrder[j] = m.probeOrder[j], m.probeOrder[i] })
 	}
 	return nil
@@ -337,12 +335,7 @@
 
 // peerIDs returns the identifiers of the peers, sorted.
 func (m *Machine) peerIDs() []persimmoncart.InstanceID {
-	ids := make([]persimmoncart.InstanceID, 0, len(m.peers))
-	for id := range m.peers {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
+	return slices.Sorted(maps.Keys(m.peers))
 }
 
 // cellHash returns a hash of the entries of the cell that are not dead. It is
--- a/internal/order/planner.go
+++ b/internal/order/planner.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"reflect"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -85,7 +85,7 @@
 	}
 	s := p.Configuration.Snapshot()
 	var firstErr error
-	for _, name := range sortedKeys(s.Pools) {
+	for _, name := range slices.Sorted(maps.Keys(s.Pools)) {
 		if pool := s.Pools[name]; pool.Role != persimmoncart.RoleApplication {
 			if err := p.planPool(ctx, s, pool, p.lease.Lease()); err != nil && firstErr == nil {
 				firstErr = errors.Wrapf(err, "plan pool %s", name)
@@ -154,7 +154,7 @@
 	sizes, warning := Sizes(s, pool, now)
 	p.recordWarning(pool.Name, warning)
 	request := persimmoncart.PlanRequest{Previous: map[persimmoncart.EndpointID]persimmoncart.DesiredState{}, Now: now, Pins: s.Pins, Sizes: sizes}
-	for _, id := range sortedKeys(s.Endpoints) {
+	for _, id := range slices.Sorted(maps.Keys(s.Endpoints)) {
 		if e := s.Endpoints[id]; e.Pool == pool.Name {
 			request.Endpoints = append(request.Endpoints, e)
 		}
@@ -215,13 +215,3 @@
 	}
 	return plan, o.Version, nil
 }
-
-// sortedKeys returns the sorted keys of m.
-func sortedKeys[K ~string, V any](m map[K]V) []K {
-	keys := make([]K, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.SortFunc(keys, func(a, b K) int { return strings.Compare(string(a), string(b)) })
-	return keys
-}
--- a/internal/order/reconciler.go
+++ b/internal/order/reconciler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -153,7 +154,7 @@
 // due returns the engines to check now, the longest overdue first.
 func (r *Reconciler) due(s *persimmoncart.Snapshot, now time.Time) []*persimmoncart.Endpoint {
 	var due []*persimmoncart.Endpoint
-	for _, id := range sortedKeys(s.Endpoints) {
+	for _, id := range slices.Sorted(maps.Keys(s.Endpoints)) {
 		e := s.Endpoints[id]
 		if e.DataCentre == r.DataCentre && e.Role != persimmoncart.RoleApplication && !r.nextCheck[id].After(now) {
 			due = append(due, e)
--- a/internal/ownership/service.go
+++ b/internal/ownership/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -330,12 +331,7 @@
 
 // cellNames returns the cells that this instance takes part in, sorted.
 func (s *Service) cellNames() []persimmoncart.DataCentre {
-	names := make([]persimmoncart.DataCentre, 0, len(s.cells))
-	for name := range s.cells {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
+	return slices.Sorted(maps.Keys(s.cells))
 }
 
 // jitter returns a random duration from a tenth of d up to d.
