bench: one insertion by class, one selection of a region's endpoints

Cause: the engine model inserted prefills and decodes into their queues with the same loop, and an instance selected the engines and the application endpoints of its region with the same loop.

Change: insertByClass and node.inRegion.

--- a/internal/bench/broker.go
+++ b/internal/bench/broker.go
@@ -263,13 +263,7 @@
 	if len(all) <= 3 {
 		return all
 	}
-	var list []persimmoncart.Endpoint
-	for i := range all {
-		if all[i].Region == n.instance.Region {
-			list = append(list, all[i])
-		}
-	}
-	return list
+	return n.inRegion(all)
 }
 
 // engines returns the engines that the instance may use: all, or those of its
@@ -279,6 +273,11 @@
 	if !n.router.sim.scenario.short {
 		return all
 	}
+	return n.inRegion(all)
+}
+
+// inRegion returns the endpoints of the instance's region.
+func (n *node) inRegion(all []persimmoncart.Endpoint) []persimmoncart.Endpoint {
 	var list []persimmoncart.Endpoint
 	for i := range all {
 		if all[i].Region == n.instance.Region {
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -110,11 +110,7 @@
 // prefill queues a prefill; interactive requests go before batch requests.
 func (r *replica) prefill(p *prefillTask) {
 	p.replica = r
-	i := len(r.prefillQueue)
-	for i > 0 && r.prefillQueue[i-1].request.class > p.request.class {
-		i--
-	}
-	r.prefillQueue = slices.Insert(r.prefillQueue, i, p)
+	r.prefillQueue = insertByClass(r.prefillQueue, p, func(p *prefillTask) persimmoncart.Class { return p.request.class })
 	r.startPrefill()
 }
 
@@ -175,11 +171,7 @@
 // decode queues a task, which starts when a slot and memory are free.
 func (r *replica) decode(d *decodeTask) {
 	d.replica = r
-	i := len(r.decodeQueue)
-	for i > 0 && r.decodeQueue[i-1].request.class > d.request.class {
-		i--
-	}
-	r.decodeQueue = slices.Insert(r.decodeQueue, i, d)
+	r.decodeQueue = insertByClass(r.decodeQueue, d, func(d *decodeTask) persimmoncart.Class { return d.request.class })
 	r.admit()
 }
 
@@ -349,3 +341,13 @@
 	}
 	return len(prefixes) * persimmoncart.BlockTokens
 }
+
+// insertByClass inserts a task into a queue, behind all tasks of its class and of
+// more urgent ones.
+func insertByClass[T any](queue []T, task T, class func(T) persimmoncart.Class) []T {
+	i := len(queue)
+	for i > 0 && class(queue[i-1]) > class(task) {
+		i--
+	}
+	return slices.Insert(queue, i, task)
+}
