flagtype: one RunCommand for persimmonfake and persimmonload

Cause: both programs parsed their flags, chose the command, printed the help and mapped errors to exit codes with the same 20 lines.

Change: flagtype.RunCommand does so, with the exit codes beside it; Command moves into the same file. Texts and exit codes are the same, except for a command that does not implement the program's interface, which is a fault of the program: it is now an error with exit code 2 in both.

--- a/cmd/persimmonfake/internal/cmd/root.go
+++ b/cmd/persimmonfake/internal/cmd/root.go
@@ -8,24 +8,18 @@
 	"net/http"
 	"net/netip"
 
-	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/fakes"
+	"github.com/persimmoncart/persimmoncart/internal/flagtype"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
-// Exit codes.
-const (
-	exitOK     = 0
-	exitFailed = 1 // the command failed
-	exitUsage  = 2 // the arguments or settings are invalid
-)
-
 // A runner is a command of the program.
 type runner interface {
+	flags.Commander
 	// run serves until ctx is done.
 	run(ctx context.Context, env environment) error
 }
@@ -56,43 +50,20 @@
 // 0 after a clean stop, 1 after a failure, 2 for wrong settings.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	root := &rootCommand{}
-	parser := flags.NewNamedParser("persimmonfake", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("Settings", "", root); err != nil {
-		return fail(stderr, err)
-	}
-	var chosen runner
-	parser.CommandHandler = func(command flags.Commander, _ []string) error {
-		chosen, _ = command.(runner)
-		return nil
-	}
-	if _, err := parser.ParseArgs(args); err != nil {
-		if e := (*flags.Error)(nil); errors.As(err, &e) && e.Type == flags.ErrHelp {
-			// There is nowhere to report a failed write to stdout.
-			_, _ = fmt.Fprintln(stdout, e.Message)
-			return exitOK
+	return flagtype.RunCommand("persimmonfake", root, args, stdout, stderr, func(chosen runner) int {
+		level, err := zerolog.ParseLevel(root.LogLevel)
+		if err != nil {
+			_, _ = fmt.Fprintln(stderr, "no command to run:", err)
+			return flagtype.ExitUsage
 		}
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitUsage
-	}
-	level, err := zerolog.ParseLevel(root.LogLevel)
-	if err != nil || chosen == nil {
-		_, _ = fmt.Fprintln(stderr, "no command to run:", err)
-		return exitUsage
-	}
-	env := environment{
-		log:   zerolog.New(zerolog.SyncWriter(stderr)).Level(level).With().Timestamp().Logger(),
-		timer: &timer.System{},
-	}
-	if err := chosen.run(ctx, env); err != nil {
-		env.log.Error().Err(err).Msg("failed")
-		return exitFailed
-	}
-	return exitOK
-}
-
-// fail writes err, which is a fault of the program itself, and returns the exit
-// code.
-func fail(stderr io.Writer, err error) int {
-	_, _ = fmt.Fprintln(stderr, err)
-	return exitFailed
+		env := environment{
+			log:   zerolog.New(zerolog.SyncWriter(stderr)).Level(level).With().Timestamp().Logger(),
+			timer: &timer.System{},
+		}
+		if err := chosen.run(ctx, env); err != nil {
+			env.log.Error().Err(err).Msg("failed")
+			return flagtype.ExitFailed
+		}
+		return flagtype.ExitOK
+	})
 }
--- a/cmd/persimmonload/internal/cmd/root.go
+++ b/cmd/persimmonload/internal/cmd/root.go
@@ -9,13 +9,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
-)
 
-// Exit codes.
-const (
-	exitOK     = 0
-	exitFailed = 1 // the command failed, or a response was incomplete or wrong
-	exitUsage  = 2 // the arguments or settings are invalid
+	"github.com/persimmoncart/persimmoncart/internal/flagtype"
 )
 
 // errFaultyResponses is the error of a command that received incomplete or wrong
@@ -24,6 +19,7 @@
 
 // A runner is a command of the program.
 type runner interface {
+	flags.Commander
 	run(ctx context.Context, stdout, stderr io.Writer) error
 }
 
@@ -38,30 +34,13 @@
 // 0 when every response was complete and correct, 1 otherwise, 2 for wrong
 // settings.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	parser := flags.NewNamedParser("persimmonload", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("Settings", "", &rootCommand{}); err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitFailed
-	}
-	var chosen runner
-	parser.CommandHandler = func(command flags.Commander, _ []string) error {
-		chosen, _ = command.(runner)
-		return nil
-	}
-	if _, err := parser.ParseArgs(args); err != nil {
-		if e := (*flags.Error)(nil); errors.As(err, &e) && e.Type == flags.ErrHelp {
-			// There is nowhere to report a failed write to stdout.
-			_, _ = fmt.Fprintln(stdout, e.Message)
-			return exitOK
+	return flagtype.RunCommand("persimmonload", &rootCommand{}, args, stdout, stderr, func(chosen runner) int {
+		if err := chosen.run(ctx, stdout, stderr); err != nil {
+			_, _ = fmt.Fprintln(stderr, err)
+			return flagtype.ExitFailed
 		}
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitUsage
-	}
-	if err := chosen.run(ctx, stdout, stderr); err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitFailed
-	}
-	return exitOK
+		return flagtype.ExitOK
+	})
 }
 
 // writeJSON writes v to w as one line of JSON.
--- a/internal/flagtype/flagtype.go
+++ b/internal/flagtype/flagtype.go
@@ -8,10 +8,7 @@
 	"github.com/jessevdk/go-flags"
 )
 
-var (
-	_ flags.Commander   = Command{}
-	_ flags.Unmarshaler = (*Address)(nil)
-)
+var _ flags.Unmarshaler = (*Address)(nil)
 
 // An Address is a flag whose value is an IP address with a port.
 type Address struct {
@@ -28,11 +25,3 @@
 	a.AddrPort = parsed
 	return nil
 }
-
-// A Command is embedded in commands that the program runs itself once the flags
-// are parsed, with a context. go-flags requires commands to implement
-// flags.Commander.
-type Command struct{}
-
-// Execute implements flags.Commander. It does nothing.
-func (Command) Execute([]string) error { return nil }
