jsonlines: lines of a failed write are written by the next one

Cause: Flush took the buffered lines and the count of dropped ones and forgot both when the write failed. After a short fault of the output the lines about exactly this time were missing, and nothing told how many.

Change: Flush puts back what the output did not take, in front of the lines that came since, and the next call continues there, also in the middle of a line. Bytes that are being written count towards the limit of the buffer; otherwise a buffer would grow without bound while slow writes fail. While a write is stuck, lines therefore have 512 KiB in all, not 512 KiB beside those being written.

--- a/internal/jsonlines/writer.go
+++ b/internal/jsonlines/writer.go
@@ -20,7 +20,7 @@
 	// warningLinesPerSecond limits the warnings and errors, which report failed
 	// requests.
 	warningLinesPerSecond = 2000
-	// bufferBytes limits the buffered lines. Lines below the level of warnings use
+	// bufferBytes limits the lines that are buffered or being written. Lines below the level of warnings use
 	// only the first half, so that there is space for those about failed requests.
 	bufferBytes = 512 << 10
 	// flushPeriod is the time between two writes of buffered lines. Lines are
@@ -43,6 +43,7 @@
 	dropped      int    // lines since the last flush
 	droppedTotal uint64 // lines since the start
 	mutex        sync.Mutex
+	pending      int // bytes that Flush is writing, which it puts back if the write fails
 	started      bool
 	windowStart  time.Time
 }
@@ -55,25 +56,32 @@
 }
 
 // Flush writes the buffered lines, and a line with the number of lines dropped
-// since the last flush, if any. It returns an *OutputError if the write fails.
+// since the last flush, if any. It returns an *OutputError if the write fails; the
+// next call then continues where the output stopped.
 func (w *Writer) Flush() error {
 	w.mutex.Lock()
-	lines := w.buffer
-	w.buffer = nil
-	if w.dropped > 0 {
+	lines, dropped, size := w.buffer, w.dropped, len(w.buffer)
+	w.buffer, w.dropped, w.pending = nil, 0, size
+	w.mutex.Unlock()
+	if dropped > 0 {
 		lines = append(lines, `{"level":"warn","lines":`...)
-		lines = strconv.AppendInt(lines, int64(w.dropped), 10)
+		lines = strconv.AppendInt(lines, int64(dropped), 10)
 		lines = append(lines, `,"message":"log lines left out"}`+"\n"...)
-		w.dropped = 0
 	}
-	w.mutex.Unlock()
 	if len(lines) == 0 {
 		return nil
 	}
-	if _, err := w.Out.Write(lines); err != nil {
-		return &OutputError{Err: err}
+	n, err := w.Out.Write(lines)
+	switch {
+	case err == nil:
+		w.endWrite(nil, 0)
+		return nil
+	case n <= size:
+		w.endWrite(lines[n:size], dropped)
+	default:
+		w.endWrite(lines[n:], 0) // the rest of the line about dropped lines
 	}
-	return nil
+	return &OutputError{Err: err}
 }
 
 // Run flushes the buffer periodically until ctx is done, and then once more.
@@ -107,7 +115,7 @@
 	if level >= zerolog.WarnLevel {
 		severity, maxLines, maxBytes = 1, warningLinesPerSecond, bufferBytes
 	}
-	if w.counts[severity] >= maxLines || len(w.buffer)+len(p) > maxBytes {
+	if w.counts[severity] >= maxLines || w.pending+len(w.buffer)+len(p) > maxBytes {
 		w.dropped++
 		w.droppedTotal++
 		return len(p), nil
@@ -117,6 +125,18 @@
 	return len(p), nil
 }
 
+// endWrite ends a write: it puts the bytes that were not written back before the lines
+// that came since, and adds to the number of dropped lines.
+func (w *Writer) endWrite(unwritten []byte, dropped int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if len(unwritten) > 0 {
+		w.buffer = append(unwritten, w.buffer...)
+	}
+	w.dropped += dropped
+	w.pending = 0
+}
+
 // An OutputError reports a failed write to the output.
 type OutputError struct {
 	Err error
