tlsfiles: the line about a failed reload has its error

Cause: the line named the certificate and not what was wrong with the files, so that an operator could not tell a missing file from a key that does not match.

Change: the error is a field of the line, whose text stays.

Test: TestReloadFails removes the key; before the change it failed for the missing field "error", after it go test -race ./internal/tlsfiles -count=3 passes.

--- a/internal/tlsfiles/reloader.go
+++ b/internal/tlsfiles/reloader.go
@@ -163,7 +163,7 @@
 		m, err := r.Files.load()
 		if err != nil {
 			if !failing {
-				r.Logger.Error().Str("certificate", r.Files.Certificate).Msg("TLS files cannot be used, keeping the old ones")
+				r.Logger.Error().Err(err).Str("certificate", r.Files.Certificate).Msg("TLS files cannot be used, keeping the old ones")
 			}
 			failing = true
 			continue
--- a/internal/tlsfiles/reloader_test.go
+++ b/internal/tlsfiles/reloader_test.go
@@ -1,6 +1,7 @@
 package tlsfiles_test
 
 import (
+	"bytes"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -14,6 +15,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -117,6 +119,26 @@
 	})
 }
 
+// Guards against a failed reload whose log line does not say what is wrong with the
+// files, and against one that is repeated at each read.
+func TestReloadFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := writeCertificate(t, t.TempDir(), 1)
+		r := newReloader(t, f)
+		var log bytes.Buffer
+		r.Logger = zerolog.New(&log)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- r.Run(ctx) }()
+		assert.NilError(t, os.Remove(f.Key))
+		time.Sleep(3*tlsfiles.DefaultPeriod + time.Second)
+		cancel()
+		assert.ErrorIs(t, <-done, context.Canceled)
+		assert.Equal(t, strings.Count(log.String(), "TLS files cannot be used, keeping the old ones"), 1, log.String())
+		assert.Assert(t, strings.Contains(log.String(), fmt.Sprintf(`"error":"read TLS file: open %s:`, f.Key)), log.String())
+	})
+}
+
 // Guards against peers that are accepted without a certificate of the CA.
 func TestMutual(t *testing.T) {
 	own, other := newReloader(t, writeCertificate(t, t.TempDir(), 1)), newReloader(t, writeCertificate(t, t.TempDir(), 2))
