slots: a repeated borrow does not take the reply from the first call

Cause: Lend stored one reply channel for each open borrow. A repetition with the same From and ID gets the number of the open borrow, so that it replaced the first call's channel: the first call waited until its context ended, and its end then deleted the channel of the second, which got no reply either.

Change: all calls of a borrow get the loan, as the comment on BorrowRequest says; a call that ends removes only its own channel.

Test: TestLendRepeated fails in both cases before the change (context deadline exceeded) and passes after it; go test -race ./internal/slots -count=3 passes.

--- a/internal/slots/allocator.go
+++ b/internal/slots/allocator.go
@@ -58,7 +58,7 @@
 	initOnce          sync.Once
 	lenderCalls       sync.WaitGroup
 	lenderContext     context.Context                                       // of calls to lenders; ends with Run
-	lendReplies       map[uint64]chan persimmoncart.Loan                    // by the number from Broker.ReceiveBorrow
+	lendReplies       map[uint64][]chan<- persimmoncart.Loan                // calls of Lend, by the number from Broker.ReceiveBorrow
 	loadReports       map[persimmoncart.EndpointID]persimmoncart.LoadReport // last report with a new role or new models
 	mutex             sync.Mutex                                            // guards all unexported fields
 	random            *rand.Rand
@@ -120,14 +120,14 @@
 	var id uint64
 	a.update(func(now time.Time) {
 		id = a.broker.ReceiveBorrow(now, request)
-		a.lendReplies[id] = reply
+		a.lendReplies[id] = append(a.lendReplies[id], reply)
 	})
 	select {
 	case loan := <-reply:
 		return loan, nil
 	case <-ctx.Done():
 		// Slots that are lent later expire, because the borrower never commits them.
-		a.update(func(time.Time) { delete(a.lendReplies, id) })
+		a.update(func(time.Time) { a.cancelLend(id, reply) })
 		return persimmoncart.Loan{}, errors.Wrapf(ctx.Err(), "lend to %s", request.From)
 	}
 }
@@ -301,6 +301,15 @@
 	return b
 }
 
+// cancelLend removes a call of Lend that has ended. A repetition of the same borrow
+// may still wait for the reply. The mutex is held.
+func (a *Allocator) cancelLend(id uint64, reply chan<- persimmoncart.Loan) {
+	a.lendReplies[id] = slices.DeleteFunc(a.lendReplies[id], func(c chan<- persimmoncart.Loan) bool { return c == reply })
+	if len(a.lendReplies[id]) == 0 {
+		delete(a.lendReplies, id)
+	}
+}
+
 // cancelReserve removes a ticket whose caller has left. If the ticket was granted
 // in the meantime, it releases the grant.
 func (a *Allocator) cancelReserve(ticket uint64, done chan reserveResult) {
@@ -321,7 +330,7 @@
 func (a *Allocator) initialise() {
 	a.initOnce.Do(func() {
 		a.balancers = make(map[persimmoncart.PoolName]*policy.Balancer)
-		a.lendReplies = make(map[uint64]chan persimmoncart.Loan)
+		a.lendReplies = make(map[uint64][]chan<- persimmoncart.Loan)
 		a.stragglers = policy.NewStragglerDetector()
 		a.waiters = make(map[uint64]chan reserveResult)
 		a.lenderContext, a.cancelLenderCalls = context.WithCancel(context.Background())
--- a/internal/slots/allocator_test.go
+++ b/internal/slots/allocator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -184,6 +185,60 @@
 	})
 }
 
+// Guards against a borrow whose repetition takes the reply away from the first call,
+// and against a call that ends and takes the reply away from the other one.
+func TestLendRepeated(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		cancel bool // the first call ends before the loan
+	}{
+		{name: "both calls wait"},
+		{name: "the first call ends", cancel: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				allocator := &slots.Allocator{
+					Configuration: configuration(engine("d", persimmoncart.RoleDecode, 1), engine("p", persimmoncart.RolePrefill, 4)),
+					Self:          persimmoncart.Instance{ID: "n1", Region: "sfax-coast"},
+				}
+				start(t, allocator)
+				allocator.SetUsable(usableReplicas("d", "p"))
+				grant, err := allocator.Reserve(t.Context(), request(persimmoncart.ClassBatch, time.Minute))
+				assert.NilError(t, err)
+				borrow := persimmoncart.BorrowRequest{
+					From: "n2", ID: 1, Items: []persimmoncart.BorrowItem{{Decode: true, Request: request(persimmoncart.ClassBatch, time.Minute)}},
+					Wait: 20 * time.Second,
+				}
+				var loans [2]persimmoncart.Loan
+				var errs [2]error
+				var calls sync.WaitGroup
+				ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+				defer cancel()
+				first, cancelFirst := context.WithCancel(ctx)
+				defer cancelFirst()
+				for n, ctx := range []context.Context{first, ctx} {
+					calls.Go(func() { loans[n], errs[n] = allocator.Lend(ctx, borrow) })
+					synctest.Wait()
+				}
+				if c.cancel {
+					cancelFirst()
+					synctest.Wait()
+				}
+				allocator.Release(grant.ID)
+				calls.Wait()
+				assert.NilError(t, errs[1])
+				assert.Equal(t, len(loans[1].Slots), 1)
+				if c.cancel {
+					assert.ErrorIs(t, errs[0], context.Canceled)
+					return
+				}
+				assert.NilError(t, errs[0])
+				assert.DeepEqual(t, loans[0], loans[1])
+			})
+		})
+	}
+}
+
 // Reserves a prefill slot and a decode slot with its memory in one call.
 func ExampleAllocator() {
 	allocator := &slots.Allocator{
--- a/internal/slots/effects.go
+++ b/internal/slots/effects.go
@@ -52,10 +52,10 @@
 
 // ReplyBorrow implements policy.Effects.
 func (e *effects) ReplyBorrow(borrow uint64, loan persimmoncart.Loan) {
-	if reply, found := e.allocator.lendReplies[borrow]; found {
-		delete(e.allocator.lendReplies, borrow)
+	for _, reply := range e.allocator.lendReplies[borrow] {
 		reply <- loan
 	}
+	delete(e.allocator.lendReplies, borrow)
 }
 
 // UpdateSlots implements policy.Effects. It ignores errors: if a message is lost,
