config: a conflict does not name version 0

Cause: an edit's conflict searches the latest 64 versions for the other author's change. If it is older, or the object never existed, the message said "was changed by another author in version 0", a version that does not exist.

Change: without a version the message says that the object differs from the content that the edit was made from; the differences of the fields follow as before.

Test: TestConflictWithUnknownChange fails before the change in two of three cases; after it go test -race of config, admin and persimmonctl passes.

--- a/internal/admin/service.go
+++ b/internal/admin/service.go
@@ -195,11 +195,11 @@
 // Conflict describes the change of another author that an edit conflicts with.
 type Conflict struct {
 	Time    time.Time            `json:"at,omitzero"`
-	Author  string               `json:"author"`
+	Author  string               `json:"author"` // empty if the change is not in the versions searched
 	Fields  []config.FieldChange `json:"fields"` // from the base version to the content in force
 	Key     string               `json:"key"`
-	Ours    []config.FieldChange `json:"ours"` // from the content in force to the requested one
-	Version uint64               `json:"version"`
+	Ours    []config.FieldChange `json:"ours"`    // from the content in force to the requested one
+	Version uint64               `json:"version"` // zero if the change is not in the versions searched
 }
 
 // apiChanges converts changes to the API's representation.
--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	cryptorand "crypto/rand"
 	"crypto/sha256"
@@ -152,7 +153,7 @@
 }
 
 // conflict returns an *EditConflictError with the author and version of the
-// object's last change.
+// object's last change, if it is in the latest maxRecentVersions versions.
 func (e *Editor) conflict(ctx context.Context, h *Head, c persimmoncart.ConfigChange, current []byte) error {
 	out := &EditConflictError{Base: c.Before, Key: c.Key, Ours: c.After, Theirs: current}
 	sets, err := e.Repository.History(ctx, h, h.Version, maxRecentVersions)
@@ -280,23 +281,23 @@
 // EditConflictError reports that an object of an edit was changed after the content
 // that the edit was made from.
 type EditConflictError struct {
-	Author  string // empty if the change is older than the versions searched
+	Author  string // empty if the change is not in the versions searched
 	Base    []byte // content that the edit was made from
 	Key     string
 	Ours    []byte // content that the edit requests
 	Theirs  []byte // content in force
 	Time    time.Time
-	Version uint64 // version of the other author's change
+	Version uint64 // version of the other author's change; zero if it is not in the versions searched
 }
 
 // Error implements error.
 func (e *EditConflictError) Error() string {
 	var b strings.Builder
-	author := e.Author
-	if author == "" {
-		author = "another author"
+	if e.Version == 0 {
+		fmt.Fprintf(&b, "%s differs from the content that the edit was made from", e.Key)
+	} else {
+		fmt.Fprintf(&b, "%s was changed by %s in version %d", e.Key, cmp.Or(e.Author, "another author"), e.Version)
 	}
-	fmt.Fprintf(&b, "%s was changed by %s in version %d", e.Key, author, e.Version)
 	for _, f := range DiffFields(e.Base, e.Theirs) {
 		fmt.Fprintf(&b, "; %s: %s became %s", f.Field, orNone(f.Before), orNone(f.After))
 	}
--- a/internal/config/editor_test.go
+++ b/internal/config/editor_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -216,3 +217,39 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(sets), 150)
 }
+
+// TestConflictWithUnknownChange guards against a conflict that names version 0, which
+// does not exist, as the version of the other author's change.
+func TestConflictWithUnknownChange(t *testing.T) {
+	const recent = 64 // versions that are searched for the change
+	for _, c := range []struct {
+		name   string
+		later  int // versions after the other author's change
+		exists bool
+		want   string
+	}{
+		{name: "among the latest versions", later: recent - 1, exists: true, want: "account/a was changed by ann in version 1; "},
+		{name: "in an older version", later: recent, exists: true, want: "account/a differs from the content that the edit was made from; "},
+		{name: "object never existed", later: 1, want: "account/a differs from the content that the edit was made from; "},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e, _ := newEditor()
+			apply := func(name string, rate int, before []byte) error {
+				change := persimmoncart.ConfigChange{After: account(name, rate), Before: before, Key: "account/" + name}
+				_, err := e.Apply(t.Context(), config.Edit{Author: "ann", Changes: []persimmoncart.ConfigChange{change}})
+				return err
+			}
+			if c.exists {
+				assert.NilError(t, apply("a", 1, nil))
+			}
+			for i := range c.later {
+				assert.NilError(t, apply("b", i+1, account("b", i)))
+			}
+			var conflict *config.EditConflictError
+			err := apply("a", 3, account("a", 2))
+			assert.Assert(t, errors.As(err, &conflict), "%v", err)
+			assert.Assert(t, strings.HasPrefix(conflict.Error(), c.want), conflict.Error())
+			assert.Equal(t, conflict.Version != 0, conflict.Author != "")
+		})
+	}
+}
