soak: a program that has ended is never taken for a running one

process.wait waits for the end of the program and for a timer at once. With a limit of zero both are ready, and select then chooses at random: a program that had ended by itself was at times not started again at the end of a fault.

wait looks for the end once more when its time is over. The test, which calls wait(0) a thousand times after the end of a program, fails without the change ('ended is false') and passes with it, with -race and -count=5.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -74,12 +74,17 @@
 	p.mutex.Lock()
 	command, done := p.command, p.ended
 	p.mutex.Unlock()
+	expired := time.After(limit)
 	select {
 	case <-done:
-		return command.ProcessState.ExitCode(), true
-	case <-time.After(limit):
-		return 0, false
+	case <-expired:
+		select {
+		case <-done: // select chooses at random if both are ready
+		default:
+			return 0, false
+		}
 	}
+	return command.ProcessState.ExitCode(), true
 }
 
 // isStopping reports whether SIGTERM or SIGKILL was sent to the program.
