soak: the programs run in process groups of their own

The programs shared the soak's process group. A signal to the group, such as an interrupt from the terminal, stopped them as well and looked like violations of the graceful stop and of whole answers.

Each program is started in a group of its own and is ended by its id as before. The soak lets the running seeds end on SIGHUP too, which would now leave the programs behind.

TestProcessGroup fails without the change ('9382 (group int) != 13520 (pid int)').

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -28,7 +28,9 @@
 }
 
 // start writes the instance's settings and starts the program, with its output
-// appended to a log file.
+// appended to a log file. The program is in a process group of its own: a signal to
+// the group of the soak, such as an interrupt from the terminal, would end it and
+// look like a violation.
 func (p *process) start() error {
 	settings := filepath.Join(p.Folder, p.Name+".yaml")
 	if err := os.WriteFile(settings, []byte(p.Settings()), 0o600); err != nil {
@@ -40,6 +42,7 @@
 	}
 	c := exec.Command(p.Program, "platform", "--settings="+settings)
 	c.Stdout, c.Stderr = log, log
+	c.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := c.Start(); err != nil {
 		return errors.Wrap(err, "start program")
 	}
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -46,3 +46,25 @@
 		assert.Equal(t, code, -1)
 	}
 }
+
+// Guards against programs that get the signals sent to the process group of the soak,
+// and against ones that outlive it.
+func TestProcessGroup(t *testing.T) {
+	s := &Soak{}
+	defer s.stop()
+	for _, name := range []string{"edge-0", "edge-1"} {
+		p := newProcess(t, name)
+		assert.NilError(t, p.start())
+		s.processes = append(s.processes, p)
+		pid := p.command.Process.Pid
+		group, err := syscall.Getpgid(pid)
+		assert.NilError(t, err)
+		assert.Equal(t, group, pid, "the program is not in a group of its own")
+	}
+	s.processes[0].signal(syscall.SIGSTOP) // one that is paused ends as well
+	s.stop()
+	for _, p := range s.processes {
+		_, ended := p.wait(0)
+		assert.Assert(t, ended, "%s outlives the soak", p.Name)
+	}
+}
--- a/internal/soak/run/main.go
+++ b/internal/soak/run/main.go
@@ -37,8 +37,8 @@
 		os.Exit(2)
 	}
 	// An interrupt starts no further seeds and lets the running ones end, so that
-	// none of their processes is left over.
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	// none of their processes is left over. The processes do not get it.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGHUP, syscall.SIGTERM)
 	code := run(ctx, &o)
 	stop()
 	os.Exit(code)
