lease: a holder gives up its lease when another instance holds it

Cause: the merge of the two holders kept an unexpired lease after any failed renewal. That is right for a renewal that was lost, whose record still names the holder itself; but the reconciler of roles used to give up the lease when the record names another instance, and engines must not get orders of two holders.

Change: Holder has the identifier of its instance, and drops its lease when the refusal names another one.

--- a/internal/forward/rolereconciler.go
+++ b/internal/forward/rolereconciler.go
@@ -75,7 +75,7 @@
 // Run checks the roles every rolePeriod until ctx is done and returns its error.
 func (r *RoleReconciler) Run(ctx context.Context) error {
 	r.lease = &lease.Holder{
-		Leases: r.Leases, Name: roleLease, RenewBefore: roleRenewTime, RetrySpread: roleRetrySpread, Suspended: r.Suspended, Timer: r.Timer,
+		Leases: r.Leases, Name: roleLease, RenewBefore: roleRenewTime, RetrySpread: roleRetrySpread, Self: r.Self, Suspended: r.Suspended, Timer: r.Timer,
 	}
 	r.pending = make(map[persimmoncart.EndpointID]pendingChange)
 	err := r.Timer.Sleep(ctx, rand.N(roleStartSpread))
--- a/internal/forward/rolereconciler_test.go
+++ b/internal/forward/rolereconciler_test.go
@@ -219,3 +219,37 @@
 		assert.Assert(t, !strings.Contains(log.String(), "another instance holds"), log.String())
 	})
 }
+
+// A takenLeases grants a lease once; from then on another instance holds it.
+type takenLeases struct {
+	persimmoncart.Leases // panics on calls that the reconciler does not make
+
+	attempts int
+}
+
+func (l *takenLeases) Acquire(_ context.Context, name string) (persimmoncart.Lease, error) {
+	if l.attempts++; l.attempts > 1 {
+		return persimmoncart.Lease{}, &persimmoncart.LeaseHeldError{Holder: "i2", Name: name, RetryAfter: time.Minute}
+	}
+	return persimmoncart.Lease{Expires: time.Now().Add(6 * time.Second), Fence: 1, Name: name}, nil
+}
+
+// Guards against a holder that keeps its unexpired lease although another instance
+// holds it by now.
+func TestRoleReconcilerLeaseTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		var log bytes.Buffer
+		r := f.roleReconciler("i1", &objectapi.Memory{Timer: &timer.System{}}, &fakeRoleController{})
+		leases := &takenLeases{}
+		r.Leases, r.Logger = leases, zerolog.New(&log)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- r.Run(ctx) }()
+		time.Sleep(20 * time.Second)
+		cancel()
+		assert.ErrorIs(t, <-ended, context.Canceled)
+		assert.Equal(t, leases.attempts, 2)
+		assert.Equal(t, strings.Count(log.String(), "another instance holds"), 1, log.String())
+	})
+}
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -30,6 +30,7 @@
 	// RetrySpread is the longest time that an instance waits for the lease beyond
 	// its earliest end. Each try costs a call, and of many instances one tries early.
 	RetrySpread time.Duration
+	Self        persimmoncart.InstanceID
 	Suspended   func() time.Duration // how long the machine has been suspended in all; nil means never
 	Timer       persimmoncart.Timer
 
@@ -44,8 +45,9 @@
 func (h *Holder) Lease() persimmoncart.Lease { return h.lease }
 
 // Renew acquires or renews the lease if that is due. It returns the error of a
-// failed attempt, also while the lease is still held; nil does not mean that the
-// lease is held, because no attempt is made before the pause after the last one ends.
+// failed attempt, also while the lease is still held: a failed renewal ends an
+// unexpired lease only if another instance holds it. Nil does not mean that the lease
+// is held, because no attempt is made before the pause after the last one ends.
 func (h *Holder) Renew(ctx context.Context) error {
 	if h.heldAfter(h.RenewBefore) {
 		return nil
@@ -63,6 +65,9 @@
 		h.lease = lease
 		return nil
 	}
+	if held := (*persimmoncart.LeaseHeldError)(nil); errors.As(err, &held) && held.Holder != h.Self {
+		h.lease = persimmoncart.Lease{}
+	}
 	if !h.Held() {
 		h.retryAt = h.Timer.Now().Add(h.retryPause(err))
 	}
--- a/internal/order/leaseholder.go
+++ b/internal/order/leaseholder.go
@@ -17,7 +17,11 @@
 
 // newLeaseHolder returns the holder of the lease with the name.
 func newLeaseHolder(leases persimmoncart.Leases, members persimmoncart.Members, timer persimmoncart.Timer, name string) *lease.Holder {
-	return &lease.Holder{
+	h := &lease.Holder{
 		Leases: leases, Members: members, MinRetryPause: minRetryPause, Name: name, RenewBefore: renewBefore, Timer: timer,
 	}
+	if members != nil {
+		h.Self = members.Self().ID
+	}
+	return h
 }
