policy: a part in constant use is not blamed for a wave of crashes

Cause: when many engines crash at once, a part that most prompts share, such as a system prompt, is reported by several instances at the same moment. With a memory of completions of two seconds it could be quarantined until its next completion, or, if no engine was left to complete one, for ten minutes.

Change: a completed request excuses its parts for 30 s at the instance that served it. The removal of a shared record excuses nothing any more: it may be an operator who lets the part through again, and crashes after it have to count at once.

--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -47,9 +47,9 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if len(q.suspects.Reports(part)) > 0 {
-		q.Logger.Info().Str("part", string(part)).Msg("prompt part cleared by another instance")
+		q.Logger.Info().Str("part", string(part)).Msg("record of prompt part removed")
 	}
-	q.suspects.Clear(q.Timer.Now(), part)
+	q.suspects.Clear(part)
 }
 
 // Expire forgets old crash reports.
--- a/internal/policy/crashsuspects.go
+++ b/internal/policy/crashsuspects.go
@@ -11,9 +11,10 @@
 
 const (
 	// completionMemory is how long a completed request excuses its parts from reports of
-	// later crashes. It only saves reports of parts that are in constant use: a part
-	// may also begin to crash engines, for example with their new version.
-	completionMemory = 2 * time.Second
+	// later crashes. It keeps parts in constant use from being blamed when many engines
+	// crash at once; a part that begins to crash engines, for example with their new
+	// version, is blamed after it.
+	completionMemory = 30 * time.Second
 	// maxCompletions is the largest number of completed parts that are remembered.
 	maxCompletions = 8192
 	// maxEnginesPerPart is the largest number of crashed engines kept for one part.
@@ -78,12 +79,9 @@
 	}
 }
 
-// Clear forgets the reports of a part that another instance found sound, and remembers
-// it as completed at now.
-func (c *CrashSuspects) Clear(now time.Time, part persimmoncart.PromptPart) {
-	c.forget(part)
-	c.completions.add(now, part)
-}
+// Clear forgets the reports of a part whose shared record was removed. Later reports
+// count at once: the part may be one that an operator lets through again.
+func (c *CrashSuspects) Clear(part persimmoncart.PromptPart) { c.forget(part) }
 
 // Expire forgets the reports of the parts whose last report is reportLifetime old, and
 // returns these parts in ascending order. Their shared records are to be removed.
