--- a/forwardrequest.go
+++ b/forwardrequest.go
@@ -35,6 +35,6 @@
 	ExpectedOutputTokens int // zero if the caller does not state it
 	MaxOutputTokens      int
 	Model                ModelName
-	Parts                []PromptPart // shared parts of the prompt in order, without the request's own last part
+	PromptParts          []PromptPart // shared parts of the prompt in order, without the request's own last part
 	PromptTokens         int
 }
--- a/internal/forward/assignment.go
+++ b/internal/forward/assignment.go
@@ -9,10 +9,10 @@
 
 // An assignment is the use of an endpoint by one request. Done or DoneFull ends it.
 type assignment struct {
-	Endpoint persimmoncart.Endpoint
-	Expected time.Duration       // expected time at the endpoint, its queue included
-	Suspect  bool                // another process may be at its address
-	View     policy.EndpointView // state of the endpoint when it was chosen, for logs
+	Endpoint   persimmoncart.Endpoint
+	Expected   time.Duration       // expected time at the endpoint, its queue included
+	Unverified bool                // another process may be at its address
+	View       policy.EndpointView // state of the endpoint when it was chosen, for logs
 
 	directory *Directory
 	pool      *pool
@@ -58,14 +58,14 @@
 	a.directory.mutex.Lock()
 	defer a.directory.mutex.Unlock()
 	a.state.Failures.Fail(a.directory.Timer.Now())
-	a.state.Suspect = true
+	a.state.Unverified = true
 }
 
 // Identified records that the endpoint is the process that it is taken for.
 func (a *assignment) Identified() {
 	a.directory.mutex.Lock()
 	defer a.directory.mutex.Unlock()
-	a.Suspect, a.state.Suspect = false, false
+	a.Unverified, a.state.Unverified = false, false
 }
 
 // ReportLoad records the load that the endpoint reported; nil is ignored.
@@ -91,6 +91,6 @@
 	a.directory.mutex.Lock()
 	defer a.directory.mutex.Unlock()
 	a.state.Failures.Succeed(a.directory.Timer.Now())
-	a.state.Suspect = false
+	a.state.Unverified = false
 	a.state.AddWork(took, units)
 }
--- a/internal/forward/crashcheck.go
+++ b/internal/forward/crashcheck.go
@@ -12,31 +12,37 @@
 
 const (
 	// crashCheckTimeout bounds the check whether an engine has crashed. A process that
-	// is gone refuses connections at once; one that does not respond may be silent.
+	// is gone refuses connections at once; an engine that is only silent exceeds the
+	// timeout and does not count as crashed.
 	crashCheckTimeout = 300 * time.Millisecond
-	// maxBeginningEvents is the number of events of a response that has only begun.
-	maxBeginningEvents = 1
+	// maxEarlyEvents is the number of events up to which a response that breaks off
+	// counts as broken off at its beginning.
+	maxEarlyEvents = 1
 )
 
+// errPromptSuspected is the cause of a request that is not sent again because its
+// prompt may crash engines.
+var errPromptSuspected = errors.New("the prompt may crash engines")
+
 // checkCrash finds out whether an engine that broke off when it began to respond to
-// the request has crashed, and records the crash. It does not wait for that; suspected
-// does.
-func (x *exchange) checkCrash(engine persimmoncart.Endpoint) {
+// the request has crashed, and records the crash. It does not wait for that;
+// awaitSuspicion does.
+func (x *exchange) checkCrash(engine *persimmoncart.Endpoint) {
 	if len(x.promptParts()) == 0 || !x.router.Directory.Accepts(engine.ID) {
 		return
 	}
-	done := make(chan struct{})
-	x.crashChecked = done
-	go func() {
-		defer close(done)
+	x.crashChecks.Go(func() {
 		// The check goes on when the caller leaves.
 		ctx, stop := timer.WithTimeout(context.Background(), x.router.Timer, crashCheckTimeout, nil)
 		defer stop()
-		if err := x.router.Upstream.Identify(ctx, &engine); err == nil || isAlive(err) || ctx.Err() != nil {
+		if err := x.router.Upstream.Identify(ctx, engine); err == nil || isAlive(err) || ctx.Err() != nil {
 			return
 		}
-		x.router.Quarantine.RecordCrash(&engine, x.promptParts())
-	}()
+		x.withParts(x.router.Logger.Warn()).Str("endpoint", string(engine.ID)).Uint64("incarnation", uint64(engine.Incarnation)).
+			Msg("engine crashed when it began to respond")
+		x.router.Metrics.CountBrokenByCrash()
+		x.router.Quarantine.RecordCrash(engine, x.promptParts())
+	})
 }
 
 // isAlive reports whether the error of a call to an engine shows that its process
@@ -46,12 +52,10 @@
 	return errors.As(err, &refused)
 }
 
-// suspected reports whether the request must not be sent again, as its prompt seems to
-// crash engines. It waits for the last check.
-func (x *exchange) suspected() bool {
-	if x.crashChecked != nil {
-		<-x.crashChecked
-	}
+// awaitSuspicion waits for pending checks and reports whether the request must not be
+// sent again, as its prompt may crash engines.
+func (x *exchange) awaitSuspicion() bool {
+	x.crashChecks.Wait()
 	return x.router.Quarantine.Suspected(x.promptParts())
 }
 
--- a/internal/forward/crashreports.go
+++ b/internal/forward/crashreports.go
@@ -73,8 +73,8 @@
 		}
 		for _, part := range c.takePending() {
 			if err := c.sync(ctx, part); err != nil {
-				c.Logger.Warn().Str("part", string(part)).Err(err).Msg("crash reports not shared")
-				c.Write(part)
+				c.Logger.Warn().Str("part", string(part)).Err(err).Msg("record of crash reports not written, trying again")
+				c.Schedule(part)
 				_ = c.Timer.Sleep(ctx, crashRetryPause/2+rand.N(crashRetryPause)) // an end of ctx ends the loop
 			}
 		}
@@ -85,7 +85,7 @@
 func (c *CrashReports) HandleChange(e persimmoncart.WatchEvent) {
 	part := crashPart(e.Object.Key)
 	if e.Deleted {
-		c.setRecord(part, nil)
+		c.deleteRecord(part)
 		c.Quarantine.Clear(part)
 		return
 	}
@@ -96,19 +96,19 @@
 // cleared, unless the store has lost the record: then it is written again.
 func (c *CrashReports) HandleList(objects []persimmoncart.Object) {
 	c.mutex.Lock()
-	before, restored := c.records, c.restored
+	missing, restored := c.records, c.restored
 	c.records, c.restored = nil, false
 	c.mutex.Unlock()
 	for _, o := range objects {
-		delete(before, crashPart(o.Key))
+		delete(missing, crashPart(o.Key))
 		c.read(o)
 	}
-	for part := range before {
+	for part := range missing {
 		if !restored {
 			c.Quarantine.Clear(part)
 			continue
 		}
-		c.Timer.After(rand.N(crashRestoreSpread), func(time.Time) { c.Write(part) })
+		c.Timer.After(rand.N(crashRestoreSpread), func(time.Time) { c.Schedule(part) })
 	}
 }
 
@@ -120,8 +120,8 @@
 	c.restored = true
 }
 
-// Write has Run write the reports of a part. It does not block.
-func (c *CrashReports) Write(part persimmoncart.PromptPart) {
+// Schedule has Run write the reports of a part. It does not block.
+func (c *CrashReports) Schedule(part persimmoncart.PromptPart) {
 	c.mutex.Lock()
 	if c.pending == nil {
 		c.pending = make(map[persimmoncart.PromptPart]struct{})
@@ -144,31 +144,36 @@
 	part := crashPart(o.Key)
 	var stored storedCrashes
 	if err := json.Unmarshal(o.Value, &stored); err != nil {
-		c.Logger.Warn().Str("part", string(part)).Uint64("version", uint64(o.Version)).Err(err).Msg("crash reports ignored")
+		c.Logger.Warn().Str("part", string(part)).Uint64("version", uint64(o.Version)).Err(err).Msg("unreadable record of crash reports ignored")
 		stored = storedCrashes{}
 	}
 	slices.Sort(stored.Engines)
-	c.setRecord(part, &crashRecord{engines: stored.Engines, version: o.Version})
+	c.setRecord(part, crashRecord{engines: stored.Engines, version: o.Version})
 	reports := make([]policy.CrashReport, 0, len(stored.Engines))
 	for _, engine := range stored.Engines {
 		reports = append(reports, policy.CrashReport{Depth: stored.Depth, Engine: engine, Part: part})
 	}
-	c.Quarantine.Add(reports)
+	c.Quarantine.Add(part, reports)
 }
 
-// setRecord records the newest state of a record; nil means that there is none.
-func (c *CrashReports) setRecord(part persimmoncart.PromptPart, r *crashRecord) {
+// deleteRecord records that a part has no record.
+func (c *CrashReports) deleteRecord(part persimmoncart.PromptPart) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	switch old := c.records[part]; {
-	case r == nil:
-		delete(c.records, part)
-	case r.version >= old.version:
-		if c.records == nil {
-			c.records = make(map[persimmoncart.PromptPart]crashRecord)
-		}
-		c.records[part] = *r
+	delete(c.records, part)
+}
+
+// setRecord records the state of a record, unless a newer one is known.
+func (c *CrashReports) setRecord(part persimmoncart.PromptPart, r crashRecord) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if r.version < c.records[part].version {
+		return
 	}
+	if c.records == nil {
+		c.records = make(map[persimmoncart.PromptPart]crashRecord)
+	}
+	c.records[part] = r
 }
 
 // sync makes the record of a part that of the Quarantine: it writes the reports, or
@@ -187,11 +192,11 @@
 		if record.version != 0 && slices.Equal(next.Engines, record.engines) {
 			return nil
 		}
-		if err = c.save(ctx, part, next, record.version); err == nil || !isStale(err) {
+		if err = c.save(ctx, part, next, record.version); err == nil || !mustReread(err) {
 			return err
 		}
-		if err := c.refresh(ctx, part); err != nil {
-			return err
+		if readErr := c.refresh(ctx, part); readErr != nil {
+			return readErr
 		}
 	}
 	return err
@@ -223,7 +228,7 @@
 	if err != nil {
 		return errors.Wrap(err, "write crash reports")
 	}
-	c.setRecord(part, &crashRecord{engines: value.Engines, version: version})
+	c.setRecord(part, crashRecord{engines: value.Engines, version: version})
 	return nil
 }
 
@@ -233,7 +238,7 @@
 	if version == 0 {
 		return nil
 	}
-	if err := c.Store.Delete(ctx, CrashReportsPrefix+string(part), version); err != nil && !isStale(err) {
+	if err := c.Store.Delete(ctx, CrashReportsPrefix+string(part), version); err != nil && !mustReread(err) {
 		return errors.Wrap(err, "remove crash reports")
 	}
 	return nil
@@ -243,7 +248,7 @@
 func (c *CrashReports) refresh(ctx context.Context, part persimmoncart.PromptPart) error {
 	object, err := c.Store.Get(ctx, CrashReportsPrefix+string(part))
 	if missing := (*persimmoncart.NotFoundError)(nil); errors.As(err, &missing) {
-		c.setRecord(part, nil)
+		c.deleteRecord(part)
 		return nil
 	}
 	if err != nil {
@@ -253,9 +258,9 @@
 	return nil
 }
 
-// isStale reports whether a write failed because the record has changed, or may have
-// taken effect: the record has to be read.
-func isStale(err error) bool {
+// mustReread reports whether a write failed because the record has changed, or may have
+// taken effect.
+func mustReread(err error) bool {
 	ambiguous, conflict, missing := (*persimmoncart.AmbiguousError)(nil), (*persimmoncart.ConflictError)(nil), (*persimmoncart.NotFoundError)(nil)
 	return errors.As(err, &ambiguous) || errors.As(err, &conflict) || errors.As(err, &missing)
 }
--- a/internal/forward/crashreports_test.go
+++ b/internal/forward/crashreports_test.go
@@ -44,7 +44,7 @@
 	q := &forward.Quarantine{Logger: zerolog.Nop(), Timer: clock}
 	faulty := &objectapi.Faulty{Store: store, Timer: clock}
 	c := &forward.CrashReports{Logger: zerolog.Nop(), Quarantine: q, Store: faulty, Timer: clock}
-	q.Changed = c.Write
+	q.Changed = c.Schedule
 	f := &forward.Follower{
 		Changed: c.HandleChange, Listed: c.HandleList, Logger: zerolog.Nop(), Prefix: forward.CrashReportsPrefix, Store: faulty, Timer: clock,
 	}
--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -316,7 +316,7 @@
 	e.InFlight++
 	e.Tokens += r.Tokens
 	return &assignment{
-		Endpoint: e.Endpoint, Expected: expected, Suspect: e.Suspect, View: view, directory: d, pool: p, state: e, tokens: r.Tokens,
+		Endpoint: e.Endpoint, Expected: expected, Unverified: e.Unverified, View: view, directory: d, pool: p, state: e, tokens: r.Tokens,
 	}
 }
 
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -166,7 +166,8 @@
 	Router    *forward.Router
 	Upstream  *fakeUpstream
 
-	readPause time.Duration // pause of the caller before each read
+	parts     []persimmoncart.PromptPart // of the prompts of generations
+	readPause time.Duration              // pause of the caller before each read
 }
 
 // newFixture returns a fixture with three application endpoints, two prefill and
@@ -258,7 +259,7 @@
 		ID: "q1", Method: http.MethodPost, Target: path + "x",
 	}
 	if path == "/draft/" || path == "/long/" {
-		r.Generation = &persimmoncart.GenerationSize{ExpectedOutputTokens: 800, MaxOutputTokens: 2000, PromptTokens: 3200}
+		r.Generation = &persimmoncart.GenerationSize{ExpectedOutputTokens: 800, MaxOutputTokens: 2000, PromptParts: f.parts, PromptTokens: 3200}
 	}
 	a, err := f.Router.Serve(ctx, r)
 	if err != nil {
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -67,7 +67,7 @@
 func (x *exchange) generate(ctx context.Context) (*Response, error) {
 	g := &generation{exchange: x}
 	for {
-		decode, err := g.prepare(ctx)
+		decode, err := g.reserveAndPrefill(ctx)
 		if err != nil {
 			return nil, err
 		}
@@ -88,7 +88,7 @@
 		outcome := x.recordFailure(ctx, decode, err)
 		x.recordOutcome(outcome)
 		if outcome != sendNotRun {
-			x.checkCrash(decode.Endpoint)
+			x.checkCrash(&decode.Endpoint)
 		}
 		if outcome != sendNotRun || g.cacheRefused {
 			g.releaseCache()
@@ -97,19 +97,19 @@
 		if outcome == sendNotRun && reserved {
 			decode.ReservationRefused()
 		}
-		if !x.mayRun() || outcome != sendNotRun && x.suspected() {
-			return nil, &persimmoncart.Refusal{
-				Code: persimmoncart.RefusalEndpointFailed, Err: err, Message: "the engine failed",
-				Outcome: persimmoncart.OutcomeUnknown,
-			}
+		if !x.mayRun() {
+			return nil, x.engineFailedRefusal(err)
+		}
+		if outcome != sendNotRun && x.awaitSuspicion() {
+			return nil, x.engineFailedRefusal(errPromptSuspected)
 		}
 		x.tried = append(x.tried, decode.Endpoint.ID)
 	}
 }
 
-// prepare reserves a decode engine and has the prompt prefilled near it. The prompt is
-// checked before each of the two and after them, as both take time.
-func (g *generation) prepare(ctx context.Context) (*assignment, error) {
+// reserveAndPrefill reserves a decode engine and has the prompt prefilled near it. The
+// quarantine is checked before each of the two and after them, as both take time.
+func (g *generation) reserveAndPrefill(ctx context.Context) (*assignment, error) {
 	if err := g.quarantineRefusal(); err != nil {
 		g.releaseCache()
 		return nil, err
@@ -286,19 +286,16 @@
 	defer stop()
 	cache, err := g.router.Upstream.Prefill(prefillCtx, g.upstreamCall(&assigned.Endpoint))
 	if err != nil {
-		outcome := sendFailed
-		if ctx.Err() == nil {
-			outcome = g.recordFailure(ctx, assigned, err)
+		if g.recordFailure(ctx, assigned, err) == sendNotRun {
+			return errors.Wrap(err, "prefill")
 		}
-		if outcome == sendFailed && prefillCtx.Err() == nil {
-			g.checkCrash(assigned.Endpoint)
-		}
-		if outcome != sendNotRun {
-			g.prefills++
+		g.startedPrefills++
+		if prefillCtx.Err() == nil { // a prefill that timed out shows no crash
+			g.checkCrash(&assigned.Endpoint)
 		}
 		return errors.Wrap(err, "prefill")
 	}
-	g.prefills++
+	g.startedPrefills++
 	now := g.router.Timer.Now()
 	assigned.ReportLoad(cache.Load)
 	assigned.Succeeded(now.Sub(started), float64(g.request.Generation.PromptTokens)/1000)
@@ -307,6 +304,14 @@
 	return nil
 }
 
+// engineFailedRefusal returns the refusal of a generation whose engine failed and that
+// is not sent again.
+func (*exchange) engineFailedRefusal(cause error) error {
+	return &persimmoncart.Refusal{
+		Code: persimmoncart.RefusalEndpointFailed, Err: cause, Message: "the engine failed", Outcome: persimmoncart.OutcomeUnknown,
+	}
+}
+
 // capacityRefusal returns the refusal of a generation that no engine accepted.
 func (g *generation) capacityRefusal(cause error) error {
 	return &persimmoncart.Refusal{
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -235,7 +235,7 @@
 	default:
 		assigned.Failed()
 	}
-	line := x.logFailure(x.router.Logger.Info()).Str("endpoint", string(assigned.Endpoint.ID)).Bool("not_run", outcome == sendNotRun)
+	line := x.withParts(x.router.Logger.Info()).Str("endpoint", string(assigned.Endpoint.ID)).Bool("not_run", outcome == sendNotRun)
 	if refused != nil && refused.Load != nil {
 		line = line.Int("running", refused.Load.Running).Int("waiting", refused.Load.Waiting).Float64("slow", refused.Load.Slowdown)
 	}
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -8,7 +8,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmoncart/persimmoncart"
-	"github.com/persimmoncart/persimmoncart/internal/metrics"
 	"github.com/persimmoncart/persimmoncart/internal/policy"
 )
 
@@ -18,20 +17,21 @@
 type Quarantine struct {
 	Changed func(persimmoncart.PromptPart) // called when the reports of a part have changed here; must not block; may be nil
 	Logger  zerolog.Logger
-	Metrics *metrics.Metrics
 	Timer   persimmoncart.Timer
 
 	mutex    sync.Mutex
 	suspects policy.CrashSuspects
 }
 
-// Add adds crash reports of other instances.
-func (q *Quarantine) Add(reports []policy.CrashReport) {
+// Add adds the crash reports of one part that other instances have shared.
+func (q *Quarantine) Add(part persimmoncart.PromptPart, reports []policy.CrashReport) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	for _, r := range reports {
-		q.update([]persimmoncart.PromptPart{r.Part}, func(now time.Time) { q.suspects.AddReport(now, r) })
-	}
+	q.update([]persimmoncart.PromptPart{part}, func(now time.Time) {
+		for _, r := range reports {
+			q.suspects.AddReport(now, r)
+		}
+	})
 }
 
 // Check returns the part for which a request with these parts is to be refused, and
@@ -47,7 +47,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if len(q.suspects.Reports(part)) > 0 {
-		q.Logger.Info().Str("part", string(part)).Msg("record of prompt part removed")
+		q.Logger.Info().Str("part", string(part)).Msg("prompt part no longer suspected: its record was removed")
 	}
 	q.suspects.Clear(part)
 }
@@ -69,7 +69,7 @@
 	cleared := q.suspects.RecordCompletion(q.Timer.Now(), parts)
 	q.mutex.Unlock()
 	for _, p := range cleared {
-		q.Logger.Info().Str("part", string(p)).Msg("prompt part cleared")
+		q.Logger.Info().Str("part", string(p)).Msg("prompt part no longer suspected: a request with it was completed")
 	}
 	q.notify(cleared)
 }
@@ -78,9 +78,6 @@
 // with these parts.
 func (q *Quarantine) RecordCrash(engine *persimmoncart.Endpoint, parts []persimmoncart.PromptPart) {
 	process := string(engine.ID) + "/" + strconv.FormatUint(uint64(engine.Incarnation), 10)
-	q.Metrics.CountEngineCrash()
-	q.Logger.Warn().Str("endpoint", string(engine.ID)).Uint64("incarnation", uint64(engine.Incarnation)).Any("parts", parts).
-		Msg("engine crashed when it began to respond")
 	var changed []persimmoncart.PromptPart
 	q.mutex.Lock()
 	q.update(parts, func(now time.Time) {
@@ -131,5 +128,5 @@
 	for _, r := range q.suspects.Reports(part) {
 		engines = append(engines, r.Engine)
 	}
-	q.Logger.Warn().Str("part", string(part)).Strs("engines", engines).Dur("left", left).Msg("prompt part quarantined")
+	q.Logger.Warn().Str("part", string(part)).Strs("engines", engines).Dur("ends_in", left).Msg("prompt part quarantined")
 }
--- a/internal/forward/reservation.go
+++ b/internal/forward/reservation.go
@@ -47,7 +47,7 @@
 // one that has taken its address reserves memory as well, and then refuses the
 // request, which takes a retry. It ends the assignment and reports false if not.
 func (x *exchange) identify(ctx context.Context, assigned *assignment) bool {
-	if !assigned.Suspect {
+	if !assigned.Unverified {
 		return true
 	}
 	identifyCtx, stop := timer.WithTimeout(ctx, x.router.Timer, x.latencyShare(reservationTimeoutShare), nil)
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -10,6 +10,7 @@
 	"context"
 	"math"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -96,25 +97,25 @@
 
 // An exchange is the state of one request while it is served.
 type exchange struct {
-	crashChecked <-chan struct{} // closed after the last check whether an engine has crashed; nil without one
-	countedSends int             // sends that count as arrivals at endpoints; those after the first use the retry budget
-	deadline     time.Time
-	endpoint     persimmoncart.EndpointID                             // that made the response
-	engine       *persimmoncart.EngineCapacity                        // of the pool's decode engines; nil for a pool without engines
-	observe      func(persimmoncart.RouteName, persimmoncart.Outcome) // records the end of the request in the metrics
-	pool         persimmoncart.PoolName
-	prefilled    bool // an engine has accepted a prefill
-	prefills     int  // prefills that an engine may have accepted
-	request      *persimmoncart.ForwardRequest
-	retryPaid    bool // the next retry has already been taken from the budget
-	route        *persimmoncart.ForwardRoute
-	router       *Router
-	runs         int    // sends that may have run the request, those in flight included
-	sends        int    // all sends, up to maxSends
-	stop         func() // releases the context of withDeadline
-	tried        []persimmoncart.EndpointID
-	version      uint64        // of the routes
-	waited       time.Duration // of the caller before this attempt, estimated
+	countedSends    int            // sends that count as arrivals at endpoints; those after the first use the retry budget
+	crashChecks     sync.WaitGroup // pending checks whether an engine has crashed
+	deadline        time.Time
+	endpoint        persimmoncart.EndpointID                             // that made the response
+	engine          *persimmoncart.EngineCapacity                        // of the pool's decode engines; nil for a pool without engines
+	observe         func(persimmoncart.RouteName, persimmoncart.Outcome) // records the end of the request in the metrics
+	pool            persimmoncart.PoolName
+	prefillAccepted bool // an engine has accepted a prefill
+	request         *persimmoncart.ForwardRequest
+	retryPaid       bool // the next retry has already been taken from the budget
+	route           *persimmoncart.ForwardRoute
+	router          *Router
+	runs            int    // sends that may have run the request, those in flight included
+	sends           int    // all sends, up to maxSends
+	startedPrefills int    // prefills that an engine may have accepted
+	stop            func() // releases the context of withDeadline
+	tried           []persimmoncart.EndpointID
+	version         uint64        // of the routes
+	waited          time.Duration // of the caller before this attempt, estimated
 }
 
 // withDeadline returns a context that ends at the request's deadline.
@@ -163,9 +164,8 @@
 		Dur("age", x.router.Timer.Now().Sub(x.request.Arrived)).Int("sends", x.sends)
 }
 
-// logFailure adds the fields of the request to a log line on an endpoint that failed
-// under it.
-func (x *exchange) logFailure(e *zerolog.Event) *zerolog.Event {
+// withParts adds the fields of the request and the parts of its prompt to a log line.
+func (x *exchange) withParts(e *zerolog.Event) *zerolog.Event {
 	if parts := x.promptParts(); len(parts) > 0 {
 		e = e.Any("parts", parts)
 	}
@@ -177,7 +177,7 @@
 	if x.request.Generation == nil {
 		return nil
 	}
-	return x.request.Generation.Parts
+	return x.request.Generation.PromptParts
 }
 
 // refuse counts and logs the end of a request without a response and returns the
@@ -219,14 +219,14 @@
 
 // attempts returns the number of the route's attempts that are used up: runs, and
 // prefills after the first.
-func (x *exchange) attempts() int { return x.runs + max(0, x.prefills-1) }
+func (x *exchange) attempts() int { return x.runs + max(0, x.startedPrefills-1) }
 
 // mayRun reports whether the route allows the request to run once more.
 func (x *exchange) mayRun() bool { return x.attempts() < x.maxRuns() }
 
 // mayPrefill reports whether the route allows the prompt to be prefilled once more
 // and the request to run after that.
-func (x *exchange) mayPrefill() bool { return x.prefills == 0 || x.attempts()+1 < x.maxRuns() }
+func (x *exchange) mayPrefill() bool { return x.startedPrefills == 0 || x.attempts()+1 < x.maxRuns() }
 
 // mayResume reports whether the route and the number of sends allow that the stream
 // resumes at another engine.
@@ -278,10 +278,10 @@
 // engine accepted: that one is no arrival. A retry taken for it is used by the next
 // send.
 func (x *exchange) uncountPrefill() {
-	if x.prefilled {
+	if x.prefillAccepted {
 		return
 	}
-	x.prefilled = true
+	x.prefillAccepted = true
 	x.countedSends--
 	x.retryPaid = x.countedSends > 0
 }
--- a/internal/forward/stallwatch.go
+++ b/internal/forward/stallwatch.go
@@ -32,17 +32,17 @@
 	Reserve func(ctx context.Context) *successor // returns nil if no engine can take over now
 	Timer   persimmoncart.Timer
 
-	cancel      context.CancelFunc // ends the pending call of Reserve
-	ctx         context.Context    //nolint:containedctx // of Reserve, from Start to Stop
-	mutex       sync.Mutex         // guards the fields below
-	pauseUntil  time.Time          // Reserve is not called again before
-	readStart   time.Time          // start of the pending read; zero if none is pending
-	reserving   sync.WaitGroup     // pending call of Reserve
-	reserves    bool               // Reserve is being called
-	stalled     time.Duration      // spent in reads since the last whole event, without the pending read
-	stopped     bool
-	successor   *successor // engine that takes over; nil before
-	unsubscribe func()
+	calls          sync.WaitGroup     // pending call of Reserve
+	cancel         context.CancelFunc // ends the pending call of Reserve
+	ctx            context.Context    //nolint:containedctx // of Reserve, from Start to Stop
+	mutex          sync.Mutex         // guards the fields below
+	pauseUntil     time.Time          // Reserve is not called again before
+	readStart      time.Time          // start of the pending read; zero if none is pending
+	reservePending bool               // Reserve is being called
+	stalled        time.Duration      // spent in reads since the last whole event, without the pending read
+	stopped        bool
+	successor      *successor // engine that takes over; nil before
+	unsubscribe    func()
 }
 
 // Start begins to watch. ctx is the one of the request.
@@ -59,7 +59,7 @@
 	w.mutex.Unlock()
 	w.unsubscribe()
 	w.cancel()
-	w.reserving.Wait()
+	w.calls.Wait()
 	return w.successor
 }
 
@@ -86,21 +86,21 @@
 func (w *stallWatch) check(now time.Time) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.stopped || w.reserves || w.successor != nil || now.Before(w.pauseUntil) || !w.hasStalled(now) {
+	if w.stopped || w.reservePending || w.successor != nil || now.Before(w.pauseUntil) || !w.hasStalled(now) {
 		return
 	}
-	w.reserves = true
-	w.reserving.Go(w.replace)
+	w.reservePending = true
+	w.calls.Go(w.takeOver)
 }
 
-// replace reserves another engine, takes a retry for it and closes the response. If
+// takeOver reserves another engine, takes a retry for it and closes the response. If
 // the engine has gone on meanwhile or the retry budget is used up, the reservation is
 // released.
-func (w *stallWatch) replace() {
+func (w *stallWatch) takeOver() {
 	next := w.Reserve(w.ctx)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.reserves = false
+	w.reservePending = false
 	now := w.Timer.Now()
 	w.pauseUntil = now.Add(time.Duration(reservePauseShare * float64(w.Limit)))
 	switch {
@@ -118,29 +118,3 @@
 func (w *stallWatch) hasStalled(now time.Time) bool {
 	return !w.readStart.IsZero() && w.stalled+now.Sub(w.readStart) >= w.Limit
 }
-
-// A successor is the engine that continues a stream.
-type successor struct {
-	assigned    *assignment
-	exchange    *exchange
-	reservation string // identifier of its reservation; empty without one
-}
-
-// TakeRetry takes the retry for the resumption, unless it has been taken already, and
-// reports whether the budget allows it.
-func (s *successor) TakeRetry() bool {
-	x := s.exchange
-	x.retryPaid = x.retryPaid || x.router.Directory.TakeRetry(x.pool)
-	return x.retryPaid
-}
-
-// Abandon frees the engine if it is not used. It does nothing for nil.
-func (s *successor) Abandon() {
-	if s == nil {
-		return
-	}
-	s.assigned.Done()
-	if s.reservation != "" {
-		s.exchange.releaseReservation(&s.assigned.Endpoint, s.reservation)
-	}
-}
--- a/internal/forward/stallwatch_test.go
+++ b/internal/forward/stallwatch_test.go
@@ -116,6 +116,29 @@
 	return response
 }
 
+// Guards against ending a stalled stream because its prompt is suspected to crash
+// engines: an engine that has sent events shows that it does not.
+func TestStreamSilentSuspected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.parts = promptParts
+		for n := range 2 {
+			f.Router.Quarantine.RecordCrash(&persimmoncart.Endpoint{ID: "d9", Incarnation: persimmoncart.Incarnation(n)}, promptParts)
+		}
+		f.Upstream.send = func(_ context.Context, n int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
+			if n > 0 {
+				return streamed(events(3, 4), io.EOF), nil
+			}
+			return silentStream(int(call.LastEventID)+1, 2500*time.Millisecond), nil
+		}
+		_, body, err := f.serve(t.Context(), "/long/")
+		time.Sleep(3 * time.Second) // the silent engine ends
+		assert.NilError(t, err)
+		assert.Equal(t, body, events(1, 4))
+		assert.Equal(t, f.Upstream.count("send"), 2)
+	})
+}
+
 // Guards against logging a stream whose caller left during a resumption as one that
 // no engine resumed.
 func TestStreamCallerLeavesDuringResume(t *testing.T) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,14 +5,10 @@
 	"context"
 	"io"
 	"math"
-	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
-
-	"github.com/persimmoncart/persimmoncart"
 )
 
 const (
@@ -35,6 +31,7 @@
 
 	assigned    *assignment
 	body        io.ReadCloser
+	brokeEarly  bool // the last engine broke off at the beginning of its response
 	buffer      []byte
 	ctx         context.Context //nolint:containedctx // Body has no context
 	end         int             // bytes at the start of buffer that the last call of read passed on
@@ -42,8 +39,8 @@
 	first       time.Time       // when the first piece was passed on; zero before
 	lastID      uint64          // identifier of the last event passed on
 	noSuccessor bool            // it was logged that no engine can take over
-	openedAfter uint64          // lastID when the response of the current engine was opened
 	pieces      int             // number of pieces passed on
+	resumedFrom uint64          // lastID when the response of the current engine was opened
 	skipSeen    bool            // drop events up to lastID, which another engine may send again
 	started     time.Time       // when the request was sent to the current engine
 	watch       *stallWatch     // of the current engine; nil if the stream may not resume
@@ -51,7 +48,7 @@
 
 // Close implements Body.
 func (s *stream) Close() error {
-	s.closeEngine().Abandon()
+	s.abandon()
 	if s.pieces > 0 {
 		gap := s.router.Timer.Now().Sub(s.first) / time.Duration(max(1, s.pieces-1))
 		s.router.Metrics.EndStream(s.pieces, gap)
@@ -74,19 +71,21 @@
 			s.recordOutput()
 			s.router.Quarantine.RecordCompletion(s.promptParts())
 			s.assigned.Succeeded(s.router.Timer.Now().Sub(s.started), 1)
-			s.closeEngine().Abandon()
+			s.abandon()
 			return nil, io.EOF
 		case s.ctx.Err() != nil:
-			s.closeEngine().Abandon()
+			s.abandon()
 			return nil, s.contextError(s.ctx, true)
 		}
 		s.assigned.Failed()
 		next := s.closeEngine()
-		s.logFailure(s.router.Logger.Warn()).Str("endpoint", string(s.endpoint)).Uint64("last", s.lastID).Bool("stalled", next != nil).
+		stalled := next != nil
+		s.withParts(s.router.Logger.Warn()).Str("endpoint", string(s.endpoint)).Uint64("last", s.lastID).Bool("stalled", stalled).
 			Err(err).Msg("stream broke")
 		s.tried = append(s.tried, s.endpoint)
-		if next == nil && s.lastID <= s.openedAfter+maxBeginningEvents {
-			s.checkCrash(s.assigned.Endpoint)
+		s.brokeEarly = !stalled && s.lastID <= s.resumedFrom+maxEarlyEvents
+		if s.brokeEarly {
+			s.checkCrash(&s.assigned.Endpoint)
 		}
 		if err := s.resume(err, next); err != nil {
 			return nil, err
@@ -110,6 +109,9 @@
 	return next
 }
 
+// abandon closes the engine and gives up the one that was to take over.
+func (s *stream) abandon() { s.closeEngine().Abandon() }
+
 // countPiece counts a piece and records the time to the first one in the metrics.
 func (s *stream) countPiece() {
 	if s.pieces++; s.pieces == 1 {
@@ -144,7 +146,7 @@
 // open starts to read events from an engine's response, and watches it if the stream
 // may resume at another engine.
 func (s *stream) open(b io.ReadCloser) {
-	s.body, s.end, s.filled, s.openedAfter = b, 0, 0, s.lastID
+	s.body, s.end, s.filled, s.resumedFrom = b, 0, 0, s.lastID
 	if s.buffer == nil {
 		s.buffer = make([]byte, eventBufferSize)
 	}
@@ -183,116 +185,6 @@
 	return nil, err
 }
 
-// reserveSuccessor reserves another engine for the rest of the stream. It returns nil
-// if the retry budget or the engines do not allow that.
-func (s *stream) reserveSuccessor(ctx context.Context) *successor {
-	if !s.retryPaid && !s.router.Directory.MayRetry(s.pool) {
-		s.logNoSuccessor("retry budget is used up")
-		return nil
-	}
-	request := s.decodeRequest()
-	request.Avoid = append(slices.Clone(s.tried), s.endpoint)
-	request.MinFreeTokens = request.Tokens
-	assigned := s.router.Directory.Assign(s.pool, request)
-	if assigned == nil {
-		s.logNoSuccessor("no engine has room")
-		return nil
-	}
-	if assigned.Endpoint.ID == s.endpoint {
-		assigned.Done()
-		s.logNoSuccessor("no other engine has room")
-		return nil
-	}
-	reservation, ok := s.reserve(ctx, assigned, request.Tokens, 0)
-	if !ok {
-		s.logNoSuccessor("no reservation")
-		return nil
-	}
-	return &successor{assigned: assigned, exchange: s.exchange, reservation: reservation}
-}
-
-// logNoSuccessor logs, once for each stream, that it stays with a stalled engine.
-func (s *stream) logNoSuccessor(reason string) {
-	if s.noSuccessor {
-		return
-	}
-	s.noSuccessor = true
-	s.log(s.router.Logger.Info()).Str("endpoint", string(s.endpoint)).Str("reason", reason).Msg("stalled stream stays")
-}
-
-// resume continues the stream at next or, if that is nil, at another engine. It
-// returns a refusal with the given cause if the route's number of runs, the retry
-// budget or the engines do not allow it.
-func (s *stream) resume(cause error, next *successor) error {
-	if s.route.Repeat != persimmoncart.RepeatResume {
-		return &persimmoncart.Refusal{
-			Code: persimmoncart.RefusalStreamBroken, Err: cause, Message: "the engine broke off",
-			Outcome: persimmoncart.OutcomeUnknown,
-		}
-	}
-	for s.ctx.Err() == nil && s.mayRun() && !s.suspected() {
-		if next == nil {
-			next = s.assignSuccessor()
-		}
-		if next == nil || !s.startRun(persimmoncart.RetryResume) {
-			break
-		}
-		err := s.resumeAt(next)
-		if err == nil {
-			return nil
-		}
-		outcome := s.recordFailure(s.ctx, next.assigned, err)
-		s.recordOutcome(outcome)
-		if outcome != sendNotRun && s.ctx.Err() == nil {
-			s.checkCrash(next.assigned.Endpoint)
-		}
-		next.Abandon()
-		s.tried = append(s.tried, next.assigned.Endpoint.ID)
-		next = nil
-	}
-	next.Abandon()
-	if s.ctx.Err() != nil {
-		return s.contextError(s.ctx, true)
-	}
-	return &persimmoncart.Refusal{
-		Code: persimmoncart.RefusalStreamBroken, Err: cause, Message: "no engine resumed the stream",
-		Outcome: persimmoncart.OutcomeUnknown,
-	}
-}
-
-// assignSuccessor chooses another engine for the rest of the stream, without a
-// reservation. It returns nil if there is none.
-func (s *stream) assignSuccessor() *successor {
-	assigned := s.router.Directory.Assign(s.pool, s.decodeRequest())
-	if assigned == nil {
-		return nil
-	}
-	return &successor{assigned: assigned, exchange: s.exchange}
-}
-
-// resumeAt sends the request for the rest of the stream to an engine.
-func (s *stream) resumeAt(next *successor) error {
-	call := s.upstreamCall(&next.assigned.Endpoint)
-	call.LastEventID, call.Reservation = s.lastID, next.reservation
-	s.started = s.router.Timer.Now()
-	response, err := s.router.Upstream.Send(s.ctx, call)
-	if err != nil {
-		return errors.Wrap(err, "resume")
-	}
-	next.reservation = "" // the engine has used it
-	err = s.checkResponse(response)
-	if err == nil && response.Status != http.StatusOK {
-		err = &StatusError{Status: response.Status}
-	}
-	if err != nil {
-		_ = response.Body.Close()
-		return err
-	}
-	s.assigned, s.endpoint, s.skipSeen = next.assigned, next.assigned.Endpoint.ID, true
-	s.open(response.Body)
-	return nil
-}
-
 // wholeEvents returns the complete events in the buffer, without those that
 // dropSeen drops, and sets end and lastID.
 func (s *stream) wholeEvents() []byte {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -103,7 +103,7 @@
 	idle, reuse := idleTimeout(response)
 	b := &body{
 		conn: k, ctx: ctx, idle: idle, reader: response.Body, reuse: reuse && !k.mismatched, stop: stop,
-		untilClose: response.ContentLength < 0 && len(response.TransferEncoding) == 0, written: written,
+		closeDelimited: response.ContentLength < 0 && len(response.TransferEncoding) == 0, written: written,
 	}
 	if response.ContentLength == 0 || r.Method == http.MethodHead {
 		b.finish()
@@ -214,17 +214,17 @@
 // A body reads the body of a response and returns the connection to the client at
 // its end.
 type body struct {
-	closed     bool // Close was called before the end
-	conn       *conn
-	ctx        context.Context //nolint:containedctx // io.Reader has no context
-	done       bool            // the end was reached or Close was called
-	idle       time.Duration   // how long the connection may be idle afterwards
-	mutex      sync.Mutex      // Close may be called during Read
-	reader     io.ReadCloser
-	reuse      bool        // the connection may carry another request
-	stop       func() bool // detaches the connection from ctx; false if ctx has ended
-	untilClose bool        // the body has no length and ends with the connection
-	written    chan bool   // receives whether the complete request body was written
+	closed         bool // Close was called before the end
+	conn           *conn
+	ctx            context.Context //nolint:containedctx // io.Reader has no context
+	done           bool            // the end was reached or Close was called
+	idle           time.Duration   // how long the connection may be idle afterwards
+	mutex          sync.Mutex      // Close may be called during Read
+	reader         io.ReadCloser
+	reuse          bool        // the connection may carry another request
+	stop           func() bool // detaches the connection from ctx; false if ctx has ended
+	closeDelimited bool        // the body has no length and ends with the connection
+	written        chan bool   // receives whether the complete request body was written
 }
 
 // Read implements io.Reader.
@@ -242,8 +242,9 @@
 	switch {
 	case err == nil:
 		return n, nil
-	case errors.Is(err, io.EOF) && b.untilClose && !b.requestWritten():
-		// The write has taken the error of a reset, and the read shows a clean end.
+	case errors.Is(err, io.EOF) && b.closeDelimited && !b.requestWritten():
+		// The concurrent write has received the connection's reset, so that the read ends
+		// with io.EOF: the response may be incomplete.
 		_ = b.Close()
 		return n, errors.Wrap(io.ErrUnexpectedEOF, "read body: request was not written")
 	case errors.Is(err, io.EOF):
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -36,34 +36,34 @@
 type Metrics struct {
 	Registry *prometheus.Registry
 
-	calls       *prometheus.HistogramVec
-	crashes     prometheus.Counter
-	discarded   prometheus.Counter
-	firstToken  *prometheus.HistogramVec
-	labelValues map[string]bool
-	mutex       sync.Mutex
-	refusals    map[persimmoncart.RefusalCode]prometheus.Counter
-	requests    *prometheus.CounterVec
-	retries     map[persimmoncart.RetryReason]prometheus.Counter
-	running     prometheus.Gauge
-	streams     prometheus.Gauge
-	tokenGap    prometheus.Histogram
-	tokens      prometheus.Counter
-	version     prometheus.Gauge
-	wasted      prometheus.Counter
+	brokenByCrash prometheus.Counter
+	calls         *prometheus.HistogramVec
+	discarded     prometheus.Counter
+	firstToken    *prometheus.HistogramVec
+	labelValues   map[string]bool
+	mutex         sync.Mutex
+	refusals      map[persimmoncart.RefusalCode]prometheus.Counter
+	requests      *prometheus.CounterVec
+	retries       map[persimmoncart.RetryReason]prometheus.Counter
+	running       prometheus.Gauge
+	streams       prometheus.Gauge
+	tokenGap      prometheus.Histogram
+	tokens        prometheus.Counter
+	version       prometheus.Gauge
+	wasted        prometheus.Counter
 }
 
 // New returns Metrics with a new registry.
 func New() *Metrics {
 	r := prometheus.NewRegistry()
 	m := &Metrics{
-		Registry:    r,
-		calls:       histogram(r, "call_seconds", "Latency of answered plain calls.", latencyBuckets, "route"),
-		crashes:     counter(r, "engine_crashes_total", "Engines that crashed when they began to respond to a request."),
-		discarded:   counter(r, "discarded_answers_total", "Answers and tokens that belonged to another attempt or were repeated."),
-		firstToken:  histogram(r, "first_token_seconds", "Time from the request to its first token.", latencyBuckets, "route"),
-		labelValues: make(map[string]bool),
-		tokenGap:    prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "token_gap_seconds", Help: "Mean time between tokens of one stream.", Buckets: tokenGapBuckets}),
+		Registry:      r,
+		calls:         histogram(r, "call_seconds", "Latency of answered plain calls.", latencyBuckets, "route"),
+		brokenByCrash: counter(r, "requests_broken_by_crash_total", "Requests whose engine crashed when it began to respond."),
+		discarded:     counter(r, "discarded_answers_total", "Answers and tokens that belonged to another attempt or were repeated."),
+		firstToken:    histogram(r, "first_token_seconds", "Time from the request to its first token.", latencyBuckets, "route"),
+		labelValues:   make(map[string]bool),
+		tokenGap:      prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "token_gap_seconds", Help: "Mean time between tokens of one stream.", Buckets: tokenGapBuckets}),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "requests_total", Help: "Requests by route and outcome.",
 		}, []string{"route", "outcome"}),
@@ -87,10 +87,10 @@
 	}
 }
 
-// CountEngineCrash counts an engine that crashed when it began to respond to a request.
-func (m *Metrics) CountEngineCrash() {
+// CountBrokenByCrash counts a request whose engine crashed when it began to respond.
+func (m *Metrics) CountBrokenByCrash() {
 	if m != nil {
-		m.crashes.Inc()
+		m.brokenByCrash.Inc()
 	}
 }
 
--- a/internal/policy/crashsuspects.go
+++ b/internal/policy/crashsuspects.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// completionMemory is how long a completed request excuses its parts from reports of
-	// later crashes. It keeps parts in constant use from being blamed when many engines
-	// crash at once; a part that begins to crash engines, for example with their new
-	// version, is blamed after it.
+	// completionMemory is the time after a completed request in which crashes are not
+	// attributed to its parts. It keeps parts in constant use from being suspected when
+	// many engines crash at once; a part that begins to crash engines, for example with
+	// their new version, is suspected after it.
 	completionMemory = 30 * time.Second
 	// maxCompletions is the largest number of completed parts that are remembered.
 	maxCompletions = 8192
@@ -60,7 +60,7 @@
 //
 // The zero value is ready to use.
 type CrashSuspects struct {
-	attributedUntil time.Time // when the attribution is to be repeated without a change; zero for never
+	nextAttribution time.Time // when the attribution is to be repeated without a change; zero for never
 	changed         bool      // since the last attribution
 	completions     partCompletions
 	suspects        map[persimmoncart.PromptPart]*crashSuspect
@@ -97,9 +97,6 @@
 	return expired
 }
 
-// Len returns the number of parts with reports.
-func (c *CrashSuspects) Len() int { return len(c.suspects) }
-
 // Quarantined returns the part for which a request with these parts is to be refused,
 // and the time until its quarantine ends. Of several parts it returns the one whose
 // quarantine ends last. It reports false if there is none.
@@ -110,7 +107,7 @@
 	c.attribute(now)
 	for _, p := range parts {
 		s, reported := c.suspects[p]
-		if !reported || !s.quarantine {
+		if !reported || !s.quarantined {
 			continue
 		}
 		if l := s.lastReport.Add(quarantinePeriod).Sub(now); l > left {
@@ -202,19 +199,19 @@
 
 // attribute finds the parts that explain the crashes, if the last result is outdated.
 func (c *CrashSuspects) attribute(now time.Time) {
-	if !c.changed && (c.attributedUntil.IsZero() || now.Before(c.attributedUntil)) {
+	if !c.changed && (c.nextAttribution.IsZero() || now.Before(c.nextAttribution)) {
 		return
 	}
-	c.attributedUntil, c.changed = time.Time{}, false
+	c.nextAttribution, c.changed = time.Time{}, false
 	var ordered []*crashSuspect
 	for _, s := range c.suspects {
-		s.quarantine, s.suspected = false, false
+		s.quarantined, s.suspected = false, false
 		if len(s.reports) < suspectCrashes {
 			continue
 		}
 		if end := s.completed.Add(completionMemory); now.Before(end) {
-			if c.attributedUntil.IsZero() || end.Before(c.attributedUntil) {
-				c.attributedUntil = end
+			if c.nextAttribution.IsZero() || end.Before(c.nextAttribution) {
+				c.nextAttribution = end
 			}
 			continue
 		}
@@ -222,7 +219,7 @@
 	}
 	slices.SortFunc(ordered, (*crashSuspect).compareCrashes)
 	for _, s := range attributed(ordered, quarantineCrashes) {
-		s.quarantine = true
+		s.quarantined = true
 	}
 	for _, s := range attributed(ordered, suspectCrashes) {
 		s.suspected = true
@@ -258,13 +255,12 @@
 
 // A crashSuspect is a prompt part with crash reports.
 type crashSuspect struct {
-	completed  time.Time // last completion before the first report; zero if unknown
-	depth      int       // largest of the reports
-	lastReport time.Time // when the last new report was added
-	part       persimmoncart.PromptPart
-	quarantine bool          // explains quarantineCrashes
-	reports    []CrashReport // one for each engine, oldest first
-	suspected  bool          // explains suspectCrashes
+	completed   time.Time // last completion before the first report; zero if unknown
+	lastReport  time.Time // when the last new report was added
+	part        persimmoncart.PromptPart
+	quarantined bool          // has quarantineCrashes crashes that no part before it explains
+	reports     []CrashReport // one for each engine, oldest first
+	suspected   bool          // has suspectCrashes crashes that no part before it explains
 }
 
 // add adds a report and reports whether it changed anything. With more than
@@ -283,7 +279,6 @@
 	default:
 		return false
 	}
-	s.depth = slices.MaxFunc(s.reports, func(a, b CrashReport) int { return cmp.Compare(a.Depth, b.Depth) }).Depth
 	return true
 }
 
@@ -295,7 +290,12 @@
 // compareCrashes orders parts by their number of crashed engines, the most first, and
 // then by their depth, the deepest first.
 func (s *crashSuspect) compareCrashes(o *crashSuspect) int {
-	return cmp.Or(cmp.Compare(len(o.reports), len(s.reports)), cmp.Compare(o.depth, s.depth), cmp.Compare(s.part, o.part))
+	return cmp.Or(cmp.Compare(len(o.reports), len(s.reports)), cmp.Compare(o.depth(), s.depth()), cmp.Compare(s.part, o.part))
+}
+
+// depth returns the largest depth of the reports.
+func (s *crashSuspect) depth() int {
+	return slices.MaxFunc(s.reports, func(a, b CrashReport) int { return cmp.Compare(a.Depth, b.Depth) }).Depth
 }
 
 // unexplained returns the number of crashed engines of the part that are not explained.
--- a/internal/policy/retrywindow.go
+++ b/internal/policy/retrywindow.go
@@ -73,25 +73,27 @@
 	return 1 + int64(now.Sub(w.start)/(w.Span/retryBuckets))
 }
 
-// requests returns the number of requests in the window whose last bucket is given.
-func (w *RetryWindow) requests(last int64) int {
-	n := 0
+// total returns the counts of the buckets from first to last.
+func (w *RetryWindow) total(first, last int64) (requests, retries int) {
 	for _, b := range w.buckets {
-		if b.number > 0 && b.number > last-retryBuckets && b.number <= last {
-			n += b.requests
+		if b.number > 0 && b.number >= first && b.number <= last {
+			requests += b.requests
+			retries += b.retries
 		}
 	}
+	return requests, retries
+}
+
+// requests returns the number of requests in the window whose last bucket is given.
+func (w *RetryWindow) requests(last int64) int {
+	n, _ := w.total(last-retryBuckets+1, last)
 	return n
 }
 
-// retries returns the number of retries in the last Span. It includes the whole
-// bucket in which the span begins: the current one has just begun.
+// retries returns the number of retries in the window whose last bucket is given. The
+// window slides in whole buckets. The bucket in which it begins counts fully: otherwise
+// its retries would be granted again before Span has passed.
 func (w *RetryWindow) retries(last int64) int {
-	n := 0
-	for _, b := range w.buckets {
-		if b.number > 0 && b.number >= last-retryBuckets && b.number <= last {
-			n += b.retries
-		}
-	}
+	_, n := w.total(last-retryBuckets, last)
 	return n
 }
--- a/internal/policy/retrywindow_test.go
+++ b/internal/policy/retrywindow_test.go
@@ -74,12 +74,13 @@
 	assert.Assert(t, w.TakeRetry(now.Add(11*time.Second)))
 }
 
-// Guards against granting the budget of a window twice within its span: under a
-// constant load whose requests all fail, retries were granted anew a bucket too early.
+// Guards against granting the budget of a window again before its span has passed,
+// under a constant load whose requests all fail.
 func TestRetryWindowSlides(t *testing.T) {
 	const (
-		span   = 10 * time.Second
-		period = 10 * time.Millisecond // between two requests
+		span    = 10 * time.Second
+		failing = 21900 * time.Millisecond // when requests begin to fail, shortly before the end of a bucket
+		period  = 10 * time.Millisecond    // between two requests
 	)
 	w := &policy.RetryWindow{Ratio: 0.2, Slack: 2, Span: span}
 	start := time.Unix(1000, 0)
@@ -87,7 +88,7 @@
 	for at := time.Duration(0); at < time.Minute; at += period {
 		now := start.Add(at)
 		w.RecordRequest(now)
-		for at >= 21900*time.Millisecond && w.TakeRetry(now) {
+		for at >= failing && w.TakeRetry(now) {
 			taken = append(taken, now)
 		}
 	}
--- a/internal/policy/selector.go
+++ b/internal/policy/selector.go
@@ -70,12 +70,12 @@
 // An EndpointState holds the measurements of one instance and the reports that it
 // received about one endpoint.
 type EndpointState struct {
-	Endpoint persimmoncart.Endpoint
-	Failures FailureRate
-	InFlight int  // requests of this instance
-	Missing  bool // no longer listed by the store
-	Suspect  bool // failed since its last response: another process may be at its address
-	Tokens   int  // of this instance's requests: to prefill, or held in memory
+	Endpoint   persimmoncart.Endpoint
+	Failures   FailureRate
+	InFlight   int  // requests of this instance
+	Missing    bool // no longer listed by the store
+	Unverified bool // failed since its last response: another process may be at its address
+	Tokens     int  // of this instance's requests: to prefill, or held in memory
 
 	avoidUntil          time.Time                  // used only as a last resort until then
 	backOffUntil        time.Time                  // not used until then
