soak: requests that crash engines stop reaching replicas in time

Requests with the crashing part are now sent from the first quarter of the faults until the check of the draining replica has ended. A request counts once, by its last arrival at any replica, prefills and refused attempts included. The soak then waits for the replicas that are down, so that a crash breaks no request while instances stop in order.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/persimmoncart/persimmoncart/platform/standin"
@@ -27,8 +26,8 @@
 	meanRequestInterval = 60 * time.Millisecond
 	// disconnectShare is the share of requests whose caller disconnects early.
 	disconnectShare = 0.05
-	// crashShare is the share of streams whose prompt has crashPart, while crashing is
-	// set.
+	// crashShare is the share of streams whose prompt has crashPart, while crashes are
+	// open.
 	crashShare = 0.1
 	// sharedPart is a part of the prompts of all streams.
 	sharedPart = "a100"
@@ -44,7 +43,7 @@
 // to it, also while the instance stops.
 type caller struct {
 	client   *http.Client
-	crashing *atomic.Bool
+	crashes  *crashLog
 	instance int
 	name     string
 	process  *process
@@ -82,7 +81,8 @@
 	}
 	if stream {
 		request.Parts = sharedPart + ":900,"
-		if o.crashing = c.crashing.Load() && c.random.Float64() < crashShare; o.crashing {
+		if o.crashing = c.random.Float64() < crashShare && c.crashes.begin(); o.crashing {
+			defer c.crashes.end()
 			request.Parts += crashPart + ":700,"
 		}
 		request.Parts += fmt.Sprintf("%x:200", c.random.Uint32())
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -55,12 +55,12 @@
 }
 
 // injectFaults starts random faults for FaultDuration. Each ends after a random
-// time of at most maxFaultDuration.
+// time of at most maxFaultDuration. Requests that crash engines begin after a quarter.
 func (s *Soak) injectFaults() {
 	var active []injection
-	crashStart, crashEnd := time.Now().Add(s.FaultDuration/4), time.Now().Add(s.FaultDuration*3/4)
+	crashStart := time.Now().Add(s.FaultDuration / 4)
 	for end := time.Now().Add(s.FaultDuration); time.Now().Before(end); {
-		s.crashing.Store(time.Now().After(crashStart) && time.Now().Before(crashEnd))
+		s.crashes.setOpen(time.Now().After(crashStart))
 		time.Sleep(time.Duration(s.random.ExpFloat64() * float64(meanFaultInterval)))
 		remaining := active[:0]
 		for _, i := range active {
@@ -76,7 +76,6 @@
 		s.logf("%s until %7.3fs", i.name, i.endTime.Sub(s.recorder.started).Seconds())
 		active = append(active, i)
 	}
-	s.crashing.Store(false)
 	for _, i := range active {
 		i.revert()
 	}
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -9,18 +9,19 @@
 
 // Invariants that the soak checks.
 const (
-	AtMostOnce    Invariant = "at-most-once"  // a request that may not be repeated runs at most once
-	ConfigInForce Invariant = "config"        // an accepted configuration is in force in time and never reverts to the one before
-	Freed         Invariant = "freed"         // replicas hold no reservations after all callers have ended
-	GracefulStop  Invariant = "graceful-stop" // a graceful stop interrupts no request and ends in time
-	Leaving       Invariant = "leaving"       // a drained replica gets no new requests
-	Resumed       Invariant = "resumed"       // requests are answered again after the last fault
-	TrueRefusal   Invariant = "true-refusal"  // a request that was refused as not run never runs
-	WholeAnswer   Invariant = "whole-answer"  // a caller gets the response to its own request, complete and in order
+	AtMostOnce     Invariant = "at-most-once"    // a request that may not be repeated runs at most once
+	ConfigInForce  Invariant = "config"          // an accepted configuration is in force in time and never reverts to the one before
+	CrashesBounded Invariant = "crashes-bounded" // requests that crash engines no longer reach replicas once the cause has to be known
+	Freed          Invariant = "freed"           // replicas hold no reservations after all callers have ended
+	GracefulStop   Invariant = "graceful-stop"   // a graceful stop interrupts no request and ends in time
+	Leaving        Invariant = "leaving"         // a drained replica gets no new requests
+	Resumed        Invariant = "resumed"         // requests are answered again after the last fault
+	TrueRefusal    Invariant = "true-refusal"    // a request that was refused as not run never runs
+	WholeAnswer    Invariant = "whole-answer"    // a caller gets the response to its own request, complete and in order
 )
 
 // Invariants lists all invariants, sorted.
-var Invariants = []Invariant{AtMostOnce, ConfigInForce, Freed, GracefulStop, Leaving, Resumed, TrueRefusal, WholeAnswer}
+var Invariants = []Invariant{AtMostOnce, ConfigInForce, CrashesBounded, Freed, GracefulStop, Leaving, Resumed, TrueRefusal, WholeAnswer}
 
 // An Invariant is the name of a property that callers and replicas can observe.
 type Invariant string
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -83,7 +83,7 @@
 	if n := len(r.all()); n > 0 {
 		p.ID = fmt.Sprintf("i-%d-%d", r.number, n)
 	}
-	addr, err := serve(ctx, p.Endpoint)
+	addr, err := serve(ctx, s.crashes.record(p.Endpoint))
 	if err != nil {
 		return err
 	}
@@ -116,6 +116,7 @@
 // crashed closes the connections of a process that crashed, so that others are
 // refused, and starts another one after crashDownTime.
 func (s *Soak) crashed(ctx context.Context, r *replica, p *replicaProcess) {
+	s.crashes.addCrash(time.Now())
 	p.proxy.Close()
 	s.logf("%s crashes", p.ID)
 	s.restarts.Go(func() {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -62,7 +61,7 @@
 	Violate       Invariant // violated on purpose; empty for none
 
 	configVersion int
-	crashing      atomic.Bool    // callers send requests with crashPart
+	crashes       crashLog
 	group         sync.WaitGroup // of the callers
 	logMutex      sync.Mutex
 	processes     []*process
@@ -99,17 +98,19 @@
 	s.startCallers(callersCtx)
 	s.injectFaults()
 	s.endFaults()
+	lastFault := time.Now()
 	time.Sleep(recoveryTime)
 	faultsEnded := time.Now()
 	s.checkConfig()
 	s.checkLeaving()
+	s.endCrashes()
+	s.checkCrashes(lastFault)
 	if answered, sent := s.recorder.countAnswered(faultsEnded); float64(answered) < minAnsweredShare*float64(sent) || sent == 0 {
 		s.recorder.addViolation(Resumed, "%d of %d requests were answered after the faults", answered, sent)
 	}
 	s.restartInOrder()
 	stopCallers()
 	s.group.Wait()
-	s.restarts.Wait()
 	time.Sleep(releaseTime)
 	s.plantViolation()
 	for _, r := range s.replicas {
@@ -126,8 +127,8 @@
 	for n, p := range s.processes {
 		for k := range s.Callers {
 			c := &caller{
-				client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
-				crashing: &s.crashing, instance: n, name: fmt.Sprintf("c%d.%d", n, k), process: p,
+				client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+				crashes: &s.crashes, instance: n, name: fmt.Sprintf("c%d.%d", n, k), process: p,
 				random: rand.New(rand.NewPCG(s.Seed, uint64(100+n*s.Callers+k))), recorder: &s.recorder,
 			}
 			s.group.Go(func() { c.run(ctx) })
