lease: Holder is Renewer, and failed renewals of held leases are logged

Keeper and Holder say the same word twice, and LeaseHeldError.Holder is an instance. Planner and Reconciler tested Held in place of the error of Renew: a failed renewal was dropped without a trace while the lease was held, and the error of a failed attempt no longer named the lease. The reconciler of roles logged "not acquired" also when only a renewal had failed.

Change: Holder is renamed to Renewer. Planner and Reconciler wrap the error as "acquire plan lease" and "acquire orders lease" again, and log at the debug level a renewal that failed while the lease is held. The reconciler of roles logs "lease for role changes not renewed, still held" in this case. No variable shadows the package lease.

TestRoleReconcilerRenewalLost asks for the new line once and for no "not acquired". TestHolder is TestRenewer, with the same checks.

--- a/internal/forward/rolereconciler.go
+++ b/internal/forward/rolereconciler.go
@@ -61,7 +61,7 @@
 	balancers     map[persimmoncart.PoolName]*policy.RoleBalancer // while the lease is held
 	confirmations int                                             // checks in a row that found a change due
 	fence         uint64                                          // fencing token of the lease that was logged last
-	lease         *lease.Holder
+	lease         *lease.Renewer
 	loads         map[persimmoncart.EndpointID]policy.EngineLoad // last load of each engine
 	pending       map[persimmoncart.EndpointID]pendingChange     // engines with an order, or that could not be ordered
 }
@@ -74,7 +74,7 @@
 
 // Run checks the roles every rolePeriod until ctx is done and returns its error.
 func (r *RoleReconciler) Run(ctx context.Context) error {
-	r.lease = &lease.Holder{
+	r.lease = &lease.Renewer{
 		Leases: r.Leases, Name: roleLease, RenewBefore: roleRenewTime, RetrySpread: roleRetrySpread, Self: r.Self, Suspended: r.Suspended, Timer: r.Timer,
 	}
 	r.pending = make(map[persimmoncart.EndpointID]pendingChange)
@@ -123,6 +123,8 @@
 	case errors.As(err, &held) && !r.lease.Held():
 		r.fence = 0
 		r.Logger.Info().Str("holder", string(held.Holder)).Msg("another instance holds the lease for role changes")
+	case err != nil && r.lease.Held():
+		r.Logger.Warn().Err(err).Msg("lease for role changes not renewed, still held")
 	case err != nil:
 		r.Logger.Warn().Err(err).Msg("lease for role changes not acquired")
 	}
--- a/internal/forward/rolereconciler_test.go
+++ b/internal/forward/rolereconciler_test.go
@@ -216,6 +216,8 @@
 		cancel()
 		assert.ErrorIs(t, <-ended, context.Canceled)
 		assert.Equal(t, strings.Count(log.String(), "lease for role changes acquired"), 1, log.String())
+		assert.Equal(t, strings.Count(log.String(), "lease for role changes not renewed, still held"), 1, log.String())
+		assert.Assert(t, !strings.Contains(log.String(), "lease for role changes not acquired"), log.String())
 		assert.Assert(t, !strings.Contains(log.String(), "another instance holds"), log.String())
 	})
 }
--- a/internal/lease/holder.go
+++ b/internal/lease/renewer.go
@@ -19,9 +19,9 @@
 // errNotCandidate reports that this instance does not try to acquire the lease.
 var errNotCandidate = errors.New("other instances of the data centre are candidates for the lease")
 
-// A Holder acquires one lease and keeps it renewed with few calls to the store. Its
+// A Renewer acquires one lease and keeps it renewed with few calls to the store. Its
 // exported fields are set before the first call; it is not safe for concurrent use.
-type Holder struct {
+type Renewer struct {
 	Leases        persimmoncart.Leases
 	Members       persimmoncart.Members // nil if this instance is always a candidate for the lease
 	MinRetryPause time.Duration         // shortest pause after a failed attempt to acquire the lease
@@ -39,73 +39,73 @@
 }
 
 // Held reports whether this instance holds the lease.
-func (h *Holder) Held() bool { return h.heldAfter(0) }
+func (r *Renewer) Held() bool { return r.heldAfter(0) }
 
 // Lease returns the lease that was acquired last, which may have expired.
-func (h *Holder) Lease() persimmoncart.Lease { return h.lease }
+func (r *Renewer) Lease() persimmoncart.Lease { return r.lease }
 
 // Renew acquires or renews the lease if that is due. It returns the error of a
 // failed attempt, also while the lease is still held: a failed renewal ends an
 // unexpired lease only if another instance holds it. Nil does not mean that the lease
 // is held, because no attempt is made before the pause after the last one ends.
-func (h *Holder) Renew(ctx context.Context) error {
-	if h.heldAfter(h.RenewBefore) {
+func (r *Renewer) Renew(ctx context.Context) error {
+	if r.heldAfter(r.RenewBefore) {
 		return nil
 	}
-	if !h.Held() {
-		if h.Timer.Now().Before(h.retryAt) {
+	if !r.Held() {
+		if r.Timer.Now().Before(r.retryAt) {
 			return nil
 		}
-		if !h.isCandidate() {
-			return errors.Wrapf(errNotCandidate, "acquire lease %q", h.Name)
+		if !r.isCandidate() {
+			return errors.Wrapf(errNotCandidate, "acquire lease %q", r.Name)
 		}
 	}
-	lease, err := h.Leases.Acquire(ctx, h.Name)
+	lease, err := r.Leases.Acquire(ctx, r.Name)
 	if err == nil {
-		h.lease = lease
+		r.lease = lease
 		return nil
 	}
-	if held := (*persimmoncart.LeaseHeldError)(nil); errors.As(err, &held) && held.Holder != h.Self {
-		h.lease = persimmoncart.Lease{}
+	if held := (*persimmoncart.LeaseHeldError)(nil); errors.As(err, &held) && held.Holder != r.Self {
+		r.lease = persimmoncart.Lease{}
 	}
-	if !h.Held() {
-		h.retryAt = h.Timer.Now().Add(h.retryPause(err))
+	if !r.Held() {
+		r.retryAt = r.Timer.Now().Add(r.retryPause(err))
 	}
 	return err
 }
 
 // heldAfter reports whether this instance holds the lease, and still will after the
 // given time.
-func (h *Holder) heldAfter(d time.Duration) bool {
+func (r *Renewer) heldAfter(d time.Duration) bool {
 	suspended := time.Duration(0)
-	if h.Suspended != nil {
-		suspended = h.Suspended()
+	if r.Suspended != nil {
+		suspended = r.Suspended()
 	}
-	return h.lease.Held(h.Timer.Now().Add(d), suspended)
+	return r.lease.Held(r.Timer.Now().Add(d), suspended)
 }
 
 // isCandidate reports whether this instance is one of the maxCandidates instances
 // of its data centre that try to acquire the lease.
-func (h *Holder) isCandidate() bool {
-	if h.Members == nil {
+func (r *Renewer) isCandidate() bool {
+	if r.Members == nil {
 		return true
 	}
-	self := h.Members.Self()
+	self := r.Members.Self()
 	instances := []persimmoncart.InstanceID{self.ID}
-	for _, m := range h.Members.View() {
+	for _, m := range r.Members.View() {
 		if i := m.Instance; i.DataCentre == self.DataCentre && i.ID != self.ID && m.State == persimmoncart.MemberAlive {
 			instances = append(instances, i.ID)
 		}
 	}
-	ranked := rendezvous.Rank(h.Name, instances)
+	ranked := rendezvous.Rank(r.Name, instances)
 	return slices.Contains(ranked[:min(maxCandidates, len(ranked))], self.ID)
 }
 
 // retryPause returns the pause after an attempt that failed with err.
-func (h *Holder) retryPause(err error) time.Duration {
+func (r *Renewer) retryPause(err error) time.Duration {
 	held := &persimmoncart.LeaseHeldError{}
 	if !errors.As(err, &held) {
-		return h.MinRetryPause
+		return r.MinRetryPause
 	}
-	return max(h.MinRetryPause, held.RetryAfter+rand.N(h.RetrySpread+1))
+	return max(r.MinRetryPause, held.RetryAfter+rand.N(r.RetrySpread+1))
 }
--- a/internal/lease/holder_test.go
+++ b/internal/lease/renewer_test.go
@@ -15,18 +15,18 @@
 )
 
 const (
-	holderRenewBefore = 3 * time.Second
-	holderRetryPause  = 2 * time.Second
-	holderRetrySpread = 10 * time.Second
-	holderTerm        = 6 * time.Second
+	testRenewBefore = 3 * time.Second
+	testRetryPause  = 2 * time.Second
+	testRetrySpread = 10 * time.Second
+	testTerm        = 6 * time.Second
 )
 
 var errStore = errors.New("store is down")
 
-// A fakeLeases grants leases of holderTerm, or refuses them with err, and counts
+// A fakeLeases grants leases of testTerm, or refuses them with err, and counts
 // the attempts.
 type fakeLeases struct {
-	persimmoncart.Leases // panics on calls that the holder does not make
+	persimmoncart.Leases // panics on calls that the renewer does not make
 
 	attempts  int
 	err       error
@@ -39,12 +39,12 @@
 	if l.err != nil {
 		return persimmoncart.Lease{}, l.err
 	}
-	return persimmoncart.Lease{Expires: l.timer.Now().Add(holderTerm), Fence: 1, Name: name, Suspended: l.suspended}, nil
+	return persimmoncart.Lease{Expires: l.timer.Now().Add(testTerm), Fence: 1, Name: name, Suspended: l.suspended}, nil
 }
 
 // A fakeMembers is the view that one of n instances of a data centre has.
 type fakeMembers struct {
-	persimmoncart.Members // panics on calls that the holder does not make
+	persimmoncart.Members // panics on calls that the renewer does not make
 
 	n    int
 	self int // index of this instance
@@ -61,124 +61,126 @@
 	return view
 }
 
-func TestHolder(t *testing.T) {
+// Guards against too many calls to the store, and against a lease that is used after it
+// has ended, given up while it lasts, or never acquired again.
+func TestRenewer(t *testing.T) {
 	heldByOther := &persimmoncart.LeaseHeldError{Holder: "other", RetryAfter: 4 * time.Second}
-	for _, tc := range []struct {
+	for _, c := range []struct {
 		name  string
-		steps func(t *testing.T, h *lease.Holder, leases *fakeLeases)
+		steps func(t *testing.T, r *lease.Renewer, leases *fakeLeases)
 	}{
 		{
 			// Guards against a write to the store at each check.
 			name: "renewed only when due",
-			steps: func(t *testing.T, h *lease.Holder, leases *fakeLeases) {
-				assert.NilError(t, h.Renew(t.Context()))
-				leases.timer.Advance(holderTerm - holderRenewBefore - 1)
-				assert.NilError(t, h.Renew(t.Context()))
+			steps: func(t *testing.T, r *lease.Renewer, leases *fakeLeases) {
+				assert.NilError(t, r.Renew(t.Context()))
+				leases.timer.Advance(testTerm - testRenewBefore - 1)
+				assert.NilError(t, r.Renew(t.Context()))
 				assert.Equal(t, leases.attempts, 1)
 				leases.timer.Advance(1)
-				assert.NilError(t, h.Renew(t.Context()))
+				assert.NilError(t, r.Renew(t.Context()))
 				assert.Equal(t, leases.attempts, 2)
-				leases.timer.Advance(holderTerm - 1)
-				assert.Assert(t, h.Held())
-				assert.Equal(t, h.Lease().Fence, uint64(1))
+				leases.timer.Advance(testTerm - 1)
+				assert.Assert(t, r.Held())
+				assert.Equal(t, r.Lease().Fence, uint64(1))
 			},
 		},
 		{
 			// Guards against the loss of an unexpired lease with the first failed renewal, and
 			// against a lease that is used after its end.
 			name: "renewal fails",
-			steps: func(t *testing.T, h *lease.Holder, leases *fakeLeases) {
-				assert.NilError(t, h.Renew(t.Context()))
-				leases.timer.Advance(holderTerm - 1)
-				ownRecord := &persimmoncart.LeaseHeldError{Holder: "self", RetryAfter: holderTerm} // the renewal was lost
+			steps: func(t *testing.T, r *lease.Renewer, leases *fakeLeases) {
+				assert.NilError(t, r.Renew(t.Context()))
+				leases.timer.Advance(testTerm - 1)
+				ownRecord := &persimmoncart.LeaseHeldError{Holder: "self", RetryAfter: testTerm} // the renewal was lost
 				for _, leases.err = range []error{errStore, ownRecord} {
-					assert.ErrorIs(t, h.Renew(t.Context()), leases.err)
-					assert.Assert(t, h.Held())
+					assert.ErrorIs(t, r.Renew(t.Context()), leases.err)
+					assert.Assert(t, r.Held())
 				}
 				assert.Equal(t, leases.attempts, 3)
 				leases.timer.Advance(1)
-				assert.Assert(t, !h.Held())
+				assert.Assert(t, !r.Held())
 			},
 		},
 		{
 			// Guards against a lease that two instances use.
 			name: "taken by another instance",
-			steps: func(t *testing.T, h *lease.Holder, leases *fakeLeases) {
-				assert.NilError(t, h.Renew(t.Context()))
-				leases.timer.Advance(holderTerm - 1)
+			steps: func(t *testing.T, r *lease.Renewer, leases *fakeLeases) {
+				assert.NilError(t, r.Renew(t.Context()))
+				leases.timer.Advance(testTerm - 1)
 				leases.err = heldByOther
-				assert.ErrorIs(t, h.Renew(t.Context()), heldByOther)
-				assert.Assert(t, !h.Held())
-				assert.NilError(t, h.Renew(t.Context()))
+				assert.ErrorIs(t, r.Renew(t.Context()), heldByOther)
+				assert.Assert(t, !r.Held())
+				assert.NilError(t, r.Renew(t.Context()))
 				assert.Equal(t, leases.attempts, 2)
 			},
 		},
 		{
 			// Guards against a store that is called at each check while it fails.
 			name: "store fails",
-			steps: func(t *testing.T, h *lease.Holder, leases *fakeLeases) {
+			steps: func(t *testing.T, r *lease.Renewer, leases *fakeLeases) {
 				leases.err = errStore
-				assert.ErrorIs(t, h.Renew(t.Context()), errStore)
+				assert.ErrorIs(t, r.Renew(t.Context()), errStore)
 				leases.err = nil
-				leases.timer.Advance(holderRetryPause - 1)
-				assert.NilError(t, h.Renew(t.Context()))
-				assert.Assert(t, !h.Held())
+				leases.timer.Advance(testRetryPause - 1)
+				assert.NilError(t, r.Renew(t.Context()))
+				assert.Assert(t, !r.Held())
 				assert.Equal(t, leases.attempts, 1)
 				leases.timer.Advance(1)
-				assert.NilError(t, h.Renew(t.Context()))
-				assert.Assert(t, h.Held())
+				assert.NilError(t, r.Renew(t.Context()))
+				assert.Assert(t, r.Held())
 			},
 		},
 		{
 			// Guards against attempts before the other holder's lease can end, and against an
 			// instance that never tries again.
 			name: "held by another instance",
-			steps: func(t *testing.T, h *lease.Holder, leases *fakeLeases) {
+			steps: func(t *testing.T, r *lease.Renewer, leases *fakeLeases) {
 				leases.err = heldByOther
-				assert.ErrorIs(t, h.Renew(t.Context()), heldByOther)
+				assert.ErrorIs(t, r.Renew(t.Context()), heldByOther)
 				leases.err = nil
 				leases.timer.Advance(heldByOther.RetryAfter - 1)
-				assert.NilError(t, h.Renew(t.Context()))
+				assert.NilError(t, r.Renew(t.Context()))
 				assert.Equal(t, leases.attempts, 1)
-				leases.timer.Advance(holderRetrySpread + 1)
-				assert.NilError(t, h.Renew(t.Context()))
-				assert.Assert(t, h.Held())
+				leases.timer.Advance(testRetrySpread + 1)
+				assert.NilError(t, r.Renew(t.Context()))
+				assert.Assert(t, r.Held())
 			},
 		},
 		{
 			// Guards against a lease that lasts longer because the clock stood still during a
 			// suspension.
 			name: "machine suspended",
-			steps: func(t *testing.T, h *lease.Holder, leases *fakeLeases) {
-				h.Suspended = func() time.Duration { return leases.suspended }
-				assert.NilError(t, h.Renew(t.Context()))
-				leases.suspended = holderTerm - 1
-				assert.Assert(t, h.Held())
-				leases.suspended = holderTerm
-				assert.Assert(t, !h.Held())
-				assert.NilError(t, h.Renew(t.Context()))
-				assert.Assert(t, h.Held())
+			steps: func(t *testing.T, r *lease.Renewer, leases *fakeLeases) {
+				r.Suspended = func() time.Duration { return leases.suspended }
+				assert.NilError(t, r.Renew(t.Context()))
+				leases.suspended = testTerm - 1
+				assert.Assert(t, r.Held())
+				leases.suspended = testTerm
+				assert.Assert(t, !r.Held())
+				assert.NilError(t, r.Renew(t.Context()))
+				assert.Assert(t, r.Held())
 			},
 		},
 		{
 			// Guards against a data centre whose instances all read the store for one lease,
 			// and against one in which none does.
 			name: "candidates",
-			steps: func(t *testing.T, h *lease.Holder, leases *fakeLeases) {
+			steps: func(t *testing.T, r *lease.Renewer, leases *fakeLeases) {
 				leases.err = errStore
 				for i := range 8 {
-					other := &lease.Holder{Leases: leases, Members: &fakeMembers{n: 8, self: i}, Name: h.Name, Timer: leases.timer}
+					other := &lease.Renewer{Leases: leases, Members: &fakeMembers{n: 8, self: i}, Name: r.Name, Timer: leases.timer}
 					assert.Assert(t, other.Renew(t.Context()) != nil)
 				}
 				assert.Equal(t, leases.attempts, 2)
 			},
 		},
 	} {
-		t.Run(tc.name, func(t *testing.T) {
+		t.Run(c.name, func(t *testing.T) {
 			leases := &fakeLeases{timer: timer.NewVirtual(startTime)}
-			tc.steps(t, &lease.Holder{
-				Leases: leases, MinRetryPause: holderRetryPause, Name: "plan", RenewBefore: holderRenewBefore,
-				RetrySpread: holderRetrySpread, Self: "self", Timer: leases.timer,
+			c.steps(t, &lease.Renewer{
+				Leases: leases, MinRetryPause: testRetryPause, Name: "plan", RenewBefore: testRenewBefore,
+				RetrySpread: testRetrySpread, Self: "self", Timer: leases.timer,
 			}, leases)
 		})
 	}
--- a/internal/order/planner.go
+++ b/internal/order/planner.go
@@ -59,7 +59,7 @@
 
 	fallback    *prometheus.GaugeVec
 	lastWarning map[persimmoncart.PoolName]string
-	lease       *lease.Holder
+	lease       *lease.Renewer
 	planners    map[persimmoncart.PoolName]persimmoncart.RolePlanner
 }
 
@@ -80,8 +80,15 @@
 // errors it goes on with the next pool and returns the first error.
 func (p *Planner) Tick(ctx context.Context) error {
 	p.init()
-	if err := p.lease.Renew(ctx); !p.lease.Held() {
-		return err
+	err := p.lease.Renew(ctx)
+	if !p.lease.Held() {
+		if err != nil {
+			return errors.Wrap(err, "acquire plan lease")
+		}
+		return nil // the next attempt to acquire the lease is not due yet
+	}
+	if err != nil {
+		p.Logger.Debug().Err(err).Msg("plan lease not renewed")
 	}
 	s := p.Configuration.Snapshot()
 	var firstErr error
@@ -100,7 +107,7 @@
 	if p.planners != nil {
 		return
 	}
-	p.lease = newLeaseHolder(p.Leases, p.Members, p.Timer, planLease)
+	p.lease = newRenewer(p.Leases, p.Members, p.Timer, planLease)
 	p.planners = map[persimmoncart.PoolName]persimmoncart.RolePlanner{}
 	p.lastWarning = map[persimmoncart.PoolName]string{}
 	p.fallback = prometheus.NewGaugeVec(prometheus.GaugeOpts{
--- a/internal/order/reconciler.go
+++ b/internal/order/reconciler.go
@@ -55,7 +55,7 @@
 
 	fence      uint64    // fencing token of the lease in the last tick
 	firstOrder time.Time // no order is sent before
-	lease      *lease.Holder
+	lease      *lease.Renewer
 	mutex      sync.Mutex                             // guards nextCheck during a tick
 	nextCheck  map[persimmoncart.EndpointID]time.Time // when to check the engine again
 	orderCount *prometheus.CounterVec
@@ -80,13 +80,20 @@
 // those that differ from their desired state.
 func (r *Reconciler) Tick(ctx context.Context) error {
 	r.init()
-	if err := r.lease.Renew(ctx); !r.lease.Held() {
+	err := r.lease.Renew(ctx)
+	if !r.lease.Held() {
 		r.fence = 0 // after the next acquisition takeoverDelay applies again
-		return err
+		if err != nil {
+			return errors.Wrap(err, "acquire orders lease")
+		}
+		return nil // the next attempt to acquire the lease is not due yet
+	}
+	if err != nil {
+		r.Logger.Debug().Err(err).Msg("orders lease not renewed")
 	}
-	lease, now := r.lease.Lease(), r.Timer.Now()
-	if lease.Fence != r.fence {
-		r.fence, r.firstOrder, r.readAt = lease.Fence, now.Add(takeoverDelay), time.Time{}
+	held, now := r.lease.Lease(), r.Timer.Now()
+	if held.Fence != r.fence {
+		r.fence, r.firstOrder, r.readAt = held.Fence, now.Add(takeoverDelay), time.Time{}
 		clear(r.nextCheck)
 	}
 	if now.Before(r.firstOrder) {
@@ -100,7 +107,7 @@
 	g.SetLimit(maxParallelCalls)
 	for _, e := range r.due(s, now) {
 		g.Go(func() error {
-			r.reconcile(ctx, e, lease)
+			r.reconcile(ctx, e, held)
 			return nil
 		})
 	}
@@ -113,7 +120,7 @@
 	if r.nextCheck != nil {
 		return
 	}
-	r.lease = newLeaseHolder(r.Leases, r.Members, r.Timer, "orders/"+string(r.DataCentre))
+	r.lease = newRenewer(r.Leases, r.Members, r.Timer, "orders/"+string(r.DataCentre))
 	r.nextCheck = map[persimmoncart.EndpointID]time.Time{}
 	r.orderCount = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Help: "Orders to engines by kind and result.", Name: "persimmoncart_orders_total",
--- a/internal/order/leaseholder.go
+++ b/internal/order/renewer.go
@@ -15,13 +15,13 @@
 	renewBefore = 7 * time.Second
 )
 
-// newLeaseHolder returns the holder of the lease with the name.
-func newLeaseHolder(leases persimmoncart.Leases, members persimmoncart.Members, timer persimmoncart.Timer, name string) *lease.Holder {
-	h := &lease.Holder{
+// newRenewer returns the renewer of the lease with the name.
+func newRenewer(leases persimmoncart.Leases, members persimmoncart.Members, timer persimmoncart.Timer, name string) *lease.Renewer {
+	r := &lease.Renewer{
 		Leases: leases, Members: members, MinRetryPause: minRetryPause, Name: name, RenewBefore: renewBefore, Timer: timer,
 	}
 	if members != nil {
-		h.Self = members.Self().ID
+		r.Self = members.Self().ID
 	}
-	return h
+	return r
 }
