command: running a program's command is a package of its own

Change: flagtype.RunCommand and its test move to internal/command as Run, with a struct Program for the name, the settings and the outputs. The message of persimmonfake is "invalid log level: ...". The checks of the test are the same.

Test: `go test -race -p 2` on internal/command, cmd/persimmonfake and cmd/persimmonload passes. The message has no test: the flag's choices exclude other levels.

--- a/cmd/persimmonfake/internal/cmd/all.go
+++ b/cmd/persimmonfake/internal/cmd/all.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 
+	"github.com/persimmoncart/persimmoncart/internal/command"
 	"github.com/persimmoncart/persimmoncart/internal/fakes"
 	"github.com/persimmoncart/persimmoncart/internal/flagtype"
 )
 
 // An allCommand runs the fakes of a whole deployment in one process.
 type allCommand struct {
-	flagtype.Command
+	command.Command
 	Addr       flagtype.Address `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7100" description:"Address of the store; weight store, instance list, summary of counters and records, and endpoints take the ports after it"`
 	Deployment string           `long:"deployment" env:"PERSIMMONFAKE_DEPLOYMENT" default:"dar-jaouz" choice:"dar-jaouz" choice:"peachthread" description:"Deployment at today's sizes"`
 }
--- a/cmd/persimmonfake/internal/cmd/application.go
+++ b/cmd/persimmonfake/internal/cmd/application.go
@@ -5,12 +5,13 @@
 	"time"
 
 	"github.com/persimmoncart/persimmoncart/internal/application"
+	"github.com/persimmoncart/persimmoncart/internal/command"
 	"github.com/persimmoncart/persimmoncart/internal/flagtype"
 )
 
 // An applicationCommand runs a fake application endpoint.
 type applicationCommand struct {
-	flagtype.Command
+	command.Command
 	Addr         flagtype.Address `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7300" description:"Address to listen on"`
 	Fences       bool             `long:"fences" env:"PERSIMMONFAKE_FENCES" description:"Refuse calls with an old fencing token"`
 	CallTime     time.Duration    `long:"pace" env:"PERSIMMONFAKE_PACE" default:"4ms" description:"Time of one call"`
--- a/cmd/persimmonfake/internal/cmd/engine.go
+++ b/cmd/persimmonfake/internal/cmd/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/command"
 	"github.com/persimmoncart/persimmoncart/internal/engine"
 	"github.com/persimmoncart/persimmoncart/internal/flagtype"
 	"github.com/persimmoncart/persimmoncart/internal/transport"
@@ -12,7 +13,7 @@
 
 // An engineCommand runs a fake model engine.
 type engineCommand struct {
-	flagtype.Command
+	command.Command
 	Addr              flagtype.Address `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7200" description:"Address to listen on"`
 	Blocks            int              `long:"blocks" env:"PERSIMMONFAKE_BLOCKS" default:"0" description:"Memory in blocks of 1,024 tokens; zero takes the role's default"`
 	EventDropInterval int              `long:"event-gap" env:"PERSIMMONFAKE_EVENT_GAP" default:"0" description:"Lose each n-th cache event; zero loses none"`
--- a/cmd/persimmonfake/internal/cmd/list.go
+++ b/cmd/persimmonfake/internal/cmd/list.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/persimmoncart/persimmoncart/internal/command"
 	"github.com/persimmoncart/persimmoncart/internal/flagtype"
 	"github.com/persimmoncart/persimmoncart/internal/instancelist"
 )
@@ -11,7 +12,7 @@
 // A listCommand runs a fake instance list. It starts empty; PUT /-/list replaces
 // its content.
 type listCommand struct {
-	flagtype.Command
+	command.Command
 	Addr flagtype.Address `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7102" description:"Address to listen on"`
 	Lag  time.Duration    `long:"lag" env:"PERSIMMONFAKE_LAG" default:"20s" description:"Delay of changes"`
 }
--- a/cmd/persimmonfake/internal/cmd/root.go
+++ b/cmd/persimmonfake/internal/cmd/root.go
@@ -12,8 +12,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/command"
 	"github.com/persimmoncart/persimmoncart/internal/fakes"
-	"github.com/persimmoncart/persimmoncart/internal/flagtype"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
@@ -50,11 +50,12 @@
 // 0 after a clean stop, 1 after a failure, 2 for wrong settings.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	root := &rootCommand{}
-	return flagtype.RunCommand("persimmonfake", root, args, stdout, stderr, func(chosen runner) int {
+	program := command.Program{Name: "persimmonfake", Root: root, Stderr: stderr, Stdout: stdout}
+	return command.Run(program, args, func(chosen runner) int {
 		level, err := zerolog.ParseLevel(root.LogLevel)
 		if err != nil {
-			_, _ = fmt.Fprintln(stderr, "no command to run:", err)
-			return flagtype.ExitUsage
+			_, _ = fmt.Fprintln(stderr, "invalid log level:", err)
+			return command.ExitUsage
 		}
 		env := environment{
 			log:   zerolog.New(zerolog.SyncWriter(stderr)).Level(level).With().Timestamp().Logger(),
@@ -62,8 +63,8 @@
 		}
 		if err := chosen.run(ctx, env); err != nil {
 			env.log.Error().Err(err).Msg("failed")
-			return flagtype.ExitFailed
+			return command.ExitFailed
 		}
-		return flagtype.ExitOK
+		return command.ExitOK
 	})
 }
--- a/cmd/persimmonfake/internal/cmd/store.go
+++ b/cmd/persimmonfake/internal/cmd/store.go
@@ -4,13 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/persimmoncart/persimmoncart/internal/command"
 	"github.com/persimmoncart/persimmoncart/internal/flagtype"
 	"github.com/persimmoncart/persimmoncart/internal/objectapi"
 )
 
 // A storeCommand runs a fake store, which serves the object API from memory.
 type storeCommand struct {
-	flagtype.Command
+	command.Command
 	Addr      flagtype.Address `long:"addr" env:"PERSIMMONFAKE_ADDR" default:"127.0.0.1:7100" description:"Address to listen on"`
 	Delay     time.Duration    `long:"delay" env:"PERSIMMONFAKE_DELAY" default:"2ms" description:"Time of each call"`
 	History   int              `long:"history" env:"PERSIMMONFAKE_HISTORY" default:"16384" description:"Changes that a watch can resume from"`
--- a/cmd/persimmonload/internal/cmd/configure.go
+++ b/cmd/persimmonload/internal/cmd/configure.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/command"
 	"github.com/persimmoncart/persimmoncart/internal/config"
 	"github.com/persimmoncart/persimmoncart/internal/demo"
 	"github.com/persimmoncart/persimmoncart/internal/fakes"
@@ -22,7 +23,7 @@
 // A configureCommand writes the configuration of a deployment to the store, with
 // the endpoints of the instance list and an account with the key.
 type configureCommand struct {
-	flagtype.Command
+	command.Command
 	Key   string           `long:"key" env:"PERSIMMONLOAD_KEY" required:"true" description:"API key of the account"`
 	List  flagtype.Address `long:"list" env:"PERSIMMONLOAD_LIST" default:"127.0.0.1:7102" description:"Instance list with the deployment's endpoints"`
 	Mix   string           `long:"mix" env:"PERSIMMONLOAD_MIX" default:"dar-jaouz" choice:"dar-jaouz" choice:"peachthread" description:"Deployment"`
--- a/cmd/persimmonload/internal/cmd/demo.go
+++ b/cmd/persimmonload/internal/cmd/demo.go
@@ -9,9 +9,9 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/persimmoncart/persimmoncart/internal/command"
 	"github.com/persimmoncart/persimmoncart/internal/demo"
 	"github.com/persimmoncart/persimmoncart/internal/fakes"
-	"github.com/persimmoncart/persimmoncart/internal/flagtype"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
@@ -21,7 +21,7 @@
 // A demoCommand runs both deployments with their fakes and entry instances in one
 // process, sends load to them and checks every response.
 type demoCommand struct {
-	flagtype.Command
+	command.Command
 	Drill    bool          `long:"drill" env:"DEMO_DRILL" description:"Let engines, applications and the store fail during the run"`
 	Duration time.Duration `long:"duration" env:"DEMO_DURATION" default:"10s" description:"Time of arrivals"`
 	JSON     bool          `long:"json" env:"DEMO_JSON" description:"Print one JSON object in place of tables"`
--- a/cmd/persimmonload/internal/cmd/root.go
+++ b/cmd/persimmonload/internal/cmd/root.go
@@ -10,7 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
 
-	"github.com/persimmoncart/persimmoncart/internal/flagtype"
+	"github.com/persimmoncart/persimmoncart/internal/command"
 )
 
 // errFaultyResponses is the error of a command that received incomplete or wrong
@@ -34,12 +34,13 @@
 // 0 when every response was complete and correct, 1 otherwise, 2 for wrong
 // settings.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	return flagtype.RunCommand("persimmonload", &rootCommand{}, args, stdout, stderr, func(chosen runner) int {
+	program := command.Program{Name: "persimmonload", Root: &rootCommand{}, Stderr: stderr, Stdout: stdout}
+	return command.Run(program, args, func(chosen runner) int {
 		if err := chosen.run(ctx, stdout, stderr); err != nil {
 			_, _ = fmt.Fprintln(stderr, err)
-			return flagtype.ExitFailed
+			return command.ExitFailed
 		}
-		return flagtype.ExitOK
+		return command.ExitOK
 	})
 }
 
--- a/cmd/persimmonload/internal/cmd/run.go
+++ b/cmd/persimmonload/internal/cmd/run.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/persimmoncart/persimmoncart/internal/application"
+	"github.com/persimmoncart/persimmoncart/internal/command"
 	"github.com/persimmoncart/persimmoncart/internal/engine"
 	"github.com/persimmoncart/persimmoncart/internal/flagtype"
 	"github.com/persimmoncart/persimmoncart/internal/loadgen"
@@ -28,7 +29,7 @@
 
 // A runCommand sends load to entry instances and reports the responses.
 type runCommand struct {
-	flagtype.Command
+	command.Command
 	Addrs            []flagtype.Address `long:"addr" env:"PERSIMMONLOAD_ADDRS" env-delim:"," required:"true" description:"Entry instance; may be repeated"`
 	Applications     []flagtype.Address `long:"application" env:"PERSIMMONLOAD_APPLICATIONS" env-delim:"," description:"Application fake whose records are compared with the answers; one of each pool; may be repeated"`
 	CA               string             `long:"ca" env:"PERSIMMONLOAD_CA" description:"PEM file of the CA of the instances' certificates; selects HTTPS"`
--- a/internal/flagtype/command.go
+++ b/internal/command/command.go
@@ -1,4 +1,5 @@
-package flagtype
+// Package command runs the command of a program that its arguments name.
+package command
 
 import (
 	"fmt"
@@ -25,13 +26,21 @@
 // Execute implements flags.Commander. It does nothing.
 func (Command) Execute([]string) error { return nil }
 
-// RunCommand parses args into root, whose fields are the settings and commands of
-// the program, and passes the command that args name to run. It returns the exit
-// code: that of run, ExitOK after a request for help, ExitUsage for wrong settings.
-func RunCommand[C flags.Commander](program string, root any, args []string, stdout, stderr io.Writer, run func(C) int) int {
-	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("Settings", "", root); err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
+// A Program is a program with commands.
+type Program struct {
+	Name   string
+	Root   any // pointer to a struct whose fields are the settings and commands
+	Stderr io.Writer
+	Stdout io.Writer
+}
+
+// Run parses args into the program's root and passes the command that args name to
+// run. It returns the exit code: that of run, ExitOK after a request for help,
+// ExitUsage for wrong settings.
+func Run[C flags.Commander](p Program, args []string, run func(C) int) int {
+	parser := flags.NewNamedParser(p.Name, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Settings", "", p.Root); err != nil {
+		_, _ = fmt.Fprintln(p.Stderr, err)
 		return ExitFailed
 	}
 	var chosen C
@@ -45,10 +54,10 @@
 	if _, err := parser.ParseArgs(args); err != nil {
 		if e := (*flags.Error)(nil); errors.As(err, &e) && e.Type == flags.ErrHelp {
 			// There is nowhere to report a failed write to stdout.
-			_, _ = fmt.Fprintln(stdout, e.Message)
+			_, _ = fmt.Fprintln(p.Stdout, e.Message)
 			return ExitOK
 		}
-		_, _ = fmt.Fprintln(stderr, err)
+		_, _ = fmt.Fprintln(p.Stderr, err)
 		return ExitUsage
 	}
 	return run(chosen)
--- a/internal/flagtype/command_test.go
+++ b/internal/command/command_test.go
@@ -1,4 +1,4 @@
-package flagtype_test
+package command_test
 
 import (
 	"bytes"
@@ -7,18 +7,18 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/persimmoncart/persimmoncart/internal/flagtype"
+	"github.com/persimmoncart/persimmoncart/internal/command"
 )
 
 // A greetCommand is the command of the test's program.
 type greetCommand struct {
-	flagtype.Command
+	command.Command
 	Name string `long:"name" required:"true"`
 }
 
 // Guards against a program that ends with the exit code of a success without having
 // run a command, and against help in the error output.
-func TestRunCommand(t *testing.T) {
+func TestRun(t *testing.T) {
 	const runCode = 7
 	for _, c := range []struct {
 		name   string
@@ -28,17 +28,18 @@
 		stdout string
 	}{
 		{name: "command", args: []string{"greet", "--name=ann"}, code: runCode},
-		{name: "help", args: []string{"--help"}, code: flagtype.ExitOK, stdout: "greet"},
-		{name: "no command", code: flagtype.ExitUsage, stderr: "command"},
-		{name: "required flag missing", args: []string{"greet"}, code: flagtype.ExitUsage, stderr: "name"},
-		{name: "unknown command", args: []string{"leave"}, code: flagtype.ExitUsage, stderr: "leave"},
+		{name: "help", args: []string{"--help"}, code: command.ExitOK, stdout: "greet"},
+		{name: "no command", code: command.ExitUsage, stderr: "command"},
+		{name: "required flag missing", args: []string{"greet"}, code: command.ExitUsage, stderr: "name"},
+		{name: "unknown command", args: []string{"leave"}, code: command.ExitUsage, stderr: "leave"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var stdout, stderr bytes.Buffer
 			root := &struct {
 				Greet greetCommand `command:"greet"`
 			}{}
-			code := flagtype.RunCommand("program", root, c.args, &stdout, &stderr, func(g *greetCommand) int {
+			program := command.Program{Name: "program", Root: root, Stderr: &stderr, Stdout: &stdout}
+			code := command.Run(program, c.args, func(g *greetCommand) int {
 				assert.Equal(t, g.Name, "ann")
 				return runCode
 			})
--- a/internal/flagtype/flagtype.go
+++ b/internal/flagtype/flagtype.go
@@ -1,4 +1,4 @@
-// Package flagtype provides types for the flags and commands of several programs.
+// Package flagtype provides types for the flags of several programs.
 package flagtype
 
 import (
