jsonlines: the case of an unwritten line about dropped lines has a comment

Change: a comment says why the dropped lines are counted again, size is named buffered, and the comment of bufferBytes is wrapped. Behaviour is unchanged.

Test: `go test -race ./internal/jsonlines` passes.

--- a/internal/jsonlines/writer.go
+++ b/internal/jsonlines/writer.go
@@ -20,8 +20,9 @@
 	// warningLinesPerSecond limits the warnings and errors, which report failed
 	// requests.
 	warningLinesPerSecond = 2000
-	// bufferBytes limits the lines that are buffered or being written. Lines below the level of warnings use
-	// only the first half, so that there is space for those about failed requests.
+	// bufferBytes limits the lines that are buffered or being written. Lines below the
+	// level of warnings use only the first half, so that there is space for those about
+	// failed requests.
 	bufferBytes = 512 << 10
 	// flushPeriod is the time between two writes of buffered lines. Lines are
 	// written together because each write is a system call.
@@ -60,8 +61,8 @@
 // next call then continues where the output stopped.
 func (w *Writer) Flush() error {
 	w.mutex.Lock()
-	lines, dropped, size := w.buffer, w.dropped, len(w.buffer)
-	w.buffer, w.dropped, w.pending = nil, 0, size
+	lines, dropped, buffered := w.buffer, w.dropped, len(w.buffer)
+	w.buffer, w.dropped, w.pending = nil, 0, buffered
 	w.mutex.Unlock()
 	if dropped > 0 {
 		lines = append(lines, `{"level":"warn","lines":`...)
@@ -76,8 +77,9 @@
 	case err == nil:
 		w.endWrite(nil, 0)
 		return nil
-	case n <= size:
-		w.endWrite(lines[n:size], dropped)
+	case n <= buffered:
+		// The line about dropped lines was not begun: they are counted again.
+		w.endWrite(lines[n:buffered], dropped)
 	default:
 		w.endWrite(lines[n:], 0) // the rest of the line about dropped lines
 	}
