standin, soak: names and order from a newcomer's read

In the soak, names did not tell a request that crashes engines from the replica that crashed, and a check read the running process four times.

Crashed is OnCrash. In the soak, handleCrash and outcome.crashes replace crashed and crashing, crashStartShare names the quarter, and the constants and methods of replica.go are in order. checkLeaving reads the running process once. TestProcessWaitAfterEnd also asserts that the first wait reports the end. Behaviour and checks are otherwise unchanged.

Test: `go test -race -p 2` on internal/soak, platform and platform/standin passes.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -81,7 +81,7 @@
 	}
 	if stream {
 		request.Parts = sharedPart + ":900,"
-		if o.crashing = c.random.Float64() < crashShare && c.crashes.begin(); o.crashing {
+		if o.crashes = c.random.Float64() < crashShare && c.crashes.begin(); o.crashes {
 			defer c.crashes.end()
 			request.Parts += crashPart + ":700,"
 		}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// crashStartShare is the share of FaultDuration after which callers begin to send
+	// requests that crash engines.
+	crashStartShare = 0.25
 	// meanFaultInterval is the mean time between the starts of two faults. Most
 	// faults last longer, so that they overlap.
 	meanFaultInterval = 350 * time.Millisecond
@@ -55,10 +58,10 @@
 }
 
 // injectFaults starts random faults for FaultDuration. Each ends after a random
-// time of at most maxFaultDuration. Requests that crash engines begin after a quarter.
+// time of at most maxFaultDuration.
 func (s *Soak) injectFaults() {
 	var active []injection
-	crashStart := time.Now().Add(s.FaultDuration / 4)
+	crashStart := time.Now().Add(time.Duration(crashStartShare * float64(s.FaultDuration)))
 	for end := time.Now().Add(s.FaultDuration); time.Now().Before(end); {
 		s.crashes.setOpen(time.Now().After(crashStart))
 		time.Sleep(time.Duration(s.random.ExpFloat64() * float64(meanFaultInterval)))
@@ -229,12 +232,13 @@
 		r.drainingSince = time.Now()
 	}
 	s.putEndpoint(r)
-	s.logf("%s is draining", r.running().ID)
+	p := r.running() // application endpoints do not crash
+	s.logf("%s is draining", p.ID)
 	time.Sleep(drainTime)
-	before := len(r.running().Executions())
+	before := len(p.Executions())
 	time.Sleep(drainTime)
-	if after := len(r.running().Executions()); after > before {
-		s.recorder.addViolation(Leaving, "%s ran %d requests after %s of draining", r.running().ID, after-before, drainTime)
+	if after := len(p.Executions()); after > before {
+		s.recorder.addViolation(Leaving, "%s ran %d requests after %s of draining", p.ID, after-before, drainTime)
 	}
 	r.drainingSince = time.Time{}
 	s.putEndpoint(r)
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -41,7 +41,7 @@
 // An outcome is the result of one request, as its caller saw it.
 type outcome struct {
 	body         string // bytes received
-	crashing     bool   // the prompt has crashPart: no response is expected
+	crashes      bool   // the prompt has crashPart: no response is expected
 	disconnected bool   // the caller cancelled the request
 	ended        time.Time
 	id           string
@@ -87,7 +87,7 @@
 	for n := range outcomes {
 		o := &outcomes[n]
 		once := o.kind == kindNonIdempotent || o.kind == kindStream
-		if !once && !o.crashing {
+		if !once && !o.crashes {
 			continue
 		}
 		count := executions[o.id]
@@ -127,7 +127,7 @@
 	defer r.mutex.Unlock()
 	for n := range r.outcomes {
 		o := &r.outcomes[n]
-		if o.sent.Before(after) || o.crashing {
+		if o.sent.Before(after) || o.crashes {
 			continue
 		}
 		sent++
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -39,9 +39,11 @@
 	p := newProcess(t, "edge-0")
 	assert.NilError(t, p.start())
 	p.signal(syscall.SIGKILL)
-	p.wait(standin.GraceTime)
+	code, ended := p.wait(standin.GraceTime)
+	assert.Assert(t, ended)
+	assert.Equal(t, code, -1)
 	for range 1000 {
-		code, ended := p.wait(0)
+		code, ended = p.wait(0)
 		assert.Assert(t, ended)
 		assert.Equal(t, code, -1)
 	}
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -13,16 +13,16 @@
 )
 
 const (
-	// replicaSlots is the number of requests that a replica runs at the same time.
-	replicaSlots = 16
-	// crashPart is the part of a prompt under which the engines crash.
-	crashPart = "bad0"
 	// crashDownTime is the time for which a replica that crashed is down.
 	crashDownTime = 2 * time.Second
+	// crashPart is the part of a prompt under which the engines crash.
+	crashPart = "bad0"
+	// replicaSlots is the number of requests that a replica runs at the same time.
+	replicaSlots = 16
 )
 
-// A replica is a stand-in of a replica. After a crash, another process takes the
-// place of the one that crashed.
+// A replica is an endpoint of the soak. After a crash another process takes its
+// place.
 type replica struct {
 	drainingSince time.Time // zero while it is not draining
 	fault         faultSource
@@ -71,51 +71,33 @@
 	return n
 }
 
-// startReplica starts a process of a replica and writes its record. The process has
-// another identifier, address and start time than those before it.
-func (s *Soak) startReplica(ctx context.Context, r *replica, role string) error {
-	p := &replicaProcess{}
-	p.Endpoint = &standin.Endpoint{
-		Born: time.Now(), CrashPart: crashPart, Crashed: func() { s.crashed(ctx, r, p) }, EndpointAt: s.endpointAt,
-		EventInterval: 30 * time.Millisecond, Events: streamEvents, Fault: r.fault.next, ID: fmt.Sprintf("i-%d", r.number),
-		Role: role, RoleChanged: func() { s.putEndpoint(r) }, Slots: replicaSlots, Timer: &timer.System{}, WorkTime: 15 * time.Millisecond,
-	}
-	if n := len(r.all()); n > 0 {
-		p.ID = fmt.Sprintf("i-%d-%d", r.number, n)
-	}
-	addr, err := serve(ctx, s.crashes.record(p.Endpoint))
-	if err != nil {
-		return err
-	}
-	p.proxy = &Proxy{Server: addr}
-	if p.addr, err = p.proxy.Listen(ctx); err != nil {
-		return err
+// endpointAt returns the stand-in of the replica whose proxy has the given address,
+// or nil.
+func (s *Soak) endpointAt(addr string) *standin.Endpoint {
+	for _, r := range s.replicas {
+		if p := r.running(); p.addr.String() == addr {
+			return p.Endpoint
+		}
 	}
-	r.add(p)
-	s.putEndpoint(r)
 	return nil
 }
 
-// startReplicas starts the replicas: three application endpoints, two engines for
-// prefill and three for decode.
-func (s *Soak) startReplicas(ctx context.Context) error {
-	for n, role := range []string{"", "", "", "prefill", "prefill", "decode", "decode", "decode"} {
-		r := &replica{number: n, service: serviceBooks, zone: zone(n)}
-		if role != "" {
-			r.service = serviceLLM
-		}
-		r.fault.random = rand.New(rand.NewPCG(s.Seed, uint64(10+n)))
-		s.replicas = append(s.replicas, r)
-		if err := s.startReplica(ctx, r, role); err != nil {
-			return err
+// executions returns the number of executions of each request on all replicas.
+func (s *Soak) executions() map[string]int {
+	executions := make(map[string]int)
+	for _, r := range s.replicas {
+		for _, p := range r.all() {
+			for id, n := range p.Executions() {
+				executions[id] += n
+			}
 		}
 	}
-	return nil
+	return executions
 }
 
-// crashed closes the connections of a process that crashed, so that others are
+// handleCrash closes the connections of a process that crashed, so that others are
 // refused, and starts another one after crashDownTime.
-func (s *Soak) crashed(ctx context.Context, r *replica, p *replicaProcess) {
+func (s *Soak) handleCrash(ctx context.Context, r *replica, p *replicaProcess) {
 	s.crashes.addCrash(time.Now())
 	p.proxy.Close()
 	s.logf("%s crashes", p.ID)
@@ -140,26 +122,45 @@
 	})
 }
 
-// endpointAt returns the stand-in of the replica whose proxy has the given address,
-// or nil.
-func (s *Soak) endpointAt(addr string) *standin.Endpoint {
-	for _, r := range s.replicas {
-		if p := r.running(); p.addr.String() == addr {
-			return p.Endpoint
-		}
+// startReplica starts a process of a replica and writes its record. The process has
+// another identifier, address and start time than those before it.
+func (s *Soak) startReplica(ctx context.Context, r *replica, role string) error {
+	p := &replicaProcess{}
+	p.Endpoint = &standin.Endpoint{
+		Born: time.Now(), CrashPart: crashPart, EndpointAt: s.endpointAt,
+		EventInterval: 30 * time.Millisecond, Events: streamEvents, Fault: r.fault.next, ID: fmt.Sprintf("i-%d", r.number),
+		OnCrash: func() { s.handleCrash(ctx, r, p) }, Role: role, RoleChanged: func() { s.putEndpoint(r) },
+		Slots: replicaSlots, Timer: &timer.System{}, WorkTime: 15 * time.Millisecond,
+	}
+	if n := len(r.all()); n > 0 {
+		p.ID = fmt.Sprintf("i-%d-%d", r.number, n)
+	}
+	addr, err := serve(ctx, s.crashes.record(p.Endpoint))
+	if err != nil {
+		return err
+	}
+	p.proxy = &Proxy{Server: addr}
+	if p.addr, err = p.proxy.Listen(ctx); err != nil {
+		return err
 	}
+	r.add(p)
+	s.putEndpoint(r)
 	return nil
 }
 
-// executions returns the number of executions of each request on all replicas.
-func (s *Soak) executions() map[string]int {
-	executions := make(map[string]int)
-	for _, r := range s.replicas {
-		for _, p := range r.all() {
-			for id, n := range p.Executions() {
-				executions[id] += n
-			}
+// startReplicas starts the replicas: three application endpoints, two engines for
+// prefill and three for decode.
+func (s *Soak) startReplicas(ctx context.Context) error {
+	for n, role := range []string{"", "", "", "prefill", "prefill", "decode", "decode", "decode"} {
+		r := &replica{number: n, service: serviceBooks, zone: zone(n)}
+		if role != "" {
+			r.service = serviceLLM
+		}
+		r.fault.random = rand.New(rand.NewPCG(s.Seed, uint64(10+n)))
+		s.replicas = append(s.replicas, r)
+		if err := s.startReplica(ctx, r, role); err != nil {
+			return err
 		}
 	}
-	return executions
+	return nil
 }
