--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// crashStartShare is the share of FaultDuration after which callers begin to send
+	// requests that crash engines.
+	crashStartShare = 0.25
 	// meanFaultInterval is the mean time between the starts of two faults. Most
 	// faults last longer, so that they overlap.
 	meanFaultInterval = 350 * time.Millisecond
@@ -58,9 +61,9 @@
 // time of at most maxFaultDuration.
 func (s *Soak) injectFaults() {
 	var active []injection
-	crashStart, crashEnd := time.Now().Add(s.FaultDuration/4), time.Now().Add(s.FaultDuration*3/4)
+	crashStart := time.Now().Add(time.Duration(crashStartShare * float64(s.FaultDuration)))
 	for end := time.Now().Add(s.FaultDuration); time.Now().Before(end); {
-		s.crashing.Store(time.Now().After(crashStart) && time.Now().Before(crashEnd))
+		s.crashes.setOpen(time.Now().After(crashStart))
 		time.Sleep(time.Duration(s.random.ExpFloat64() * float64(meanFaultInterval)))
 		remaining := active[:0]
 		for _, i := range active {
@@ -76,7 +79,6 @@
 		s.logf("%s until %7.3fs", i.name, i.endTime.Sub(s.recorder.started).Seconds())
 		active = append(active, i)
 	}
-	s.crashing.Store(false)
 	for _, i := range active {
 		i.revert()
 	}
@@ -230,12 +232,13 @@
 		r.drainingSince = time.Now()
 	}
 	s.putEndpoint(r)
-	s.logf("%s is draining", r.running().ID)
+	p := r.running() // application endpoints do not crash
+	s.logf("%s is draining", p.ID)
 	time.Sleep(drainTime)
-	before := len(r.running().Executions())
+	before := len(p.Executions())
 	time.Sleep(drainTime)
-	if after := len(r.running().Executions()); after > before {
-		s.recorder.addViolation(Leaving, "%s ran %d requests after %s of draining", r.running().ID, after-before, drainTime)
+	if after := len(p.Executions()); after > before {
+		s.recorder.addViolation(Leaving, "%s ran %d requests after %s of draining", p.ID, after-before, drainTime)
 	}
 	r.drainingSince = time.Time{}
 	s.putEndpoint(r)
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -9,18 +9,19 @@
 
 // Invariants that the soak checks.
 const (
-	AtMostOnce    Invariant = "at-most-once"  // a request that may not be repeated runs at most once
-	ConfigInForce Invariant = "config"        // an accepted configuration is in force in time and never reverts to the one before
-	Freed         Invariant = "freed"         // replicas hold no reservations after all callers have ended
-	GracefulStop  Invariant = "graceful-stop" // a graceful stop interrupts no request and ends in time
-	Leaving       Invariant = "leaving"       // a drained replica gets no new requests
-	Resumed       Invariant = "resumed"       // requests are answered again after the last fault
-	TrueRefusal   Invariant = "true-refusal"  // a request that was refused as not run never runs
-	WholeAnswer   Invariant = "whole-answer"  // a caller gets the response to its own request, complete and in order
+	AtMostOnce     Invariant = "at-most-once"    // a request that may not be repeated runs at most once
+	ConfigInForce  Invariant = "config"          // an accepted configuration is in force in time and never reverts to the one before
+	CrashesBounded Invariant = "crashes-bounded" // requests that crash engines no longer reach replicas once the cause has to be known
+	Freed          Invariant = "freed"           // replicas hold no reservations after all callers have ended
+	GracefulStop   Invariant = "graceful-stop"   // a graceful stop interrupts no request and ends in time
+	Leaving        Invariant = "leaving"         // a drained replica gets no new requests
+	Resumed        Invariant = "resumed"         // requests are answered again after the last fault
+	TrueRefusal    Invariant = "true-refusal"    // a request that was refused as not run never runs
+	WholeAnswer    Invariant = "whole-answer"    // a caller gets the response to its own request, complete and in order
 )
 
 // Invariants lists all invariants, sorted.
-var Invariants = []Invariant{AtMostOnce, ConfigInForce, Freed, GracefulStop, Leaving, Resumed, TrueRefusal, WholeAnswer}
+var Invariants = []Invariant{AtMostOnce, ConfigInForce, CrashesBounded, Freed, GracefulStop, Leaving, Resumed, TrueRefusal, WholeAnswer}
 
 // An Invariant is the name of a property that callers and replicas can observe.
 type Invariant string
@@ -40,7 +41,7 @@
 // An outcome is the result of one request, as its caller saw it.
 type outcome struct {
 	body         string // bytes received
-	crashing     bool   // the prompt has crashPart: no response is expected
+	crashes      bool   // the prompt has crashPart: no response is expected
 	disconnected bool   // the caller cancelled the request
 	ended        time.Time
 	id           string
@@ -86,7 +87,7 @@
 	for n := range outcomes {
 		o := &outcomes[n]
 		once := o.kind == kindNonIdempotent || o.kind == kindStream
-		if !once && !o.crashing {
+		if !once && !o.crashes {
 			continue
 		}
 		count := executions[o.id]
@@ -126,7 +127,7 @@
 	defer r.mutex.Unlock()
 	for n := range r.outcomes {
 		o := &r.outcomes[n]
-		if o.sent.Before(after) || o.crashing {
+		if o.sent.Before(after) || o.crashes {
 			continue
 		}
 		sent++
