soak: a request that crashes engines runs at most as often as its route allows

Change: such a request may run engineMaxAttempts times, which is the number of attempts in the route's configuration; more violate crashes-bounded. The check of late requests is as strict as it was.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -16,6 +16,8 @@
 	// crashStartShare is the share of FaultDuration after which callers begin to send
 	// requests that crash engines.
 	crashStartShare = 0.25
+	// engineMaxAttempts is the number of attempts of the routes to engines.
+	engineMaxAttempts = 2
 	// meanFaultInterval is the mean time between the starts of two faults. Most
 	// faults last longer, so that they overlap.
 	meanFaultInterval = 350 * time.Millisecond
@@ -180,7 +182,7 @@
 // exists in version N only.
 func (s *Soak) writeConfiguration() {
 	s.configVersion++
-	engineRoute := standin.Route{Kind: standin.KindStreaming, LatencyTarget: 900 * time.Millisecond, MaxAttempts: 2, Pool: serviceLLM, Timeout: 6 * time.Second}
+	engineRoute := standin.Route{Kind: standin.KindStreaming, LatencyTarget: 900 * time.Millisecond, MaxAttempts: engineMaxAttempts, Pool: serviceLLM, Timeout: 6 * time.Second}
 	booksRoute := standin.Route{LatencyTarget: 300 * time.Millisecond, MaxAttempts: 2, Pool: serviceBooks, Timeout: 6 * time.Second}
 	var routes []standin.Route
 	for name, r := range map[string]standin.Route{kindStream: engineRoute, kindResumable: engineRoute, kindIdempotent: booksRoute, kindNonIdempotent: booksRoute, fmt.Sprintf("v%d", s.configVersion): booksRoute} {
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -11,7 +11,7 @@
 const (
 	AtMostOnce     Invariant = "at-most-once"    // a request that may not be repeated runs at most once
 	ConfigInForce  Invariant = "config"          // an accepted configuration is in force in time and never reverts to the one before
-	CrashesBounded Invariant = "crashes-bounded" // requests that crash engines no longer reach replicas once the cause has to be known
+	CrashesBounded Invariant = "crashes-bounded" // requests that crash engines run no more often than their route allows, and no longer reach replicas once the cause has to be known
 	Freed          Invariant = "freed"           // replicas hold no reservations after all callers have ended
 	GracefulStop   Invariant = "graceful-stop"   // a graceful stop interrupts no request and ends in time
 	Leaving        Invariant = "leaving"         // a drained replica gets no new requests
@@ -91,8 +91,11 @@
 			continue
 		}
 		count := executions[o.id]
-		if once && count > 1 {
+		switch {
+		case once && count > 1:
 			r.addViolation(AtMostOnce, "%s ran %d times", o.id, count)
+		case o.crashes && count > engineMaxAttempts:
+			r.addViolation(CrashesBounded, "%s crashed engines and ran %d times, the route allows %d", o.id, count, engineMaxAttempts)
 		}
 		refused := o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests
 		if refused && count > 0 {
