policy: a part that was sound before is found when it begins to crash engines

And of two parts that always occur together the deeper one was blamed, even if other requests with it had been answered.

Change: a completed request excuses its parts from reports for a second; within 30 s, reports count once they extend over a second, which those of one wave do not. Parts that were never completed are blamed first.

--- a/internal/policy/crashsuspects.go
+++ b/internal/policy/crashsuspects.go
@@ -10,10 +10,12 @@
 )
 
 const (
-	// completionMemory is the time after a completed request in which crashes are not
-	// attributed to its parts. It keeps parts in constant use from being suspected when
-	// many engines crash at once; a part that begins to crash engines, for example with
-	// their new version, is suspected after it.
+	// completionGrace is the time after a completed request in which crashes are not
+	// reported for its parts.
+	completionGrace = time.Second
+	// completionMemory is the time after a completed request in which reports of its
+	// parts count only if they extend over minReportSpan: when many engines crash at
+	// once, parts in constant use are reported together.
 	completionMemory = 30 * time.Second
 	// maxCompletions is the largest number of completed parts that are remembered.
 	maxCompletions = 8192
@@ -24,6 +26,9 @@
 	maxRecordedParts = 64
 	// maxSuspects is the largest number of parts with reports.
 	maxSuspects = 1024
+	// minReportSpan is the shortest time between the first and the last report of a part
+	// that was completed shortly before.
+	minReportSpan = time.Second
 	// quarantineCrashes is the number of crashed engines from which requests with a
 	// part are refused. Two may be a coincidence: each crash also breaks sound requests.
 	quarantineCrashes = 3
@@ -135,12 +140,12 @@
 
 // RecordCrash records that an engine process crashed when it began to respond to a
 // request with these parts. It adds a report for each part that was not completed
-// within completionMemory, and returns these reports, which are to be shared.
+// within completionGrace, and returns these reports, which are to be shared.
 func (c *CrashSuspects) RecordCrash(now time.Time, engine string, parts []persimmoncart.PromptPart) []CrashReport {
 	var reports []CrashReport
 	parts = parts[:min(len(parts), maxRecordedParts)]
 	for i, p := range parts {
-		if slices.Contains(parts[:i], p) || now.Before(c.completions.last(p).Add(completionMemory)) {
+		if slices.Contains(parts[:i], p) || now.Before(c.completions.last(p).Add(completionGrace)) {
 			continue
 		}
 		r := CrashReport{Depth: i, Engine: engine, Part: p}
@@ -209,7 +214,7 @@
 		if len(s.reports) < suspectCrashes {
 			continue
 		}
-		if end := s.completed.Add(completionMemory); now.Before(end) {
+		if end := s.completed.Add(completionMemory); now.Before(end) && s.lastReport.Sub(s.firstReport) < minReportSpan {
 			if c.nextAttribution.IsZero() || end.Before(c.nextAttribution) {
 				c.nextAttribution = end
 			}
@@ -256,6 +261,7 @@
 // A crashSuspect is a prompt part with crash reports.
 type crashSuspect struct {
 	completed   time.Time // last completion before the first report; zero if unknown
+	firstReport time.Time // when the first report was added
 	lastReport  time.Time // when the last new report was added
 	part        persimmoncart.PromptPart
 	quarantined bool          // has quarantineCrashes crashes that no part before it explains
@@ -272,6 +278,9 @@
 		if len(s.reports) == maxEnginesPerPart {
 			s.reports = slices.Delete(s.reports, 0, 1)
 		}
+		if s.firstReport.IsZero() {
+			s.firstReport = now
+		}
 		s.reports = append(s.reports, r)
 		s.lastReport = now
 	case r.Depth > s.reports[i].Depth:
@@ -287,9 +296,15 @@
 	return cmp.Or(s.lastReport.Compare(o.lastReport), cmp.Compare(s.part, o.part))
 }
 
-// compareCrashes orders parts by their number of crashed engines, the most first, and
-// then by their depth, the deepest first.
+// compareCrashes orders parts: those that were never completed first, then by their
+// number of crashed engines, the most first, and by their depth, the deepest first.
 func (s *crashSuspect) compareCrashes(o *crashSuspect) int {
+	if s.completed.IsZero() != o.completed.IsZero() {
+		if s.completed.IsZero() {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Or(cmp.Compare(len(o.reports), len(s.reports)), cmp.Compare(o.depth(), s.depth()), cmp.Compare(s.part, o.part))
 }
 
