forward: only a process that is gone counts as a crash

Found by the review of the quarantine: an engine above its number of connections resets that of the request and then that of the check, which counted as a crash; three such requests quarantined a sound part for ten minutes.

Change: a crash is a refused connection or another process at the address. After any other error the check calls once more, as the first call may have used an idle connection that the crash has reset. A request is not sent again either while a part of its prompt is quarantined.

Test: TestCrashCheck; its case 'reset again' failed before.

--- a/internal/forward/crashcheck.go
+++ b/internal/forward/crashcheck.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -11,6 +12,9 @@
 )
 
 const (
+	// crashCheckPause is the time between the two calls of a check. A call may use an
+	// idle connection that the crash has reset.
+	crashCheckPause = 50 * time.Millisecond
 	// crashCheckTimeout bounds the check whether an engine has crashed. A process that
 	// is gone refuses connections at once; an engine that is only silent exceeds the
 	// timeout and does not count as crashed.
@@ -35,7 +39,11 @@
 		// The check goes on when the caller leaves.
 		ctx, stop := timer.WithTimeout(context.Background(), x.router.Timer, crashCheckTimeout, nil)
 		defer stop()
-		if err := x.router.Upstream.Identify(ctx, engine); err == nil || isAlive(err) || ctx.Err() != nil {
+		err := x.router.Upstream.Identify(ctx, engine)
+		if err != nil && !isGone(err) && x.router.Timer.Sleep(ctx, crashCheckPause) == nil {
+			err = x.router.Upstream.Identify(ctx, engine)
+		}
+		if !isGone(err) {
 			return
 		}
 		x.withParts(x.router.Logger.Warn()).Str("endpoint", string(engine.ID)).Uint64("incarnation", uint64(engine.Incarnation)).
@@ -45,18 +53,19 @@
 	})
 }
 
-// isAlive reports whether the error of a call to an engine shows that its process
-// responds.
-func isAlive(err error) bool {
-	refused := (*persimmoncart.EndpointRefusedError)(nil)
-	return errors.As(err, &refused)
+// isGone reports whether the error of a call to an engine shows that its process is
+// gone: another one responds, or none accepts connections. An engine may reset a
+// connection for other reasons.
+func isGone(err error) bool {
+	replaced := (*persimmoncart.EndpointReplacedError)(nil)
+	return errors.As(err, &replaced) || errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // awaitSuspicion waits for pending checks and reports whether the request must not be
 // sent again, as its prompt may crash engines.
 func (x *exchange) awaitSuspicion() bool {
 	x.crashChecks.Wait()
-	return x.router.Quarantine.Suspected(x.promptParts())
+	return x.router.Quarantine.Suspected(x.promptParts()) || x.quarantineRefusal() != nil
 }
 
 // quarantineRefusal returns the refusal of a request whose prompt crashes engines, or
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -206,6 +206,16 @@
 	}}
 }
 
+// restart replaces the process of a decode engine.
+func (f *fixture) restart(id string, incarnation persimmoncart.Incarnation) {
+	for _, e := range f.Directory.Engines()[llm] {
+		if string(e.ID) == id {
+			e.Incarnation = incarnation
+			f.Directory.Put(e)
+		}
+	}
+}
+
 // addDecodeEngines adds decode engines, and requests whose share of the retry budget
 // allows a retry for each.
 func (f *fixture) addDecodeEngines(count int) {
--- a/internal/pipe/listener.go
+++ b/internal/pipe/listener.go
@@ -6,12 +6,11 @@
 	"context"
 	"net"
 	"sync"
-
-	"github.com/go-faster/errors"
+	"syscall"
 )
 
 // ErrRefused is the error of Dial to a closed listener. Nothing was sent.
-var ErrRefused = errors.New("connection refused")
+var ErrRefused error = syscall.ECONNREFUSED
 
 var _ net.Listener = (*Listener)(nil)
 
