forward: a failed response clears no part of a prompt

Found by the review of the quarantine: a response with status 500, 504 or 400, or a stream that ends without an event, counted as complete. An engine may give it without beginning to respond to the prompt, and the harmful part was let through everywhere.

Change: only a whole response with status 200, and a stream with an event, clears.

Test: TestCompletionClears failed before for the three of them.

--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -224,7 +224,7 @@
 	if response.Status != http.StatusOK || !g.route.Stream {
 		defer assigned.Done()
 		result, err := g.readResponse(response)
-		if err == nil {
+		if err == nil && response.Status == http.StatusOK {
 			g.router.Quarantine.RecordCompletion(g.promptParts())
 		}
 		return result, err
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -69,7 +69,9 @@
 			continue
 		case isEOF(err):
 			s.recordOutput()
-			s.router.Quarantine.RecordCompletion(s.promptParts())
+			if s.lastID > s.resumedFrom {
+				s.router.Quarantine.RecordCompletion(s.promptParts())
+			}
 			s.assigned.Succeeded(s.router.Timer.Now().Sub(s.started), 1)
 			s.abandon()
 			return nil, io.EOF
