forward: removals of crash reports are repeated; late ones drop no reports

Change: a removal is confirmed by a read. An instance with reports to write keeps them when the record goes. Parts with the most reports are written first, with one pause for all that failed. Records are removed after a random time, so that mostly one instance does it.

Test: TestCrashReportsRemovedLate and the case 'removal lost' of TestCrashReportsShared failed before.

--- a/internal/forward/crashreports.go
+++ b/internal/forward/crashreports.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -28,6 +30,9 @@
 	// crashExpiryPeriod is the mean time between two searches for expired reports. It
 	// varies, so that mostly one instance finds and removes a record.
 	crashExpiryPeriod = 5 * time.Minute
+	// crashRemovalSpread is the longest pause before a record of a cleared part is
+	// removed. Several instances may complete requests with the part.
+	crashRemovalSpread = 2 * time.Second
 	// crashRestoreSpread is the longest pause before a record that a restored store
 	// has lost is written again. Other instances do the same.
 	crashRestoreSpread = time.Second
@@ -46,6 +51,7 @@
 	pending  map[persimmoncart.PromptPart]struct{}    // whose records are to be written
 	records  map[persimmoncart.PromptPart]crashRecord // as last read or written
 	restored bool                                     // the store was restored since the last list
+	writing  persimmoncart.PromptPart                 // whose record is being written; empty for none
 	signal   chan struct{}                            // has a value if pending may not be empty; see pendingSignal
 }
 
@@ -71,44 +77,67 @@
 			return ctx.Err()
 		case <-c.pendingSignal():
 		}
-		for _, part := range c.takePending() {
-			if err := c.sync(ctx, part); err != nil {
-				c.Logger.Warn().Str("part", string(part)).Err(err).Msg("record of crash reports not written, trying again")
-				c.Schedule(part)
-				_ = c.Timer.Sleep(ctx, crashRetryPause/2+rand.N(crashRetryPause)) // an end of ctx ends the loop
-			}
+		if !c.writePending(ctx) {
+			_ = c.Timer.Sleep(ctx, crashRetryPause/2+rand.N(crashRetryPause)) // an end of ctx ends the loop
 		}
 	}
 }
 
+// writePending writes the records of all pending parts. It reports false if a write
+// failed; those parts stay pending.
+func (c *CrashReports) writePending(ctx context.Context) bool {
+	ok := true
+	for _, part := range c.pendingParts() {
+		if err := c.sync(ctx, part); err != nil {
+			c.Logger.Warn().Str("part", string(part)).Err(err).Msg("record of crash reports not written, trying again")
+			c.enqueue(part)
+			ok = false
+		}
+	}
+	return ok
+}
+
 // HandleChange handles a change of a record.
 func (c *CrashReports) HandleChange(e persimmoncart.WatchEvent) {
 	part := crashPart(e.Object.Key)
 	if e.Deleted {
-		c.deleteRecord(part)
-		c.Quarantine.Clear(part)
+		c.handleRemoval(part)
 		return
 	}
 	c.read(e.Object)
 }
 
+// handleRemoval clears a part whose record is gone, unless this instance has reports of
+// it to write.
+func (c *CrashReports) handleRemoval(part persimmoncart.PromptPart) {
+	c.deleteRecord(part)
+	if !c.isPending(part) {
+		c.Quarantine.Clear(part)
+	}
+}
+
 // HandleList handles a list of all records. A part whose record is missing was
-// cleared, unless the store has lost the record: then it is written again.
+// cleared, unless the store has lost the record: then it is written again, as is one
+// that lacks reports.
 func (c *CrashReports) HandleList(objects []persimmoncart.Object) {
 	c.mutex.Lock()
 	missing, restored := c.records, c.restored
 	c.records, c.restored = nil, false
 	c.mutex.Unlock()
 	for _, o := range objects {
-		delete(missing, crashPart(o.Key))
+		part := crashPart(o.Key)
+		delete(missing, part)
 		c.read(o)
+		if restored {
+			c.enqueueLater(part, crashRestoreSpread)
+		}
 	}
 	for part := range missing {
-		if !restored {
-			c.Quarantine.Clear(part)
-			continue
+		if restored {
+			c.enqueueLater(part, crashRestoreSpread)
+		} else {
+			c.handleRemoval(part)
 		}
-		c.Timer.After(rand.N(crashRestoreSpread), func(time.Time) { c.Schedule(part) })
 	}
 }
 
@@ -120,8 +149,18 @@
 	c.restored = true
 }
 
-// Schedule has Run write the reports of a part. It does not block.
+// Schedule has Run write the reports of a part, or remove its record if there are none.
+// It does not block.
 func (c *CrashReports) Schedule(part persimmoncart.PromptPart) {
+	if len(c.Quarantine.Reports(part)) == 0 {
+		c.enqueueLater(part, crashRemovalSpread)
+		return
+	}
+	c.enqueue(part)
+}
+
+// enqueue makes the record of a part pending.
+func (c *CrashReports) enqueue(part persimmoncart.PromptPart) {
 	c.mutex.Lock()
 	if c.pending == nil {
 		c.pending = make(map[persimmoncart.PromptPart]struct{})
@@ -134,6 +173,19 @@
 	}
 }
 
+// enqueueLater makes the record of a part pending after a random time of up to spread.
+func (c *CrashReports) enqueueLater(part persimmoncart.PromptPart, spread time.Duration) {
+	c.Timer.After(rand.N(spread), func(time.Time) { c.enqueue(part) })
+}
+
+// isPending reports whether the record of a part is pending or being written.
+func (c *CrashReports) isPending(part persimmoncart.PromptPart) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	_, pending := c.pending[part]
+	return pending || c.writing == part
+}
+
 // crashPart returns the part of a record's key.
 func crashPart(key string) persimmoncart.PromptPart {
 	return persimmoncart.PromptPart(strings.TrimPrefix(key, CrashReportsPrefix))
@@ -179,20 +231,11 @@
 // sync makes the record of a part that of the Quarantine: it writes the reports, or
 // removes the record if there are none.
 func (c *CrashReports) sync(ctx context.Context, part persimmoncart.PromptPart) error {
+	c.setWriting(part)
+	defer c.setWriting("")
 	var err error
 	for range crashWriteAttempts {
-		c.mutex.Lock()
-		record := c.records[part]
-		c.mutex.Unlock()
-		reports := c.Quarantine.Reports(part)
-		if len(reports) == 0 {
-			return c.remove(ctx, part, record.version)
-		}
-		next := newStoredCrashes(reports)
-		if record.version != 0 && slices.Equal(next.Engines, record.engines) {
-			return nil
-		}
-		if err = c.save(ctx, part, next, record.version); err == nil || !mustReread(err) {
+		if err = c.writeOnce(ctx, part); err == nil || !mustReread(err) {
 			return err
 		}
 		if readErr := c.refresh(ctx, part); readErr != nil {
@@ -202,6 +245,34 @@
 	return err
 }
 
+// setWriting records that the record of a part is being written, so that it is no
+// longer pending; an empty part ends this.
+func (c *CrashReports) setWriting(part persimmoncart.PromptPart) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.pending, part)
+	c.writing = part
+}
+
+// writeOnce makes one call that writes or removes the record of a part, if it differs.
+func (c *CrashReports) writeOnce(ctx context.Context, part persimmoncart.PromptPart) error {
+	c.mutex.Lock()
+	record := c.records[part]
+	c.mutex.Unlock()
+	reports := c.Quarantine.Reports(part)
+	next := newStoredCrashes(reports)
+	switch {
+	case len(reports) > 0 && record.version != 0 && slices.Equal(next.Engines, record.engines):
+		return nil
+	case len(reports) > 0:
+		return c.save(ctx, part, next, record.version)
+	case record.version != 0:
+		return c.remove(ctx, part, record.version)
+	default:
+		return nil
+	}
+}
+
 // newStoredCrashes returns the value of the record with the reports of one part.
 func newStoredCrashes(reports []policy.CrashReport) storedCrashes {
 	var s storedCrashes
@@ -232,22 +303,37 @@
 	return nil
 }
 
-// remove removes a record. One that another instance has changed or removed meanwhile
-// is left to the watch.
+// remove removes a record, unless another instance has changed it meanwhile.
 func (c *CrashReports) remove(ctx context.Context, part persimmoncart.PromptPart, version persimmoncart.Version) error {
-	if version == 0 {
-		return nil
-	}
-	if err := c.Store.Delete(ctx, CrashReportsPrefix+string(part), version); err != nil && !mustReread(err) {
-		return errors.Wrap(err, "remove crash reports")
+	key := CrashReportsPrefix + string(part)
+	var err error
+	for range crashWriteAttempts {
+		if err = c.Store.Delete(ctx, key, version); err == nil || isNotFound(err) {
+			c.deleteRecord(part)
+			return nil
+		}
+		if !mustReread(err) {
+			break
+		}
+		object, readErr := c.Store.Get(ctx, key)
+		switch {
+		case isNotFound(readErr):
+			c.deleteRecord(part)
+			return nil
+		case readErr != nil:
+			return errors.Wrap(readErr, "read crash reports")
+		case object.Version != version:
+			c.read(object)
+			return nil
+		}
 	}
-	return nil
+	return errors.Wrap(err, "remove crash reports")
 }
 
 // refresh reads a record after a write of another version.
 func (c *CrashReports) refresh(ctx context.Context, part persimmoncart.PromptPart) error {
 	object, err := c.Store.Get(ctx, CrashReportsPrefix+string(part))
-	if missing := (*persimmoncart.NotFoundError)(nil); errors.As(err, &missing) {
+	if isNotFound(err) {
 		c.deleteRecord(part)
 		return nil
 	}
@@ -258,11 +344,17 @@
 	return nil
 }
 
+// isNotFound reports whether a call failed because there is no record.
+func isNotFound(err error) bool {
+	missing := (*persimmoncart.NotFoundError)(nil)
+	return errors.As(err, &missing)
+}
+
 // mustReread reports whether a write failed because the record has changed, or may have
 // taken effect.
 func mustReread(err error) bool {
-	ambiguous, conflict, missing := (*persimmoncart.AmbiguousError)(nil), (*persimmoncart.ConflictError)(nil), (*persimmoncart.NotFoundError)(nil)
-	return errors.As(err, &ambiguous) || errors.As(err, &conflict) || errors.As(err, &missing)
+	ambiguous, conflict := (*persimmoncart.AmbiguousError)(nil), (*persimmoncart.ConflictError)(nil)
+	return errors.As(err, &ambiguous) || errors.As(err, &conflict) || isNotFound(err)
 }
 
 // pendingSignal returns the channel that signals changes of pending.
@@ -275,15 +367,17 @@
 	return c.signal
 }
 
-// takePending returns the parts whose records are to be written.
-func (c *CrashReports) takePending() []persimmoncart.PromptPart {
+// pendingParts returns the pending parts, those with the most reports first.
+func (c *CrashReports) pendingParts() []persimmoncart.PromptPart {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	var parts []persimmoncart.PromptPart
-	for part := range c.pending {
-		parts = append(parts, part)
+	parts := slices.Collect(maps.Keys(c.pending))
+	c.mutex.Unlock()
+	reports := make(map[persimmoncart.PromptPart][]policy.CrashReport)
+	for _, p := range parts {
+		reports[p] = c.Quarantine.Reports(p)
 	}
-	clear(c.pending)
-	slices.Sort(parts)
+	slices.SortFunc(parts, func(a, b persimmoncart.PromptPart) int {
+		return cmp.Or(len(reports[b])-len(reports[a]), newStoredCrashes(reports[b]).Depth-newStoredCrashes(reports[a]).Depth, cmp.Compare(a, b))
+	})
 	return parts
 }
--- a/internal/forward/crashreports_test.go
+++ b/internal/forward/crashreports_test.go
@@ -105,6 +105,15 @@
 			time.Sleep(within)
 			other.RecordCompletion(promptParts)
 		}},
+		{name: "completed on the other instance, removal lost", run: func(one, other *reporter) {
+			one.crash("e1")
+			one.crash("e2")
+			one.crash("e3")
+			time.Sleep(within)
+			other.Store.DropRequests(1)
+			other.RecordCompletion(promptParts)
+			time.Sleep(within)
+		}},
 		{name: "crashes long after a completion", want: true, run: func(one, other *reporter) {
 			one.crash("e1")
 			one.crash("e2")
@@ -139,6 +148,26 @@
 	}
 }
 
+// Guards against a report that is lost because the removal of the record before it
+// arrives late.
+func TestCrashReportsRemovedLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		r := startReporter(ctx, &running, &objectapi.Memory{Timer: &timer.System{}})
+		r.Store.SetDown(true)
+		for _, engine := range []string{"e1", "e2", "e3"} {
+			r.crash(engine)
+		}
+		r.Reports.HandleChange(persimmoncart.WatchEvent{Deleted: true, Object: persimmoncart.Object{Key: forward.CrashReportsPrefix + "x", Version: 1}})
+		r.Store.SetDown(false)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, r.quarantined())
+		cancel()
+		running.Wait()
+	})
+}
+
 // Guards against reports that are gone with the records that a restored store has
 // lost, and against reports that stay although their record was removed while no
 // watch was open.
