forward: a check that finds no crash is logged

Cause: the last read of the diff. The error of a check that showed no crash was dropped without a line, and the comment of CrashSuspects lacked the order's first rule.

Change: 'engine broke off without a crash', with the error of the check, and the comment.

Test: go test -race ./internal/forward ./platform passes.

--- a/internal/forward/crashcheck.go
+++ b/internal/forward/crashcheck.go
@@ -44,6 +44,7 @@
 			err = x.router.Upstream.Identify(ctx, engine)
 		}
 		if !isGone(err) {
+			x.withParts(x.router.Logger.Info()).Str("endpoint", string(engine.ID)).Err(err).Msg("engine broke off without a crash")
 			return
 		}
 		x.withParts(x.router.Logger.Warn()).Str("endpoint", string(engine.ID)).Uint64("incarnation", uint64(engine.Incarnation)).
--- a/internal/policy/crashsuspects.go
+++ b/internal/policy/crashsuspects.go
@@ -58,7 +58,8 @@
 // for crashes that no other part explains.
 //
 // A complete response proves that its parts are sound, because a harmful part crashes
-// each engine that begins to respond to it. Among parts with equally many crashes the
+// each engine that begins to respond to it. Parts that were never completed are
+// suspected first, then those with more crashes. Among parts with equally many the
 // deeper one is suspected: fewer requests hold it, so fewer are refused by mistake. If
 // a part above it is the harmful one, the crashes of its other requests soon give that
 // part the most reports.
