forward, platform: the limit that an endpoint states is read and logged

A limit ends with the response to a request that ran and states none: responses to the instance's own calls may leave it out. Nothing keeps to it yet.

--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -51,6 +51,7 @@
 
 	departed        map[persimmoncart.EndpointID]persimmoncart.Incarnation // that left; up to maxDeparted
 	endpointsListed atomic.Bool                                            // SetEndpoints was called
+	limited         atomic.Int32                                           // endpoints with a rate limit
 	missing         map[persimmoncart.EndpointID]time.Time                 // until when they are kept
 	mutex           sync.Mutex
 	patience        map[persimmoncart.RouteName]*policy.Patience // up to maxPatienceRoutes
@@ -205,6 +206,9 @@
 
 // Notice records what an endpoint stated about itself with a response.
 func (d *Directory) Notice(endpoint *persimmoncart.Endpoint, notice persimmoncart.EndpointNotice) {
+	if notice == (persimmoncart.EndpointNotice{Unlimited: true}) && d.limited.Load() == 0 {
+		return
+	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	e, _ := d.find(endpoint.ID)
@@ -215,12 +219,32 @@
 		e.Endpoint.Leaving = true
 		d.log("endpoint says that it leaves", &e.Endpoint)
 	}
+	if notice.RateLimit != 0 || notice.Unlimited {
+		d.setRateLimit(e, notice.RateLimit)
+	}
 	if notice.RetryAfter > 0 {
 		e.BackOff(d.Timer.Now().Add(notice.RetryAfter))
 		d.Logger.Info().Str("endpoint", string(e.Endpoint.ID)).Dur("retry", notice.RetryAfter).Msg("endpoint wants no requests")
 	}
 }
 
+// setRateLimit records the requests a second that an endpoint takes from all instances
+// together; zero for no limit. The caller holds the mutex.
+func (d *Directory) setRateLimit(e *policy.EndpointState, limit float64) {
+	if e.RateLimit == limit {
+		return
+	}
+	switch {
+	case e.RateLimit == 0:
+		d.limited.Add(1)
+	case limit == 0:
+		d.limited.Add(-1)
+	}
+	d.Logger.Info().Str("endpoint", string(e.Endpoint.ID)).Float64("limit", limit).Float64("before", e.RateLimit).
+		Msg("endpoint limits its requests")
+	e.RateLimit = limit
+}
+
 // Accepts reports whether an endpoint takes calls of this instance's own.
 func (d *Directory) Accepts(id persimmoncart.EndpointID) bool {
 	d.mutex.Lock()
@@ -356,6 +380,9 @@
 func (d *Directory) drop(p *pool, e *policy.EndpointState) {
 	p.selector.Endpoints = slices.DeleteFunc(p.selector.Endpoints, func(o *policy.EndpointState) bool { return o == e })
 	delete(d.missing, e.Endpoint.ID)
+	if e.RateLimit != 0 {
+		d.limited.Add(-1)
+	}
 	if e.Endpoint.Leaving {
 		if d.departed == nil || len(d.departed) >= maxDeparted {
 			d.departed = make(map[persimmoncart.EndpointID]persimmoncart.Incarnation)
--- a/internal/policy/selector.go
+++ b/internal/policy/selector.go
@@ -72,10 +72,11 @@
 type EndpointState struct {
 	Endpoint   persimmoncart.Endpoint
 	Failures   FailureRate
-	InFlight   int  // requests of this instance
-	Missing    bool // no longer listed by the store
-	Unverified bool // failed since its last response: another process may be at its address
-	Tokens     int  // of this instance's requests: to prefill, or held in memory
+	InFlight   int     // requests of this instance
+	Missing    bool    // no longer listed by the store
+	RateLimit  float64 // requests a second that it takes from all instances together; zero for no limit
+	Unverified bool    // failed since its last response: another process may be at its address
+	Tokens     int     // of this instance's requests: to prefill, or held in memory
 
 	avoidUntil          time.Time                  // used only as a last resort until then
 	backOffUntil        time.Time                  // not used until then
--- a/upstream.go
+++ b/upstream.go
@@ -26,7 +26,9 @@
 // An EndpointNotice is what an endpoint states about itself with a response.
 type EndpointNotice struct {
 	Leaving    bool          // it will stop; it wants no new requests
+	RateLimit  float64       // requests a second that it takes from all instances together; zero if it states none
 	RetryAfter time.Duration // it wants no requests of this instance for so long; zero for none
+	Unlimited  bool          // the response to a request that has run states no RateLimit
 }
 
 // An Upstream sends forwarded requests to endpoints.
