forward: a waiting generation is refused at its latest start

Cause: a waiting request looks at its latest start only when it is woken, and the requests of a pool are woken one every 60 ms. The one that goes first is woken again and again, and the others after it, one by one.

Change: the wait itself ends at the latest start.

--- a/internal/forward/admissionqueue.go
+++ b/internal/forward/admissionqueue.go
@@ -24,7 +24,8 @@
 	waiting policy.Waitlist
 }
 
-// Wait waits until the request may try again to reserve an engine, or ctx ends.
+// Wait waits until the request may try again to reserve an engine, its LatestStart has
+// come, or ctx ends.
 func (q *admissionQueue) Wait(ctx context.Context, entry *policy.WaitlistEntry) {
 	turn := make(chan struct{}, 1)
 	q.mutex.Lock()
@@ -41,8 +42,11 @@
 		delete(q.turns, entry)
 		q.mutex.Unlock()
 	}()
+	expired := make(chan time.Time, 1)
+	defer q.timer.After(entry.LatestStart.Sub(q.timer.Now()), func(now time.Time) { expired <- now })()
 	select {
 	case <-ctx.Done():
+	case <-expired:
 	case <-turn:
 	}
 }
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -171,7 +171,7 @@
 	queue := g.router.Directory.DecodeQueue(g.pool)
 	for {
 		now := g.router.Timer.Now()
-		if now.After(entry.LatestStart) {
+		if !now.Before(entry.LatestStart) {
 			return nil, g.capacityRefusal(errNoCapacity)
 		}
 		request := g.decodeRequest()
--- a/internal/forward/generate_test.go
+++ b/internal/forward/generate_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,6 +59,29 @@
 	})
 }
 
+// Guards against requests that wait long after the time from which they are refused,
+// because the waiting requests are woken one after the other.
+func TestGenerateRefusesAllInTime(t *testing.T) {
+	const (
+		requests = 40
+		within   = 800 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.Upstream.reserve = func(int) error { return refused() }
+		var waiting sync.WaitGroup
+		for range requests {
+			waiting.Go(func() {
+				began := time.Now()
+				_, _, err := f.serve(t.Context(), "/draft/")
+				assert.Check(t, refusal(t, err).Outcome == persimmoncart.OutcomeNotRun)
+				assert.Check(t, time.Since(began) <= within, "refused after %s", time.Since(began))
+			})
+		}
+		waiting.Wait()
+	})
+}
+
 // Guards against a request that keeps waiting after a decode engine has become
 // free.
 func TestGenerateWaits(t *testing.T) {
