forward: all instances together keep to the limit that an endpoint states

Cause: no code read the limit. Reading it alone would not have been enough, since it applies to all instances together, and no instance knew how many there are.

Ruled out: that only retries and hedges pass by a limit, as first sends did.

Change: each instance keeps to its share, a token bucket of one request for each endpoint, from which every assignment takes: first sends, retries, hedges, prefills, decodes, resumptions. With a small limit only some instances, chosen by rendezvous hashing, have a share, so that their ready requests do not exceed it together.

Why it works: shares sum up to the limit, and the requests ready at any moment to the limit of one second and four more, while the bound leaves room for half of the limit and five more.

--- a/internal/forward/assignment.go
+++ b/internal/forward/assignment.go
@@ -11,6 +11,7 @@
 type assignment struct {
 	Endpoint   persimmoncart.Endpoint
 	Expected   time.Duration       // expected time at the endpoint, its queue included
+	Limited    bool                // the endpoint limits its requests, of which this is one
 	Unverified bool                // another process may be at its address
 	View       policy.EndpointView // state of the endpoint when it was chosen, for logs
 
--- a/internal/forward/crashcheck.go
+++ b/internal/forward/crashcheck.go
@@ -32,7 +32,7 @@
 // the request has crashed, and records the crash. It does not wait for that;
 // awaitSuspicion does.
 func (x *exchange) checkCrash(engine *persimmoncart.Endpoint) {
-	if len(x.promptParts()) == 0 || !x.router.Directory.Accepts(engine.ID) {
+	if len(x.promptParts()) == 0 || !x.router.Directory.TakeCall(engine.ID) {
 		return
 	}
 	x.crashChecks.Go(func() {
--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -51,6 +51,7 @@
 
 	departed        map[persimmoncart.EndpointID]persimmoncart.Incarnation // that left; up to maxDeparted
 	endpointsListed atomic.Bool                                            // SetEndpoints was called
+	instances       []persimmoncart.InstanceID                             // in service; see SetInstances
 	limited         atomic.Int32                                           // endpoints with a rate limit
 	missing         map[persimmoncart.EndpointID]time.Time                 // until when they are kept
 	mutex           sync.Mutex
@@ -228,37 +229,70 @@
 	}
 }
 
+// SetInstances sets all instances of the system that are in service, which share the
+// limits of endpoints. Before the first call, this instance has no share.
+func (d *Directory) SetInstances(instances []persimmoncart.InstanceID) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.instances = instances
+	for _, p := range d.pools {
+		for _, e := range p.selector.Endpoints {
+			if limit := e.RateLimit(); limit != 0 {
+				d.setRateShare(e, limit)
+			}
+		}
+	}
+}
+
 // setRateLimit records the requests a second that an endpoint takes from all instances
 // together; zero for no limit. The caller holds the mutex.
 func (d *Directory) setRateLimit(e *policy.EndpointState, limit float64) {
-	if e.RateLimit == limit {
+	before := e.RateLimit()
+	if before == limit {
 		return
 	}
 	switch {
-	case e.RateLimit == 0:
+	case before == 0:
 		d.limited.Add(1)
 	case limit == 0:
 		d.limited.Add(-1)
 	}
-	d.Logger.Info().Str("endpoint", string(e.Endpoint.ID)).Float64("limit", limit).Float64("before", e.RateLimit).
-		Msg("endpoint limits its requests")
-	e.RateLimit = limit
+	d.setRateShare(e, limit)
+}
+
+// setRateShare sets the limit of an endpoint and this instance's share of it. The caller
+// holds the mutex.
+func (d *Directory) setRateShare(e *policy.EndpointState, limit float64) {
+	share := policy.RateShare(limit, e.Endpoint.ID, d.Home.ID, d.instances)
+	d.Logger.Info().Str("endpoint", string(e.Endpoint.ID)).Float64("limit", limit).Float64("before", e.RateLimit()).
+		Float64("share", share).Int("instances", len(d.instances)).Msg("endpoint limits its requests")
+	e.SetRateLimit(d.Timer.Now(), limit, share)
 }
 
-// Accepts reports whether an endpoint takes calls of this instance's own.
+// Accepts reports whether an endpoint takes calls of this instance's own: it neither
+// wants a pause nor limits its requests.
 func (d *Directory) Accepts(id persimmoncart.EndpointID) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	e, _ := d.find(id)
-	return e == nil || e.BackOffLeft(d.Timer.Now()) == 0
+	return e == nil || e.BackOffLeft(d.Timer.Now()) == 0 && e.RateLimit() == 0
+}
+
+// TakeCall counts a call of this instance's own against the limit of an endpoint, and
+// reports whether it may be made.
+func (d *Directory) TakeCall(id persimmoncart.EndpointID) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	e, _ := d.find(id)
+	return e == nil || e.TakeRequest(d.Timer.Now())
 }
 
-// BackOffLeft returns the time until the first endpoint of a pool with the role
-// takes requests again. It reports false if one does now, or there is none.
-func (d *Directory) BackOffLeft(name persimmoncart.PoolName, role persimmoncart.Role) (time.Duration, bool) {
+// WaitLeft returns the time until the first endpoint of a pool with the role takes
+// requests again. It reports false if one does now, or there is none.
+func (d *Directory) WaitLeft(name persimmoncart.PoolName, role persimmoncart.Role) (time.Duration, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.pool(name).selector.BackOffLeft(d.Timer.Now(), role)
+	return d.pool(name).selector.WaitLeft(d.Timer.Now(), role)
 }
 
 // DropReplaced drops an endpoint at whose address another process responds.
@@ -337,10 +371,11 @@
 		return nil
 	}
 	expected, view := p.selector.ExpectedTime(now, e, &r), e.View(now)
+	e.TakeRequest(now) // succeeds, as Pick leaves out endpoints that take none
 	e.InFlight++
 	e.Tokens += r.Tokens
 	return &assignment{
-		Endpoint: e.Endpoint, Expected: expected, Unverified: e.Unverified, View: view, directory: d, pool: p, state: e, tokens: r.Tokens,
+		Endpoint: e.Endpoint, Expected: expected, Limited: e.RateLimit() != 0, Unverified: e.Unverified, View: view, directory: d, pool: p, state: e, tokens: r.Tokens,
 	}
 }
 
@@ -380,7 +415,7 @@
 func (d *Directory) drop(p *pool, e *policy.EndpointState) {
 	p.selector.Endpoints = slices.DeleteFunc(p.selector.Endpoints, func(o *policy.EndpointState) bool { return o == e })
 	delete(d.missing, e.Endpoint.ID)
-	if e.RateLimit != 0 {
+	if e.RateLimit() != 0 {
 		d.limited.Add(-1)
 	}
 	if e.Endpoint.Leaving {
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -177,13 +177,11 @@
 		request := g.decodeRequest()
 		request.MinFreeTokens = entry.RequiredFreeTokens(now, request.Tokens)
 		assigned := g.router.Directory.Assign(g.pool, request)
-		if assigned == nil && !g.router.Directory.HasRole(g.pool, persimmoncart.RoleDecode) {
-			return nil, g.emptyPoolRefusal()
-		}
-		if left, ok := g.router.Directory.BackOffLeft(g.pool, persimmoncart.RoleDecode); ok && now.Add(left).After(entry.LatestStart) {
-			return nil, g.backOffRefusal(left)
-		}
-		if assigned != nil {
+		if assigned == nil {
+			if err := g.unavailableRefusal(entry.LatestStart.Sub(now)); err != nil {
+				return nil, err
+			}
+		} else {
 			reservation, ok := g.reserve(ctx, assigned, request.Tokens, request.MinFreeTokens-request.Tokens)
 			if ok {
 				g.reservation = reservation
@@ -201,6 +199,18 @@
 	}
 }
 
+// unavailableRefusal returns the refusal of a request whose pool has no decode engine,
+// or none that takes requests within the given time; nil if one does.
+func (g *generation) unavailableRefusal(within time.Duration) error {
+	if !g.router.Directory.HasRole(g.pool, persimmoncart.RoleDecode) {
+		return g.emptyPoolRefusal()
+	}
+	if left, ok := g.router.Directory.WaitLeft(g.pool, persimmoncart.RoleDecode); ok && left > within {
+		return g.backOffRefusal(left)
+	}
+	return nil
+}
+
 // decode sends the request to the decode engine and returns its stream.
 func (g *generation) decode(ctx context.Context, assigned *assignment) (*Response, error) {
 	call := g.upstreamCall(&assigned.Endpoint)
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -95,19 +95,19 @@
 }
 
 // noEndpointRefusal returns refusal, or that of backOffRefusal if all application
-// endpoints of the pool want no requests.
+// endpoints of the pool want no requests now.
 func (x *exchange) noEndpointRefusal(refusal error) error {
-	if left, ok := x.router.Directory.BackOffLeft(x.pool, persimmoncart.RoleApplication); ok {
+	if left, ok := x.router.Directory.WaitLeft(x.pool, persimmoncart.RoleApplication); ok {
 		return x.backOffRefusal(left)
 	}
 	return refusal
 }
 
-// backOffRefusal returns the refusal of a request while all endpoints of its pool
-// want no requests. Left is the time until the first one takes requests again.
+// backOffRefusal returns the refusal of a request while all endpoints of its pool want
+// no requests, or no more than they have got. Left is the time until the first one takes requests again.
 func (x *exchange) backOffRefusal(left time.Duration) error {
 	return &persimmoncart.Refusal{
-		Code: persimmoncart.RefusalCapacity, Message: "all endpoints ask for a pause", Outcome: persimmoncart.OutcomeNotRun,
+		Code: persimmoncart.RefusalCapacity, Message: "all endpoints ask for fewer requests", Outcome: persimmoncart.OutcomeNotRun,
 		RetryAfter: left + rand.N(retryAfterNoEndpoint),
 	}
 }
--- a/internal/forward/reservation.go
+++ b/internal/forward/reservation.go
@@ -23,10 +23,11 @@
 
 // reserve reserves a slot and memory on a decode engine that has the spare tokens
 // free in addition. It returns the reservation's identifier, which is empty for
-// engines without reservations. If the engine is full or does not respond, the
+// engines without reservations, and for those that limit their requests, of which a
+// reservation would be one more. If the engine is full or does not respond, the
 // assignment ends and ok is false.
 func (x *exchange) reserve(ctx context.Context, assigned *assignment, tokens, spare int) (reservation string, ok bool) {
-	if x.engine.MaxReservation <= 0 {
+	if x.engine.MaxReservation <= 0 || assigned.Limited {
 		return "", true // the engine may refuse the request itself
 	}
 	if !x.identify(ctx, assigned) {
@@ -45,9 +46,10 @@
 
 // identify makes sure that an engine which failed before is still the same process:
 // one that has taken its address reserves memory as well, and then refuses the
-// request, which takes a retry. It ends the assignment and reports false if not.
+// request, which takes a retry. It ends the assignment and reports false if not. An
+// engine that limits its requests is not asked.
 func (x *exchange) identify(ctx context.Context, assigned *assignment) bool {
-	if !assigned.Unverified {
+	if !assigned.Unverified || assigned.Limited {
 		return true
 	}
 	identifyCtx, stop := timer.WithTimeout(ctx, x.router.Timer, x.latencyShare(reservationTimeoutShare), nil)
@@ -99,7 +101,7 @@
 // for it. A failure is logged with the kind of resource.
 func (x *exchange) releaseAsync(resource string, endpoint *persimmoncart.Endpoint, free func(context.Context) error) {
 	r := x.router
-	if !r.Directory.Accepts(endpoint.ID) {
+	if !r.Directory.TakeCall(endpoint.ID) {
 		r.Logger.Info().Str("endpoint", string(endpoint.ID)).Str("what", resource).Msg("release left to the endpoint, which wants no requests")
 		return
 	}
--- a/internal/policy/selector.go
+++ b/internal/policy/selector.go
@@ -72,19 +72,19 @@
 type EndpointState struct {
 	Endpoint   persimmoncart.Endpoint
 	Failures   FailureRate
-	InFlight   int     // requests of this instance
-	Missing    bool    // no longer listed by the store
-	RateLimit  float64 // requests a second that it takes from all instances together; zero for no limit
-	Unverified bool    // failed since its last response: another process may be at its address
-	Tokens     int     // of this instance's requests: to prefill, or held in memory
+	InFlight   int  // requests of this instance
+	Missing    bool // no longer listed by the store
+	Unverified bool // failed since its last response: another process may be at its address
+	Tokens     int  // of this instance's requests: to prefill, or held in memory
 
 	avoidUntil          time.Time                  // used only as a last resort until then
 	backOffUntil        time.Time                  // not used until then
 	fullUntil           time.Time                  // left out until then
 	load                persimmoncart.EndpointLoad // last report; Running is without this instance's requests
 	loadTime            time.Time                  // of the last report; zero if there is none
-	reservationRefusals int                        // consecutive refusals of requests with a reservation
-	unitSeconds         float64                    // average time of a unit of work, without the network
+	requests            requestLimit
+	reservationRefusals int     // consecutive refusals of requests with a reservation
+	unitSeconds         float64 // average time of a unit of work, without the network
 }
 
 // BackOff records that the endpoint wants no requests of this instance until the
@@ -101,6 +101,28 @@
 	return max(0, e.backOffUntil.Sub(now))
 }
 
+// RateLimit returns the requests a second that the endpoint takes from all instances
+// together; zero for no limit.
+func (e *EndpointState) RateLimit() float64 { return e.requests.total }
+
+// SetRateLimit sets the requests a second that the endpoint takes from all instances
+// together, zero for no limit, and those that it takes from this instance.
+func (e *EndpointState) SetRateLimit(now time.Time, total, share float64) {
+	e.requests.set(now, total, share)
+}
+
+// TakeRequest counts a request or call against the endpoint's limit. It reports false
+// if the endpoint does not take it.
+func (e *EndpointState) TakeRequest(now time.Time) bool {
+	return e.BackOffLeft(now) == 0 && e.requests.take(now)
+}
+
+// WaitLeft returns the time until the endpoint takes a request of this instance again;
+// zero if it does.
+func (e *EndpointState) WaitLeft(now time.Time) time.Duration {
+	return max(e.BackOffLeft(now), e.requests.left(now))
+}
+
 // ClearFull records that a request of this instance ended, so that the endpoint
 // counts as full no longer.
 func (e *EndpointState) ClearFull() { e.fullUntil = time.Time{} }
@@ -225,7 +247,7 @@
 	var least float64
 	withoutMissing := s.fewMissing(r.Role)
 	for _, e := range s.Endpoints {
-		if e.Endpoint.Leaving || e.Endpoint.Role != r.Role || e.BackOffLeft(now) > 0 || withoutMissing && e.Missing {
+		if e.Endpoint.Leaving || e.Endpoint.Role != r.Role || e.WaitLeft(now) > 0 || withoutMissing && e.Missing {
 			continue
 		}
 		if r.MinFreeTokens > 0 && !e.hasRoom(now, r) {
@@ -260,15 +282,15 @@
 	return listed >= fewMissingFactor*missing
 }
 
-// BackOffLeft returns the time until the first endpoint with the role may be used
-// again. It reports false if one may be used now, or there is none.
-func (s *Selector) BackOffLeft(now time.Time, role persimmoncart.Role) (time.Duration, bool) {
+// WaitLeft returns the time until the first endpoint with the role takes requests
+// again. It reports false if one does now, or there is none.
+func (s *Selector) WaitLeft(now time.Time, role persimmoncart.Role) (time.Duration, bool) {
 	least, found := time.Duration(0), false
 	for _, e := range s.Endpoints {
 		if e.Endpoint.Leaving || e.Endpoint.Role != role {
 			continue
 		}
-		left := e.BackOffLeft(now)
+		left := e.WaitLeft(now)
 		if left == 0 {
 			return 0, false
 		}
