forward: logs recognise the attempts of one request

Change: ForwardRequest has a fingerprint of caller, method, host, target and body, which 'send failed' and 'stream broke' log.

--- a/forwardrequest.go
+++ b/forwardrequest.go
@@ -1,15 +1,23 @@
 package persimmoncart
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"net/http"
+	"net/netip"
 	"time"
 )
 
+// fingerprintBytes is the length of a fingerprint before its encoding.
+const fingerprintBytes = 16
+
 // A ForwardRequest is one attempt of a caller, which an endpoint receives
 // unchanged.
 type ForwardRequest struct {
 	Arrived     time.Time
 	Body        []byte
+	Caller      netip.Addr      // zero if unknown
 	Deadline    time.Time       // when the caller stops waiting
 	Generation  *GenerationSize // nil for a plain request
 	Header      http.Header     // end-to-end headers, without those that the instance sets itself
@@ -20,6 +28,19 @@
 	Target      string // path and query as received
 }
 
+// Fingerprint returns a hash of the caller and what it asks for, which is the same in
+// each attempt of the caller and in no other request.
+func (r *ForwardRequest) Fingerprint() string {
+	h := sha256.New()
+	for _, field := range []string{r.Caller.String(), r.Method, r.Host, r.Target} {
+		// With the length, no two lists of fields give the same bytes.
+		_ = binary.Write(h, binary.BigEndian, uint64(len(field))) // writes to a hash do not fail
+		_, _ = h.Write([]byte(field))
+	}
+	_, _ = h.Write(r.Body)
+	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
+}
+
 // Path returns the path of the request without its query.
 func (r *ForwardRequest) Path() string {
 	for i := range len(r.Target) {
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -164,8 +164,10 @@
 		Dur("age", x.router.Timer.Now().Sub(x.request.Arrived)).Int("sends", x.sends)
 }
 
-// withParts adds the fields of the request and the parts of its prompt to a log line.
+// withParts adds the fields of the request, its fingerprint and the parts of its prompt
+// to a log line.
 func (x *exchange) withParts(e *zerolog.Event) *zerolog.Event {
+	e = e.Str("fingerprint", x.request.Fingerprint())
 	if parts := x.promptParts(); len(parts) > 0 {
 		e = e.Any("parts", parts)
 	}
