--- a/forwardrequest.go
+++ b/forwardrequest.go
@@ -56,6 +56,6 @@
 	ExpectedOutputTokens int // zero if the caller does not state it
 	MaxOutputTokens      int
 	Model                ModelName
-	PromptParts          []PromptPart // shared parts of the prompt in order, without the request's own last part
+	PromptParts          []RequestPart // shared parts of the prompt in order, without the request's own last part
 	PromptTokens         int
 }
--- a/internal/forward/crashcheck.go
+++ b/internal/forward/crashcheck.go
@@ -84,7 +84,7 @@
 
 // A QuarantinedPartError reports a prompt with a part that crashes engines.
 type QuarantinedPartError struct {
-	Part persimmoncart.PromptPart
+	Part persimmoncart.RequestPart
 }
 
 // Error implements error.
--- a/internal/forward/crashreports.go
+++ b/internal/forward/crashreports.go
@@ -48,10 +48,10 @@
 	Timer      persimmoncart.Timer
 
 	mutex    sync.Mutex
-	pending  map[persimmoncart.PromptPart]struct{}    // whose records are to be written
-	records  map[persimmoncart.PromptPart]crashRecord // as last read or written
+	pending  map[persimmoncart.RequestPart]struct{}    // whose records are to be written
+	records  map[persimmoncart.RequestPart]crashRecord // as last read or written
 	restored bool                                     // the store was restored since the last list
-	writing  persimmoncart.PromptPart                 // whose record is being written; empty for none
+	writing  persimmoncart.RequestPart                 // whose record is being written; empty for none
 	signal   chan struct{}                            // has a value if pending may not be empty; see pendingSignal
 }
 
@@ -109,7 +109,7 @@
 
 // handleRemoval clears a part whose record is gone, unless this instance has reports of
 // it to write.
-func (c *CrashReports) handleRemoval(part persimmoncart.PromptPart) {
+func (c *CrashReports) handleRemoval(part persimmoncart.RequestPart) {
 	c.deleteRecord(part)
 	if !c.isPending(part) {
 		c.Quarantine.Clear(part)
@@ -151,7 +151,7 @@
 
 // Schedule has Run write the reports of a part, or remove its record if there are none.
 // It does not block.
-func (c *CrashReports) Schedule(part persimmoncart.PromptPart) {
+func (c *CrashReports) Schedule(part persimmoncart.RequestPart) {
 	if len(c.Quarantine.Reports(part)) == 0 {
 		c.enqueueLater(part, crashRemovalSpread)
 		return
@@ -160,10 +160,10 @@
 }
 
 // enqueue makes the record of a part pending.
-func (c *CrashReports) enqueue(part persimmoncart.PromptPart) {
+func (c *CrashReports) enqueue(part persimmoncart.RequestPart) {
 	c.mutex.Lock()
 	if c.pending == nil {
-		c.pending = make(map[persimmoncart.PromptPart]struct{})
+		c.pending = make(map[persimmoncart.RequestPart]struct{})
 	}
 	c.pending[part] = struct{}{}
 	c.mutex.Unlock()
@@ -174,12 +174,12 @@
 }
 
 // enqueueLater makes the record of a part pending after a random time of up to spread.
-func (c *CrashReports) enqueueLater(part persimmoncart.PromptPart, spread time.Duration) {
+func (c *CrashReports) enqueueLater(part persimmoncart.RequestPart, spread time.Duration) {
 	c.Timer.After(rand.N(spread), func(time.Time) { c.enqueue(part) })
 }
 
 // isPending reports whether the record of a part is pending or being written.
-func (c *CrashReports) isPending(part persimmoncart.PromptPart) bool {
+func (c *CrashReports) isPending(part persimmoncart.RequestPart) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	_, pending := c.pending[part]
@@ -187,8 +187,8 @@
 }
 
 // crashPart returns the part of a record's key.
-func crashPart(key string) persimmoncart.PromptPart {
-	return persimmoncart.PromptPart(strings.TrimPrefix(key, CrashReportsPrefix))
+func crashPart(key string) persimmoncart.RequestPart {
+	return persimmoncart.RequestPart(strings.TrimPrefix(key, CrashReportsPrefix))
 }
 
 // read takes over a record. One that cannot be read is logged and ignored.
@@ -209,28 +209,28 @@
 }
 
 // deleteRecord records that a part has no record.
-func (c *CrashReports) deleteRecord(part persimmoncart.PromptPart) {
+func (c *CrashReports) deleteRecord(part persimmoncart.RequestPart) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	delete(c.records, part)
 }
 
 // setRecord records the state of a record, unless a newer one is known.
-func (c *CrashReports) setRecord(part persimmoncart.PromptPart, r crashRecord) {
+func (c *CrashReports) setRecord(part persimmoncart.RequestPart, r crashRecord) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if r.version < c.records[part].version {
 		return
 	}
 	if c.records == nil {
-		c.records = make(map[persimmoncart.PromptPart]crashRecord)
+		c.records = make(map[persimmoncart.RequestPart]crashRecord)
 	}
 	c.records[part] = r
 }
 
 // sync makes the record of a part that of the Quarantine: it writes the reports, or
 // removes the record if there are none.
-func (c *CrashReports) sync(ctx context.Context, part persimmoncart.PromptPart) error {
+func (c *CrashReports) sync(ctx context.Context, part persimmoncart.RequestPart) error {
 	c.setWriting(part)
 	defer c.setWriting("")
 	var err error
@@ -247,7 +247,7 @@
 
 // setWriting records that the record of a part is being written, so that it is no
 // longer pending; an empty part ends this.
-func (c *CrashReports) setWriting(part persimmoncart.PromptPart) {
+func (c *CrashReports) setWriting(part persimmoncart.RequestPart) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	delete(c.pending, part)
@@ -255,7 +255,7 @@
 }
 
 // writeOnce makes one call that writes or removes the record of a part, if it differs.
-func (c *CrashReports) writeOnce(ctx context.Context, part persimmoncart.PromptPart) error {
+func (c *CrashReports) writeOnce(ctx context.Context, part persimmoncart.RequestPart) error {
 	c.mutex.Lock()
 	record := c.records[part]
 	c.mutex.Unlock()
@@ -285,7 +285,7 @@
 
 // save writes a record whose version is expected to be the given one; zero means that
 // there is none.
-func (c *CrashReports) save(ctx context.Context, part persimmoncart.PromptPart, value storedCrashes, version persimmoncart.Version) error {
+func (c *CrashReports) save(ctx context.Context, part persimmoncart.RequestPart, value storedCrashes, version persimmoncart.Version) error {
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		return errors.Wrap(err, "encode crash reports")
@@ -304,7 +304,7 @@
 }
 
 // remove removes a record, unless another instance has changed it meanwhile.
-func (c *CrashReports) remove(ctx context.Context, part persimmoncart.PromptPart, version persimmoncart.Version) error {
+func (c *CrashReports) remove(ctx context.Context, part persimmoncart.RequestPart, version persimmoncart.Version) error {
 	key := CrashReportsPrefix + string(part)
 	var err error
 	for range crashWriteAttempts {
@@ -331,7 +331,7 @@
 }
 
 // refresh reads a record after a write of another version.
-func (c *CrashReports) refresh(ctx context.Context, part persimmoncart.PromptPart) error {
+func (c *CrashReports) refresh(ctx context.Context, part persimmoncart.RequestPart) error {
 	object, err := c.Store.Get(ctx, CrashReportsPrefix+string(part))
 	if isNotFound(err) {
 		c.deleteRecord(part)
@@ -368,15 +368,15 @@
 }
 
 // pendingParts returns the pending parts, those with the most reports first.
-func (c *CrashReports) pendingParts() []persimmoncart.PromptPart {
+func (c *CrashReports) pendingParts() []persimmoncart.RequestPart {
 	c.mutex.Lock()
 	parts := slices.Collect(maps.Keys(c.pending))
 	c.mutex.Unlock()
-	reports := make(map[persimmoncart.PromptPart][]policy.CrashReport)
+	reports := make(map[persimmoncart.RequestPart][]policy.CrashReport)
 	for _, p := range parts {
 		reports[p] = c.Quarantine.Reports(p)
 	}
-	slices.SortFunc(parts, func(a, b persimmoncart.PromptPart) int {
+	slices.SortFunc(parts, func(a, b persimmoncart.RequestPart) int {
 		return cmp.Or(len(reports[b])-len(reports[a]), newStoredCrashes(reports[b]).Depth-newStoredCrashes(reports[a]).Depth, cmp.Compare(a, b))
 	})
 	return parts
--- a/internal/forward/crashreports_test.go
+++ b/internal/forward/crashreports_test.go
@@ -36,7 +36,7 @@
 }
 
 // promptParts are the parts of harmful requests.
-var promptParts = []persimmoncart.PromptPart{"a", "x"}
+var promptParts = []persimmoncart.RequestPart{"a", "x"}
 
 // startReporter starts the crash reports of an instance before a shared store.
 func startReporter(ctx context.Context, running *sync.WaitGroup, store persimmoncart.Store) *reporter {
@@ -138,7 +138,7 @@
 				time.Sleep(within)
 				for name, r := range map[string]*reporter{"one": one, "other": other, "started later": started} {
 					assert.Equal(t, r.quarantined(), c.want, name)
-					_, _, found := r.Check([]persimmoncart.PromptPart{"a", "y"})
+					_, _, found := r.Check([]persimmoncart.RequestPart{"a", "y"})
 					assert.Assert(t, !found, "%s refuses sound requests", name)
 				}
 				cancel()
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -166,7 +166,7 @@
 	Router    *forward.Router
 	Upstream  *fakeUpstream
 
-	parts     []persimmoncart.PromptPart // of the prompts of generations
+	parts     []persimmoncart.RequestPart // of the prompts of generations
 	readPause time.Duration              // pause of the caller before each read
 }
 
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -15,7 +15,7 @@
 // engines. It decides by the crashes that all instances have seen; CrashReports shares
 // them. Its exported fields are set before use. It is safe for concurrent use.
 type Quarantine struct {
-	Changed func(persimmoncart.PromptPart) // called when the reports of a part have changed here; must not block; may be nil
+	Changed func(persimmoncart.RequestPart) // called when the reports of a part have changed here; must not block; may be nil
 	Logger  zerolog.Logger
 	Timer   persimmoncart.Timer
 
@@ -24,10 +24,10 @@
 }
 
 // Add adds the crash reports of one part that other instances have shared.
-func (q *Quarantine) Add(part persimmoncart.PromptPart, reports []policy.CrashReport) {
+func (q *Quarantine) Add(part persimmoncart.RequestPart, reports []policy.CrashReport) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.update([]persimmoncart.PromptPart{part}, func(now time.Time) {
+	q.update([]persimmoncart.RequestPart{part}, func(now time.Time) {
 		for _, r := range reports {
 			q.suspects.AddReport(now, r)
 		}
@@ -36,14 +36,14 @@
 
 // Check returns the part for which a request with these parts is to be refused, and
 // the time until its quarantine ends. It reports false if there is none.
-func (q *Quarantine) Check(parts []persimmoncart.PromptPart) (part persimmoncart.PromptPart, left time.Duration, found bool) {
+func (q *Quarantine) Check(parts []persimmoncart.RequestPart) (part persimmoncart.RequestPart, left time.Duration, found bool) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	return q.suspects.Quarantined(q.Timer.Now(), parts)
 }
 
 // Clear forgets the crash reports of a part whose record was removed.
-func (q *Quarantine) Clear(part persimmoncart.PromptPart) {
+func (q *Quarantine) Clear(part persimmoncart.RequestPart) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if len(q.suspects.Reports(part)) > 0 {
@@ -61,7 +61,7 @@
 }
 
 // RecordCompletion records that a request with these parts was answered completely.
-func (q *Quarantine) RecordCompletion(parts []persimmoncart.PromptPart) {
+func (q *Quarantine) RecordCompletion(parts []persimmoncart.RequestPart) {
 	if len(parts) == 0 {
 		return
 	}
@@ -76,9 +76,9 @@
 
 // RecordCrash records that an engine crashed when it began to respond to a request
 // with these parts.
-func (q *Quarantine) RecordCrash(engine *persimmoncart.Endpoint, parts []persimmoncart.PromptPart) {
+func (q *Quarantine) RecordCrash(engine *persimmoncart.Endpoint, parts []persimmoncart.RequestPart) {
 	process := string(engine.ID) + "/" + strconv.FormatUint(uint64(engine.Incarnation), 10)
-	var changed []persimmoncart.PromptPart
+	var changed []persimmoncart.RequestPart
 	q.mutex.Lock()
 	q.update(parts, func(now time.Time) {
 		for _, r := range q.suspects.RecordCrash(now, process, parts) {
@@ -90,7 +90,7 @@
 }
 
 // Reports returns the crash reports of a part in ascending order of their engines.
-func (q *Quarantine) Reports(part persimmoncart.PromptPart) []policy.CrashReport {
+func (q *Quarantine) Reports(part persimmoncart.RequestPart) []policy.CrashReport {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	return q.suspects.Reports(part)
@@ -98,14 +98,14 @@
 
 // Suspected reports whether a request with these parts must not be sent again after an
 // engine broke off.
-func (q *Quarantine) Suspected(parts []persimmoncart.PromptPart) bool {
+func (q *Quarantine) Suspected(parts []persimmoncart.RequestPart) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	return q.suspects.Suspected(q.Timer.Now(), parts)
 }
 
 // notify calls Changed for each part.
-func (q *Quarantine) notify(parts []persimmoncart.PromptPart) {
+func (q *Quarantine) notify(parts []persimmoncart.RequestPart) {
 	if q.Changed == nil {
 		return
 	}
@@ -116,7 +116,7 @@
 
 // update calls a function that adds crash reports of some parts, and logs a quarantine
 // that begins with them. The caller holds the mutex.
-func (q *Quarantine) update(parts []persimmoncart.PromptPart, add func(now time.Time)) {
+func (q *Quarantine) update(parts []persimmoncart.RequestPart, add func(now time.Time)) {
 	now := q.Timer.Now()
 	_, _, before := q.suspects.Quarantined(now, parts)
 	add(now)
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -175,7 +175,7 @@
 }
 
 // promptParts returns the shared parts of the request's prompt.
-func (x *exchange) promptParts() []persimmoncart.PromptPart {
+func (x *exchange) promptParts() []persimmoncart.RequestPart {
 	if x.request.Generation == nil {
 		return nil
 	}
--- a/internal/policy/crashsuspects.go
+++ b/internal/policy/crashsuspects.go
@@ -46,7 +46,7 @@
 type CrashReport struct {
 	Depth  int    // position of the part in the prompt, from zero
 	Engine string // process that crashed: identifier and incarnation
-	Part   persimmoncart.PromptPart
+	Part   persimmoncart.RequestPart
 }
 
 // A CrashSuspects finds the prompt parts that crash engines.
@@ -69,7 +69,7 @@
 	nextAttribution time.Time // when the attribution is to be repeated without a change; zero for never
 	changed         bool      // since the last attribution
 	completions     partCompletions
-	suspects        map[persimmoncart.PromptPart]*crashSuspect
+	suspects        map[persimmoncart.RequestPart]*crashSuspect
 }
 
 // AddReport adds a report of this or another instance. A repeated report changes
@@ -87,12 +87,12 @@
 
 // Clear forgets the reports of a part whose shared record was removed. Later reports
 // count at once: the part may be one that an operator lets through again.
-func (c *CrashSuspects) Clear(part persimmoncart.PromptPart) { c.forget(part) }
+func (c *CrashSuspects) Clear(part persimmoncart.RequestPart) { c.forget(part) }
 
 // Expire forgets the reports of the parts whose last report is reportLifetime old, and
 // returns these parts in ascending order. Their shared records are to be removed.
-func (c *CrashSuspects) Expire(now time.Time) []persimmoncart.PromptPart {
-	var expired []persimmoncart.PromptPart
+func (c *CrashSuspects) Expire(now time.Time) []persimmoncart.RequestPart {
+	var expired []persimmoncart.RequestPart
 	for p, s := range c.suspects {
 		if now.Sub(s.lastReport) >= reportLifetime {
 			expired = append(expired, p)
@@ -106,7 +106,7 @@
 // Quarantined returns the part for which a request with these parts is to be refused,
 // and the time until its quarantine ends. Of several parts it returns the one whose
 // quarantine ends last. It reports false if there is none.
-func (c *CrashSuspects) Quarantined(now time.Time, parts []persimmoncart.PromptPart) (part persimmoncart.PromptPart, left time.Duration, found bool) {
+func (c *CrashSuspects) Quarantined(now time.Time, parts []persimmoncart.RequestPart) (part persimmoncart.RequestPart, left time.Duration, found bool) {
 	if len(c.suspects) == 0 {
 		return "", 0, false
 	}
@@ -126,8 +126,8 @@
 // RecordCompletion records that a request with these parts was answered completely,
 // which proves that none of them crashes engines. It forgets the reports of these
 // parts and returns those that had any. Their shared records are to be removed.
-func (c *CrashSuspects) RecordCompletion(now time.Time, parts []persimmoncart.PromptPart) []persimmoncart.PromptPart {
-	var cleared []persimmoncart.PromptPart
+func (c *CrashSuspects) RecordCompletion(now time.Time, parts []persimmoncart.RequestPart) []persimmoncart.RequestPart {
+	var cleared []persimmoncart.RequestPart
 	for i, p := range parts {
 		if c.forget(p) {
 			cleared = append(cleared, p)
@@ -142,7 +142,7 @@
 // RecordCrash records that an engine process crashed when it began to respond to a
 // request with these parts. It adds a report for each part that was not completed
 // within completionGrace, and returns these reports, which are to be shared.
-func (c *CrashSuspects) RecordCrash(now time.Time, engine string, parts []persimmoncart.PromptPart) []CrashReport {
+func (c *CrashSuspects) RecordCrash(now time.Time, engine string, parts []persimmoncart.RequestPart) []CrashReport {
 	var reports []CrashReport
 	parts = parts[:min(len(parts), maxRecordedParts)]
 	for i, p := range parts {
@@ -157,7 +157,7 @@
 }
 
 // Reports returns the reports of a part in ascending order of their engines.
-func (c *CrashSuspects) Reports(part persimmoncart.PromptPart) []CrashReport {
+func (c *CrashSuspects) Reports(part persimmoncart.RequestPart) []CrashReport {
 	s, found := c.suspects[part]
 	if !found {
 		return nil
@@ -170,7 +170,7 @@
 // Suspected reports whether a request with these parts must not be sent again after it
 // broke off: one of them has at least suspectCrashes reports that no other part
 // explains.
-func (c *CrashSuspects) Suspected(now time.Time, parts []persimmoncart.PromptPart) bool {
+func (c *CrashSuspects) Suspected(now time.Time, parts []persimmoncart.RequestPart) bool {
 	if len(c.suspects) == 0 {
 		return false
 	}
@@ -185,9 +185,9 @@
 
 // addSuspect adds a part without reports. If there are maxSuspects parts, it drops the
 // one with the oldest last report.
-func (c *CrashSuspects) addSuspect(part persimmoncart.PromptPart) *crashSuspect {
+func (c *CrashSuspects) addSuspect(part persimmoncart.RequestPart) *crashSuspect {
 	if c.suspects == nil {
-		c.suspects = make(map[persimmoncart.PromptPart]*crashSuspect)
+		c.suspects = make(map[persimmoncart.RequestPart]*crashSuspect)
 	}
 	if len(c.suspects) >= maxSuspects {
 		var oldest *crashSuspect
@@ -233,7 +233,7 @@
 }
 
 // forget removes the reports of a part and reports whether there were any.
-func (c *CrashSuspects) forget(part persimmoncart.PromptPart) bool {
+func (c *CrashSuspects) forget(part persimmoncart.RequestPart) bool {
 	if _, found := c.suspects[part]; !found {
 		return false
 	}
@@ -264,7 +264,7 @@
 	completed   time.Time // last completion before the first report; zero if unknown
 	firstReport time.Time // when the first report was added
 	lastReport  time.Time // when the last new report was added
-	part        persimmoncart.PromptPart
+	part        persimmoncart.RequestPart
 	quarantined bool          // has quarantineCrashes crashes that no part before it explains
 	reports     []CrashReport // one for each engine, oldest first
 	suspected   bool          // has suspectCrashes crashes that no part before it explains
@@ -328,23 +328,23 @@
 // A partCompletions holds when parts were last completed. It keeps two generations of
 // at most maxCompletions/2 parts and forgets the older one when the newer one is full.
 type partCompletions struct {
-	newer, older map[persimmoncart.PromptPart]time.Time
+	newer, older map[persimmoncart.RequestPart]time.Time
 }
 
 // add records that a part was completed.
-func (c *partCompletions) add(now time.Time, part persimmoncart.PromptPart) {
+func (c *partCompletions) add(now time.Time, part persimmoncart.RequestPart) {
 	if _, found := c.newer[part]; !found && len(c.newer) >= maxCompletions/2 {
 		c.newer, c.older = c.older, c.newer
 		clear(c.newer)
 	}
 	if c.newer == nil {
-		c.newer = make(map[persimmoncart.PromptPart]time.Time)
+		c.newer = make(map[persimmoncart.RequestPart]time.Time)
 	}
 	c.newer[part] = now
 }
 
 // last returns when a part was last completed, or the zero time if that is unknown.
-func (c *partCompletions) last(part persimmoncart.PromptPart) time.Time {
+func (c *partCompletions) last(part persimmoncart.RequestPart) time.Time {
 	if at, found := c.newer[part]; found {
 		return at
 	}
--- a/internal/policy/crashsuspects_naive_test.go
+++ b/internal/policy/crashsuspects_naive_test.go
@@ -17,8 +17,8 @@
 // A naiveSuspects makes the decisions of a CrashSuspects from lists of all events,
 // without bounds or kept results.
 type naiveSuspects struct {
-	completed map[persimmoncart.PromptPart]time.Time
-	reports   map[persimmoncart.PromptPart][]naiveReport
+	completed map[persimmoncart.RequestPart]time.Time
+	reports   map[persimmoncart.RequestPart][]naiveReport
 }
 
 // A naiveReport is a report with the time when it was added.
@@ -39,7 +39,7 @@
 }
 
 // complete records a completed request.
-func (s *naiveSuspects) complete(now time.Time, parts []persimmoncart.PromptPart) (cleared []persimmoncart.PromptPart) {
+func (s *naiveSuspects) complete(now time.Time, parts []persimmoncart.RequestPart) (cleared []persimmoncart.RequestPart) {
 	for _, p := range parts {
 		s.completed[p] = now
 		if len(s.reports[p]) > 0 {
@@ -51,7 +51,7 @@
 }
 
 // crash records a crash.
-func (s *naiveSuspects) crash(now time.Time, engine string, parts []persimmoncart.PromptPart) (reports []policy.CrashReport) {
+func (s *naiveSuspects) crash(now time.Time, engine string, parts []persimmoncart.RequestPart) (reports []policy.CrashReport) {
 	for i, p := range parts {
 		if slices.Index(parts, p) == i && !s.completedWithin(now, p, completionGrace) {
 			reports = append(reports, policy.CrashReport{Depth: i, Engine: engine, Part: p})
@@ -64,18 +64,18 @@
 }
 
 // completedWithin reports whether a part was completed in the time before now.
-func (s *naiveSuspects) completedWithin(now time.Time, p persimmoncart.PromptPart, within time.Duration) bool {
+func (s *naiveSuspects) completedWithin(now time.Time, p persimmoncart.RequestPart, within time.Duration) bool {
 	at, found := s.completed[p]
 	return found && now.Sub(at) < within
 }
 
 // sound reports whether the reports of a part do not count.
-func (s *naiveSuspects) sound(now time.Time, p persimmoncart.PromptPart) bool {
+func (s *naiveSuspects) sound(now time.Time, p persimmoncart.RequestPart) bool {
 	return s.completedWithin(now, p, completionMemory) && s.last(p).Sub(s.reports[p][0].added) < minReportSpan
 }
 
 // last returns when the last report of a part was added.
-func (s *naiveSuspects) last(p persimmoncart.PromptPart) time.Time {
+func (s *naiveSuspects) last(p persimmoncart.RequestPart) time.Time {
 	return s.reports[p][len(s.reports[p])-1].added
 }
 
@@ -87,19 +87,19 @@
 
 // harmful returns the parts that explain at least the given number of crashes. It
 // takes the part with the most crashes from the remaining ones again and again.
-func (s *naiveSuspects) harmful(now time.Time, threshold int) map[persimmoncart.PromptPart]bool {
+func (s *naiveSuspects) harmful(now time.Time, threshold int) map[persimmoncart.RequestPart]bool {
 	left := maps.Clone(s.reports)
-	maps.DeleteFunc(left, func(p persimmoncart.PromptPart, _ []naiveReport) bool { return s.sound(now, p) })
-	found := make(map[persimmoncart.PromptPart]bool)
+	maps.DeleteFunc(left, func(p persimmoncart.RequestPart, _ []naiveReport) bool { return s.sound(now, p) })
+	found := make(map[persimmoncart.RequestPart]bool)
 	explained := make(map[string]bool)
 	for len(left) > 0 {
-		depth := func(p persimmoncart.PromptPart) (d int) {
+		depth := func(p persimmoncart.RequestPart) (d int) {
 			for _, r := range left[p] {
 				d = max(d, r.Depth)
 			}
 			return d
 		}
-		first := slices.MinFunc(slices.Collect(maps.Keys(left)), func(a, b persimmoncart.PromptPart) int {
+		first := slices.MinFunc(slices.Collect(maps.Keys(left)), func(a, b persimmoncart.RequestPart) int {
 			if _, completed := s.completed[a]; completed != mapHas(s.completed, b) {
 				if completed {
 					return 1
@@ -131,7 +131,7 @@
 	names := promptParts("a", "b", "c", "d", "x", "y")
 	rapid.Check(t, func(t *rapid.T) {
 		var s policy.CrashSuspects
-		n := &naiveSuspects{completed: make(map[persimmoncart.PromptPart]time.Time), reports: make(map[persimmoncart.PromptPart][]naiveReport)}
+		n := &naiveSuspects{completed: make(map[persimmoncart.RequestPart]time.Time), reports: make(map[persimmoncart.RequestPart][]naiveReport)}
 		now := crashStart
 		part := rapid.SampledFrom(names)
 		list := rapid.SliceOfN(part, 0, 4)
@@ -156,7 +156,7 @@
 				delete(n.reports, p)
 			},
 			"expire": func(t *rapid.T) {
-				var want []persimmoncart.PromptPart
+				var want []persimmoncart.RequestPart
 				for _, p := range names {
 					if len(n.reports[p]) > 0 && now.Sub(n.last(p)) >= time.Hour {
 						want = append(want, p)
@@ -175,12 +175,12 @@
 					if harmful[p] {
 						want = max(0, n.last(p).Add(10*time.Minute).Sub(now))
 					}
-					got, left, found := s.Quarantined(now, []persimmoncart.PromptPart{p})
+					got, left, found := s.Quarantined(now, []persimmoncart.RequestPart{p})
 					assert.Equal(t, left, want, "part %s", p)
 					assert.Equal(t, found, want > 0)
 					assert.Assert(t, !found || got == p)
 					assert.Assert(t, !found || len(n.reports[p]) == 0 || !n.sound(now, p), "part %s is known to be sound", p)
-					assert.Equal(t, s.Suspected(now, []persimmoncart.PromptPart{p}), suspected[p], "part %s", p)
+					assert.Equal(t, s.Suspected(now, []persimmoncart.RequestPart{p}), suspected[p], "part %s", p)
 					assert.Equal(t, len(s.Reports(p)), len(n.reports[p]))
 				}
 			},
--- a/internal/policy/crashsuspects_replay_test.go
+++ b/internal/policy/crashsuspects_replay_test.go
@@ -19,7 +19,7 @@
 type crashReplay struct {
 	crashes   []time.Time
 	engines   []*replayEngine
-	harmful   persimmoncart.PromptPart
+	harmful   persimmoncart.RequestPart
 	instances []*policy.CrashSuspects
 	messages  []replayMessage // in the order of their time
 	now       time.Time
@@ -41,7 +41,7 @@
 	begins   time.Time // when its engine begins to respond
 	ends     time.Time
 	instance int
-	parts    []persimmoncart.PromptPart
+	parts    []persimmoncart.RequestPart
 }
 
 // A replayMessage is a change of the shared records on its way to the other instances.
@@ -61,7 +61,7 @@
 )
 
 // newCrashReplay returns a replay in which the given part is harmful.
-func newCrashReplay(seed uint64, harmful persimmoncart.PromptPart) *crashReplay {
+func newCrashReplay(seed uint64, harmful persimmoncart.RequestPart) *crashReplay {
 	r := &crashReplay{harmful: harmful, now: crashStart, random: rand.New(rand.NewPCG(seed, 1))}
 	for range 8 {
 		r.instances = append(r.instances, &policy.CrashSuspects{})
@@ -227,7 +227,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := range uint64(8) {
-				r := newCrashReplay(seed, persimmoncart.PromptPart(c.harmful))
+				r := newCrashReplay(seed, persimmoncart.RequestPart(c.harmful))
 				begin, end := crashStart.Add(c.warmUp), crashStart.Add(c.warmUp+30*time.Second)
 				for r.now.Before(end) {
 					r.step()
--- a/internal/policy/crashsuspects_test.go
+++ b/internal/policy/crashsuspects_test.go
@@ -26,10 +26,10 @@
 var crashStart = time.Unix(1000, 0)
 
 // promptParts returns the parts with the given names.
-func promptParts(names ...string) []persimmoncart.PromptPart {
-	parts := make([]persimmoncart.PromptPart, 0, len(names))
+func promptParts(names ...string) []persimmoncart.RequestPart {
+	parts := make([]persimmoncart.RequestPart, 0, len(names))
 	for _, n := range names {
-		parts = append(parts, persimmoncart.PromptPart(n))
+		parts = append(parts, persimmoncart.RequestPart(n))
 	}
 	return parts
 }
@@ -38,11 +38,11 @@
 // crashed, or began to respond to then.
 type brokenRequest struct {
 	engine string
-	parts  []persimmoncart.PromptPart
+	parts  []persimmoncart.RequestPart
 }
 
 // crashes returns requests with the same parts that broke in crashes of the engines.
-func crashes(parts []persimmoncart.PromptPart, engines ...string) []brokenRequest {
+func crashes(parts []persimmoncart.RequestPart, engines ...string) []brokenRequest {
 	var broken []brokenRequest
 	for _, e := range engines {
 		broken = append(broken, brokenRequest{engine: e, parts: parts})
@@ -57,12 +57,12 @@
 	harmful := promptParts("a", "x", "own")
 	for _, c := range []struct {
 		name        string
-		completed   [][]persimmoncart.PromptPart // before the crashes
+		completed   [][]persimmoncart.RequestPart // before the crashes
 		broken      []brokenRequest
-		quarantined []persimmoncart.PromptPart
-		suspected   []persimmoncart.PromptPart
+		quarantined []persimmoncart.RequestPart
+		suspected   []persimmoncart.RequestPart
 	}{
-		{name: "no crash", completed: [][]persimmoncart.PromptPart{harmful}},
+		{name: "no crash", completed: [][]persimmoncart.RequestPart{harmful}},
 		{name: "one crash", broken: crashes(promptParts("a", "x"), "e1")},
 		{
 			name:      "two crashes",
@@ -103,7 +103,7 @@
 		},
 		{
 			name:      "shared first part was completed, its crashes are more",
-			completed: [][]persimmoncart.PromptPart{promptParts("a", "y")},
+			completed: [][]persimmoncart.RequestPart{promptParts("a", "y")},
 			broken: slices.Concat(
 				crashes(promptParts("a", "x"), "e1", "e2", "e3"), crashes(promptParts("a", "z"), "e4", "e5"),
 			),
@@ -137,14 +137,14 @@
 				s.RecordCompletion(crashStart, parts)
 			}
 			now := crashStart.Add(time.Second)
-			all := make(map[persimmoncart.PromptPart]bool)
+			all := make(map[persimmoncart.RequestPart]bool)
 			for _, b := range c.broken {
 				s.RecordCrash(now, b.engine, b.parts)
 				for _, p := range b.parts {
 					all[p] = true
 				}
 			}
-			var quarantined, suspected []persimmoncart.PromptPart
+			var quarantined, suspected []persimmoncart.RequestPart
 			for _, p := range slices.Sorted(maps.Keys(all)) {
 				if part, left, found := s.Quarantined(now, promptParts(string(p), "other")); found {
 					assert.Equal(t, part, p)
@@ -285,7 +285,7 @@
 		s.RecordCrash(crashStart.Add(time.Minute), "y"+strconv.Itoa(n), promptParts("y"))
 	}
 	now := crashStart.Add(2 * time.Minute)
-	for _, parts := range [][]persimmoncart.PromptPart{promptParts("x", "y"), promptParts("y", "x")} {
+	for _, parts := range [][]persimmoncart.RequestPart{promptParts("x", "y"), promptParts("y", "x")} {
 		part, left, found := s.Quarantined(now, parts)
 		assert.Assert(t, found && part == "y")
 		assert.Equal(t, left, 9*time.Minute)
@@ -309,11 +309,11 @@
 // Guards against state that grows with the load, and against a bound that drops the
 // newest data.
 func TestCrashSuspectsBounds(t *testing.T) {
-	name := func(n int) persimmoncart.PromptPart { return persimmoncart.PromptPart(fmt.Sprintf("%05d", n)) }
+	name := func(n int) persimmoncart.RequestPart { return persimmoncart.RequestPart(fmt.Sprintf("%05d", n)) }
 	t.Run("suspects", func(t *testing.T) {
 		var s policy.CrashSuspects
 		for n := range 2100 {
-			s.RecordCrash(crashStart.Add(time.Duration(n)*time.Second), "e", []persimmoncart.PromptPart{name(n)})
+			s.RecordCrash(crashStart.Add(time.Duration(n)*time.Second), "e", []persimmoncart.RequestPart{name(n)})
 			assert.Assert(t, s.Len() <= 1024)
 		}
 		assert.Equal(t, s.Len(), 1024)
@@ -334,15 +334,15 @@
 	t.Run("completions", func(t *testing.T) {
 		var s policy.CrashSuspects
 		for n := range 8193 {
-			s.RecordCompletion(crashStart, []persimmoncart.PromptPart{name(n)})
+			s.RecordCompletion(crashStart, []persimmoncart.RequestPart{name(n)})
 		}
-		assert.Equal(t, len(s.RecordCrash(crashStart, "e", []persimmoncart.PromptPart{name(0)})), 1)
+		assert.Equal(t, len(s.RecordCrash(crashStart, "e", []persimmoncart.RequestPart{name(0)})), 1)
 		for n := range 4096 {
-			reports := s.RecordCrash(crashStart, "e", []persimmoncart.PromptPart{name(8192 - n)})
+			reports := s.RecordCrash(crashStart, "e", []persimmoncart.RequestPart{name(8192 - n)})
 			assert.Equal(t, len(reports), 0, "completed %d parts ago", n)
 		}
 	})
-	var long []persimmoncart.PromptPart
+	var long []persimmoncart.RequestPart
 	for n := range 20_000 {
 		long = append(long, name(n))
 	}
@@ -358,7 +358,7 @@
 			s.RecordCrash(crashStart, strconv.Itoa(n), promptParts("x"))
 		}
 		assert.Equal(t, len(s.RecordCrash(crashStart, "e", long)), 64)
-		for _, parts := range [][]persimmoncart.PromptPart{promptParts("x"), append(long, "x")} {
+		for _, parts := range [][]persimmoncart.RequestPart{promptParts("x"), append(long, "x")} {
 			part, _, found := s.Quarantined(crashStart, parts)
 			assert.Assert(t, found && part == "x")
 		}
