forward: a request that crashes endpoint after endpoint is refused everywhere

Cause: what crashes endpoints was remembered for the shared parts of prompts only. A plain request has none, and neither has a generation whose prompt shares nothing.

Ruled out: that one attempt alone ends them all, as a route allows two runs; that new endpoints end by themselves, as in the test sound requests alone crash none.

Change: the whole request (caller, method, host, target, body) counts as one more part, after those of its prompt, so that reports, attribution, quarantine and the record in the store serve it as they are. Plain requests are checked before each send, and not sent again after a break once two crashes are known; a broken connection to an application endpoint is followed by a new one, which a process that is gone refuses; a complete response below 400 clears. docs/decisions/0068.

Why it works: three crashes are known everywhere within the delay of a watch, a second or two, and no instance sends the request after that.

--- a/internal/forward/crashcheck.go
+++ b/internal/forward/crashcheck.go
@@ -15,42 +15,42 @@
 	// crashCheckPause is the time between the two calls of a check. A call may use an
 	// idle connection that the crash has reset.
 	crashCheckPause = 50 * time.Millisecond
-	// crashCheckTimeout bounds the check whether an engine has crashed. A process that
-	// is gone refuses connections at once; an engine that is only silent exceeds the
-	// timeout and does not count as crashed.
+	// crashCheckTimeout bounds the check whether an endpoint has crashed. A process that
+	// is gone refuses connections at once; one that is only silent exceeds the timeout
+	// and does not count as crashed.
 	crashCheckTimeout = 300 * time.Millisecond
 	// maxEarlyEvents is the number of events up to which a response that breaks off
 	// counts as broken off at its beginning.
 	maxEarlyEvents = 1
 )
 
-// errPromptSuspected is the cause of a request that is not sent again because its
-// prompt may crash engines.
-var errPromptSuspected = errors.New("the prompt may crash engines")
+// errSuspected is the cause of a request that is not sent again because it may crash
+// endpoints.
+var errSuspected = errors.New("the request may crash endpoints")
 
-// checkCrash finds out whether an engine that broke off when it began to respond to
+// checkCrash finds out whether an endpoint that broke off when it began to respond to
 // the request has crashed, and records the crash. It does not wait for that;
 // awaitSuspicion does.
-func (x *exchange) checkCrash(engine *persimmoncart.Endpoint) {
-	if len(x.promptParts()) == 0 || !x.router.Directory.TakeCall(engine.ID) {
+func (x *exchange) checkCrash(endpoint *persimmoncart.Endpoint) {
+	if endpoint.Role != persimmoncart.RoleApplication && !x.router.Directory.TakeCall(endpoint.ID) {
 		return
 	}
 	x.crashChecks.Go(func() {
 		// The check goes on when the caller leaves.
 		ctx, stop := timer.WithTimeout(context.Background(), x.router.Timer, crashCheckTimeout, nil)
 		defer stop()
-		err := x.router.Upstream.Identify(ctx, engine)
+		err := x.router.Upstream.Identify(ctx, endpoint)
 		if err != nil && !isGone(err) && x.router.Timer.Sleep(ctx, crashCheckPause) == nil {
-			err = x.router.Upstream.Identify(ctx, engine)
+			err = x.router.Upstream.Identify(ctx, endpoint)
 		}
 		if !isGone(err) {
-			x.withParts(x.router.Logger.Info()).Str("endpoint", string(engine.ID)).Err(err).Msg("engine broke off without a crash")
+			x.withParts(x.router.Logger.Info()).Str("endpoint", string(endpoint.ID)).Err(err).Msg("endpoint broke off without a crash")
 			return
 		}
-		x.withParts(x.router.Logger.Warn()).Str("endpoint", string(engine.ID)).Uint64("incarnation", uint64(engine.Incarnation)).
-			Msg("engine crashed when it began to respond")
+		x.withParts(x.router.Logger.Warn()).Str("endpoint", string(endpoint.ID)).Uint64("incarnation", uint64(endpoint.Incarnation)).
+			Msg("endpoint crashed when it began to respond")
 		x.router.Metrics.CountBrokenByCrash()
-		x.router.Quarantine.RecordCrash(engine, x.promptParts())
+		x.router.Quarantine.RecordCrash(endpoint, x.parts)
 	})
 }
 
@@ -63,31 +63,39 @@
 }
 
 // awaitSuspicion waits for pending checks and reports whether the request must not be
-// sent again, as its prompt may crash engines.
+// sent again, as it may crash endpoints.
 func (x *exchange) awaitSuspicion() bool {
 	x.crashChecks.Wait()
-	return x.router.Quarantine.Suspected(x.promptParts()) || x.quarantineRefusal() != nil
+	return x.suspected()
 }
 
-// quarantineRefusal returns the refusal of a request whose prompt crashes engines, or
-// nil.
+// suspected reports whether the request must not be sent again by what is known now.
+func (x *exchange) suspected() bool {
+	return x.router.Quarantine.Suspected(x.parts) || x.quarantineRefusal() != nil
+}
+
+// quarantineRefusal returns the refusal of a request that crashes endpoints, or nil.
 func (x *exchange) quarantineRefusal() error {
-	part, left, found := x.router.Quarantine.Check(x.promptParts())
+	part, left, found := x.router.Quarantine.Check(x.parts)
 	if !found {
 		return nil
 	}
+	code, message := persimmoncart.RefusalPromptQuarantined, "a part of the prompt crashes engines"
+	if part.IsWholeRequest() {
+		code, message = persimmoncart.RefusalRequestQuarantined, "the request crashes endpoints"
+	}
 	return &persimmoncart.Refusal{
-		Code: persimmoncart.RefusalPromptQuarantined, Err: &QuarantinedPartError{Part: part},
-		Message: "a part of the prompt crashes engines", Outcome: persimmoncart.OutcomeNotRun, RetryAfter: left,
+		Code: code, Err: &QuarantinedPartError{Part: part}, Message: message, Outcome: persimmoncart.OutcomeNotRun, RetryAfter: left,
 	}
 }
 
-// A QuarantinedPartError reports a prompt with a part that crashes engines.
+// A QuarantinedPartError reports a request with a part that crashes endpoints, or that
+// does so itself.
 type QuarantinedPartError struct {
 	Part persimmoncart.RequestPart
 }
 
 // Error implements error.
 func (e *QuarantinedPartError) Error() string {
-	return "prompt part " + string(e.Part) + " is quarantined"
+	return string(e.Part) + " is quarantined"
 }
--- a/internal/forward/crashreports.go
+++ b/internal/forward/crashreports.go
@@ -50,9 +50,9 @@
 	mutex    sync.Mutex
 	pending  map[persimmoncart.RequestPart]struct{}    // whose records are to be written
 	records  map[persimmoncart.RequestPart]crashRecord // as last read or written
-	restored bool                                     // the store was restored since the last list
+	restored bool                                      // the store was restored since the last list
 	writing  persimmoncart.RequestPart                 // whose record is being written; empty for none
-	signal   chan struct{}                            // has a value if pending may not be empty; see pendingSignal
+	signal   chan struct{}                             // has a value if pending may not be empty; see pendingSignal
 }
 
 // A crashRecord is the state of a record in the store.
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -166,8 +166,9 @@
 	Router    *forward.Router
 	Upstream  *fakeUpstream
 
+	body      string                      // of requests
 	parts     []persimmoncart.RequestPart // of the prompts of generations
-	readPause time.Duration              // pause of the caller before each read
+	readPause time.Duration               // pause of the caller before each read
 }
 
 // newFixture returns a fixture with three application endpoints, two prefill and
@@ -265,7 +266,7 @@
 // error is the one that its body ended with, nil for a complete body.
 func (f *fixture) serve(ctx context.Context, path string) (status int, body string, err error) {
 	r := &persimmoncart.ForwardRequest{
-		Arrived: time.Now(), Deadline: time.Now().Add(14 * time.Second), Header: http.Header{}, Host: "h",
+		Arrived: time.Now(), Body: []byte(f.body), Deadline: time.Now().Add(14 * time.Second), Header: http.Header{}, Host: "h",
 		ID: "q1", Method: http.MethodPost, Target: path + "x",
 	}
 	if path == "/draft/" || path == "/long/" {
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -101,7 +101,7 @@
 			return nil, x.engineFailedRefusal(err)
 		}
 		if outcome != sendNotRun && x.awaitSuspicion() {
-			return nil, x.engineFailedRefusal(errPromptSuspected)
+			return nil, x.engineFailedRefusal(errSuspected)
 		}
 		x.tried = append(x.tried, decode.Endpoint.ID)
 	}
@@ -235,7 +235,7 @@
 		defer assigned.Done()
 		result, err := g.readResponse(response)
 		if err == nil && response.Status == http.StatusOK {
-			g.router.Quarantine.RecordCompletion(g.promptParts())
+			g.router.Quarantine.RecordCompletion(g.parts)
 		}
 		return result, err
 	}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -56,6 +56,9 @@
 
 // plain serves a request whose response is one body.
 func (x *exchange) plain(ctx context.Context) (*Response, error) {
+	if err := x.quarantineRefusal(); err != nil {
+		return nil, err
+	}
 	sendCtx, cancel := context.WithCancel(ctx)
 	p := &plainCall{cancel: cancel, exchange: x, results: make(chan sendResult, maxSends)}
 	if !p.send(sendCtx, "") {
@@ -70,7 +73,7 @@
 			cancel()
 			return nil, x.contextError(ctx, p.runs > 0)
 		case <-hedge:
-			if p.mayRun() {
+			if p.mayRun() && !p.suspected() {
 				p.send(sendCtx, persimmoncart.RetryHedge)
 			}
 		case result := <-p.results:
@@ -118,9 +121,12 @@
 }
 
 // send starts to send the request to one more endpoint; the result goes to
-// results. It reports false if there is no endpoint, or the route or the retry
-// budget does not allow another run.
+// results. It reports false if there is no endpoint, the route or the retry budget does
+// not allow another run, or the request crashes endpoints.
 func (p *plainCall) send(ctx context.Context, reason persimmoncart.RetryReason) bool {
+	if p.quarantineRefusal() != nil {
+		return false
+	}
 	assigned := p.router.Directory.Assign(p.pool, policy.SelectorRequest{
 		Avoid: p.tried, Role: persimmoncart.RoleApplication, RunOnce: p.route.Repeat != persimmoncart.RepeatAlways,
 	})
@@ -177,6 +183,9 @@
 	}
 	reason := persimmoncart.RetryEndpointRefused
 	if result.outcome != sendNotRun {
+		if p.suspected() {
+			return false
+		}
 		reason = persimmoncart.RetryEndpointDied
 	}
 	return p.send(ctx, reason)
@@ -207,12 +216,18 @@
 	if err != nil {
 		result.err = err
 		result.outcome = p.recordFailure(ctx, assigned, err)
+		if result.outcome == sendFailed && ctx.Err() == nil {
+			p.checkCrash(&assigned.Endpoint)
+		}
 		return result
 	}
 	result.outcome = sendAnswered
 	if response.Status >= http.StatusInternalServerError {
 		result.outcome = sendServerError
 	}
+	if response.Status < http.StatusBadRequest {
+		p.router.Quarantine.RecordCompletion(p.parts)
+	}
 	assigned.Succeeded(p.router.Timer.Now().Sub(started), 1)
 	return result
 }
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -11,8 +11,8 @@
 	"github.com/persimmoncart/persimmoncart/internal/policy"
 )
 
-// A Quarantine keeps requests from the engines whose prompts have a part that crashes
-// engines. It decides by the crashes that all instances have seen; CrashReports shares
+// A Quarantine keeps requests from the endpoints that crash these, and those whose
+// prompts have a part that does. It decides by the crashes that all instances have seen; CrashReports shares
 // them. Its exported fields are set before use. It is safe for concurrent use.
 type Quarantine struct {
 	Changed func(persimmoncart.RequestPart) // called when the reports of a part have changed here; must not block; may be nil
@@ -47,7 +47,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if len(q.suspects.Reports(part)) > 0 {
-		q.Logger.Info().Str("part", string(part)).Msg("prompt part no longer suspected: its record was removed")
+		q.Logger.Info().Str("part", string(part)).Msg(describe(part) + " no longer suspected: its record was removed")
 	}
 	q.suspects.Clear(part)
 }
@@ -69,15 +69,15 @@
 	cleared := q.suspects.RecordCompletion(q.Timer.Now(), parts)
 	q.mutex.Unlock()
 	for _, p := range cleared {
-		q.Logger.Info().Str("part", string(p)).Msg("prompt part no longer suspected: a request with it was completed")
+		q.Logger.Info().Str("part", string(p)).Msg(describe(p) + " no longer suspected: a request with it was completed")
 	}
 	q.notify(cleared)
 }
 
-// RecordCrash records that an engine crashed when it began to respond to a request
+// RecordCrash records that an endpoint crashed when it began to respond to a request
 // with these parts.
-func (q *Quarantine) RecordCrash(engine *persimmoncart.Endpoint, parts []persimmoncart.RequestPart) {
-	process := string(engine.ID) + "/" + strconv.FormatUint(uint64(engine.Incarnation), 10)
+func (q *Quarantine) RecordCrash(endpoint *persimmoncart.Endpoint, parts []persimmoncart.RequestPart) {
+	process := string(endpoint.ID) + "/" + strconv.FormatUint(uint64(endpoint.Incarnation), 10)
 	var changed []persimmoncart.RequestPart
 	q.mutex.Lock()
 	q.update(parts, func(now time.Time) {
@@ -97,7 +97,7 @@
 }
 
 // Suspected reports whether a request with these parts must not be sent again after an
-// engine broke off.
+// endpoint broke off.
 func (q *Quarantine) Suspected(parts []persimmoncart.RequestPart) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -128,5 +128,13 @@
 	for _, r := range q.suspects.Reports(part) {
 		engines = append(engines, r.Engine)
 	}
-	q.Logger.Warn().Str("part", string(part)).Strs("engines", engines).Dur("ends_in", left).Msg("prompt part quarantined")
+	q.Logger.Warn().Str("part", string(part)).Strs("engines", engines).Dur("ends_in", left).Msg(describe(part) + " quarantined")
+}
+
+// describe returns what a part is, for logs.
+func describe(part persimmoncart.RequestPart) string {
+	if part.IsWholeRequest() {
+		return "request"
+	}
+	return "prompt part"
 }
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -85,7 +85,7 @@
 	}
 	for s.ctx.Err() == nil && s.mayRun() {
 		if s.brokeEarly && s.awaitSuspicion() {
-			cause = errPromptSuspected
+			cause = errSuspected
 			break
 		}
 		if next == nil {
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -10,6 +10,7 @@
 	"context"
 	"math"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,6 +74,7 @@
 	if err := x.resolveRoute(); err != nil {
 		return nil, x.refuse(err)
 	}
+	x.parts = append(slices.Clone(x.promptParts()), persimmoncart.WholeRequest(request.Fingerprint()))
 	ctx = x.withDeadline(ctx)
 	r.Directory.RecordRequest(x.pool)
 	serve := x.plain
@@ -102,6 +104,7 @@
 	deadline        time.Time
 	endpoint        persimmoncart.EndpointID                             // that made the response
 	engine          *persimmoncart.EngineCapacity                        // of the pool's decode engines; nil for a pool without engines
+	parts           []persimmoncart.RequestPart                          // that may crash endpoints: of the prompt, and last the whole request
 	observe         func(persimmoncart.RouteName, persimmoncart.Outcome) // records the end of the request in the metrics
 	pool            persimmoncart.PoolName
 	prefillAccepted bool // an engine has accepted a prefill
@@ -164,15 +167,8 @@
 		Dur("age", x.router.Timer.Now().Sub(x.request.Arrived)).Int("sends", x.sends)
 }
 
-// withParts adds the fields of the request, its fingerprint and the parts of its prompt
-// to a log line.
-func (x *exchange) withParts(e *zerolog.Event) *zerolog.Event {
-	e = e.Str("fingerprint", x.request.Fingerprint())
-	if parts := x.promptParts(); len(parts) > 0 {
-		e = e.Any("parts", parts)
-	}
-	return x.log(e)
-}
+// withParts adds the fields of the request and its parts to a log line.
+func (x *exchange) withParts(e *zerolog.Event) *zerolog.Event { return x.log(e.Any("parts", x.parts)) }
 
 // promptParts returns the shared parts of the request's prompt.
 func (x *exchange) promptParts() []persimmoncart.RequestPart {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -70,7 +70,7 @@
 		case isEOF(err):
 			s.recordOutput()
 			if s.lastID > s.resumedFrom {
-				s.router.Quarantine.RecordCompletion(s.promptParts())
+				s.router.Quarantine.RecordCompletion(s.parts)
 			}
 			s.assigned.Succeeded(s.router.Timer.Now().Sub(s.started), 1)
 			s.abandon()
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -86,6 +86,17 @@
 	}
 }
 
+// Connect opens a connection to an endpoint and keeps it for later requests. It returns
+// a *NotSentError if the endpoint accepts none.
+func (c *Client) Connect(ctx context.Context, addr netip.AddrPort) error {
+	k, err := c.open(ctx, addr)
+	if err != nil {
+		return &NotSentError{Addr: addr, Err: err}
+	}
+	c.put(k, defaultIdleTimeout)
+	return nil
+}
+
 // Do sends a request and returns the response once its header has arrived. The
 // caller closes the response's body; closing it before its end closes the
 // connection, which makes the endpoint stop. When ctx ends, the call and reads of
@@ -138,6 +149,11 @@
 		}
 		k.close()
 	}
+	return c.open(ctx, addr)
+}
+
+// open opens a connection.
+func (c *Client) open(ctx context.Context, addr netip.AddrPort) (*conn, error) {
 	ctx, stop := timer.WithTimeout(ctx, c.Timer, dialTimeout, nil)
 	defer stop()
 	dial := c.Dial
--- a/internal/policy/crashsuspects.go
+++ b/internal/policy/crashsuspects.go
@@ -41,15 +41,15 @@
 	suspectCrashes = 2
 )
 
-// A CrashReport states that an engine process crashed when it began to respond to a
-// request with a prompt part.
+// A CrashReport states that an endpoint's process crashed when it began to respond to a
+// request with a part.
 type CrashReport struct {
-	Depth  int    // position of the part in the prompt, from zero
+	Depth  int    // position of the part in the prompt, from zero; a whole request follows the parts of its prompt
 	Engine string // process that crashed: identifier and incarnation
 	Part   persimmoncart.RequestPart
 }
 
-// A CrashSuspects finds the prompt parts that crash engines.
+// A CrashSuspects finds the prompt parts, and the whole requests, that crash endpoints.
 //
 // It answers a load in which every engine that begins to respond to a harmful part
 // crashes, so that the retries and the next requests with the part crash one engine
--- a/refusal.go
+++ b/refusal.go
@@ -8,27 +8,28 @@
 // Codes of refusals. They are part of the callers' API and values of a label of
 // the refusal counter.
 const (
-	RefusalAccountLimited    RefusalCode = "account_limited"
-	RefusalAccountUnknown    RefusalCode = "account_unknown"
-	RefusalBodyInvalid       RefusalCode = "body_invalid"
-	RefusalBodyTooLarge      RefusalCode = "body_too_large"
-	RefusalCapacity          RefusalCode = "capacity"
-	RefusalClaimed           RefusalCode = "claimed"
-	RefusalDeadline          RefusalCode = "deadline"
-	RefusalDraining          RefusalCode = "draining"
-	RefusalEndpointFailed    RefusalCode = "endpoint_failed"
-	RefusalEndpointInvalid   RefusalCode = "endpoint_invalid"
-	RefusalInternal          RefusalCode = "internal"
-	RefusalKeyInvalid        RefusalCode = "key_invalid"
-	RefusalKeyMissing        RefusalCode = "key_missing"
-	RefusalModelUnknown      RefusalCode = "model_unknown"
-	RefusalNotReady          RefusalCode = "not_ready"
-	RefusalPoolEmpty         RefusalCode = "pool_empty"
-	RefusalPromptQuarantined RefusalCode = "prompt_quarantined"
-	RefusalRouteUnknown      RefusalCode = "route_unknown"
-	RefusalStoreDown         RefusalCode = "store_down"
-	RefusalStreamBroken      RefusalCode = "stream_broken"
-	RefusalTransferStalled   RefusalCode = "transfer_stalled"
+	RefusalAccountLimited     RefusalCode = "account_limited"
+	RefusalAccountUnknown     RefusalCode = "account_unknown"
+	RefusalBodyInvalid        RefusalCode = "body_invalid"
+	RefusalBodyTooLarge       RefusalCode = "body_too_large"
+	RefusalCapacity           RefusalCode = "capacity"
+	RefusalClaimed            RefusalCode = "claimed"
+	RefusalDeadline           RefusalCode = "deadline"
+	RefusalDraining           RefusalCode = "draining"
+	RefusalEndpointFailed     RefusalCode = "endpoint_failed"
+	RefusalEndpointInvalid    RefusalCode = "endpoint_invalid"
+	RefusalInternal           RefusalCode = "internal"
+	RefusalKeyInvalid         RefusalCode = "key_invalid"
+	RefusalKeyMissing         RefusalCode = "key_missing"
+	RefusalModelUnknown       RefusalCode = "model_unknown"
+	RefusalNotReady           RefusalCode = "not_ready"
+	RefusalPoolEmpty          RefusalCode = "pool_empty"
+	RefusalPromptQuarantined  RefusalCode = "prompt_quarantined"
+	RefusalRequestQuarantined RefusalCode = "request_quarantined"
+	RefusalRouteUnknown       RefusalCode = "route_unknown"
+	RefusalStoreDown          RefusalCode = "store_down"
+	RefusalStreamBroken       RefusalCode = "stream_broken"
+	RefusalTransferStalled    RefusalCode = "transfer_stalled"
 )
 
 // RefusalCodes are all codes, sorted.
@@ -50,6 +51,7 @@
 	RefusalNotReady,
 	RefusalPoolEmpty,
 	RefusalPromptQuarantined,
+	RefusalRequestQuarantined,
 	RefusalRouteUnknown,
 	RefusalStoreDown,
 	RefusalStreamBroken,
--- a/upstream.go
+++ b/upstream.go
@@ -37,7 +37,8 @@
 // provably did not run on the endpoint; after any other error it may have run.
 type Upstream interface {
 	// Identify asks an engine for its incarnation. It returns an
-	// *EndpointReplacedError if another process responds at the address.
+	// *EndpointReplacedError if another process responds at the address. An
+	// application endpoint states no incarnation: there it only connects.
 	Identify(ctx context.Context, endpoint *Endpoint) error
 	// Prefill has an engine compute and export the KV cache of a prompt.
 	Prefill(ctx context.Context, call UpstreamCall) (PrefilledCache, error)
