--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -167,8 +167,15 @@
 		Dur("age", x.router.Timer.Now().Sub(x.request.Arrived)).Int("sends", x.sends)
 }
 
-// withParts adds the fields of the request and its parts to a log line.
-func (x *exchange) withParts(e *zerolog.Event) *zerolog.Event { return x.log(e.Any("parts", x.parts)) }
+// withParts adds the fields of the request, its own part and those of its prompt to a
+// log line.
+func (x *exchange) withParts(e *zerolog.Event) *zerolog.Event {
+	e = e.Str("whole", string(x.parts[len(x.parts)-1]))
+	if parts := x.promptParts(); len(parts) > 0 {
+		e = e.Any("parts", parts)
+	}
+	return x.log(e)
+}
 
 // promptParts returns the shared parts of the request's prompt.
 func (x *exchange) promptParts() []persimmoncart.RequestPart {
