forward: attempts of a request from several addresses are one request

Cause: the fingerprint of a request had the address of its caller in it.

Change: credentials, method, host, target and body are the fingerprint.

--- a/forwardrequest.go
+++ b/forwardrequest.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"net/http"
-	"net/netip"
 	"time"
 )
 
@@ -17,7 +16,6 @@
 type ForwardRequest struct {
 	Arrived     time.Time
 	Body        []byte
-	Caller      netip.Addr      // zero if unknown
 	Deadline    time.Time       // when the caller stops waiting
 	Generation  *GenerationSize // nil for a plain request
 	Header      http.Header     // end-to-end headers, without those that the instance sets itself
@@ -28,11 +26,12 @@
 	Target      string // path and query as received
 }
 
-// Fingerprint returns a hash of the caller and what it asks for, which is the same in
-// each attempt of the caller and in no other request.
+// Fingerprint returns a hash of what is asked for and with which credentials, which is
+// the same in each attempt of a request and in no other request. The address that an
+// attempt comes from does not count.
 func (r *ForwardRequest) Fingerprint() string {
 	h := sha256.New()
-	for _, field := range []string{r.Caller.String(), r.Method, r.Host, r.Target} {
+	for _, field := range []string{r.Header.Get("Authorization"), r.Method, r.Host, r.Target} {
 		// With the length, no two lists of fields give the same bytes.
 		_ = binary.Write(h, binary.BigEndian, uint64(len(field))) // writes to a hash do not fail
 		_, _ = h.Write([]byte(field))
