forward: log lines of a check do not race with the request

Cause: the check whether an endpoint has crashed runs beside the request, and its log line reads the number of sends, which a retry changes; so does the log line of a failed send beside a hedge. The time that the caller has waited was written again by each try to find an engine.

Change: the number of sends is atomic, and the time is set once, before the first try.

--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -66,6 +66,7 @@
 // prompt is prefilled in vain, and then has the prompt prefilled near it.
 func (x *exchange) generate(ctx context.Context) (*Response, error) {
 	g := &generation{exchange: x}
+	g.waited = x.router.Directory.Waited(x.route.Name, x.request.Deadline.Sub(x.request.Arrived))
 	for {
 		decode, err := g.reserveAndPrefill(ctx)
 		if err != nil {
@@ -162,7 +163,6 @@
 // for up to latestStartShare of the latency target. A request that can no longer be
 // in time, which includes most of those refused before, leaves room for one that can.
 func (g *generation) reserveDecode(ctx context.Context) (*assignment, error) {
-	g.waited = g.router.Directory.Waited(g.route.Name, g.request.Deadline.Sub(g.request.Arrived))
 	entry := &policy.WaitlistEntry{
 		TargetStart: g.request.Arrived.Add(g.latencyShare(targetStartShare) - g.waited),
 		Arrived:     g.request.Arrived,
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -112,10 +113,10 @@
 	retryPaid       bool // the next retry has already been taken from the budget
 	route           *persimmoncart.ForwardRoute
 	router          *Router
-	runs            int    // sends that may have run the request, those in flight included
-	sends           int    // all sends, up to maxSends
-	startedPrefills int    // prefills that an engine may have accepted
-	stop            func() // releases the context of withDeadline
+	runs            int          // sends that may have run the request, those in flight included
+	sends           atomic.Int32 // all sends, up to maxSends; log lines of sends and checks in flight read it
+	startedPrefills int          // prefills that an engine may have accepted
+	stop            func()       // releases the context of withDeadline
 	tried           []persimmoncart.EndpointID
 	version         uint64        // of the routes
 	waited          time.Duration // of the caller before this attempt, estimated
@@ -164,7 +165,7 @@
 		e = e.Dur("waited", x.waited)
 	}
 	return e.Str("request", string(x.request.ID)).Str("pool", string(x.pool)).Uint64("version", x.version).
-		Dur("age", x.router.Timer.Now().Sub(x.request.Arrived)).Int("sends", x.sends)
+		Dur("age", x.router.Timer.Now().Sub(x.request.Arrived)).Int32("sends", x.sends.Load())
 }
 
 // withParts adds the fields of the request, its own part and those of its prompt to a
@@ -236,7 +237,7 @@
 // mayResume reports whether the route and the number of sends allow that the stream
 // resumes at another engine.
 func (x *exchange) mayResume() bool {
-	return x.route.Repeat == persimmoncart.RepeatResume && x.mayRun() && x.sends < maxSends
+	return x.route.Repeat == persimmoncart.RepeatResume && x.mayRun() && x.sends.Load() < maxSends
 }
 
 // startRun counts a send that may run the request, whether it is the first, a
@@ -263,7 +264,7 @@
 // counted send takes nothing from the budget.
 func (x *exchange) countSend(reason persimmoncart.RetryReason) bool {
 	switch {
-	case x.sends >= maxSends:
+	case x.sends.Load() >= maxSends:
 		return false
 	case x.countedSends == 0:
 	case x.retryPaid:
@@ -271,7 +272,7 @@
 	case !x.router.Directory.TakeRetry(x.pool):
 		return false
 	}
-	if x.sends++; x.sends > 1 && x.countedSends > 0 {
+	if x.sends.Add(1) > 1 && x.countedSends > 0 {
 		x.router.Metrics.CountRetry(reason)
 		x.log(x.router.Logger.Info()).Str("reason", string(reason)).Msg("request sent again")
 	}
