--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -26,9 +26,10 @@
 	meanRequestInterval = 60 * time.Millisecond
 	// disconnectShare is the share of requests whose caller disconnects early.
 	disconnectShare = 0.05
-	// crashShare is the share of streams whose prompt has crashPart, while crashes are
-	// open.
-	crashShare = 0.1
+	// partCrashShare is the share of streams whose prompt has crashPart, and
+	// requestCrashShare that of idempotent requests with crashBody, while crashes are open.
+	partCrashShare    = 0.1
+	requestCrashShare = 0.05
 	// sharedPart is a part of the prompts of all streams.
 	sharedPart = "a100"
 	// streamEvents is the number of events in each stream.
@@ -42,13 +43,14 @@
 // A caller sends requests to one instance, one at a time, and keeps its connection
 // to it, also while the instance stops.
 type caller struct {
-	client   *http.Client
-	crashes  *crashLog
-	instance int
-	name     string
-	process  *process
-	random   *rand.Rand
-	recorder *recorder
+	client         *http.Client
+	instance       int
+	name           string
+	partCrashes    *crashLog
+	process        *process
+	random         *rand.Rand
+	recorder       *recorder
+	requestCrashes *crashLog
 }
 
 // run sends requests until ctx is done.
@@ -79,10 +81,14 @@
 	request := &standin.Request{
 		Addr: c.process.Callers, Body: body, Generation: stream, ID: id, Path: fmt.Sprintf("/%s/%d", kind, c.instance), Timeout: timeout,
 	}
+	if kind == kindIdempotent && c.random.Float64() < requestCrashShare && c.requestCrashes.begin() {
+		defer c.requestCrashes.end()
+		o.crashes, request.Body, request.Path = true, crashBody, crashPath
+	}
 	if stream {
 		request.Parts = sharedPart + ":900,"
-		if o.crashes = c.random.Float64() < crashShare && c.crashes.begin(); o.crashes {
-			defer c.crashes.end()
+		if o.crashes = c.random.Float64() < partCrashShare && c.partCrashes.begin(); o.crashes {
+			defer c.partCrashes.end()
 			request.Parts += crashPart + ":700,"
 		}
 		request.Parts += fmt.Sprintf("%x:200", c.random.Uint32())
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -10,30 +10,33 @@
 )
 
 const (
-	// crashesToLearn is the number of crashes after which the instances have to know
-	// which part of a prompt crashes engines.
-	crashesToLearn = 5
+	// partCrashes and requestCrashes are the numbers of crashes after which the
+	// instances have to know which part of a prompt, or which request, crashes replicas.
+	partCrashes    = 5
+	requestCrashes = 3
 	// contactTime is the time for which an instance and the store have to be without
-	// faults before a bound on time applies, and the time left after the last of
-	// crashesToLearn.
+	// faults before a bound on time applies, and the time left after the
+	// crashes from which the instances have to know.
 	contactTime = 4 * time.Second
-	// maxLateCrashing is the highest number of requests with crashPart that may reach
-	// replicas after that.
+	// maxLateCrashing is the highest number of requests that crash replicas and may
+	// reach them after that.
 	maxLateCrashing = 3
 )
 
-// A crashLog records crashes and the requests with crashPart. It is safe for
-// concurrent use.
+// A crashLog records crashes of one cause and the requests that cause them. Its exported
+// field is set before use. It is safe for concurrent use.
 type crashLog struct {
+	Learned int // number of crashes after which the instances have to know the cause
+
 	arrivals map[string]time.Time // last arrival at a replica, by request
 	count    int                  // of the crashes
-	learned  time.Time            // time of the last crash of crashesToLearn
+	learned  time.Time            // time of the crash with number Learned
 	mutex    sync.Mutex
-	open     bool // callers may send requests with crashPart
-	pending  int  // requests with crashPart that callers wait for
+	open     bool // callers may send the requests
+	pending  int  // requests that callers wait for
 }
 
-// addArrival records that a request with crashPart reached a replica.
+// addArrival records that a request reached a replica.
 func (l *crashLog) addArrival(id string, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -47,12 +50,12 @@
 func (l *crashLog) addCrash(now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.count++; l.count == crashesToLearn {
+	if l.count++; l.count == l.Learned {
 		l.learned = now
 	}
 }
 
-// begin reports whether a caller may send a request with crashPart. The caller then
+// begin reports whether a caller may send a request. The caller then
 // calls end after the response.
 func (l *crashLog) begin() bool {
 	l.mutex.Lock()
@@ -71,12 +74,12 @@
 }
 
 // late returns the number of requests that reached replicas later than contactTime
-// after the last of crashesToLearn and after the end of the faults. It is zero if
+// after the crash with number Learned and after the end of the faults. It is zero if
 // there were fewer crashes.
 func (l *crashLog) late(faultsEnded time.Time) int {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.count < crashesToLearn {
+	if l.count < l.Learned {
 		return 0
 	}
 	bound := faultsEnded
@@ -92,7 +95,7 @@
 	return n
 }
 
-// setOpen sets whether callers may send requests with crashPart, and returns the number
+// setOpen sets whether callers may send the requests, and returns the number
 // of those that callers wait for.
 func (l *crashLog) setOpen(open bool) (pending int) {
 	l.mutex.Lock()
@@ -101,38 +104,49 @@
 	return l.pending
 }
 
-// record returns a handler that records arrivals and passes all requests on to h.
-func (l *crashLog) record(h http.Handler) http.Handler {
+// crashLogs returns the logs of both causes.
+func (s *Soak) crashLogs() []*crashLog { return []*crashLog{&s.partCrashes, &s.requestCrashes} }
+
+// recordArrivals returns a handler that records arrivals of requests that crash replicas
+// and passes all requests on to h.
+func (s *Soak) recordArrivals(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if strings.Contains(r.Header.Get("X-Prefix-Hash"), crashPart+":") {
-			l.addArrival(standin.RequestID(r.Header), time.Now())
+		switch {
+		case strings.Contains(r.Header.Get("X-Prefix-Hash"), crashPart+":"):
+			s.partCrashes.addArrival(standin.RequestID(r.Header), time.Now())
+		case r.URL.Path == crashPath:
+			s.requestCrashes.addArrival(standin.RequestID(r.Header), time.Now())
 		}
 		h.ServeHTTP(w, r)
 	})
 }
 
-// endCrashes ends the requests with crashPart, and waits until their replicas are back,
-// so that they break no other request while instances stop.
+// endCrashes ends the requests that crash replicas, and waits until these are back, so
+// that they break no other request while instances stop.
 func (s *Soak) endCrashes() {
-	for s.crashes.setOpen(false) > 0 {
-		time.Sleep(20 * time.Millisecond)
+	for _, l := range s.crashLogs() {
+		for l.setOpen(false) > 0 {
+			time.Sleep(20 * time.Millisecond)
+		}
 	}
 	s.restarts.Wait()
 }
 
-// checkCrashes checks that requests with crashPart no longer reach replicas once the
+// checkCrashes checks that requests that crash replicas no longer reach these once the
 // instances have to know of it. The time of the faults is left out: hardly an instance
 // is without a fault of its own or of the store for contactTime.
 func (s *Soak) checkCrashes(faultsEnded time.Time) {
 	if s.Violate == CrashesBounded {
-		for range crashesToLearn {
-			s.crashes.addCrash(faultsEnded)
+		for range s.partCrashes.Learned {
+			s.partCrashes.addCrash(faultsEnded)
 		}
 		for _, id := range []string{"planted-1", "planted-2", "planted-3", "planted-4"} {
-			s.crashes.addArrival(id, time.Now())
+			s.partCrashes.addArrival(id, time.Now())
 		}
 	}
-	if n := s.crashes.late(faultsEnded); n > maxLateCrashing {
-		s.recorder.addViolation(CrashesBounded, "%d requests that crash engines reached replicas later than %s after the fifth crash", n, contactTime)
+	for _, l := range s.crashLogs() {
+		if n := l.late(faultsEnded); n > maxLateCrashing {
+			s.recorder.addViolation(CrashesBounded, "%d requests that crash replicas reached these later than %s after crash %d", n, contactTime, l.Learned)
+		}
 	}
 }
--- a/internal/soak/crashes_test.go
+++ b/internal/soak/crashes_test.go
@@ -26,7 +26,7 @@
 		"further crashes":     {20, 0, 9*time.Second + 1, 4},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l := &crashLog{}
+			l := &crashLog{Learned: 5}
 			for n := range c.crashes {
 				l.addCrash(start.Add(time.Duration(n+1) * time.Second))
 			}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -14,10 +14,10 @@
 
 const (
 	// crashStartShare is the share of FaultDuration after which callers begin to send
-	// requests that crash engines.
+	// requests that crash replicas.
 	crashStartShare = 0.25
-	// engineMaxAttempts is the number of attempts of the routes to engines.
-	engineMaxAttempts = 2
+	// maxAttempts is the number of attempts of all routes.
+	maxAttempts = 2
 	// meanFaultInterval is the mean time between the starts of two faults. Most
 	// faults last longer, so that they overlap.
 	meanFaultInterval = 350 * time.Millisecond
@@ -65,7 +65,9 @@
 	var active []injection
 	crashStart := time.Now().Add(time.Duration(crashStartShare * float64(s.FaultDuration)))
 	for end := time.Now().Add(s.FaultDuration); time.Now().Before(end); {
-		s.crashes.setOpen(time.Now().After(crashStart))
+		for _, l := range s.crashLogs() {
+			l.setOpen(time.Now().After(crashStart))
+		}
 		time.Sleep(time.Duration(s.random.ExpFloat64() * float64(meanFaultInterval)))
 		remaining := active[:0]
 		for _, i := range active {
@@ -182,8 +184,8 @@
 // exists in version N only.
 func (s *Soak) writeConfiguration() {
 	s.configVersion++
-	engineRoute := standin.Route{Kind: standin.KindStreaming, LatencyTarget: 900 * time.Millisecond, MaxAttempts: engineMaxAttempts, Pool: serviceLLM, Timeout: 6 * time.Second}
-	booksRoute := standin.Route{LatencyTarget: 300 * time.Millisecond, MaxAttempts: 2, Pool: serviceBooks, Timeout: 6 * time.Second}
+	engineRoute := standin.Route{Kind: standin.KindStreaming, LatencyTarget: 900 * time.Millisecond, MaxAttempts: maxAttempts, Pool: serviceLLM, Timeout: 6 * time.Second}
+	booksRoute := standin.Route{LatencyTarget: 300 * time.Millisecond, MaxAttempts: maxAttempts, Pool: serviceBooks, Timeout: 6 * time.Second}
 	var routes []standin.Route
 	for name, r := range map[string]standin.Route{kindStream: engineRoute, kindResumable: engineRoute, kindIdempotent: booksRoute, kindNonIdempotent: booksRoute, fmt.Sprintf("v%d", s.configVersion): booksRoute} {
 		r.Name, r.Resumable = name, name == kindResumable
@@ -234,7 +236,7 @@
 		r.drainingSince = time.Now()
 	}
 	s.putEndpoint(r)
-	p := r.running() // application endpoints do not crash
+	p := r.running()
 	s.logf("%s is draining", p.ID)
 	time.Sleep(drainTime)
 	before := len(p.Executions())
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -11,17 +11,18 @@
 const (
 	AtMostOnce     Invariant = "at-most-once"    // a request that may not be repeated runs at most once
 	ConfigInForce  Invariant = "config"          // an accepted configuration is in force in time and never reverts to the one before
-	CrashesBounded Invariant = "crashes-bounded" // requests that crash engines run no more often than their route allows, and no longer reach replicas once the cause has to be known
+	CrashesBounded Invariant = "crashes-bounded" // requests that crash replicas run no more often than their route allows, and no longer reach replicas once the cause has to be known
 	Freed          Invariant = "freed"           // replicas hold no reservations after all callers have ended
 	GracefulStop   Invariant = "graceful-stop"   // a graceful stop interrupts no request and ends in time
 	Leaving        Invariant = "leaving"         // a drained replica gets no new requests
+	Limited        Invariant = "limited"         // replicas get no more requests than the limits that they state allow
 	Resumed        Invariant = "resumed"         // requests are answered again after the last fault
 	TrueRefusal    Invariant = "true-refusal"    // a request that was refused as not run never runs
 	WholeAnswer    Invariant = "whole-answer"    // a caller gets the response to its own request, complete and in order
 )
 
 // Invariants lists all invariants, sorted.
-var Invariants = []Invariant{AtMostOnce, ConfigInForce, CrashesBounded, Freed, GracefulStop, Leaving, Resumed, TrueRefusal, WholeAnswer}
+var Invariants = []Invariant{AtMostOnce, ConfigInForce, CrashesBounded, Freed, GracefulStop, Leaving, Limited, Resumed, TrueRefusal, WholeAnswer}
 
 // An Invariant is the name of a property that callers and replicas can observe.
 type Invariant string
@@ -41,7 +42,7 @@
 // An outcome is the result of one request, as its caller saw it.
 type outcome struct {
 	body         string // bytes received
-	crashes      bool   // the prompt has crashPart: no response is expected
+	crashes      bool   // it crashes replicas: no response is expected
 	disconnected bool   // the caller cancelled the request
 	ended        time.Time
 	id           string
@@ -94,8 +95,8 @@
 		switch {
 		case once && count > 1:
 			r.addViolation(AtMostOnce, "%s ran %d times", o.id, count)
-		case o.crashes && count > engineMaxAttempts:
-			r.addViolation(CrashesBounded, "%s crashed engines and ran %d times, the route allows %d", o.id, count, engineMaxAttempts)
+		case o.crashes && count > maxAttempts:
+			r.addViolation(CrashesBounded, "%s crashed replicas and ran %d times, the route allows %d", o.id, count, maxAttempts)
 		}
 		refused := o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests
 		if refused && count > 0 {
@@ -124,7 +125,7 @@
 }
 
 // countAnswered returns the number of requests that were sent after the given time
-// and crash no engine, and how many of them got a complete response with status 200.
+// and crash no replica, and how many of them got a complete response with status 200.
 func (r *recorder) countAnswered(after time.Time) (answered, sent int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/soak/invariants_test.go
+++ b/internal/soak/invariants_test.go
@@ -23,8 +23,8 @@
 		"resumed often":                    {outcome{kind: kindResumable, status: http.StatusOK}, 5, ""},
 		"crashing stream, once":            {outcome{crashes: true, kind: kindStream}, 1, ""},
 		"crashing stream, twice":           {outcome{crashes: true, kind: kindStream}, 2, AtMostOnce},
-		"crashing resumable, all attempts": {outcome{crashes: true, kind: kindResumable}, engineMaxAttempts, ""},
-		"crashing resumable, one more":     {outcome{crashes: true, kind: kindResumable}, engineMaxAttempts + 1, CrashesBounded},
+		"crashing resumable, all attempts": {outcome{crashes: true, kind: kindResumable}, maxAttempts, ""},
+		"crashing resumable, one more":     {outcome{crashes: true, kind: kindResumable}, maxAttempts + 1, CrashesBounded},
 		"crashing resumable, refused":      {outcome{crashes: true, kind: kindResumable, status: http.StatusServiceUnavailable}, 1, TrueRefusal},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -15,6 +15,10 @@
 const (
 	// crashDownTime is the time for which a replica that crashed is down.
 	crashDownTime = 2 * time.Second
+	// crashBody and crashPath are the body and the path of the request under which
+	// application endpoints crash.
+	crashBody = "crash"
+	crashPath = "/" + kindIdempotent + "/crash"
 	// crashPart is the part of a prompt under which the engines crash.
 	crashPart = "bad0"
 	// replicaSlots is the number of requests that a replica runs at the same time.
@@ -98,7 +102,11 @@
 // handleCrash closes the connections of a process that crashed, so that others are
 // refused, and starts another one after crashDownTime.
 func (s *Soak) handleCrash(ctx context.Context, r *replica, p *replicaProcess) {
-	s.crashes.addCrash(time.Now())
+	crashes := &s.requestCrashes
+	if r.service == serviceLLM {
+		crashes = &s.partCrashes
+	}
+	crashes.addCrash(time.Now())
 	p.proxy.Close()
 	s.logf("%s crashes", p.ID)
 	s.restarts.Go(func() {
@@ -127,7 +135,7 @@
 func (s *Soak) startReplica(ctx context.Context, r *replica, role string) error {
 	p := &replicaProcess{}
 	p.Endpoint = &standin.Endpoint{
-		Born: time.Now(), CrashPart: crashPart, EndpointAt: s.endpointAt,
+		Born: time.Now(), CrashBody: crashBody, CrashPart: crashPart, EndpointAt: s.endpointAt,
 		EventInterval: 30 * time.Millisecond, Events: streamEvents, Fault: r.fault.next, ID: fmt.Sprintf("i-%d", r.number),
 		OnCrash: func() { s.handleCrash(ctx, r, p) }, Role: role, RoleChanged: func() { s.putEndpoint(r) },
 		Slots: replicaSlots, Timer: &timer.System{}, WorkTime: 15 * time.Millisecond,
@@ -135,7 +143,7 @@
 	if n := len(r.all()); n > 0 {
 		p.ID = fmt.Sprintf("i-%d-%d", r.number, n)
 	}
-	addr, err := serve(ctx, s.crashes.record(p.Endpoint))
+	addr, err := serve(ctx, s.recordArrivals(p.Endpoint))
 	if err != nil {
 		return err
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -60,17 +60,18 @@
 	Seed          uint64
 	Violate       Invariant // violated on purpose; empty for none
 
-	configVersion int
-	crashes       crashLog
-	group         sync.WaitGroup // of the callers
-	logMutex      sync.Mutex
-	processes     []*process
-	random        *rand.Rand
-	recorder      recorder
-	replicas      []*replica
-	restarts      sync.WaitGroup // of replicas that crashed
-	store         *standin.Store
-	storeProxies  []*Proxy // between each instance and the store
+	configVersion  int
+	group          sync.WaitGroup // of the callers
+	logMutex       sync.Mutex
+	partCrashes    crashLog // under a part of a prompt
+	processes      []*process
+	random         *rand.Rand
+	recorder       recorder
+	replicas       []*replica
+	requestCrashes crashLog       // under a plain request
+	restarts       sync.WaitGroup // of replicas that crashed
+	store          *standin.Store
+	storeProxies   []*Proxy // between each instance and the store
 }
 
 // Requests returns the number of requests that have ended.
@@ -87,6 +88,7 @@
 	defer cancel()
 	s.random = rand.New(rand.NewPCG(s.Seed, 1))
 	s.recorder.started = time.Now()
+	s.partCrashes.Learned, s.requestCrashes.Learned = partCrashes, requestCrashes
 	if err := s.start(ctx); err != nil {
 		return nil, err
 	}
@@ -99,10 +101,12 @@
 	s.injectFaults()
 	s.endFaults()
 	lastFault := time.Now()
+	endLimits := s.watchLimits()
 	time.Sleep(recoveryTime)
 	faultsEnded := time.Now()
 	s.checkConfig()
 	s.checkLeaving()
+	endLimits()
 	s.endCrashes()
 	s.checkCrashes(lastFault)
 	if answered, sent := s.recorder.countAnswered(faultsEnded); float64(answered) < minAnsweredShare*float64(sent) || sent == 0 {
@@ -127,9 +131,9 @@
 	for n, p := range s.processes {
 		for k := range s.Callers {
 			c := &caller{
-				client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
-				crashes: &s.crashes, instance: n, name: fmt.Sprintf("c%d.%d", n, k), process: p,
-				random: rand.New(rand.NewPCG(s.Seed, uint64(100+n*s.Callers+k))), recorder: &s.recorder,
+				client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+				instance: n, name: fmt.Sprintf("c%d.%d", n, k), partCrashes: &s.partCrashes, process: p,
+				random: rand.New(rand.NewPCG(s.Seed, uint64(100+n*s.Callers+k))), recorder: &s.recorder, requestCrashes: &s.requestCrashes,
 			}
 			s.group.Go(func() { c.run(ctx) })
 		}
