forward: a quarantine is ended by a trial

Cause: the quarantine had no half-open state.

Change: 30 s after the last crash, and then at intervals that double up to ten minutes, one instance lets one request through, after it has counted the trial in the part's record by a conditional write. The trial reaches one endpoint only.

TestQuarantineTrials failed before: no harmful request was let through within 100 s, so that nothing could show the end of the cause. It passes on four paths; at most three arrivals come later than 4 s after the third crash. TestTrialClaimedOnce has four instances that claim a trial at the same time, also without the store. Three tests of CrashSuspects stated the ten minutes: the same cases now state the time to the trial, TestCrashSuspectsTrials takes the place of TestCrashSuspectsQuarantineEnds, and the naive model has trials as well.

--- a/internal/forward/crashcheck.go
+++ b/internal/forward/crashcheck.go
@@ -19,6 +19,9 @@
 	// is gone refuses connections at once; one that is only silent exceeds the timeout
 	// and does not count as crashed.
 	crashCheckTimeout = 300 * time.Millisecond
+	// retryAfterTrial is the pause before a caller sends a request again that is
+	// quarantined while another one is let through as a trial.
+	retryAfterTrial = 5 * time.Second
 	// maxEarlyEvents is the number of events up to which a response that breaks off
 	// counts as broken off at its beginning.
 	maxEarlyEvents = 1
@@ -74,18 +77,41 @@
 	return x.router.Quarantine.Suspected(x.parts) || x.quarantineRefusal() != nil
 }
 
-// quarantineRefusal returns the refusal of a request that crashes endpoints, or nil.
+// quarantineRefusal returns the refusal of a request that crashes endpoints, or nil. It
+// is nil for a trial.
 func (x *exchange) quarantineRefusal() error {
 	part, left, found := x.router.Quarantine.Check(x.parts)
-	if !found {
+	if !found || x.trial {
 		return nil
 	}
+	return newQuarantineRefusal(part, left)
+}
+
+// quarantineRefusalOrTrial does the same, but lets the request through as a trial if one
+// is due.
+func (x *exchange) quarantineRefusalOrTrial(ctx context.Context) error {
+	part, left, found := x.router.Quarantine.Check(x.parts)
+	if !found || x.trial {
+		return nil
+	}
+	if left > 0 || !x.router.Quarantine.Trial(ctx, part) {
+		return newQuarantineRefusal(part, left)
+	}
+	x.trial = true
+	x.withParts(x.router.Logger.Info()).Str("part", string(part)).Msg("request let through as a trial")
+	return nil
+}
+
+// newQuarantineRefusal returns the refusal of a request with a quarantined part whose
+// next trial is due after the given time.
+func newQuarantineRefusal(part persimmoncart.RequestPart, left time.Duration) *persimmoncart.Refusal {
 	code, message := persimmoncart.RefusalPromptQuarantined, "a part of the prompt crashes engines"
 	if part.IsWholeRequest() {
 		code, message = persimmoncart.RefusalRequestQuarantined, "the request crashes endpoints"
 	}
 	return &persimmoncart.Refusal{
-		Code: code, Err: &QuarantinedPartError{Part: part}, Message: message, Outcome: persimmoncart.OutcomeNotRun, RetryAfter: left,
+		Code: code, Err: &QuarantinedPartError{Part: part}, Message: message, Outcome: persimmoncart.OutcomeNotRun,
+		RetryAfter: max(left, retryAfterTrial),
 	}
 }
 
--- a/internal/forward/crashreports.go
+++ b/internal/forward/crashreports.go
@@ -58,6 +58,7 @@
 // A crashRecord is the state of a record in the store.
 type crashRecord struct {
 	engines []string // that crashed, in ascending order
+	trials  int
 	version persimmoncart.Version
 }
 
@@ -65,6 +66,7 @@
 type storedCrashes struct {
 	Depth   int      `json:"depth"`   // position of the part in the prompt, from zero
 	Engines []string `json:"engines"` // processes that crashed
+	Trials  int      `json:"trials,omitempty"`
 }
 
 // Run writes changed records until ctx is done and returns its error.
@@ -200,12 +202,33 @@
 		stored = storedCrashes{}
 	}
 	slices.Sort(stored.Engines)
-	c.setRecord(part, crashRecord{engines: stored.Engines, version: o.Version})
+	c.setRecord(part, crashRecord{engines: stored.Engines, trials: stored.Trials, version: o.Version})
 	reports := make([]policy.CrashReport, 0, len(stored.Engines))
 	for _, engine := range stored.Engines {
 		reports = append(reports, policy.CrashReport{Depth: stored.Depth, Engine: engine, Part: part})
 	}
-	c.Quarantine.Add(part, reports)
+	c.Quarantine.Add(part, reports, stored.Trials)
+}
+
+// ClaimTrial implements Quarantine.Claim: it counts one more trial in the record of a
+// part, unless that has changed meanwhile.
+func (c *CrashReports) ClaimTrial(ctx context.Context, part persimmoncart.RequestPart) bool {
+	c.mutex.Lock()
+	record := c.records[part]
+	c.mutex.Unlock()
+	if record.version == 0 {
+		c.enqueue(part) // the next attempt finds the record
+		return false
+	}
+	next := newStoredCrashes(c.Quarantine.Reports(part))
+	next.Trials = record.trials + 1
+	err := c.save(ctx, part, next, record.version)
+	c.Logger.Info().Str("part", string(part)).Int("trials", next.Trials).AnErr("cause", err).Msg("trial of a quarantined part claimed")
+	if err != nil {
+		return false
+	}
+	c.Quarantine.SetTrials(part, next.Trials)
+	return true
 }
 
 // deleteRecord records that a part has no record.
@@ -261,8 +284,9 @@
 	c.mutex.Unlock()
 	reports := c.Quarantine.Reports(part)
 	next := newStoredCrashes(reports)
+	next.Trials = max(record.trials, c.Quarantine.Trials(part))
 	switch {
-	case len(reports) > 0 && record.version != 0 && slices.Equal(next.Engines, record.engines):
+	case len(reports) > 0 && record.version != 0 && next.Trials == record.trials && slices.Equal(next.Engines, record.engines):
 		return nil
 	case len(reports) > 0:
 		return c.save(ctx, part, next, record.version)
@@ -299,7 +323,7 @@
 	if err != nil {
 		return errors.Wrap(err, "write crash reports")
 	}
-	c.setRecord(part, crashRecord{engines: value.Engines, version: version})
+	c.setRecord(part, crashRecord{engines: value.Engines, trials: value.Trials, version: version})
 	return nil
 }
 
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -109,18 +109,19 @@
 }
 
 // reserveAndPrefill reserves a decode engine and has the prompt prefilled near it. The
-// quarantine is checked before each of the two and after them, as both take time.
+// quarantine is checked before each of the two and after them, as both take time. A trial
+// is claimed once an engine is reserved for it.
 func (g *generation) reserveAndPrefill(ctx context.Context) (*assignment, error) {
-	if err := g.quarantineRefusal(); err != nil {
+	if part, left, found := g.router.Quarantine.Check(g.parts); found && left > 0 && !g.trial {
 		g.releaseCache()
-		return nil, err
+		return nil, newQuarantineRefusal(part, left)
 	}
 	decode, err := g.reserveDecode(ctx)
 	if err != nil {
 		g.releaseCache()
 		return nil, err
 	}
-	if err = g.quarantineRefusal(); err == nil {
+	if err = g.quarantineRefusalOrTrial(ctx); err == nil {
 		err = g.prefill(ctx, &decode.Endpoint)
 	}
 	if err == nil {
@@ -248,8 +249,12 @@
 
 // prefill has the prompt prefilled near the decode engine. It returns nil without
 // KV cache if no prefill engine responds or is expected to be in time, or the route
-// allows no further prefill: then the decode engine reads the prompt itself.
+// allows no further prefill: then the decode engine reads the prompt itself. A trial
+// reaches one engine only.
 func (g *generation) prefill(ctx context.Context, decode *persimmoncart.Endpoint) error {
+	if g.trial {
+		return nil
+	}
 	if g.cache != nil {
 		if g.router.Timer.Now().Sub(g.cache.exported) < time.Duration(cacheReuseShare*float64(g.engine.CacheTTL)) {
 			return nil
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -56,7 +56,7 @@
 
 // plain serves a request whose response is one body.
 func (x *exchange) plain(ctx context.Context) (*Response, error) {
-	if err := x.quarantineRefusal(); err != nil {
+	if err := x.quarantineRefusalOrTrial(ctx); err != nil {
 		return nil, err
 	}
 	sendCtx, cancel := context.WithCancel(ctx)
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"strconv"
 	"sync"
 	"time"
@@ -16,26 +17,32 @@
 // them. Its exported fields are set before use. It is safe for concurrent use.
 type Quarantine struct {
 	Changed func(persimmoncart.RequestPart) // called when the reports of a part have changed here; must not block; may be nil
-	Logger  zerolog.Logger
-	Timer   persimmoncart.Timer
+	// Claim records for all instances that this one makes one more trial of a part. It
+	// reports false if another instance has made one, or the store cannot be reached. If
+	// it is nil, there are no trials.
+	Claim  func(ctx context.Context, part persimmoncart.RequestPart) bool
+	Logger zerolog.Logger
+	Timer  persimmoncart.Timer
 
 	mutex    sync.Mutex
 	suspects policy.CrashSuspects
 }
 
-// Add adds the crash reports of one part that other instances have shared.
-func (q *Quarantine) Add(part persimmoncart.RequestPart, reports []policy.CrashReport) {
+// Add adds the crash reports of one part that other instances have shared, and the number
+// of its trials.
+func (q *Quarantine) Add(part persimmoncart.RequestPart, reports []policy.CrashReport, trials int) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.update([]persimmoncart.RequestPart{part}, func(now time.Time) {
 		for _, r := range reports {
 			q.suspects.AddReport(now, r)
 		}
+		q.suspects.SetTrials(now, part, trials)
 	})
 }
 
 // Check returns the part for which a request with these parts is to be refused, and
-// the time until its quarantine ends. It reports false if there is none.
+// the time until its next trial; zero if one is due. It reports false if there is none.
 func (q *Quarantine) Check(parts []persimmoncart.RequestPart) (part persimmoncart.RequestPart, left time.Duration, found bool) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -104,6 +111,32 @@
 	return q.suspects.Suspected(q.Timer.Now(), parts)
 }
 
+// Trial reports whether a request with a quarantined part is to be let through as a
+// trial. Then no other request with the part is for some time, at any instance.
+func (q *Quarantine) Trial(ctx context.Context, part persimmoncart.RequestPart) bool {
+	if q.Claim == nil {
+		return false
+	}
+	q.mutex.Lock()
+	due := q.suspects.BeginTrial(q.Timer.Now(), part)
+	q.mutex.Unlock()
+	return due && q.Claim(ctx, part)
+}
+
+// SetTrials records the number of trials of a part that all instances have made.
+func (q *Quarantine) SetTrials(part persimmoncart.RequestPart, count int) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.suspects.SetTrials(q.Timer.Now(), part, count)
+}
+
+// Trials returns the number of trials of a part that all instances have made.
+func (q *Quarantine) Trials(part persimmoncart.RequestPart) int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.suspects.Trials(part)
+}
+
 // notify calls Changed for each part.
 func (q *Quarantine) notify(parts []persimmoncart.RequestPart) {
 	if q.Changed == nil {
@@ -128,7 +161,7 @@
 	for _, r := range q.suspects.Reports(part) {
 		engines = append(engines, r.Engine)
 	}
-	q.Logger.Warn().Str("part", string(part)).Strs("engines", engines).Dur("ends_in", left).Msg(describe(part) + " quarantined")
+	q.Logger.Warn().Str("part", string(part)).Strs("engines", engines).Dur("trial_in", left).Msg(describe(part) + " quarantined")
 }
 
 // describe returns what a part is, for logs.
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -117,6 +117,7 @@
 	sends           atomic.Int32 // all sends, up to maxSends; log lines of sends and checks in flight read it
 	startedPrefills int          // prefills that an engine may have accepted
 	stop            func()       // releases the context of withDeadline
+	trial           bool         // let through although a part is quarantined
 	tried           []persimmoncart.EndpointID
 	version         uint64        // of the routes
 	waited          time.Duration // of the caller before this attempt, estimated
--- a/internal/policy/crashsuspects.go
+++ b/internal/policy/crashsuspects.go
@@ -32,8 +32,6 @@
 	// quarantineCrashes is the number of crashed engines from which requests with a
 	// part are refused. Two may be a coincidence: each crash also breaks sound requests.
 	quarantineCrashes = 3
-	// quarantinePeriod is how long after its last report a part is refused.
-	quarantinePeriod = 10 * time.Minute
 	// reportLifetime is how long after its last report the reports of a part are kept.
 	reportLifetime = time.Hour
 	// suspectCrashes is the number of crashed engines from which broken requests with a
@@ -104,8 +102,9 @@
 }
 
 // Quarantined returns the part for which a request with these parts is to be refused,
-// and the time until its quarantine ends. Of several parts it returns the one whose
-// quarantine ends last. It reports false if there is none.
+// and the time until the next trial of the part; zero if one request may be let through
+// as a trial now. Of several parts it returns the one whose trial is last. It reports
+// false if there is none.
 func (c *CrashSuspects) Quarantined(now time.Time, parts []persimmoncart.RequestPart) (part persimmoncart.RequestPart, left time.Duration, found bool) {
 	if len(c.suspects) == 0 {
 		return "", 0, false
@@ -116,7 +115,7 @@
 		if !reported || !s.quarantined {
 			continue
 		}
-		if l := s.lastReport.Add(quarantinePeriod).Sub(now); l > left {
+		if l := max(0, s.trials.next(s.lastReport).Sub(now)); !found || l > left {
 			part, left, found = p, l, true
 		}
 	}
@@ -268,6 +267,7 @@
 	quarantined bool          // has quarantineCrashes crashes that no part before it explains
 	reports     []CrashReport // one for each engine, oldest first
 	suspected   bool          // has suspectCrashes crashes that no part before it explains
+	trials      crashTrials
 }
 
 // add adds a report and reports whether it changed anything. With more than
