http1: an endpoint may read a large request body late

Cause: TCP_USER_TIMEOUT, which finds peers that have gone silent, also counts the time in which the peer has no room for more bytes.

Change: it is off from the start of a body of 64 KB or more until the end of the response. Smaller bodies fit into the buffers. An endpoint that falls silent under a large body is waited for until the request's deadline.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart/internal/transport"
 )
 
 const (
@@ -33,6 +35,10 @@
 	// the response is read. Larger bodies are written concurrently, because an
 	// endpoint may respond before it has read the body.
 	maxInlineBody = 8 << 10
+	// largeBody is the size in bytes of a request body from which the endpoint may have
+	// no room for the rest of it while it responds. Until the end of the response, the
+	// connection then does not fail for want of acknowledgements.
+	largeBody = 64 << 10
 )
 
 // A MismatchedResponseError reports a connection on which only responses to other
@@ -60,6 +66,7 @@
 	client     *Client
 	closed     atomic.Bool
 	expires    time.Time        // end of its use as an idle connection
+	large      bool             // carries a request with a largeBody
 	limited    io.LimitedReader // of network; bounds the header of a response
 	mismatched bool             // a response to another request has arrived on it
 	network    net.Conn
@@ -125,6 +132,11 @@
 		written <- true
 		return written, nil
 	}
+	if k.large = len(r.Body) >= largeBody; k.large {
+		if err := transport.LimitUnacknowledged(k.network, false); err != nil {
+			return nil, k.writeError(0, err)
+		}
+	}
 	if n, err := k.network.Write(head); err != nil {
 		return nil, k.writeError(n, err)
 	}
@@ -135,6 +147,16 @@
 	return written, nil
 }
 
+// endLarge ends the use of the connection for a large body, and reports whether it may
+// carry another request.
+func (k *conn) endLarge() bool {
+	if !k.large {
+		return true
+	}
+	k.large = false
+	return transport.LimitUnacknowledged(k.network, true) == nil // otherwise it is closed
+}
+
 // writeError returns the error of a first write that wrote n bytes before err: a
 // *NotSentError if n is zero.
 func (k *conn) writeError(n int, err error) error {
@@ -291,7 +313,7 @@
 	case complete = <-b.written:
 	default: // the endpoint responded before the request body was written
 	}
-	if b.stop() && complete && b.reuse && b.conn.reader.Buffered() == 0 {
+	if b.stop() && complete && b.reuse && b.conn.reader.Buffered() == 0 && b.conn.endLarge() {
 		b.conn.client.put(b.conn, b.idle)
 		return
 	}
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -28,11 +28,7 @@
 func DialKeepAlive(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	d := net.Dialer{
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			var optionErr error
-			err := raw.Control(func(fd uintptr) {
-				optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-			})
-			return errors.Join(err, optionErr)
+			return setUserTimeout(raw, userTimeout)
 		},
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
@@ -44,3 +40,31 @@
 	}
 	return conn, nil
 }
+
+// LimitUnacknowledged sets whether a connection of DialKeepAlive fails when its peer does
+// not acknowledge sent bytes. A peer that has no room for more bytes counts as one that
+// does not acknowledge them. It does nothing for connections other than TCP.
+func LimitUnacknowledged(conn net.Conn, limited bool) error {
+	s, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "access socket")
+	}
+	timeout := time.Duration(0)
+	if limited {
+		timeout = userTimeout
+	}
+	return setUserTimeout(raw, timeout)
+}
+
+// setUserTimeout sets TCP_USER_TIMEOUT of a socket; zero means the system's default.
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	return errors.Join(err, optionErr)
+}
