--- a/internal/forward/crashcheck.go
+++ b/internal/forward/crashcheck.go
@@ -19,8 +19,8 @@
 	// is gone refuses connections at once; one that is only silent exceeds the timeout
 	// and does not count as crashed.
 	crashCheckTimeout = 300 * time.Millisecond
-	// retryAfterTrial is the pause before a caller sends a request again that is
-	// quarantined while another one is let through as a trial.
+	// retryAfterTrial is the shortest pause before a caller sends a quarantined request
+	// again: a trial that is due or in progress has ended by then.
 	retryAfterTrial = 5 * time.Second
 	// maxEarlyEvents is the number of events up to which a response that breaks off
 	// counts as broken off at its beginning.
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -107,7 +107,8 @@
 }
 
 // backOffRefusal returns the refusal of a request while all endpoints of its pool want
-// no requests, or no more than they have got. Left is the time until the first one takes requests again.
+// no requests, or no more than they have got. Left is the time until the first one takes
+// requests again.
 func (x *exchange) backOffRefusal(left time.Duration) error {
 	return &persimmoncart.Refusal{
 		Code: persimmoncart.RefusalCapacity, Message: "all endpoints ask for fewer requests", Outcome: persimmoncart.OutcomeNotRun,
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -12,9 +12,9 @@
 	"github.com/persimmoncart/persimmoncart/internal/policy"
 )
 
-// A Quarantine keeps requests from the endpoints that crash these, and those whose
-// prompts have a part that does. It decides by the crashes that all instances have seen; CrashReports shares
-// them. Its exported fields are set before use. It is safe for concurrent use.
+// A Quarantine refuses requests that crash endpoints, and requests whose prompts have a
+// part that does. It decides by the crashes that all instances have seen; CrashReports
+// shares them. Its exported fields are set before use. It is safe for concurrent use.
 type Quarantine struct {
 	Changed func(persimmoncart.RequestPart) // called when the reports of a part have changed here; must not block; may be nil
 	// Claim records for all instances that this one makes one more trial of a part. It
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -59,7 +59,7 @@
 	m := &Metrics{
 		Registry:      r,
 		calls:         histogram(r, "call_seconds", "Latency of answered plain calls.", latencyBuckets, "route"),
-		brokenByCrash: counter(r, "requests_broken_by_crash_total", "Requests whose engine crashed when it began to respond."),
+		brokenByCrash: counter(r, "requests_broken_by_crash_total", "Requests whose endpoint crashed when it began to respond."),
 		discarded:     counter(r, "discarded_answers_total", "Answers and tokens that belonged to another attempt or were repeated."),
 		firstToken:    histogram(r, "first_token_seconds", "Time from the request to its first token.", latencyBuckets, "route"),
 		labelValues:   make(map[string]bool),
@@ -87,7 +87,7 @@
 	}
 }
 
-// CountBrokenByCrash counts a request whose engine crashed when it began to respond.
+// CountBrokenByCrash counts a request whose endpoint crashed when it began to respond.
 func (m *Metrics) CountBrokenByCrash() {
 	if m != nil {
 		m.brokenByCrash.Inc()
