forward: the last prefill that a route allows is waited for until the latency target

Before, a prefill that took longer than half of the latency target was given up for another engine's; since then, on a route with one attempt, the decode engine reads the prompt itself instead, at half the speed and between the tokens of others.

Change: if the route allows no other prefill, it is waited for until the latency target.

TestGenerateSlowPrefill failed before in two of its four cases; in the case of a silent engine the decode engine still reads the prompt, later than before.

--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -17,6 +17,9 @@
 	// prefillTimeoutShare is the share of the latency target after which a prefill
 	// without a response is tried on another engine.
 	prefillTimeoutShare = 0.5
+	// lastPrefillTimeoutShare takes its place if the route allows no other prefill: then
+	// the decode engine would read the prompt, more slowly than a late prefill ends.
+	lastPrefillTimeoutShare = 1
 	// prefillTimeoutFactor is the multiple of a prefill's expected time for which it
 	// is waited even if that is longer than prefillTimeoutShare.
 	prefillTimeoutFactor = 3
@@ -297,7 +300,11 @@
 // prefillOn has one engine prefill the prompt and export the KV cache.
 func (g *generation) prefillOn(ctx context.Context, assigned *assignment) error {
 	started := g.router.Timer.Now()
-	prefillCtx, stop := timer.WithTimeout(ctx, g.router.Timer, max(g.latencyShare(prefillTimeoutShare), prefillTimeoutFactor*assigned.Expected), nil)
+	share := prefillTimeoutShare
+	if !g.mayPrefillAgain() {
+		share = lastPrefillTimeoutShare
+	}
+	prefillCtx, stop := timer.WithTimeout(ctx, g.router.Timer, max(g.latencyShare(share), prefillTimeoutFactor*assigned.Expected), nil)
 	defer stop()
 	cache, err := g.router.Upstream.Prefill(prefillCtx, g.upstreamCall(&assigned.Endpoint))
 	if err != nil {
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -235,6 +235,9 @@
 // and the request to run after that.
 func (x *exchange) mayPrefill() bool { return x.startedPrefills == 0 || x.attempts()+1 < x.maxRuns() }
 
+// mayPrefillAgain reports whether mayPrefill holds after one more prefill.
+func (x *exchange) mayPrefillAgain() bool { return x.runs+x.startedPrefills+1 < x.maxRuns() }
+
 // mayResume reports whether the route and the number of sends allow that the stream
 // resumes at another engine.
 func (x *exchange) mayResume() bool {
