forward: a trial that another instance has claimed meanwhile is not claimed again

Cause: an instance that found a trial due and then got the record with another instance's claim, before it wrote its own, counted one more trial with the new version, which the store accepted: two trials at once.

--- a/internal/forward/crashreports.go
+++ b/internal/forward/crashreports.go
@@ -210,9 +210,9 @@
 	c.Quarantine.Add(part, reports, stored.Trials)
 }
 
-// ClaimTrial implements Quarantine.Claim: it counts one more trial in the record of a
-// part, unless that has changed meanwhile.
-func (c *CrashReports) ClaimTrial(ctx context.Context, part persimmoncart.RequestPart) bool {
+// ClaimTrial implements Quarantine.Claim: it counts the trial in the record of a part,
+// unless that has changed meanwhile.
+func (c *CrashReports) ClaimTrial(ctx context.Context, part persimmoncart.RequestPart, number int) bool {
 	c.mutex.Lock()
 	record := c.records[part]
 	c.mutex.Unlock()
@@ -220,8 +220,11 @@
 		c.enqueue(part) // the next attempt finds the record
 		return false
 	}
+	if record.trials >= number {
+		return false // another instance's claim has arrived since the trial was due
+	}
 	next := newStoredCrashes(c.Quarantine.Reports(part))
-	next.Trials = record.trials + 1
+	next.Trials = number
 	err := c.save(ctx, part, next, record.version)
 	c.Logger.Info().Str("part", string(part)).Int("trials", next.Trials).AnErr("cause", err).Msg("trial of a quarantined part claimed")
 	if err != nil {
--- a/internal/forward/heartbeats_test.go
+++ b/internal/forward/heartbeats_test.go
@@ -105,9 +105,9 @@
 
 		beaters[4].Stop() // is gone
 		beaters = beaters[:4]
-		time.Sleep(3 * time.Minute)
+		time.Sleep(2 * time.Minute) // its last heartbeat is up to 1.5 minutes old, and holds for 4
 		expect(5)
-		time.Sleep(8 * time.Minute)
+		time.Sleep(9 * time.Minute)
 		expect(4)
 		objects, err := store.List(t.Context(), forward.HeartbeatsPrefix)
 		assert.NilError(t, err)
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -17,10 +17,10 @@
 // shares them. Its exported fields are set before use. It is safe for concurrent use.
 type Quarantine struct {
 	Changed func(persimmoncart.RequestPart) // called when the reports of a part have changed here; must not block; may be nil
-	// Claim records for all instances that this one makes one more trial of a part. It
-	// reports false if another instance has made one, or the store cannot be reached. If
-	// it is nil, there are no trials.
-	Claim  func(ctx context.Context, part persimmoncart.RequestPart) bool
+	// Claim records for all instances that this one makes the trial of a part with the
+	// given number. It reports false if another instance has made it, or the store cannot
+	// be reached. If it is nil, there are no trials.
+	Claim  func(ctx context.Context, part persimmoncart.RequestPart, number int) bool
 	Logger zerolog.Logger
 	Timer  persimmoncart.Timer
 
@@ -118,9 +118,9 @@
 		return false
 	}
 	q.mutex.Lock()
-	due := q.suspects.BeginTrial(q.Timer.Now(), part)
+	number, due := q.suspects.BeginTrial(q.Timer.Now(), part)
 	q.mutex.Unlock()
-	return due && q.Claim(ctx, part)
+	return due && q.Claim(ctx, part, number)
 }
 
 // SetTrials records the number of trials of a part that all instances have made.
--- a/internal/policy/crashsuspects_test.go
+++ b/internal/policy/crashsuspects_test.go
@@ -267,22 +267,27 @@
 		assert.Assert(t, found && part == "x")
 		return l
 	}
+	due := func(now time.Time, part persimmoncart.RequestPart) bool {
+		number, due := s.BeginTrial(now, part)
+		assert.Assert(t, !due || number == s.Trials(part)+1)
+		return due
+	}
 	for n := range 3 {
 		s.RecordCrash(crashStart.Add(time.Duration(n)*time.Second), strconv.Itoa(n), parts)
 	}
 	now := crashStart.Add(2 * time.Second)
 	assert.Equal(t, left(now), firstTrialPause)
-	assert.Assert(t, !s.BeginTrial(now, "x"))
+	assert.Assert(t, !due(now, "x"))
 	s.AddReport(now.Add(10*time.Second), policy.CrashReport{Depth: 1, Engine: "1", Part: "x"})
 	assert.Equal(t, left(now.Add(10*time.Second)), firstTrialPause-10*time.Second)
-	assert.Assert(t, !s.BeginTrial(now.Add(firstTrialPause-1), "x"))
+	assert.Assert(t, !due(now.Add(firstTrialPause-1), "x"))
 	now = now.Add(firstTrialPause)
 	assert.Equal(t, left(now), time.Duration(0))
 	assert.Assert(t, s.Suspected(now, parts), "a trial is sent again after it broke off")
-	assert.Assert(t, s.BeginTrial(now, "x"))
+	assert.Assert(t, due(now, "x"))
 	assert.Equal(t, left(now), trialClaimPause, "two requests of one instance are trials")
-	assert.Assert(t, !s.BeginTrial(now, "x"))
-	assert.Assert(t, s.BeginTrial(now.Add(trialClaimPause), "x"), "no trial after a claim that failed")
+	assert.Assert(t, !due(now, "x"))
+	assert.Assert(t, due(now.Add(trialClaimPause), "x"), "no trial after a claim that failed")
 
 	for count, pause := range []time.Duration{60 * time.Second, 2 * time.Minute, 4 * time.Minute, 8 * time.Minute, 10 * time.Minute, 10 * time.Minute} {
 		now = now.Add(time.Hour)
@@ -301,7 +306,7 @@
 	assert.Equal(t, s.Trials("x"), 0)
 	s.SetTrials(now, "x", 1)
 	assert.Equal(t, s.Trials("x"), 0)
-	assert.Assert(t, !s.BeginTrial(now, "x"))
+	assert.Assert(t, !due(now, "x"))
 }
 
 // Guards against a caller that is told to come back while another of its parts is
--- a/internal/policy/crashtrials.go
+++ b/internal/policy/crashtrials.go
@@ -43,15 +43,15 @@
 	return next
 }
 
-// BeginTrial records that this instance attempts to claim a trial of a part. It reports
-// false if none is due.
-func (c *CrashSuspects) BeginTrial(now time.Time, part persimmoncart.RequestPart) bool {
+// BeginTrial records that this instance attempts to claim a trial of a part, and returns
+// the number of the trial. It reports false if none is due.
+func (c *CrashSuspects) BeginTrial(now time.Time, part persimmoncart.RequestPart) (number int, due bool) {
 	s, found := c.suspects[part]
 	if !found || s.trials.next(s.lastReport).After(now) {
-		return false
+		return 0, false
 	}
 	s.trials.claimed = now
-	return true
+	return s.trials.count + 1, true
 }
 
 // SetTrials records that all instances have made the given number of trials of a part. A
