forward: a write of crash reports does not drop those of another instance

The store's record of the part had lost the report of one instance, which knew of all three itself.

Cause: a record that was read set the version that the next write expects before its reports were taken over. A write in between replaced the record without them.

Change: the reports are taken over first.

--- a/internal/forward/crashreports.go
+++ b/internal/forward/crashreports.go
@@ -202,12 +202,13 @@
 		stored = storedCrashes{}
 	}
 	slices.Sort(stored.Engines)
-	c.setRecord(part, crashRecord{engines: stored.Engines, trials: stored.Trials, version: o.Version})
 	reports := make([]policy.CrashReport, 0, len(stored.Engines))
 	for _, engine := range stored.Engines {
 		reports = append(reports, policy.CrashReport{Depth: stored.Depth, Engine: engine, Part: part})
 	}
+	// The reports come before the version: a write that expects this version has them.
 	c.Quarantine.Add(part, reports, stored.Trials)
+	c.setRecord(part, crashRecord{engines: stored.Engines, trials: stored.Trials, version: o.Version})
 }
 
 // ClaimTrial implements Quarantine.Claim: it counts the trial in the record of a part,
