--- a/forwardrequest_test.go
+++ b/forwardrequest_test.go
@@ -23,7 +23,7 @@
 	assert.Equal(t, len(same), 32)
 	assert.Equal(t, same, request(func(r *persimmoncart.ForwardRequest) {
 		r.ID, r.LastEventID = "q2", 7
-		r.Header.Set("X-Attempt-Id", "q2")
+		r.Header.Set("Accept", "text/plain")
 	}))
 	for name, change := range map[string]func(*persimmoncart.ForwardRequest){
 		"body":        func(r *persimmoncart.ForwardRequest) { r.Body = []byte("bodY") },
