--- a/endpoint.go
+++ b/endpoint.go
@@ -35,7 +35,8 @@
 	Pool         PoolName
 	Region       Region
 	Role         Role
-	Slots        int // requests that can run at the same time
+	Slots        int             // requests that can run at the same time
+	Software     SoftwareVersion // of the process; what two versions write does not fit together
 }
 
 // Roles of endpoints.
--- a/forwardrequest.go
+++ b/forwardrequest.go
@@ -23,7 +23,8 @@
 	ID          RequestID // of this attempt, chosen by the caller
 	LastEventID uint64    // last event of a resumed stream that the caller received; zero for none
 	Method      string
-	Target      string // path and query as received
+	Resumes     RequestID // attempt that brought the first event of a resumed stream; empty if the caller does not state it
+	Target      string    // path and query as received
 }
 
 // Fingerprint returns a hash of what is asked for and with which credentials, which is
--- a/identity.go
+++ b/identity.go
@@ -91,6 +91,10 @@
 // A RouteName names one route.
 type RouteName string
 
+// A SoftwareVersion names the version of the software that an endpoint runs. Versions
+// are compared for equality only.
+type SoftwareVersion string
+
 // A Tag identifies one incarnation of an instance. Work and records carry the tag
 // of the incarnation that created them.
 type Tag struct {
--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -368,7 +368,7 @@
 // log logs a change to an endpoint.
 func (d *Directory) log(message string, e *persimmoncart.Endpoint) {
 	d.Logger.Info().Str("endpoint", string(e.ID)).Stringer("addr", e.Addr).Str("pool", string(e.Pool)).
-		Stringer("role", e.Role).Bool("leaving", e.Leaving).Uint64("incarnation", uint64(e.Incarnation)).Msg(message)
+		Stringer("role", e.Role).Str("software", string(e.Software)).Bool("leaving", e.Leaving).Uint64("incarnation", uint64(e.Incarnation)).Msg(message)
 }
 
 // pool returns the state of a pool and creates it if needed. The caller holds the
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -137,7 +137,11 @@
 
 // logChoice logs the choice of an endpoint with the state that it was based on.
 func (x *exchange) logChoice(assigned *assignment) {
-	x.log(x.router.Logger.Info()).Str("endpoint", string(assigned.Endpoint.ID)).Stringer("role", assigned.Endpoint.Role).
+	line := x.log(x.router.Logger.Info())
+	if x.request.LastEventID > 0 {
+		line = line.Uint64("last", x.request.LastEventID).Str("resumes", string(x.request.Resumes))
+	}
+	line.Str("endpoint", string(assigned.Endpoint.ID)).Stringer("role", assigned.Endpoint.Role).Str("software", string(assigned.Endpoint.Software)).
 		Dur("expected", assigned.Expected).Int("running", assigned.View.InFlight).Float64("others", assigned.View.OtherRequests).
 		Float64("failing", assigned.View.FailureRate).Float64("slow", assigned.View.Slowdown).Dur("reported", assigned.View.LoadAge).
 		Msg("endpoint chosen")
