--- a/forwardtable.go
+++ b/forwardtable.go
@@ -1,6 +1,7 @@
 package persimmoncart
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -85,6 +86,15 @@
 	return r.Pools[len(r.Pools)-1].Pool
 }
 
+// PoolNames returns the pools of the route.
+func (r *ForwardRoute) PoolNames() []PoolName {
+	names := make([]PoolName, 0, len(r.Pools))
+	for _, p := range r.Pools {
+		names = append(names, p.Pool)
+	}
+	return names
+}
+
 // A WeightedPool is one pool of a route with its share of the requests.
 type WeightedPool struct {
 	Pool   PoolName
@@ -100,6 +110,20 @@
 	Version uint64
 }
 
+// ResumablePools returns the pools with streams that may be resumed, in ascending order.
+func (t *ForwardTable) ResumablePools() []PoolName {
+	var names []PoolName
+	for _, routes := range t.Routes {
+		for _, r := range routes {
+			if r.Repeat == RepeatResume {
+				names = append(names, r.PoolNames()...)
+			}
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // Route returns the route of the host with the longest prefix of the path.
 func (t *ForwardTable) Route(host, path string) (*ForwardRoute, bool) {
 	for _, r := range t.Routes[host] {
--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -39,15 +39,16 @@
 // load and failures that this instance has observed. Its exported fields are set
 // before use.
 type Directory struct {
-	DrainTime       time.Duration                // longest time for which an endpoint that leaves may get new requests
-	EndpointDropped func(persimmoncart.Endpoint) // called when an endpoint is removed or its process replaced; may be nil
-	Home            persimmoncart.Instance
-	Logger          zerolog.Logger
-	Random          *rand.Rand    // guarded by the Directory
-	RetryRatio      float64       // retries allowed for each request, over all instances; SetRetryRatio changes it during use
-	RetrySlack      int           // retries of this instance allowed beyond RetryRatio
-	RetrySpan       time.Duration // window in which requests and retries are counted
-	Timer           persimmoncart.Timer
+	DrainTime        time.Duration                // longest time for which an endpoint that leaves may get new requests
+	EndpointDropped  func(persimmoncart.Endpoint) // called when an endpoint is removed or its process replaced; may be nil
+	EndpointsChanged func()                       // called when the versions of the software in service may have changed; must not block; may be nil
+	Home             persimmoncart.Instance
+	Logger           zerolog.Logger
+	Random           *rand.Rand    // guarded by the Directory
+	RetryRatio       float64       // retries allowed for each request, over all instances; SetRetryRatio changes it during use
+	RetrySlack       int           // retries of this instance allowed beyond RetryRatio
+	RetrySpan        time.Duration // window in which requests and retries are counted
+	Timer            persimmoncart.Timer
 
 	departed        map[persimmoncart.EndpointID]persimmoncart.Incarnation // that left; up to maxDeparted
 	endpointsListed atomic.Bool                                            // SetEndpoints was called
@@ -91,6 +92,7 @@
 			return
 		}
 		if d.table.CompareAndSwap(old, t) {
+			d.reportChange()
 			d.Logger.Info().Uint64("version", t.Version).Int("hosts", len(t.Routes)).Msg("routes in force")
 			return
 		}
@@ -144,7 +146,7 @@
 	}
 	delete(d.missing, e.ID)
 	old, oldPool := d.find(e.ID)
-	same := old != nil && old.Endpoint.Addr == e.Addr && old.Endpoint.Incarnation == e.Incarnation && old.Endpoint.Pool == e.Pool
+	same := old != nil && isSameProcess(&old.Endpoint, &e)
 	if old != nil && !same {
 		d.drop(oldPool, old)
 	}
@@ -152,6 +154,7 @@
 		p := d.pool(e.Pool)
 		p.selector.Endpoints = append(p.selector.Endpoints, &policy.EndpointState{Endpoint: e})
 		d.log("endpoint added", &e)
+		d.reportChange()
 		return
 	}
 	old.Missing = false
@@ -160,6 +163,19 @@
 		d.log("endpoint changed", &e)
 	}
 	old.Endpoint = e
+	d.reportChange()
+}
+
+// isSameProcess reports whether two records of one endpoint are of the same process.
+func isSameProcess(a, b *persimmoncart.Endpoint) bool {
+	return a.Addr == b.Addr && a.Incarnation == b.Incarnation && a.Pool == b.Pool && a.Software == b.Software
+}
+
+// reportChange calls EndpointsChanged.
+func (d *Directory) reportChange() {
+	if d.EndpointsChanged != nil {
+		d.EndpointsChanged()
+	}
 }
 
 // SetStoreReachable records whether the store is reachable.
@@ -297,13 +313,43 @@
 	return &d.pool(name).decodeQueue
 }
 
-// HasRole reports whether a pool has an endpoint with the role that is not leaving.
-func (d *Directory) HasRole(name persimmoncart.PoolName, role persimmoncart.Role) bool {
+// Has reports whether a pool has an endpoint for a request, however loaded it is.
+func (d *Directory) Has(name persimmoncart.PoolName, r policy.SelectorRequest) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.pool(name).selector.Has(&r)
+}
+
+// Instances returns the instances of the system that are in service.
+func (d *Directory) Instances() []persimmoncart.InstanceID {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return slices.ContainsFunc(d.pool(name).selector.Endpoints, func(e *policy.EndpointState) bool {
-		return e.Endpoint.Role == role && !e.Endpoint.Leaving
-	})
+	return d.instances
+}
+
+// SoftwareInService returns the versions of the software that take new requests, in
+// ascending order, of each pool with streams that may be resumed.
+func (d *Directory) SoftwareInService() map[persimmoncart.PoolName][]persimmoncart.SoftwareVersion {
+	inService := make(map[persimmoncart.PoolName][]persimmoncart.SoftwareVersion)
+	table := d.table.Load()
+	if table == nil {
+		return inService
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, name := range table.ResumablePools() {
+		var versions []persimmoncart.SoftwareVersion
+		for _, e := range d.pool(name).selector.Endpoints {
+			if !e.Endpoint.Leaving {
+				versions = append(versions, e.Endpoint.Software)
+			}
+		}
+		slices.Sort(versions)
+		if versions = slices.Compact(versions); len(versions) > 0 {
+			inService[name] = versions
+		}
+	}
+	return inService
 }
 
 // Engines returns the engines of each pool that are neither leaving nor missing.
@@ -335,6 +381,7 @@
 		d.departed[e.Endpoint.ID] = e.Endpoint.Incarnation
 	}
 	d.log("endpoint dropped", &e.Endpoint)
+	d.reportChange()
 	if d.EndpointDropped != nil {
 		d.EndpointDropped(e.Endpoint)
 	}
--- a/internal/forward/directory_test.go
+++ b/internal/forward/directory_test.go
@@ -39,7 +39,7 @@
 		for _, id := range []persimmoncart.EndpointID{"a1", "a2", "a3"} {
 			f.Directory.Remove(id)
 		}
-		assert.Assert(t, f.Directory.HasRole(ledger, persimmoncart.RoleApplication))
+		assert.Assert(t, f.Directory.Has(ledger, policy.SelectorRequest{Role: persimmoncart.RoleApplication}))
 		time.Sleep(time.Second)
 		f.Directory.Put(persimmoncart.Endpoint{
 			Addr: netip.MustParseAddrPort("127.0.1.1:80"), DataCentre: "d1", ID: "a1", Incarnation: 1,
@@ -148,7 +148,7 @@
 	}
 	d.DropReplaced("a1")
 	d.DropReplaced("a2")
-	assert.Assert(t, d.HasRole(ledger, persimmoncart.RoleApplication))
+	assert.Assert(t, d.Has(ledger, policy.SelectorRequest{Role: persimmoncart.RoleApplication}))
 }
 
 // Guards against replacing the routes by an older version.
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -20,6 +20,7 @@
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/forward"
 	"github.com/persimmoncart/persimmoncart/internal/metrics"
+	"github.com/persimmoncart/persimmoncart/internal/objectapi"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
@@ -187,7 +188,7 @@
 	add := func(id string, pool persimmoncart.PoolName, role persimmoncart.Role) {
 		list = append(list, persimmoncart.Endpoint{
 			Addr:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(len(list) + 1)}), 80),
-			DataCentre: "d1", ID: persimmoncart.EndpointID(id), Incarnation: 1, Pool: pool, Region: "r1", Role: role, Slots: 6,
+			DataCentre: "d1", ID: persimmoncart.EndpointID(id), Incarnation: 1, Pool: pool, Region: "r1", Role: role, Slots: 6, Software: "v1",
 		})
 	}
 	for _, id := range []string{"a1", "a2", "a3"} {
@@ -201,9 +202,13 @@
 	}
 	d.SetTable(table(1))
 	d.SetEndpoints(list)
+	streams := &forward.StreamRecords{Directory: d, Logger: zerolog.Nop(), Self: d.Home, Store: &objectapi.Memory{Timer: clock}, Timer: clock}
+	d.EndpointsChanged = streams.Signal
+	streams.Signal()
+	go func() { _ = streams.Run(t.Context()) }()
 	u := &fakeUpstream{}
 	return &fixture{Directory: d, Upstream: u, Router: &forward.Router{
-		Directory: d, Logger: zerolog.Nop(), Metrics: metrics.New(), Quarantine: &forward.Quarantine{Logger: zerolog.Nop(), Timer: clock}, StoreReachable: func() bool { return true }, Timer: clock, Upstream: u,
+		Directory: d, Logger: zerolog.Nop(), Metrics: metrics.New(), Quarantine: &forward.Quarantine{Logger: zerolog.Nop(), Timer: clock}, StoreReachable: func() bool { return true }, Streams: streams, Timer: clock, Upstream: u,
 	}}
 }
 
@@ -224,7 +229,7 @@
 		f.Directory.Put(persimmoncart.Endpoint{
 			Addr:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, byte(n)}), 80),
 			DataCentre: "d1", ID: persimmoncart.EndpointID(fmt.Sprintf("e%d", n)), Incarnation: 1, Pool: llm, Region: "r1",
-			Role: persimmoncart.RoleDecode, Slots: 12,
+			Role: persimmoncart.RoleDecode, Slots: 12, Software: "v1",
 		})
 	}
 	for range 20 * count {
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -124,6 +124,7 @@
 		g.releaseCache()
 		return nil, err
 	}
+	g.recordOrigin(&decode.Endpoint)
 	if err = g.quarantineRefusalOrTrial(ctx); err == nil {
 		err = g.prefill(ctx, &decode.Endpoint)
 	}
@@ -159,7 +160,7 @@
 func (x *exchange) decodeRequest() policy.SelectorRequest {
 	return policy.SelectorRequest{
 		Avoid: x.tried, Role: persimmoncart.RoleDecode, RunOnce: x.route.Repeat == persimmoncart.RepeatNever,
-		Size: *x.engine, Tokens: x.request.Generation.PromptTokens + x.router.Directory.OutputTokens(x.pool, x.request.Generation),
+		Size: *x.engine, Software: x.software(), Tokens: x.request.Generation.PromptTokens + x.router.Directory.OutputTokens(x.pool, x.request.Generation),
 	}
 }
 
@@ -203,13 +204,14 @@
 	}
 }
 
-// unavailableRefusal returns the refusal of a request whose pool has no decode engine,
-// or none that takes requests within the given time; nil if one does.
+// unavailableRefusal returns the refusal of a request whose pool has no decode engine
+// for it, or none that takes requests within the given time; nil if one does.
 func (g *generation) unavailableRefusal(within time.Duration) error {
-	if !g.router.Directory.HasRole(g.pool, persimmoncart.RoleDecode) {
-		return g.emptyPoolRefusal()
+	if err := g.missingEndpointRefusal(persimmoncart.RoleDecode); err != nil {
+		return err
 	}
-	if left, ok := g.router.Directory.WaitLeft(g.pool, persimmoncart.RoleDecode); ok && left > within {
+	request := policy.SelectorRequest{Role: persimmoncart.RoleDecode, Software: g.software()}
+	if left, ok := g.router.Directory.WaitLeft(g.pool, request); ok && left > within {
 		return g.backOffRefusal(left)
 	}
 	return nil
@@ -235,6 +237,7 @@
 		return nil, err
 	}
 	g.endpoint = assigned.Endpoint.ID
+	g.fixOrigin(ctx, assigned.Endpoint.Software, response.Status)
 	if response.Status != http.StatusOK || !g.route.Stream {
 		defer assigned.Done()
 		result, err := g.readResponse(response)
@@ -250,16 +253,18 @@
 	return &Response{Body: s, Header: response.Header, Length: -1, Status: response.Status, Stream: true}, nil
 }
 
-// prefill has the prompt prefilled near the decode engine. It returns nil without
-// KV cache if no prefill engine responds or is expected to be in time, or the route
-// allows no further prefill: then the decode engine reads the prompt itself. A trial
-// reaches one engine only.
+// prefill has the prompt prefilled near the decode engine, at the same version of the
+// software: KV cache of another one is not checked by the decode engine. It returns nil
+// without KV cache if no prefill engine responds or is expected to be in time, or the
+// route allows no further prefill: then the decode engine reads the prompt itself. A
+// trial reaches one engine only.
 func (g *generation) prefill(ctx context.Context, decode *persimmoncart.Endpoint) error {
 	if g.trial {
 		return nil
 	}
 	if g.cache != nil {
-		if g.router.Timer.Now().Sub(g.cache.exported) < time.Duration(cacheReuseShare*float64(g.engine.CacheTTL)) {
+		fresh := g.router.Timer.Now().Sub(g.cache.exported) < time.Duration(cacheReuseShare*float64(g.engine.CacheTTL))
+		if fresh && g.cache.endpoint.Software == decode.Software {
 			return nil
 		}
 		g.releaseCache()
@@ -268,7 +273,7 @@
 	for {
 		assigned := g.router.Directory.Assign(g.pool, policy.SelectorRequest{
 			Avoid: avoid, DataCentre: decode.DataCentre, Region: decode.Region,
-			Role: persimmoncart.RolePrefill, Tokens: g.request.Generation.PromptTokens,
+			Role: persimmoncart.RolePrefill, Software: decode.Software, Tokens: g.request.Generation.PromptTokens,
 		})
 		if assigned == nil || len(avoid) >= 2 || assigned.Expected > g.latencyShare(maxPrefillShare) {
 			if assigned != nil {
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -21,6 +21,7 @@
 	if notice.Leaving && !e.Endpoint.Leaving {
 		e.Endpoint.Leaving = true
 		d.log("endpoint says that it leaves", &e.Endpoint)
+		d.reportChange()
 	}
 	if notice.RateLimit != 0 || notice.Unlimited {
 		d.setRateLimit(e, notice.RateLimit)
@@ -89,10 +90,10 @@
 	return e == nil || e.TakeRequest(d.Timer.Now())
 }
 
-// WaitLeft returns the time until the first endpoint of a pool with the role takes
+// WaitLeft returns the time until the first endpoint of a pool for a request takes
 // requests again. It reports false if one does now, or there is none.
-func (d *Directory) WaitLeft(name persimmoncart.PoolName, role persimmoncart.Role) (time.Duration, bool) {
+func (d *Directory) WaitLeft(name persimmoncart.PoolName, r policy.SelectorRequest) (time.Duration, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.pool(name).selector.WaitLeft(d.Timer.Now(), role)
+	return d.pool(name).selector.WaitLeft(d.Timer.Now(), &r)
 }
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -38,7 +38,7 @@
 
 // A sendResult is the result of one send.
 type sendResult struct {
-	endpoint persimmoncart.EndpointID
+	endpoint *persimmoncart.Endpoint
 	err      error
 	outcome  sendOutcome
 	response *Response // nil if err is set
@@ -63,7 +63,11 @@
 	p := &plainCall{cancel: cancel, exchange: x, results: make(chan sendResult, maxSends)}
 	if !p.send(sendCtx, "") {
 		cancel()
-		return nil, x.noEndpointRefusal(x.emptyPoolRefusal())
+		refusal := x.missingEndpointRefusal(persimmoncart.RoleApplication)
+		if refusal == nil {
+			refusal = x.emptyPoolRefusal()
+		}
+		return nil, x.noEndpointRefusal(refusal)
 	}
 	hedge := make(chan time.Time, 1)
 	defer x.router.Timer.After(x.latencyShare(hedgeDelayShare), func(now time.Time) { hedge <- now })()
@@ -100,7 +104,8 @@
 // noEndpointRefusal returns refusal, or that of backOffRefusal if all application
 // endpoints of the pool want no requests now.
 func (x *exchange) noEndpointRefusal(refusal error) error {
-	if left, ok := x.router.Directory.WaitLeft(x.pool, persimmoncart.RoleApplication); ok {
+	request := policy.SelectorRequest{Role: persimmoncart.RoleApplication, Software: x.software()}
+	if left, ok := x.router.Directory.WaitLeft(x.pool, request); ok {
 		return x.backOffRefusal(left)
 	}
 	return refusal
@@ -130,6 +135,7 @@
 	}
 	assigned := p.router.Directory.Assign(p.pool, policy.SelectorRequest{
 		Avoid: p.tried, Role: persimmoncart.RoleApplication, RunOnce: p.route.Repeat != persimmoncart.RepeatAlways,
+		Software: p.software(),
 	})
 	if assigned == nil {
 		return false
@@ -149,7 +155,7 @@
 // returns the end of the call. Done is false while further sends are in flight.
 func (p *plainCall) handleResult(ctx context.Context, result sendResult) (response *Response, done bool, err error) {
 	if result.outcome == sendAnswered {
-		return p.deliver(&result), true, nil
+		return p.deliver(ctx, &result), true, nil
 	}
 	p.recordOutcome(result.outcome)
 	if result.response != nil && p.fallback == nil {
@@ -160,7 +166,7 @@
 	}
 	switch {
 	case p.fallback != nil:
-		return p.deliver(p.fallback), true, nil
+		return p.deliver(ctx, p.fallback), true, nil
 	case p.runs > 0:
 		p.cancel()
 		return nil, true, &persimmoncart.Refusal{
@@ -193,8 +199,10 @@
 }
 
 // deliver returns the response of a send. Closing its body cancels other sends.
-func (p *plainCall) deliver(result *sendResult) *Response {
-	p.endpoint = result.endpoint
+func (p *plainCall) deliver(ctx context.Context, result *sendResult) *Response {
+	p.endpoint = result.endpoint.ID
+	p.recordOrigin(result.endpoint)
+	p.fixOrigin(ctx, result.endpoint.Software, result.response.Status)
 	p.router.Metrics.ObserveCall(p.route.Name, p.router.Timer.Now().Sub(p.request.Arrived))
 	response := *result.response
 	response.Body = &cancellingBody{Body: response.Body, cancel: p.cancel}
@@ -204,7 +212,7 @@
 // sendTo sends the request to one endpoint, reads its response and ends the
 // assignment.
 func (p *plainCall) sendTo(ctx context.Context, assigned *assignment) sendResult {
-	result := sendResult{endpoint: assigned.Endpoint.ID}
+	result := sendResult{endpoint: &assigned.Endpoint}
 	started := p.router.Timer.Now()
 	stop := p.router.Timer.After(p.latencyShare(suspectShare), func(time.Time) { assigned.Failed() })
 	defer stop()
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -62,6 +62,7 @@
 	Logger         zerolog.Logger
 	Metrics        *metrics.Metrics
 	Quarantine     *Quarantine
+	Streams        *StreamRecords
 	StoreReachable func() bool // while it returns false, an unknown route may be a new one
 	Timer          persimmoncart.Timer
 	Upstream       persimmoncart.Upstream
@@ -77,6 +78,10 @@
 	}
 	x.parts = append(slices.Clone(x.promptParts()), persimmoncart.WholeRequest(request.Fingerprint()))
 	ctx = x.withDeadline(ctx)
+	if err := x.resolveOrigin(ctx); err != nil {
+		x.stop()
+		return nil, x.refuse(err)
+	}
 	r.Directory.RecordRequest(x.pool)
 	serve := x.plain
 	if request.Generation != nil && x.engine != nil {
@@ -107,6 +112,7 @@
 	engine          *persimmoncart.EngineCapacity                        // of the pool's decode engines; nil for a pool without engines
 	parts           []persimmoncart.RequestPart                          // that may crash endpoints: of the prompt, and last the whole request
 	observe         func(persimmoncart.RouteName, persimmoncart.Outcome) // records the end of the request in the metrics
+	origin          *persimmoncart.StreamOrigin                          // where the stream began; nil until it has begun
 	pool            persimmoncart.PoolName
 	prefillAccepted bool // an engine has accepted a prefill
 	request         *persimmoncart.ForwardRequest
@@ -119,8 +125,8 @@
 	stop            func()       // releases the context of withDeadline
 	trial           bool         // let through although a part is quarantined
 	tried           []persimmoncart.EndpointID
-	version         uint64        // of the routes
-	waited          time.Duration // of the caller before this attempt, estimated
+	table           *persimmoncart.ForwardTable // in force when the request arrived; nil before the first
+	waited          time.Duration               // of the caller before this attempt, estimated
 }
 
 // withDeadline returns a context that ends at the request's deadline.
@@ -169,7 +175,7 @@
 	if x.waited > 0 {
 		e = e.Dur("waited", x.waited)
 	}
-	return e.Str("request", string(x.request.ID)).Str("pool", string(x.pool)).Uint64("version", x.version).
+	return e.Str("request", string(x.request.ID)).Str("pool", string(x.pool)).Uint64("version", x.tableVersion()).
 		Dur("age", x.router.Timer.Now().Sub(x.request.Arrived)).Int32("sends", x.sends.Load())
 }
 
@@ -310,7 +316,7 @@
 			Outcome: persimmoncart.OutcomeNotRun, RetryAfter: retryAfterNotReady,
 		}
 	}
-	x.version = table.Version
+	x.table = table
 	route, found := table.Route(x.request.Host, x.request.Path())
 	if !found && !x.router.StoreReachable() {
 		return &persimmoncart.Refusal{
@@ -324,10 +330,7 @@
 		}
 	}
 	x.route = route
-	x.pool = route.Pool(float64(xxhash.Sum64String(string(x.request.ID))) / math.MaxUint64)
-	if p := table.Pools[x.pool]; p != nil {
-		x.engine = p.Engine
-	}
+	x.setPool(route.Pool(float64(xxhash.Sum64String(string(x.request.ID))) / math.MaxUint64))
 	x.deadline = x.request.Arrived.Add(route.Timeout)
 	if x.request.Deadline.Before(x.deadline) {
 		x.deadline = x.request.Deadline
@@ -335,6 +338,23 @@
 	return nil
 }
 
+// setPool sets the pool of the request.
+func (x *exchange) setPool(name persimmoncart.PoolName) {
+	x.pool, x.engine = name, nil
+	if p := x.table.Pools[name]; p != nil {
+		x.engine = p.Engine
+	}
+}
+
+// tableVersion returns the version of the routes that the request is served by; zero
+// before the first.
+func (x *exchange) tableVersion() uint64 {
+	if x.table == nil {
+		return 0
+	}
+	return x.table.Version
+}
+
 // finish counts and logs the end of a response. A nil error means that the
 // response is complete.
 func (x *exchange) finish(status int, err error) {
--- /dev/null
+++ b/internal/forward/software.go
@@ -0,0 +1,113 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/policy"
+)
+
+const (
+	// retryAfterSoftwareGone is the pause before a caller takes a stream up again of
+	// whose version of the software no endpoint is in service: one that crashed is back
+	// within seconds.
+	retryAfterSoftwareGone = time.Second
+	// retryAfterSoftwareUnknown is the pause before a caller takes a stream up again whose
+	// origin could not be read from the store.
+	retryAfterSoftwareUnknown = 500 * time.Millisecond
+)
+
+// resolveOrigin finds out where the stream began that the request takes up, and
+// keeps the request to that pool and version of the software. It returns a refusal if
+// that is not known, or the route no longer leads there.
+func (x *exchange) resolveOrigin(ctx context.Context) error {
+	if !x.route.Stream || x.request.LastEventID == 0 {
+		return nil
+	}
+	pools := x.route.PoolNames()
+	origin, err := x.router.Streams.Origin(ctx, x.request.Resumes, pools)
+	if err != nil {
+		return softwareUnknownRefusal(err)
+	}
+	if !slices.Contains(pools, origin.Pool) {
+		return softwareGoneRefusal()
+	}
+	x.origin = &origin
+	x.setPool(origin.Pool)
+	return nil
+}
+
+// software returns the version of the software that the request must be sent to; empty
+// for any.
+func (x *exchange) software() persimmoncart.SoftwareVersion {
+	if x.origin == nil {
+		return ""
+	}
+	return x.origin.Software
+}
+
+// beginsStream reports whether the request begins a stream that may be taken up again.
+func (x *exchange) beginsStream() bool {
+	return x.route.Stream && x.route.Repeat == persimmoncart.RepeatResume && x.request.LastEventID == 0
+}
+
+// recordOrigin records that the stream begins at an endpoint, unless it goes on there.
+func (x *exchange) recordOrigin(e *persimmoncart.Endpoint) {
+	if x.beginsStream() {
+		origin := persimmoncart.StreamOrigin{Pool: x.pool, Software: e.Software}
+		x.router.Streams.Begin(x.request.ID, origin, x.request.Deadline)
+	}
+}
+
+// fixOrigin keeps the stream, whose response has begun, to the version of the software of
+// its endpoint. It waits until the origin is recorded.
+func (x *exchange) fixOrigin(ctx context.Context, software persimmoncart.SoftwareVersion, status int) {
+	if x.origin != nil || !x.route.Stream || status != http.StatusOK {
+		return
+	}
+	x.origin = &persimmoncart.StreamOrigin{Pool: x.pool, Software: software}
+	if x.beginsStream() {
+		x.router.Streams.AwaitRecord(ctx, x.request.ID)
+	}
+}
+
+// missingEndpointRefusal returns the refusal of a request for which its pool has no
+// endpoint with the role; nil if it has one, however loaded.
+func (x *exchange) missingEndpointRefusal(role persimmoncart.Role) error {
+	directory := x.router.Directory
+	switch {
+	case directory.Has(x.pool, policy.SelectorRequest{Role: role, Software: x.software()}):
+		return nil
+	case directory.Has(x.pool, policy.SelectorRequest{Role: role}):
+		return softwareGoneRefusal()
+	default:
+		return x.emptyPoolRefusal()
+	}
+}
+
+// softwareGoneRefusal returns the refusal of a request to take up a stream that no
+// endpoint in service can continue.
+func softwareGoneRefusal() error {
+	return &persimmoncart.Refusal{
+		Code: persimmoncart.RefusalSoftwareGone, Message: "no endpoint has the software version that began the stream",
+		Outcome: persimmoncart.OutcomeNotRun, RetryAfter: retryAfterSoftwareGone,
+	}
+}
+
+// softwareUnknownRefusal returns the refusal of a request to take up a stream of unknown
+// origin. A retry helps only if the records could not be read.
+func softwareUnknownRefusal(cause error) error {
+	r := &persimmoncart.Refusal{
+		Code: persimmoncart.RefusalSoftwareUnknown, Err: cause, Message: "the software version that began the stream is not known",
+		Outcome: persimmoncart.OutcomeNotRun,
+	}
+	if !errors.Is(cause, errOriginUnknown) {
+		r.RetryAfter = retryAfterSoftwareUnknown
+	}
+	return r
+}
--- /dev/null
+++ b/internal/forward/streamrecords.go
@@ -0,0 +1,410 @@
+package forward
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/policy"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+)
+
+const (
+	// StreamsPrefix is the prefix of the store's records of streams. The identifier and
+	// the incarnation of an instance follow it.
+	StreamsPrefix = "streams/"
+	// streamWriteSpacing is the shortest mean time between two writes of all instances
+	// together.
+	streamWriteSpacing = 2500 * time.Microsecond
+	// streamWriteRetry is the mean pause after a failed write.
+	streamWriteRetry = 300 * time.Millisecond
+	// streamWriteWait is the longest time for which the first event of a stream waits
+	// for its record.
+	streamWriteWait = 150 * time.Millisecond
+	// streamLookupTimeout bounds the search for the origin of a stream.
+	streamLookupTimeout = 500 * time.Millisecond
+	// streamCheckPeriod is the time between two checks whether streams of an old version
+	// have ended, and records of departed processes are no longer needed.
+	streamCheckPeriod = 5 * time.Second
+	// streamListPeriod is the mean time between two lists that search for records of
+	// departed instances. It varies, so that mostly one instance finds them.
+	streamListPeriod = 5 * time.Minute
+	// streamRetention is the time for which the record of a departed process is kept:
+	// callers do not take streams up again later.
+	streamRetention = time.Minute
+	// maxStreamKey is the length in bytes up to which identifiers of attempts are kept
+	// in records.
+	maxStreamKey = 64
+)
+
+// errOriginUnknown reports a stream that no record tells the origin of.
+var errOriginUnknown = errors.New("no record of where the stream began")
+
+// StreamRecords is the owner of where streams began: at which version of the software
+// of their engines. Every path that places a stream asks it. What it knows outlives the
+// loss of all instances, as each process has a record in the store. Its exported fields
+// are set before Run.
+type StreamRecords struct {
+	Directory *Directory // versions in service
+	Logger    zerolog.Logger
+	Self      persimmoncart.Instance
+	Store     persimmoncart.Store
+	Timer     persimmoncart.Timer
+
+	mutex   sync.Mutex // guards the fields below
+	failing bool       // the last write failed
+	listed  time.Time  // when the last successful list began; zero before
+	listing chan struct{}
+	origins policy.StreamOrigins
+	seen    map[string]seenRecord // records of other processes, by key
+	version persimmoncart.Version // of this process's record; zero without one
+	written chan struct{}         // closed after the next write
+
+	signal     chan struct{} // has a value if the record may have to be written
+	signalOnce sync.Once     // creates signal
+}
+
+// A seenRecord is a version of a record and when it was first seen.
+type seenRecord struct {
+	since   time.Time
+	version persimmoncart.Version
+}
+
+// Run writes the record of this process until ctx is done and returns its error.
+func (r *StreamRecords) Run(ctx context.Context) error {
+	defer r.Timer.Subscribe(streamCheckPeriod, func(time.Time) { r.Signal() })()
+	if err := r.list(ctx, r.Timer.Now()); err != nil && ctx.Err() == nil {
+		r.Logger.Info().Err(err).Msg("records of streams not read")
+	}
+	nextList := r.Timer.Now().Add(streamListPeriod/2 + rand.N(streamListPeriod))
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.signalled():
+		}
+		pause := streamWriteSpacing * time.Duration(max(1, len(r.Directory.Instances())))
+		if !r.write(ctx) {
+			pause = streamWriteRetry/2 + rand.N(streamWriteRetry)
+			r.Signal()
+		}
+		if now := r.Timer.Now(); now.After(nextList) {
+			nextList = now.Add(streamListPeriod/2 + rand.N(streamListPeriod))
+			_ = r.list(ctx, now) // the next period tries again
+		}
+		r.removeDeparted(ctx)
+		_ = r.Timer.Sleep(ctx, pause) // an end of ctx ends the loop
+	}
+}
+
+// Signal has Run write the record if the versions in service or the streams require
+// it. It does not block.
+func (r *StreamRecords) Signal() {
+	select {
+	case r.signalled() <- struct{}{}:
+	default: // Run has not handled the last signal yet
+	}
+}
+
+// signalled returns the channel that Signal sends to.
+func (r *StreamRecords) signalled() chan struct{} {
+	r.signalOnce.Do(func() { r.signal = make(chan struct{}, 1) })
+	return r.signal
+}
+
+// StoreRestored records that the store was restored from an older copy, which may have
+// lost the record.
+func (r *StreamRecords) StoreRestored() {
+	r.mutex.Lock()
+	r.origins.Lost()
+	r.version = 0
+	r.mutex.Unlock()
+	r.Signal()
+}
+
+// Begin records that a stream begins at an engine, before it is sent there. Deadline is
+// that of its caller.
+func (r *StreamRecords) Begin(attempt persimmoncart.RequestID, origin persimmoncart.StreamOrigin, deadline time.Time) {
+	key := streamKey(attempt)
+	r.mutex.Lock()
+	remembered := r.origins.Begin(r.Timer.Now(), key, origin, deadline)
+	recorded := r.origins.Recorded(key)
+	r.mutex.Unlock()
+	if !remembered {
+		r.Logger.Warn().Str("request", string(attempt)).Msg("origin of the stream not recorded: too many streams")
+		return
+	}
+	if !recorded {
+		r.Signal()
+	}
+}
+
+// AwaitRecord waits until the store has the origin of a stream, so that no event reaches
+// a caller before. It waits no longer than streamWriteWait: without the store, streams
+// begin without a record.
+func (r *StreamRecords) AwaitRecord(ctx context.Context, attempt persimmoncart.RequestID) {
+	key := streamKey(attempt)
+	expired := make(chan time.Time, 1)
+	var stop func()
+	for {
+		recorded, written := r.recorded(key)
+		if recorded {
+			break
+		}
+		if stop == nil {
+			stop = r.Timer.After(streamWriteWait, func(now time.Time) { expired <- now })
+		}
+		select {
+		case <-written:
+			continue
+		case <-ctx.Done():
+		case <-expired:
+			r.Logger.Warn().Str("request", string(attempt)).Msg("stream begins before its origin is recorded")
+		}
+		break
+	}
+	if stop != nil {
+		stop()
+	}
+}
+
+// recorded reports whether the store has the origin of a stream, and returns a channel
+// that is closed after the next write.
+func (r *StreamRecords) recorded(key persimmoncart.RequestID) (bool, <-chan struct{}) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.written == nil {
+		r.written = make(chan struct{})
+	}
+	return r.origins.Recorded(key), r.written
+}
+
+// Origin returns where the stream began whose first event the given attempt brought.
+// Pools are those that it may have begun in. It returns an error that wraps
+// errOriginUnknown if the records do not tell, and another one if they cannot be read.
+func (r *StreamRecords) Origin(ctx context.Context, attempt persimmoncart.RequestID, pools []persimmoncart.PoolName) (persimmoncart.StreamOrigin, error) {
+	key := streamKey(attempt)
+	if origin, found := r.lookUp(key, nil); found {
+		return origin, nil
+	}
+	ctx, stop := timer.WithTimeout(ctx, r.Timer, streamLookupTimeout, nil)
+	defer stop()
+	// The caller has an event, so that its stream was recorded before now.
+	if err := r.list(ctx, r.Timer.Now()); err != nil {
+		return persimmoncart.StreamOrigin{}, err
+	}
+	if origin, found := r.lookUp(key, pools); found {
+		return origin, nil
+	}
+	return persimmoncart.StreamOrigin{}, errors.Wrapf(errOriginUnknown, "attempt %s", attempt)
+}
+
+// lookUp returns the origin of a stream that is listed or, if pools are given, of one
+// that began in one of them and is not listed.
+func (r *StreamRecords) lookUp(key persimmoncart.RequestID, pools []persimmoncart.PoolName) (persimmoncart.StreamOrigin, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if origin, found := r.origins.Listed(key); found {
+		return origin, true
+	}
+	return r.origins.Unlisted(pools)
+}
+
+// list reads the records of all other processes, unless a list that began after the
+// given time has done so. One list at a time serves all that wait for it.
+func (r *StreamRecords) list(ctx context.Context, after time.Time) error {
+	busy := r.busy()
+	select {
+	case busy <- struct{}{}:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait for records of streams")
+	}
+	defer func() { <-busy }()
+	began := r.Timer.Now()
+	r.mutex.Lock()
+	done := r.listed.After(after)
+	r.mutex.Unlock()
+	if done {
+		return nil
+	}
+	objects, err := r.Store.List(ctx, StreamsPrefix)
+	if err != nil {
+		return errors.Wrap(err, "list records of streams")
+	}
+	r.setOthers(objects, began)
+	return nil
+}
+
+// busy returns the channel that has a value during a list.
+func (r *StreamRecords) busy() chan struct{} {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.listing == nil {
+		r.listing = make(chan struct{}, 1)
+	}
+	return r.listing
+}
+
+// setOthers takes over the records that a list returned. One that cannot be read is
+// logged and left out.
+func (r *StreamRecords) setOthers(objects []persimmoncart.Object, began time.Time) {
+	records, epoch := make(map[string]policy.StreamRecord), uint64(0)
+	seen := make(map[string]seenRecord)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, o := range objects {
+		epoch = max(epoch, o.Version.Epoch())
+		if o.Key == r.key() {
+			continue
+		}
+		var record policy.StreamRecord
+		if err := json.Unmarshal(o.Value, &record); err != nil {
+			r.Logger.Warn().Str("key", o.Key).Uint64("version", uint64(o.Version)).Err(err).Msg("unreadable record of streams ignored")
+			continue
+		}
+		records[o.Key] = record
+		seen[o.Key] = seenRecord{since: began, version: o.Version}
+		if old, found := r.seen[o.Key]; found && old.version == o.Version {
+			seen[o.Key] = old
+		}
+	}
+	r.origins.SetOthers(records, epoch)
+	r.seen, r.listed = seen, began
+}
+
+// key returns the key of this process's record.
+func (r *StreamRecords) key() string {
+	return StreamsPrefix + string(r.Self.ID) + "-" + strconv.FormatUint(uint64(r.Self.Incarnation), 10)
+}
+
+// recordInstance returns the instance of a record's key.
+func recordInstance(key string) persimmoncart.InstanceID {
+	name := strings.TrimPrefix(key, StreamsPrefix)
+	return persimmoncart.InstanceID(name[:max(0, strings.LastIndexByte(name, '-'))])
+}
+
+// write writes the record of this process if the store's lacks something. It reports
+// false if the write failed.
+func (r *StreamRecords) write(ctx context.Context) bool {
+	if !r.Directory.Ready() {
+		return true // no stream has begun
+	}
+	inService := r.Directory.SoftwareInService()
+	r.mutex.Lock()
+	next := r.origins.Record(r.Timer.Now(), inService)
+	must, version := r.origins.MustWrite(next), r.version
+	r.mutex.Unlock()
+	if !must {
+		return true
+	}
+	err := r.save(ctx, next, version)
+	r.logWrite(next, err)
+	return err == nil
+}
+
+// save writes a record in place of the given version; zero means that there is none.
+func (r *StreamRecords) save(ctx context.Context, record policy.StreamRecord, version persimmoncart.Version) error {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return errors.Wrap(err, "encode record of streams")
+	}
+	if version == 0 {
+		version, err = r.Store.Create(ctx, r.key(), value)
+	} else {
+		version, err = r.Store.Update(ctx, r.key(), value, version)
+	}
+	if mustReread(err) {
+		r.reread(ctx)
+	}
+	if err != nil {
+		return errors.Wrap(err, "write record of streams")
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.version = version
+	r.origins.SetWritten(record, version.Epoch())
+	if r.written != nil {
+		close(r.written)
+		r.written = nil
+	}
+	if record.Epoch != version.Epoch() {
+		defer r.Signal() // the record has to state the epoch
+	}
+	return nil
+}
+
+// reread reads the version of this process's record after a write that may have taken
+// effect, so that the next one replaces it.
+func (r *StreamRecords) reread(ctx context.Context) {
+	object, err := r.Store.Get(ctx, r.key())
+	if err != nil && !isNotFound(err) {
+		return // the next write finds out
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.version = object.Version
+}
+
+// logWrite logs a write, and the first of several failures.
+func (r *StreamRecords) logWrite(record policy.StreamRecord, err error) {
+	r.mutex.Lock()
+	failed := r.failing
+	r.failing = err != nil
+	r.mutex.Unlock()
+	if err != nil {
+		if !failed {
+			r.Logger.Warn().Err(err).Msg("record of streams not written, trying again")
+		}
+		return
+	}
+	for pool, streams := range record.Pools {
+		r.Logger.Info().Str("pool", string(pool)).Str("only", string(streams.Only)).Int("listed", len(streams.Listed)).Msg("record of streams written")
+	}
+}
+
+// removeDeparted removes the records of processes that have been gone for
+// streamRetention: earlier ones of this instance, and those of instances that are no
+// longer in service.
+func (r *StreamRecords) removeDeparted(ctx context.Context) {
+	for key, version := range r.departed() {
+		if err := r.Store.Delete(ctx, key, version); err != nil && !isNotFound(err) {
+			r.Logger.Info().Str("key", key).Err(err).Msg("record of a departed process not removed")
+		}
+	}
+}
+
+// departed returns the records that are no longer needed, and forgets them.
+func (r *StreamRecords) departed() map[string]persimmoncart.Version {
+	departed := make(map[string]persimmoncart.Version)
+	now, instances := r.Timer.Now(), r.Directory.Instances()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for key, record := range r.seen {
+		if now.Sub(record.since) < streamRetention {
+			continue
+		}
+		if id := recordInstance(key); id == r.Self.ID || !slices.Contains(instances, id) {
+			departed[key] = record.version
+			delete(r.seen, key)
+		}
+	}
+	return departed
+}
+
+// streamKey returns the identifier of an attempt in records: the identifier itself, or
+// a hash of one that is too long.
+func streamKey(attempt persimmoncart.RequestID) persimmoncart.RequestID {
+	if len(attempt) <= maxStreamKey {
+		return attempt
+	}
+	return persimmoncart.RequestID((&persimmoncart.ForwardRequest{Target: string(attempt)}).Fingerprint())
+}
--- /dev/null
+++ b/internal/forward/streamrecords_test.go
@@ -0,0 +1,191 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/forward"
+	"github.com/persimmoncart/persimmoncart/internal/objectapi"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+)
+
+// A recordKeeper is the records of streams of one process of an instance.
+type recordKeeper struct {
+	*forward.StreamRecords
+
+	Faulty *objectapi.Faulty
+	Kill   func()
+}
+
+// startRecordKeeper starts the records of a process before a shared store, with one
+// engine at v1.
+func startRecordKeeper(ctx context.Context, running *sync.WaitGroup, store persimmoncart.Store, id persimmoncart.InstanceID, incarnation persimmoncart.Incarnation) *recordKeeper {
+	clock := &timer.System{}
+	ctx, cancel := context.WithCancel(ctx)
+	d := &forward.Directory{
+		Home: persimmoncart.Instance{ID: id}, Logger: zerolog.Nop(), Random: rand.New(rand.NewPCG(1, 1)), Timer: clock,
+	}
+	d.SetInstances([]persimmoncart.InstanceID{"edge-1", "edge-2"})
+	k := &recordKeeper{Faulty: &objectapi.Faulty{Store: store, Timer: clock}, Kill: cancel}
+	k.StreamRecords = &forward.StreamRecords{
+		Directory: d, Logger: zerolog.Nop(), Self: persimmoncart.Instance{ID: id, Incarnation: incarnation}, Store: k.Faulty, Timer: clock,
+	}
+	d.EndpointsChanged = k.Signal
+	running.Go(func() { _ = k.Run(ctx) })
+	d.SetTable(table(1))
+	d.SetEndpoints([]persimmoncart.Endpoint{newEngine("e1", "v1")})
+	return k
+}
+
+// newEngine returns a decode engine with a version of the software.
+func newEngine(id persimmoncart.EndpointID, software persimmoncart.SoftwareVersion) persimmoncart.Endpoint {
+	return persimmoncart.Endpoint{
+		Addr: netip.MustParseAddrPort("127.0.0.1:1"), ID: id, Incarnation: 1, Pool: llm, Role: persimmoncart.RoleDecode, Slots: 6, Software: software,
+	}
+}
+
+// begin begins a stream and waits until its first event may be passed on. It returns
+// the time of the wait.
+func (k *recordKeeper) begin(t *testing.T, attempt persimmoncart.RequestID, software persimmoncart.SoftwareVersion) time.Duration {
+	t.Helper()
+	began := time.Now()
+	k.Begin(attempt, persimmoncart.StreamOrigin{Pool: llm, Software: software}, began.Add(14*time.Second))
+	k.AwaitRecord(t.Context(), attempt)
+	return time.Since(began)
+}
+
+// find returns the version at which a stream began, or an empty one if it is unknown.
+func (k *recordKeeper) find(t *testing.T, attempt persimmoncart.RequestID) persimmoncart.SoftwareVersion {
+	t.Helper()
+	origin, err := k.Origin(t.Context(), attempt, []persimmoncart.PoolName{llm})
+	if err != nil {
+		return ""
+	}
+	return origin.Software
+}
+
+// withRecordKeepers runs a test with the records of two instances before one store.
+func withRecordKeepers(t *testing.T, test func(t *testing.T, store *objectapi.Memory, first, second *recordKeeper, start func(persimmoncart.InstanceID, persimmoncart.Incarnation) *recordKeeper)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		store := &objectapi.Memory{Timer: &timer.System{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		defer running.Wait()
+		defer cancel()
+		start := func(id persimmoncart.InstanceID, incarnation persimmoncart.Incarnation) *recordKeeper {
+			k := startRecordKeeper(ctx, &running, store, id, incarnation)
+			time.Sleep(time.Second)
+			return k
+		}
+		test(t, store, start("edge-1", 1), start("edge-2", 1), start)
+	})
+}
+
+// Guards against a call to the store for each stream while a pool has one version.
+func TestStreamRecordsCostNothingAtOneVersion(t *testing.T) {
+	withRecordKeepers(t, func(t *testing.T, store *objectapi.Memory, first, _ *recordKeeper, _ func(persimmoncart.InstanceID, persimmoncart.Incarnation) *recordKeeper) {
+		before := store.Counters()
+		for n := range 100 {
+			assert.Equal(t, first.begin(t, persimmoncart.RequestID(fmt.Sprintf("a%d", n)), "v1"), time.Duration(0))
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Equal(t, store.Counters(), before)
+	})
+}
+
+// Guards against streams whose origin is forgotten with the process that served them,
+// while its pool has two versions, and after a release that went on without any process.
+func TestStreamRecordsOutliveProcesses(t *testing.T) {
+	withRecordKeepers(t, func(t *testing.T, _ *objectapi.Memory, first, second *recordKeeper, start func(persimmoncart.InstanceID, persimmoncart.Incarnation) *recordKeeper) {
+		first.begin(t, "a", "v1")
+		first.Directory.Put(newEngine("e2", "v2"))
+		first.begin(t, "b", "v2")
+		first.begin(t, "c", "v1")
+		first.Kill()
+		second.Kill()
+		third := start("edge-1", 2)
+		third.Directory.Put(newEngine("e3", "v3"))
+		assert.Equal(t, third.find(t, "a"), persimmoncart.SoftwareVersion("v1"))
+		assert.Equal(t, third.find(t, "b"), persimmoncart.SoftwareVersion("v2"))
+		assert.Equal(t, third.find(t, "c"), persimmoncart.SoftwareVersion("v1"))
+	})
+}
+
+// Guards against a stream that waits for the store while it is away, and a search for an
+// origin that holds the caller until its deadline.
+func TestStreamRecordsWithoutStore(t *testing.T) {
+	withRecordKeepers(t, func(t *testing.T, _ *objectapi.Memory, first, second *recordKeeper, _ func(persimmoncart.InstanceID, persimmoncart.Incarnation) *recordKeeper) {
+		first.Faulty.SetDown(true)
+		second.Faulty.SetDown(true)
+		assert.Equal(t, first.begin(t, "a", "v1"), time.Duration(0))
+		first.Directory.Put(newEngine("e2", "v2"))
+		assert.Assert(t, first.begin(t, "b", "v2") <= 150*time.Millisecond)
+		began := time.Now()
+		assert.Equal(t, second.find(t, "b"), persimmoncart.SoftwareVersion(""))
+		assert.Assert(t, time.Since(began) <= 500*time.Millisecond)
+		assert.Equal(t, first.find(t, "b"), persimmoncart.SoftwareVersion("v2"))
+		first.Faulty.SetDown(false)
+		second.Faulty.SetDown(false)
+		time.Sleep(time.Second)
+		assert.Equal(t, second.find(t, "b"), persimmoncart.SoftwareVersion("v2"))
+	})
+}
+
+// Guards against a record that is not written again after its response was lost, or
+// after a store that was restored from an older copy has lost it.
+func TestStreamRecordsWrittenAgain(t *testing.T) {
+	withRecordKeepers(t, func(t *testing.T, store *objectapi.Memory, first, second *recordKeeper, _ func(persimmoncart.InstanceID, persimmoncart.Incarnation) *recordKeeper) {
+		first.Directory.Put(newEngine("e2", "v2"))
+		time.Sleep(time.Second)
+		first.Faulty.LoseResponses(1)
+		first.begin(t, "a", "v2")
+		time.Sleep(2 * time.Second)
+		first.begin(t, "b", "v1")
+		assert.Equal(t, second.find(t, "a"), persimmoncart.SoftwareVersion("v2"))
+		assert.Equal(t, second.find(t, "b"), persimmoncart.SoftwareVersion("v1"))
+
+		objects, err := store.List(t.Context(), forward.StreamsPrefix)
+		assert.NilError(t, err)
+		for _, o := range objects {
+			assert.NilError(t, store.Delete(t.Context(), o.Key, o.Version))
+		}
+		first.StoreRestored()
+		second.StoreRestored()
+		time.Sleep(time.Second)
+		assert.Equal(t, second.find(t, "b"), persimmoncart.SoftwareVersion("v1"))
+	})
+}
+
+// Guards against records of departed processes that stay in the store, and against
+// those that are removed while callers may still take up their streams.
+func TestStreamRecordsOfDepartedRemoved(t *testing.T) {
+	withRecordKeepers(t, func(t *testing.T, store *objectapi.Memory, first, second *recordKeeper, start func(persimmoncart.InstanceID, persimmoncart.Incarnation) *recordKeeper) {
+		count := func() int {
+			objects, err := store.List(t.Context(), forward.StreamsPrefix)
+			assert.NilError(t, err)
+			return len(objects)
+		}
+		first.Kill()
+		third := start("edge-1", 2)
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, count(), 3)
+		time.Sleep(40 * time.Second)
+		assert.Equal(t, count(), 2)
+
+		second.Kill() // its instance does not come back
+		third.Directory.SetInstances([]persimmoncart.InstanceID{"edge-1"})
+		time.Sleep(10 * time.Minute)
+		assert.Equal(t, count(), 1)
+	})
+}
--- a/internal/policy/selector.go
+++ b/internal/policy/selector.go
@@ -227,9 +227,15 @@
 	MinFreeTokens int                        // memory that must be free, in tokens; zero allows full engines
 	Region        persimmoncart.Region
 	Role          persimmoncart.Role
-	RunOnce       bool                         // must not be sent again after it may have run
-	Size          persimmoncart.EngineCapacity // of an engine; zero if unknown
-	Tokens        int                          // to prefill, or to hold in memory
+	RunOnce       bool                          // must not be sent again after it may have run
+	Size          persimmoncart.EngineCapacity  // of an engine; zero if unknown
+	Software      persimmoncart.SoftwareVersion // that the endpoint must run; empty for any
+	Tokens        int                           // to prefill, or to hold in memory
+}
+
+// matches reports whether an endpoint may get the request, however loaded it is.
+func (r *SelectorRequest) matches(e *persimmoncart.Endpoint) bool {
+	return !e.Leaving && e.Role == r.Role && (r.Software == "" || e.Software == r.Software)
 }
 
 // A Selector chooses the endpoint of a pool where a request costs the least:
@@ -240,14 +246,19 @@
 	Endpoints []*EndpointState
 }
 
-// Pick returns the endpoint with the lowest cost, or nil if no endpoint with
-// the role can take the request.
+// Has reports whether there is an endpoint for the request, however loaded it is.
+func (s *Selector) Has(r *SelectorRequest) bool {
+	return slices.ContainsFunc(s.Endpoints, func(e *EndpointState) bool { return r.matches(&e.Endpoint) })
+}
+
+// Pick returns the endpoint with the lowest cost, or nil if no endpoint can take the
+// request.
 func (s *Selector) Pick(now time.Time, random *rand.Rand, r *SelectorRequest) *EndpointState {
 	var best *EndpointState
 	var least float64
-	withoutMissing := s.fewMissing(r.Role)
+	withoutMissing := s.fewMissing(r)
 	for _, e := range s.Endpoints {
-		if e.Endpoint.Leaving || e.Endpoint.Role != r.Role || e.WaitLeft(now) > 0 || withoutMissing && e.Missing {
+		if !r.matches(&e.Endpoint) || e.WaitLeft(now) > 0 || withoutMissing && e.Missing {
 			continue
 		}
 		if r.MinFreeTokens > 0 && !e.hasRoom(now, r) {
@@ -264,15 +275,15 @@
 	return best
 }
 
-// fewMissing reports whether so few endpoints with the role are missing that they
+// fewMissing reports whether so few endpoints for a request are missing that they
 // have probably left: then none of them is used, however loaded the others are.
 // After an outage of the store many records are missing at once, most of which come
 // back, and those that come back first must not get the load of all.
-func (s *Selector) fewMissing(role persimmoncart.Role) bool {
+func (s *Selector) fewMissing(r *SelectorRequest) bool {
 	listed, missing := 0, 0
 	for _, e := range s.Endpoints {
 		switch {
-		case e.Endpoint.Leaving || e.Endpoint.Role != role:
+		case !r.matches(&e.Endpoint):
 		case e.Missing:
 			missing++
 		default:
@@ -282,12 +293,12 @@
 	return listed >= fewMissingFactor*missing
 }
 
-// WaitLeft returns the time until the first endpoint with the role takes requests
+// WaitLeft returns the time until the first endpoint for the request takes requests
 // again. It reports false if one does now, or there is none.
-func (s *Selector) WaitLeft(now time.Time, role persimmoncart.Role) (time.Duration, bool) {
+func (s *Selector) WaitLeft(now time.Time, r *SelectorRequest) (time.Duration, bool) {
 	least, found := time.Duration(0), false
 	for _, e := range s.Endpoints {
-		if e.Endpoint.Leaving || e.Endpoint.Role != role {
+		if !r.matches(&e.Endpoint) {
 			continue
 		}
 		left := e.WaitLeft(now)
--- a/refusal.go
+++ b/refusal.go
@@ -27,6 +27,8 @@
 	RefusalPromptQuarantined  RefusalCode = "prompt_quarantined"
 	RefusalRequestQuarantined RefusalCode = "request_quarantined"
 	RefusalRouteUnknown       RefusalCode = "route_unknown"
+	RefusalSoftwareGone       RefusalCode = "software_gone"    // no endpoint has the version of the software that began the stream
+	RefusalSoftwareUnknown    RefusalCode = "software_unknown" // it is not known which version of the software began the stream
 	RefusalStoreDown          RefusalCode = "store_down"
 	RefusalStreamBroken       RefusalCode = "stream_broken"
 	RefusalTransferStalled    RefusalCode = "transfer_stalled"
@@ -53,6 +55,8 @@
 	RefusalPromptQuarantined,
 	RefusalRequestQuarantined,
 	RefusalRouteUnknown,
+	RefusalSoftwareGone,
+	RefusalSoftwareUnknown,
 	RefusalStoreDown,
 	RefusalStreamBroken,
 	RefusalTransferStalled,
