forward: streams that are taken up again wait like new ones

Cause: such a request comes with less time left, so that its caller counts as one that waited before and cannot be in time. The wait list puts it behind all new requests and asks for twice its memory. All refusals of that play are for want of capacity; none is software_unknown or software_gone.

Change: the time waited before does not count against a request that takes a stream up. Its first event is long past, and the stream is partly delivered.

--- a/internal/forward/crest_test.go
+++ b/internal/forward/crest_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -98,11 +97,15 @@
 // attempt makes one attempt of a caller that has waited for some time before, and
 // returns the time to its first event and the refusal, if there is one.
 func (f *fixture) attempt(ctx context.Context, waited time.Duration) (time.Duration, *persimmoncart.Refusal) {
-	arrived := time.Now()
-	response, err := f.Router.Serve(ctx, &persimmoncart.ForwardRequest{
-		Arrived: arrived, Deadline: arrived.Add(14*time.Second - waited), Header: http.Header{}, Host: "h", ID: "q", Method: http.MethodPost,
-		Generation: &persimmoncart.GenerationSize{ExpectedOutputTokens: 800, MaxOutputTokens: 2000, PromptTokens: 3200}, Target: "/draft/x",
-	})
+	r := request("/draft/")
+	r.Deadline = r.Arrived.Add(14*time.Second - waited)
+	return f.send(ctx, r)
+}
+
+// send does the same with the given request.
+func (f *fixture) send(ctx context.Context, r *persimmoncart.ForwardRequest) (time.Duration, *persimmoncart.Refusal) {
+	arrived := r.Arrived
+	response, err := f.Router.Serve(ctx, r)
 	if err != nil {
 		refusal, _ := err.(*persimmoncart.Refusal) //nolint:errorlint // Serve returns it unwrapped
 		return 0, refusal
@@ -169,3 +172,43 @@
 		assert.Assert(t, inTime >= capacity*95/100, "%d in time and %d late, memory for %d", inTime, late, capacity)
 	})
 }
+
+// Guards against streams that callers take up again in an overload, and that wait behind
+// all new ones because their callers have waited before. The share of them that goes on
+// is at least half of the share of new ones that begin, as the users ask.
+func TestCrestTakesUpStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		model := &memoryModel{free: map[persimmoncart.EndpointID]int{"d1": 32000, "d2": 32000}, holds: map[string]hold{}}
+		f := newFixture(t)
+		f.Router.Upstream = &memoryUpstream{model: model}
+		f.Router.Streams.Begin("first", persimmoncart.StreamOrigin{Pool: llm, Software: "v1"}, time.Now().Add(time.Minute))
+		const (
+			interval = 125 * time.Millisecond
+			length   = 14 * time.Second
+			waited   = 5 * time.Second
+		)
+		var callers sync.WaitGroup
+		var mutex sync.Mutex
+		served := map[bool]int{}
+		for n := range int(length / interval) {
+			r := request("/long/")
+			r.ID = persimmoncart.RequestID(fmt.Sprintf("q%d", n))
+			takesUp := n%3 == 2
+			if takesUp {
+				r.Deadline, r.LastEventID, r.Resumes = r.Deadline.Add(-waited), 1, "first"
+			}
+			callers.Go(func() {
+				if _, refusal := f.send(t.Context(), r); refusal == nil {
+					mutex.Lock()
+					defer mutex.Unlock()
+					served[takesUp]++
+				}
+			})
+			time.Sleep(interval)
+		}
+		callers.Wait()
+		count := int(length / interval)
+		begun, goOn := float64(served[false])/float64(count-count/3), float64(served[true])/float64(count/3)
+		assert.Assert(t, goOn >= begun/2, "%.2f of the streams taken up go on, %.2f of the new ones begin", goOn, begun)
+	})
+}
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -166,10 +166,17 @@
 
 // reserveDecode chooses and reserves a decode engine. While all are full, it waits
 // for up to latestStartShare of the latency target. A request that can no longer be
-// in time, which includes most of those refused before, leaves room for one that can.
+// in time, which includes most of those refused before, leaves room for one that can. One
+// that takes a stream up waits like a new one.
 func (g *generation) reserveDecode(ctx context.Context) (*assignment, error) {
+	waited := g.waited
+	if g.origin != nil {
+		// The target for the first event is past anyway. Behind all new requests, streams
+		// that are partly delivered would end for want of a slot.
+		waited = 0
+	}
 	entry := &policy.WaitlistEntry{
-		TargetStart: g.request.Arrived.Add(g.latencyShare(targetStartShare) - g.waited),
+		TargetStart: g.request.Arrived.Add(g.latencyShare(targetStartShare) - waited),
 		Arrived:     g.request.Arrived,
 		LatestStart: g.request.Arrived.Add(g.latencyShare(latestStartShare)),
 	}
