soak: replicas state a version, and a difference of a response says whose bytes came

Since a record without a version names no endpoint: the soak had no replicas until now. The violations of whole-answer now give the offset and the bytes on both sides.

--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -73,12 +73,25 @@
 	case o.otherID != "":
 		r.addViolation(WholeAnswer, "%s got the response to %s", o.id, o.otherID)
 	case o.status == http.StatusOK && !o.incomplete && o.body != o.wantBody:
-		r.addViolation(WholeAnswer, "%s got a complete response of %d bytes that differs from the %d expected", o.id, len(o.body), len(o.wantBody))
+		r.addViolation(WholeAnswer, "%s got a complete response that differs: %s", o.id, describeDifference(o.body, o.wantBody))
 	case o.status == http.StatusOK && (o.incomplete || o.disconnected) && (len(o.body) > len(o.wantBody) || o.wantBody[:len(o.body)] != o.body):
-		r.addViolation(WholeAnswer, "%s got bytes that are not a prefix of its response", o.id)
+		r.addViolation(WholeAnswer, "%s got bytes that are not a prefix of its response: %s", o.id, describeDifference(o.body, o.wantBody))
 	}
 }
 
+// describeDifference returns where the bytes of a response begin to differ from those
+// expected, and what stands there. Responses contain the identifier of their request, so
+// that it shows whose bytes they are.
+func describeDifference(got, want string) string {
+	const excerpt = 200
+	offset := 0
+	for offset < len(got) && offset < len(want) && got[offset] == want[offset] {
+		offset++
+	}
+	return fmt.Sprintf("%d bytes of %d, from offset %d %q in place of %q",
+		len(got), len(want), offset, got[offset:min(len(got), offset+excerpt)], want[offset:min(len(want), offset+excerpt)])
+}
+
 // checkExecutions compares outcomes with the number of executions of each request on
 // the replicas.
 func (r *recorder) checkExecutions(executions map[string]int) {
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -21,6 +21,8 @@
 	crashPath = "/" + kindIdempotent + "/crash"
 	// crashPart is the part of a prompt under which the engines crash.
 	crashPart = "bad0"
+	// firstSoftware is the version of the replicas' software.
+	firstSoftware = "v1"
 	// replicaSlots is the number of requests that a replica runs at the same time.
 	replicaSlots = 16
 )
@@ -127,6 +129,7 @@
 	p := r.running()
 	s.store.PutEndpoint(&standin.EndpointRecord{
 		Addr: p.addr, Born: p.Born, DataCentre: r.zone, Draining: !r.drainingSince.IsZero(), ID: p.ID, Pool: r.service, Role: p.CurrentRole(), Slots: replicaSlots,
+		Software: p.Software,
 	})
 }
 
@@ -138,7 +141,7 @@
 		Born: time.Now(), CrashBody: crashBody, CrashPart: crashPart, EndpointAt: s.endpointAt,
 		EventInterval: 30 * time.Millisecond, Events: streamEvents, Fault: r.fault.next, ID: fmt.Sprintf("i-%d", r.number),
 		OnCrash: func() { s.handleCrash(ctx, r, p) }, Role: role, RoleChanged: func() { s.putEndpoint(r) },
-		Slots: replicaSlots, Timer: &timer.System{}, WorkTime: 15 * time.Millisecond,
+		Slots: replicaSlots, Software: firstSoftware, Timer: &timer.System{}, WorkTime: 15 * time.Millisecond,
 	}
 	if n := len(r.all()); n > 0 {
 		p.ID = fmt.Sprintf("i-%d-%d", r.number, n)
