soak: an endless body that a replica sends itself is its response

Cause: the check's. With the difference in the message the bytes are 'X-Filler:', from offset 0, 0.4 to 3.3 MB in place of 46: what a replica under FaultEndlessBody sends as the body of that very request, with its identifier and proof. The instance passes it on until the deadline, then cuts it, as docs/failure-cases.md says. The buffer of the proxy and of streams are ruled out: events are passed on whole, and no stream of that kind was among the violations.

Change: stand-ins remember to which requests they sent an endless body; only for these, and for plain requests, the bytes may be those of it, and the response must not end. Anything else is a violation as before.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -51,6 +51,7 @@
 	random         *rand.Rand
 	recorder       *recorder
 	requestCrashes *crashLog
+	sentEndless    func(id string) bool // reports whether a replica has sent an endless body to a request
 }
 
 // run sends requests until ctx is done.
@@ -112,6 +113,10 @@
 		_ = response.Body.Close() // the body has been read
 		o.body, err = string(text), readErr
 	}
+	if !stream && !strings.HasPrefix(o.wantBody, o.body) && c.sentEndless(id) {
+		// The replica's response has no end, so that a complete one is still a violation.
+		o.wantBody = standin.EndlessBody(len(o.body) + 1)
+	}
 	o.incomplete = err != nil
 	o.ended = time.Now()
 	o.disconnected = ctx.Err() != nil
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -101,6 +101,18 @@
 	return executions
 }
 
+// sentEndless reports whether a replica has sent an endless body to a request.
+func (s *Soak) sentEndless(id string) bool {
+	for _, r := range s.replicas {
+		for _, p := range r.all() {
+			if p.SentEndless(id) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // handleCrash closes the connections of a process that crashed, so that others are
 // refused, and starts another one after crashDownTime.
 func (s *Soak) handleCrash(ctx context.Context, r *replica, p *replicaProcess) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -133,7 +133,7 @@
 			c := &caller{
 				client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 				instance: n, name: fmt.Sprintf("c%d.%d", n, k), partCrashes: &s.partCrashes, process: p,
-				random: rand.New(rand.NewPCG(s.Seed, uint64(100+n*s.Callers+k))), recorder: &s.recorder, requestCrashes: &s.requestCrashes,
+				random: rand.New(rand.NewPCG(s.Seed, uint64(100+n*s.Callers+k))), recorder: &s.recorder, requestCrashes: &s.requestCrashes, sentEndless: s.sentEndless,
 			}
 			s.group.Go(func() { c.run(ctx) })
 		}
