http1, platform: a repeated refusal is not taken for that of a later send

Cause: a response counted as that to a request if its identifier was missing or equal. Calls of the instance's own have none, so that a late copy of the refusal of a reservation passed for that of a forwarded request on the same connection; and all sends of one attempt have the same identifier.

A connection is retired after 256 requests.

Left: a late copy of a response to a call of our own can still meet the next such call on its connection; neither has an identifier. It moves no caller's request: a reservation is refused or not valid.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -57,6 +58,10 @@
 	Body   []byte
 	Header http.Header
 	Host   string
+	// ID is an identifier that other requests may have as well, and by which Matches
+	// recognises the response; empty for none. A connection carries each identifier once:
+	// a late copy of the response to an earlier request could not be told apart.
+	ID string
 	// Matches reports whether the header of a response belongs to this request.
 	// Responses to other requests are dropped. Nil accepts every response.
 	Matches func(http.Header) bool
@@ -105,7 +110,7 @@
 // It returns a *NotSentError if provably no byte of the request was sent; after any
 // other error the endpoint may have run the request.
 func (c *Client) Do(ctx context.Context, addr netip.AddrPort, r *Request) (*Response, error) {
-	k, err := c.conn(ctx, addr)
+	k, err := c.conn(ctx, addr, r.ID)
 	if err != nil {
 		return nil, &NotSentError{Addr: addr, Err: err}
 	}
@@ -137,10 +142,11 @@
 	return ctx.Err()
 }
 
-// conn returns a usable idle connection or opens one.
-func (c *Client) conn(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+// conn returns a usable idle connection that has not carried a request with the
+// identifier, or opens one.
+func (c *Client) conn(ctx context.Context, addr netip.AddrPort, id string) (*conn, error) {
 	for {
-		k := c.take(addr)
+		k := c.take(addr, id)
 		if k == nil {
 			break
 		}
@@ -213,15 +219,17 @@
 	}
 }
 
-// take removes the most recently used idle connection, or returns nil.
-func (c *Client) take(addr netip.AddrPort) *conn {
+// take removes the most recently used idle connection that has not carried a request with
+// the identifier, or returns nil.
+func (c *Client) take(addr netip.AddrPort, id string) *conn {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	list := c.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for n := len(list) - 1; n >= 0; n-- {
+		if k := list[n]; !k.hasCarried(id) {
+			c.idle[addr] = slices.Delete(list, n, n+1)
+			return k
+		}
 	}
-	k := list[len(list)-1]
-	c.idle[addr] = list[:len(list)-1]
-	return k
+	return nil
 }
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -39,6 +39,9 @@
 	// no room for the rest of it while it responds. Until the end of the response, the
 	// connection then does not fail for want of acknowledgements.
 	largeBody = 64 << 10
+	// maxCarried is the number of requests with an identifier after which a connection is
+	// not used again, so that their identifiers need little memory.
+	maxCarried = 256
 )
 
 // A MismatchedResponseError reports a connection on which only responses to other
@@ -63,6 +66,7 @@
 // A conn is one connection. It carries one request at a time.
 type conn struct {
 	addr       netip.AddrPort
+	carried    map[string]struct{} // identifiers of its requests; up to maxCarried
 	client     *Client
 	closed     atomic.Bool
 	expires    time.Time        // end of its use as an idle connection
@@ -86,6 +90,23 @@
 	return k.reader.Buffered() == 0 && socketClean(k.network)
 }
 
+// hasCarried reports whether the connection has carried a request with the identifier.
+func (k *conn) hasCarried(id string) bool {
+	_, found := k.carried[id]
+	return found
+}
+
+// carry records that the connection carries a request with the identifier.
+func (k *conn) carry(id string) {
+	if id == "" {
+		return
+	}
+	if k.carried == nil {
+		k.carried = make(map[string]struct{})
+	}
+	k.carried[id] = struct{}{}
+}
+
 // close closes the connection.
 func (k *conn) close() {
 	if k.closed.CompareAndSwap(false, true) {
@@ -97,6 +118,7 @@
 func (k *conn) roundTrip(ctx context.Context, r *Request) (*Response, error) {
 	// When ctx ends, a deadline in the past makes reads and writes fail.
 	stop := context.AfterFunc(ctx, func() { _ = k.network.SetDeadline(time.Unix(1, 0)) })
+	k.carry(r.ID)
 	written, err := k.send(r)
 	if err != nil {
 		stop()
@@ -109,7 +131,7 @@
 	}
 	idle, reuse := idleTimeout(response)
 	b := &body{
-		conn: k, ctx: ctx, idle: idle, reader: response.Body, reuse: reuse && !k.mismatched, stop: stop,
+		conn: k, ctx: ctx, idle: idle, reader: response.Body, reuse: reuse && !k.mismatched && len(k.carried) < maxCarried, stop: stop,
 		closeDelimited: response.ContentLength < 0 && len(response.TransferEncoding) == 0, written: written,
 	}
 	if response.ContentLength == 0 || r.Method == http.MethodHead {
