soak: releases of engines, streams that callers take up, repeated refusals

Each event states its version in a comment line, and the new check one-software says that a stream has events of one, over all attempts of its caller. Streams are not taken up during the stops at the end, where one that a stop breaks has to show.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -7,8 +7,11 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/persimmoncart/persimmoncart/platform/standin"
 )
 
@@ -30,6 +33,10 @@
 	// requestCrashShare that of idempotent requests with crashBody, while crashes are open.
 	partCrashShare    = 0.1
 	requestCrashShare = 0.05
+	// maxTakeUps is the number of attempts of a caller to take up one stream, and
+	// takeUpPause the time before each.
+	maxTakeUps  = 8
+	takeUpPause = 400 * time.Millisecond
 	// sharedPart is a part of the prompts of all streams.
 	sharedPart = "a100"
 	// streamEvents is the number of events in each stream.
@@ -46,11 +53,13 @@
 	client         *http.Client
 	instance       int
 	name           string
+	others         []*process // at which it may take streams up
 	partCrashes    *crashLog
 	process        *process
 	random         *rand.Rand
 	recorder       *recorder
 	requestCrashes *crashLog
+	takingUp       *atomic.Bool         // broken streams are taken up
 	sentEndless    func(id string) bool // reports whether a replica has sent an endless body to a request
 }
 
@@ -80,7 +89,7 @@
 	o := &outcome{id: id, instance: c.instance, kind: kind, sent: time.Now(), wantBody: standin.ResponseBody(id, []byte(body))}
 	stream := kind == kindStream || kind == kindResumable
 	request := &standin.Request{
-		Addr: c.process.Callers, Body: body, Generation: stream, ID: id, Path: fmt.Sprintf("/%s/%d", kind, c.instance), Timeout: timeout,
+		Body: body, Generation: stream, ID: id, Path: fmt.Sprintf("/%s/%d", kind, c.instance), Timeout: timeout,
 	}
 	if kind == kindIdempotent && c.random.Float64() < requestCrashShare && c.requestCrashes.begin() {
 		defer c.requestCrashes.end()
@@ -99,19 +108,9 @@
 		}
 		o.wantBody = events.String()
 	}
-	httpRequest, err := request.HTTP(ctx)
-	if err != nil {
-		panic(err) // the address is valid
-	}
-	response, err := c.client.Do(httpRequest)
-	if err == nil {
-		o.status = response.StatusCode
-		if got := standin.RequestID(response.Header); got != "" && got != id {
-			o.otherID = got
-		}
-		text, readErr := io.ReadAll(response.Body)
-		_ = response.Body.Close() // the body has been read
-		o.body, err = string(text), readErr
+	err := c.exchange(ctx, c.process, request, o)
+	for kind == kindResumable && err != nil && c.mayTakeUp(ctx, o) {
+		err = c.takeUp(ctx, request, o)
 	}
 	if !stream && !strings.HasPrefix(o.wantBody, o.body) && c.sentEndless(id) {
 		// The replica's response has no end, so that a complete one is still a violation.
@@ -122,3 +121,59 @@
 	o.disconnected = ctx.Err() != nil
 	c.recorder.add(o)
 }
+
+// exchange sends one attempt and adds its response to the outcome. The error is that of
+// a response that ends early, or errRefused for one to a stream that is taken up.
+func (c *caller) exchange(ctx context.Context, p *process, request *standin.Request, o *outcome) error {
+	request.Addr = p.Callers
+	httpRequest, err := request.HTTP(ctx)
+	if err != nil {
+		panic(err) // the address is valid
+	}
+	response, err := c.client.Do(httpRequest)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }() // the body has been read
+	if got := standin.RequestID(response.Header); got != "" && got != request.ID {
+		o.otherID = got
+	}
+	text, err := io.ReadAll(response.Body)
+	if request.LastEvent > 0 && response.StatusCode != http.StatusOK {
+		return errRefused
+	}
+	o.status = response.StatusCode
+	body := string(text)
+	if request.Generation && o.status == http.StatusOK {
+		var versions []string
+		body, versions = standin.CutSoftware(body)
+		o.software = append(o.software, versions...)
+	}
+	o.body += body
+	return err
+}
+
+// errRefused reports an attempt to take a stream up that was not answered.
+var errRefused = errors.New("the stream was not taken up")
+
+// mayTakeUp reports whether the caller has a part of a stream that it may take up.
+func (c *caller) mayTakeUp(ctx context.Context, o *outcome) bool {
+	return ctx.Err() == nil && c.takingUp.Load() && o.takenUp < maxTakeUps && !o.crashes && strings.Contains(o.body, "\n\n")
+}
+
+// takeUp takes a stream up at a random instance after a pause. The part of an event at
+// the end of what the caller has is dropped.
+func (c *caller) takeUp(ctx context.Context, request *standin.Request, o *outcome) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(takeUpPause):
+	}
+	o.body = o.body[:strings.LastIndex(o.body, "\n\n")+2]
+	o.takenUp++
+	deadline, _ := ctx.Deadline()
+	next := *request
+	next.ID, next.LastEvent, next.Resumes = fmt.Sprintf("%s-%d", o.id, o.takenUp), strings.Count(o.body, "\n\n"), o.id
+	next.Timeout = time.Until(deadline)
+	return c.exchange(ctx, c.others[c.random.IntN(len(c.others))], &next, o)
+}
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -55,6 +55,13 @@
 	}
 }
 
+// crashes returns the number of crashes.
+func (l *crashLog) crashes() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.count
+}
+
 // begin reports whether a caller may send a request. The caller then
 // calls end after the response.
 func (l *crashLog) begin() bool {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -25,14 +25,19 @@
 	maxFaultDuration = 4 * time.Second
 	// faultyRequestShare is the share of requests to a faulty replica that fail.
 	faultyRequestShare = 0.4
+	// refusedShare is the share of the other requests that are refused during the faults,
+	// and repeatedShare that before which the last refusal on the connection is repeated.
+	refusedShare  = 0.05
+	repeatedShare = 0.2
 )
 
 // A faultSource selects the fault of each request to one replica. It is safe for
 // concurrent use.
 type faultSource struct {
-	fault  standin.Fault
-	mutex  sync.Mutex
-	random *rand.Rand
+	fault    standin.Fault
+	mutex    sync.Mutex
+	random   *rand.Rand
+	refusals *rand.Rand // of refusals and their repetition; nil outside the time of the faults
 }
 
 // next returns the fault of one request, or FaultNone.
@@ -42,7 +47,24 @@
 	if f.fault != standin.FaultNone && f.random.Float64() < faultyRequestShare {
 		return f.fault
 	}
-	return standin.FaultNone
+	if f.refusals == nil {
+		return standin.FaultNone
+	}
+	switch draw := f.refusals.Float64(); {
+	case draw < refusedShare:
+		return standin.FaultRefuse
+	case draw < refusedShare+repeatedShare:
+		return standin.FaultRepeatRefusal
+	default:
+		return standin.FaultNone
+	}
+}
+
+// setRefusals sets the source of refusals; nil ends them.
+func (f *faultSource) setRefusals(random *rand.Rand) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.refusals = random
 }
 
 // set sets the fault of later requests; FaultNone ends it.
@@ -277,6 +299,8 @@
 		repeat(http.StatusServiceUnavailable, true)
 	case WholeAnswer:
 		s.recorder.add(&outcome{body: "half", id: "planted", kind: kindIdempotent, status: http.StatusOK, wantBody: "half of it"})
+	case OneSoftware:
+		s.recorder.add(&outcome{id: "planted", kind: kindResumable, software: []string{"v1", "v2"}})
 	case Freed:
 		r.Reserve(time.Minute)
 	default:
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -16,13 +17,14 @@
 	GracefulStop   Invariant = "graceful-stop"   // a graceful stop interrupts no request and ends in time
 	Leaving        Invariant = "leaving"         // a drained replica gets no new requests
 	Limited        Invariant = "limited"         // replicas get no more requests than the limits that they state allow
+	OneSoftware    Invariant = "one-software"    // a stream has events of one version of the replicas' software, also over the attempts of its caller
 	Resumed        Invariant = "resumed"         // requests are answered again after the last fault
 	TrueRefusal    Invariant = "true-refusal"    // a request that was refused as not run never runs
 	WholeAnswer    Invariant = "whole-answer"    // a caller gets the response to its own request, complete and in order
 )
 
 // Invariants lists all invariants, sorted.
-var Invariants = []Invariant{AtMostOnce, ConfigInForce, CrashesBounded, Freed, GracefulStop, Leaving, Limited, Resumed, TrueRefusal, WholeAnswer}
+var Invariants = []Invariant{AtMostOnce, ConfigInForce, CrashesBounded, Freed, GracefulStop, Leaving, Limited, OneSoftware, Resumed, TrueRefusal, WholeAnswer}
 
 // An Invariant is the name of a property that callers and replicas can observe.
 type Invariant string
@@ -51,8 +53,10 @@
 	kind         string
 	otherID      string // ID of another request, to which the response belongs
 	sent         time.Time
-	status       int    // 0 if no response was received
-	wantBody     string // complete and correct response body
+	software     []string // versions of the replicas that wrote the events of a stream, in their order
+	status       int      // 0 if no response was received
+	takenUp      int      // attempts to take the stream up
+	wantBody     string   // complete and correct response body
 }
 
 // A recorder collects the outcomes of requests and the violations of a run. It is
@@ -69,6 +73,9 @@
 	r.mutex.Lock()
 	r.outcomes = append(r.outcomes, *o)
 	r.mutex.Unlock()
+	if versions := slices.Compact(slices.Clone(o.software)); len(versions) > 1 {
+		r.addViolation(OneSoftware, "%s has events of %v, taken up %d times", o.id, versions, o.takenUp)
+	}
 	switch {
 	case o.otherID != "":
 		r.addViolation(WholeAnswer, "%s got the response to %s", o.id, o.otherID)
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -38,6 +38,7 @@
 
 	mutex     sync.Mutex
 	processes []*replicaProcess // the last one is running
+	software  string            // version of the next process
 }
 
 // A replicaProcess is one process of a replica, behind a proxy.
@@ -62,17 +63,31 @@
 	return r.processes
 }
 
+// setSoftware sets the version of the next process.
+func (r *replica) setSoftware(version string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.software = version
+}
+
+// nextSoftware returns the version of the next process.
+func (r *replica) nextSoftware() string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.software
+}
+
 // running returns the running process, or the one that crashed while it is down.
 func (r *replica) running() *replicaProcess {
 	all := r.all()
 	return all[len(all)-1]
 }
 
-// Crashes returns the number of replicas' processes that crashed and were replaced.
+// Crashes returns the number of replicas' processes that crashed.
 func (s *Soak) Crashes() int {
 	n := 0
-	for _, r := range s.replicas {
-		n += len(r.all()) - 1
+	for _, l := range s.crashLogs() {
+		n += l.crashes()
 	}
 	return n
 }
@@ -123,6 +138,10 @@
 	crashes.addCrash(time.Now())
 	p.proxy.Close()
 	s.logf("%s crashes", p.ID)
+	if p != r.running() {
+		s.store.Delete("servers", p.ID) // a release has replaced it
+		return
+	}
 	s.restarts.Go(func() {
 		if (&timer.System{}).Sleep(ctx, crashDownTime) != nil {
 			return // the soak ends
@@ -153,7 +172,7 @@
 		Born: time.Now(), CrashBody: crashBody, CrashPart: crashPart, EndpointAt: s.endpointAt,
 		EventInterval: 30 * time.Millisecond, Events: streamEvents, Fault: r.fault.next, ID: fmt.Sprintf("i-%d", r.number),
 		OnCrash: func() { s.handleCrash(ctx, r, p) }, Role: role, RoleChanged: func() { s.putEndpoint(r) },
-		Slots: replicaSlots, Software: firstSoftware, Timer: &timer.System{}, WorkTime: 15 * time.Millisecond,
+		Slots: replicaSlots, Software: r.nextSoftware(), StateSoftware: true, Timer: &timer.System{}, WorkTime: 15 * time.Millisecond,
 	}
 	if n := len(r.all()); n > 0 {
 		p.ID = fmt.Sprintf("i-%d-%d", r.number, n)
@@ -175,7 +194,7 @@
 // prefill and three for decode.
 func (s *Soak) startReplicas(ctx context.Context) error {
 	for n, role := range []string{"", "", "", "prefill", "prefill", "decode", "decode", "decode"} {
-		r := &replica{number: n, service: serviceBooks, zone: zone(n)}
+		r := &replica{number: n, service: serviceBooks, software: firstSoftware, zone: zone(n)}
 		if role != "" {
 			r.service = serviceLLM
 		}
--- a/internal/soak/run/main.go
+++ b/internal/soak/run/main.go
@@ -98,7 +98,9 @@
 	for _, v := range violations {
 		fmt.Printf("seed %d: %s\n", seed, v)
 	}
-	fmt.Printf("seed %d: %d requests, %d crashes, %d violations\n", seed, s.Requests(), s.Crashes(), len(violations))
+	takenUp, completed := s.TakenUp()
+	fmt.Printf("seed %d: %d requests, %d of %d streams taken up completed, %d crashes, %d violations\n",
+		seed, s.Requests(), completed, takenUp, s.Crashes(), len(violations))
 	if o.Break != "" {
 		for _, v := range violations {
 			if v.Invariant == soak.Invariant(o.Break) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -71,7 +72,8 @@
 	requestCrashes crashLog       // under a plain request
 	restarts       sync.WaitGroup // of replicas that crashed
 	store          *standin.Store
-	storeProxies   []*Proxy // between each instance and the store
+	storeProxies   []*Proxy    // between each instance and the store
+	takingUp       atomic.Bool // callers take broken streams up
 }
 
 // Requests returns the number of requests that have ended.
@@ -81,6 +83,22 @@
 	return len(s.recorder.outcomes)
 }
 
+// TakenUp returns the number of streams that callers have taken up, and of those that were
+// then complete.
+func (s *Soak) TakenUp() (takenUp, completed int) {
+	s.recorder.mutex.Lock()
+	defer s.recorder.mutex.Unlock()
+	for n := range s.recorder.outcomes {
+		if o := &s.recorder.outcomes[n]; o.takenUp > 0 {
+			takenUp++
+			if !o.incomplete {
+				completed++
+			}
+		}
+	}
+	return takenUp, completed
+}
+
 // Run runs the soak and returns the violations. It returns an error if the processes
 // or stand-ins do not start.
 func (s *Soak) Run(ctx context.Context) ([]Violation, error) {
@@ -97,9 +115,12 @@
 		return nil, err
 	}
 	callersCtx, stopCallers := context.WithCancel(ctx)
+	s.takingUp.Store(true)
 	s.startCallers(callersCtx)
+	endReleases := s.startReleases(ctx)
 	s.injectFaults()
 	s.endFaults()
+	endReleases()
 	lastFault := time.Now()
 	endLimits := s.watchLimits()
 	time.Sleep(recoveryTime)
@@ -112,6 +133,7 @@
 	if answered, sent := s.recorder.countAnswered(faultsEnded); float64(answered) < minAnsweredShare*float64(sent) || sent == 0 {
 		s.recorder.addViolation(Resumed, "%d of %d requests were answered after the faults", answered, sent)
 	}
+	s.takingUp.Store(false) // a stream that a stop breaks must show
 	s.restartInOrder()
 	stopCallers()
 	s.group.Wait()
@@ -133,7 +155,7 @@
 			c := &caller{
 				client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 				instance: n, name: fmt.Sprintf("c%d.%d", n, k), partCrashes: &s.partCrashes, process: p,
-				random: rand.New(rand.NewPCG(s.Seed, uint64(100+n*s.Callers+k))), recorder: &s.recorder, requestCrashes: &s.requestCrashes, sentEndless: s.sentEndless,
+				others: s.processes, random: rand.New(rand.NewPCG(s.Seed, uint64(100+n*s.Callers+k))), recorder: &s.recorder, requestCrashes: &s.requestCrashes, sentEndless: s.sentEndless, takingUp: &s.takingUp,
 			}
 			s.group.Go(func() { c.run(ctx) })
 		}
@@ -243,7 +265,7 @@
 	if err != nil {
 		return netip.AddrPort{}, errors.Wrap(err, "listen")
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{ConnContext: standin.ConnContext, Handler: h, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(l) }() // returns when the server is closed
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	return l.Addr().(*net.TCPAddr).AddrPort(), nil
