forward: a stream of another than the default version begins only after it is recorded

Cause: the store refuses all calls for 1.4 s while a release is under way. Each stream has to be listed then, and after 150 ms its first event was passed on all the same ('stream begins before its origin is recorded'). All instances are killed before the store is back. The new processes find only v2 in service, and that is what all records without a list say: the streams of v1 were taken for v2. A record that lists was taken for complete.

Change: a record has a default version of each pool, at which streams begin without a write, and lists the others. An event of another version waits for the write, up to 300 ms, and the stream is then begun again at the default version. While writes fail, streams are placed there at once. The default moves when no engine has it, in one write that lists the streams of the old one; during that write, streams of either count as unrecorded. New processes take the default of the others while it serves. Streams of the default are listed too while defaults differ, so that they can be taken up after the loss of all. A contradiction between records is no longer resolved by defaults.

Only if no endpoint has the default version while the store is away does a stream begin unrecorded, with a warning: the alternative is no new stream.

--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -327,8 +327,8 @@
 	return d.instances
 }
 
-// SoftwareInService returns the versions of the software that take new requests, in
-// ascending order, of each pool with streams that may be resumed.
+// SoftwareInService returns the versions of the software that take new requests of each
+// pool with streams that may be resumed, those of the most endpoints first.
 func (d *Directory) SoftwareInService() map[persimmoncart.PoolName][]persimmoncart.SoftwareVersion {
 	inService := make(map[persimmoncart.PoolName][]persimmoncart.SoftwareVersion)
 	table := d.table.Load()
@@ -338,14 +338,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, name := range table.ResumablePools() {
-		var versions []persimmoncart.SoftwareVersion
-		for _, e := range d.pool(name).selector.Endpoints {
-			if !e.Endpoint.Leaving {
-				versions = append(versions, e.Endpoint.Software)
-			}
-		}
-		slices.Sort(versions)
-		if versions = slices.Compact(versions); len(versions) > 0 {
+		if versions := d.pool(name).selector.Software(); len(versions) > 0 {
 			inService[name] = versions
 		}
 	}
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -91,7 +91,7 @@
 		}
 		outcome := x.recordFailure(ctx, decode, err)
 		x.recordOutcome(outcome)
-		if outcome != sendNotRun {
+		if outcome != sendNotRun && !errors.Is(err, errOriginUnrecorded) {
 			x.checkCrash(&decode.Endpoint)
 		}
 		if outcome != sendNotRun || g.cacheRefused {
@@ -160,7 +160,7 @@
 func (x *exchange) decodeRequest() policy.SelectorRequest {
 	return policy.SelectorRequest{
 		Avoid: x.tried, Role: persimmoncart.RoleDecode, RunOnce: x.route.Repeat == persimmoncart.RepeatNever,
-		Size: *x.engine, Software: x.software(), Tokens: x.request.Generation.PromptTokens + x.router.Directory.OutputTokens(x.pool, x.request.Generation),
+		Size: *x.engine, Software: x.software(persimmoncart.RoleDecode), Tokens: x.request.Generation.PromptTokens + x.router.Directory.OutputTokens(x.pool, x.request.Generation),
 	}
 }
 
@@ -217,7 +217,7 @@
 	if err := g.missingEndpointRefusal(persimmoncart.RoleDecode); err != nil {
 		return err
 	}
-	request := policy.SelectorRequest{Role: persimmoncart.RoleDecode, Software: g.software()}
+	request := policy.SelectorRequest{Role: persimmoncart.RoleDecode, Software: g.software(persimmoncart.RoleDecode)}
 	if left, ok := g.router.Directory.WaitLeft(g.pool, request); ok && left > within {
 		return g.backOffRefusal(left)
 	}
@@ -244,7 +244,10 @@
 		return nil, err
 	}
 	g.endpoint = assigned.Endpoint.ID
-	g.fixOrigin(ctx, assigned.Endpoint.Software, response.Status)
+	if err := g.fixOrigin(ctx, &assigned.Endpoint, response.Status); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
 	if response.Status != http.StatusOK || !g.route.Stream {
 		defer assigned.Done()
 		result, err := g.readResponse(response)
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -104,7 +104,7 @@
 // noEndpointRefusal returns refusal, or that of backOffRefusal if all application
 // endpoints of the pool want no requests now.
 func (x *exchange) noEndpointRefusal(refusal error) error {
-	request := policy.SelectorRequest{Role: persimmoncart.RoleApplication, Software: x.software()}
+	request := policy.SelectorRequest{Role: persimmoncart.RoleApplication, Software: x.software(persimmoncart.RoleApplication)}
 	if left, ok := x.router.Directory.WaitLeft(x.pool, request); ok {
 		return x.backOffRefusal(left)
 	}
@@ -135,7 +135,7 @@
 	}
 	assigned := p.router.Directory.Assign(p.pool, policy.SelectorRequest{
 		Avoid: p.tried, Role: persimmoncart.RoleApplication, RunOnce: p.route.Repeat != persimmoncart.RepeatAlways,
-		Software: p.software(),
+		Software: p.software(persimmoncart.RoleApplication),
 	})
 	if assigned == nil {
 		return false
@@ -155,7 +155,8 @@
 // returns the end of the call. Done is false while further sends are in flight.
 func (p *plainCall) handleResult(ctx context.Context, result sendResult) (response *Response, done bool, err error) {
 	if result.outcome == sendAnswered {
-		return p.deliver(ctx, &result), true, nil
+		response, err = p.deliver(ctx, &result)
+		return response, true, err
 	}
 	p.recordOutcome(result.outcome)
 	if result.response != nil && p.fallback == nil {
@@ -166,7 +167,8 @@
 	}
 	switch {
 	case p.fallback != nil:
-		return p.deliver(ctx, p.fallback), true, nil
+		response, err = p.deliver(ctx, p.fallback)
+		return response, true, err
 	case p.runs > 0:
 		p.cancel()
 		return nil, true, &persimmoncart.Refusal{
@@ -199,14 +201,18 @@
 }
 
 // deliver returns the response of a send. Closing its body cancels other sends.
-func (p *plainCall) deliver(ctx context.Context, result *sendResult) *Response {
+func (p *plainCall) deliver(ctx context.Context, result *sendResult) (*Response, error) {
 	p.endpoint = result.endpoint.ID
 	p.recordOrigin(result.endpoint)
-	p.fixOrigin(ctx, result.endpoint.Software, result.response.Status)
+	if err := p.fixOrigin(ctx, result.endpoint, result.response.Status); err != nil {
+		_ = result.response.Body.Close()
+		p.cancel()
+		return nil, p.engineFailedRefusal(err)
+	}
 	p.router.Metrics.ObserveCall(p.route.Name, p.router.Timer.Now().Sub(p.request.Arrived))
 	response := *result.response
 	response.Body = &cancellingBody{Body: response.Body, cancel: p.cancel}
-	return &response
+	return &response, nil
 }
 
 // sendTo sends the request to one endpoint, reads its response and ends the
@@ -254,7 +260,7 @@
 		assigned.ReportLoad(refused.Load)
 		assigned.Failed()
 		outcome = sendNotRun
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.Is(err, errOriginUnrecorded):
 		return sendFailed // cancelled here, which is no failure of the endpoint
 	default:
 		assigned.Failed()
--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -43,12 +43,20 @@
 }
 
 // software returns the version of the software that the request must be sent to; empty
-// for any.
-func (x *exchange) software() persimmoncart.SoftwareVersion {
-	if x.origin == nil {
+// for any. A stream that begins while the store cannot be written has to begin at the
+// version that needs no record, if there is an endpoint with the role.
+func (x *exchange) software(role persimmoncart.Role) persimmoncart.SoftwareVersion {
+	if x.origin != nil {
+		return x.origin.Software
+	}
+	if !x.beginsStream() {
+		return ""
+	}
+	version := x.router.Streams.Default(x.pool)
+	if version != "" && !x.router.Directory.Has(x.pool, policy.SelectorRequest{Role: role, Software: version}) {
 		return ""
 	}
-	return x.origin.Software
+	return version
 }
 
 // beginsStream reports whether the request begins a stream that may be taken up again.
@@ -64,16 +72,26 @@
 	}
 }
 
+// errOriginUnrecorded reports a stream whose origin could not be recorded in time.
+var errOriginUnrecorded = errors.New("origin of the stream was not recorded in time")
+
 // fixOrigin keeps the stream, whose response has begun, to the version of the software of
-// its endpoint. It waits until the origin is recorded.
-func (x *exchange) fixOrigin(ctx context.Context, software persimmoncart.SoftwareVersion, status int) {
+// its endpoint. It waits until the origin is recorded, and returns errOriginUnrecorded if
+// that takes too long: nobody could tell where the stream began if this instance were
+// killed. Without an endpoint whose version needs no record, the stream begins all the
+// same.
+func (x *exchange) fixOrigin(ctx context.Context, e *persimmoncart.Endpoint, status int) error {
 	if x.origin != nil || !x.route.Stream || status != http.StatusOK {
-		return
+		return nil
 	}
-	x.origin = &persimmoncart.StreamOrigin{Pool: x.pool, Software: software}
-	if x.beginsStream() {
-		x.router.Streams.AwaitRecord(ctx, x.request.ID)
+	if x.beginsStream() && !x.router.Streams.AwaitRecord(ctx, x.request.ID) {
+		if version := x.software(e.Role); version != "" && version != e.Software {
+			return errOriginUnrecorded
+		}
+		x.log(x.router.Logger.Warn()).Str("software", string(e.Software)).Msg("stream begins before its origin is recorded")
 	}
+	x.origin = &persimmoncart.StreamOrigin{Pool: x.pool, Software: e.Software}
+	return nil
 }
 
 // missingEndpointRefusal returns the refusal of a request for which its pool has no
@@ -81,7 +99,7 @@
 func (x *exchange) missingEndpointRefusal(role persimmoncart.Role) error {
 	directory := x.router.Directory
 	switch {
-	case directory.Has(x.pool, policy.SelectorRequest{Role: role, Software: x.software()}):
+	case directory.Has(x.pool, policy.SelectorRequest{Role: role, Software: x.software(role)}):
 		return nil
 	case directory.Has(x.pool, policy.SelectorRequest{Role: role}):
 		return softwareGoneRefusal()
--- a/internal/forward/software_test.go
+++ b/internal/forward/software_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -63,3 +64,37 @@
 		})
 	}
 }
+
+// Guards against a stream whose origin nobody can tell after its instance was killed:
+// while the store cannot be written, streams begin at the version that needs no record.
+func TestStreamBeginsRecordedWithoutStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.readPause = 30 * time.Millisecond // engines that take no time are always preferred
+		time.Sleep(time.Second)
+		f.Store.SetDown(true)
+		f.setSoftware("v2", "d2")
+		sent := make(map[persimmoncart.EndpointID]int)
+		f.Upstream.send = func(ctx context.Context, n int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
+			sent[call.Endpoint.ID]++
+			return sendWhole(ctx, n, call)
+		}
+		for range 20 {
+			for range 10 {
+				f.Directory.RecordRequest(llm) // leaves a retry in the budget
+			}
+			_, body, err := f.serve(t.Context(), "/long/")
+			assert.NilError(t, err)
+			assert.Equal(t, body, events(1, 5))
+		}
+		assert.Assert(t, sent["d1"] >= 20, "%v", sent)
+		assert.Assert(t, sent["d2"] <= 1, "%v", sent)
+		f.Store.SetDown(false)
+		time.Sleep(2 * time.Second)
+		for range 20 {
+			_, _, err := f.serve(t.Context(), "/long/")
+			assert.NilError(t, err)
+		}
+		assert.Assert(t, sent["d2"] > 2, "%v", sent)
+	})
+}
--- a/internal/forward/streamrecords.go
+++ b/internal/forward/streamrecords.go
@@ -29,15 +29,17 @@
 	streamWriteRetry = 300 * time.Millisecond
 	// streamWriteWait is the longest time for which the first event of a stream waits
 	// for its record.
-	streamWriteWait = 150 * time.Millisecond
+	streamWriteWait = 300 * time.Millisecond
 	// streamLookupTimeout bounds the search for the origin of a stream.
 	streamLookupTimeout = 500 * time.Millisecond
 	// streamCheckPeriod is the time between two checks whether streams of an old version
 	// have ended, and records of departed processes are no longer needed.
 	streamCheckPeriod = 5 * time.Second
 	// streamListPeriod is the mean time between two lists that search for records of
-	// departed instances. It varies, so that mostly one instance finds them.
-	streamListPeriod = 5 * time.Minute
+	// departed instances. It varies, so that mostly one instance finds them. It is
+	// disagreedListPeriod while other processes have other default versions.
+	streamListPeriod    = 5 * time.Minute
+	disagreedListPeriod = 10 * time.Second
 	// streamRetention is the time for which the record of a departed process is kept:
 	// callers do not take streams up again later.
 	streamRetention = time.Minute
@@ -85,7 +87,7 @@
 	if err := r.list(ctx, r.Timer.Now()); err != nil && ctx.Err() == nil {
 		r.Logger.Info().Err(err).Msg("records of streams not read")
 	}
-	nextList := r.Timer.Now().Add(streamListPeriod/2 + rand.N(streamListPeriod))
+	listed := r.Timer.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -97,15 +99,29 @@
 			pause = streamWriteRetry/2 + rand.N(streamWriteRetry)
 			r.Signal()
 		}
-		if now := r.Timer.Now(); now.After(nextList) {
-			nextList = now.Add(streamListPeriod/2 + rand.N(streamListPeriod))
-			_ = r.list(ctx, now) // the next period tries again
+		if now := r.Timer.Now(); now.Sub(listed) >= r.listPeriod() {
+			listed = now
+			if err := r.list(ctx, now); err != nil {
+				r.Logger.Info().Err(err).Msg("records of streams not read, trying again later")
+			}
 		}
 		r.removeDeparted(ctx)
 		_ = r.Timer.Sleep(ctx, pause) // an end of ctx ends the loop
 	}
 }
 
+// listPeriod returns the time between two lists, at random between 0.5 and 1.5 times of
+// the mean.
+func (r *StreamRecords) listPeriod() time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	period := streamListPeriod
+	if r.origins.Disagrees() {
+		period = disagreedListPeriod
+	}
+	return period/2 + rand.N(period)
+}
+
 // Signal has Run write the record if the versions in service or the streams require
 // it. It does not block.
 func (r *StreamRecords) Signal() {
@@ -137,44 +153,49 @@
 	key := streamKey(attempt)
 	r.mutex.Lock()
 	remembered := r.origins.Begin(r.Timer.Now(), key, origin, deadline)
-	recorded := r.origins.Recorded(key)
+	mustWrite := !r.origins.Recorded(key) || r.origins.Lists(origin.Pool)
 	r.mutex.Unlock()
 	if !remembered {
 		r.Logger.Warn().Str("request", string(attempt)).Msg("origin of the stream not recorded: too many streams")
 		return
 	}
-	if !recorded {
+	if mustWrite {
 		r.Signal()
 	}
 }
 
 // AwaitRecord waits until the store has the origin of a stream, so that no event reaches
-// a caller before. It waits no longer than streamWriteWait: without the store, streams
-// begin without a record.
-func (r *StreamRecords) AwaitRecord(ctx context.Context, attempt persimmoncart.RequestID) {
+// a caller before, and reports whether it has. It waits no longer than streamWriteWait.
+func (r *StreamRecords) AwaitRecord(ctx context.Context, attempt persimmoncart.RequestID) bool {
 	key := streamKey(attempt)
+	recorded, written := r.recorded(key)
+	if recorded {
+		return true
+	}
 	expired := make(chan time.Time, 1)
-	var stop func()
-	for {
-		recorded, written := r.recorded(key)
-		if recorded {
-			break
-		}
-		if stop == nil {
-			stop = r.Timer.After(streamWriteWait, func(now time.Time) { expired <- now })
-		}
+	defer r.Timer.After(streamWriteWait, func(now time.Time) { expired <- now })()
+	for !recorded {
 		select {
 		case <-written:
-			continue
+			recorded, written = r.recorded(key)
 		case <-ctx.Done():
+			return false
 		case <-expired:
-			r.Logger.Warn().Str("request", string(attempt)).Msg("stream begins before its origin is recorded")
+			return false
 		}
-		break
 	}
-	if stop != nil {
-		stop()
+	return true
+}
+
+// Default returns the version at which streams of a pool may begin while the store cannot
+// be written; empty if it can, or there is none.
+func (r *StreamRecords) Default(pool persimmoncart.PoolName) persimmoncart.SoftwareVersion {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if !r.failing {
+		return ""
 	}
+	return r.origins.Default(pool)
 }
 
 // recorded reports whether the store has the origin of a stream, and returns a channel
@@ -213,10 +234,7 @@
 func (r *StreamRecords) lookUp(key persimmoncart.RequestID, pools []persimmoncart.PoolName) (persimmoncart.StreamOrigin, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if origin, found := r.origins.Listed(key); found {
-		return origin, true
-	}
-	return r.origins.Unlisted(pools)
+	return r.origins.Origin(key, pools)
 }
 
 // list reads the records of all other processes, unless a list that began after the
@@ -302,6 +320,9 @@
 	r.mutex.Lock()
 	next := r.origins.Record(r.Timer.Now(), inService)
 	must, version := r.origins.MustWrite(next), r.version
+	if must {
+		r.origins.SetWriting(next)
+	}
 	r.mutex.Unlock()
 	if !must {
 		return true
@@ -367,7 +388,7 @@
 		return
 	}
 	for pool, streams := range record.Pools {
-		r.Logger.Info().Str("pool", string(pool)).Str("only", string(streams.Only)).Int("listed", len(streams.Listed)).Msg("record of streams written")
+		r.Logger.Info().Str("pool", string(pool)).Str("default", string(streams.Default)).Int("listed", len(streams.Listed)).Msg("record of streams written")
 	}
 }
 
--- a/internal/policy/selector.go
+++ b/internal/policy/selector.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -251,6 +253,22 @@
 	return slices.ContainsFunc(s.Endpoints, func(e *EndpointState) bool { return r.matches(&e.Endpoint) })
 }
 
+// Software returns the versions of the software that take new requests, those of the most
+// endpoints first.
+func (s *Selector) Software() []persimmoncart.SoftwareVersion {
+	count := make(map[persimmoncart.SoftwareVersion]int)
+	for _, e := range s.Endpoints {
+		if !e.Endpoint.Leaving {
+			count[e.Endpoint.Software]++
+		}
+	}
+	versions := slices.Collect(maps.Keys(count))
+	slices.SortFunc(versions, func(a, b persimmoncart.SoftwareVersion) int {
+		return cmp.Or(count[b]-count[a], cmp.Compare(a, b))
+	})
+	return versions
+}
+
 // Pick returns the endpoint with the lowest cost, or nil if no endpoint can take the
 // request.
 func (s *Selector) Pick(now time.Time, random *rand.Rand, r *SelectorRequest) *EndpointState {
