forward: a slow write of a record counts as one that fails

Change: the default version is known whether writes fail or not; a write that has been under way for 150 ms counts as failing, and a stream whose run was given up for want of its record begins anew at the default version. TestStreamBeginsRecordedWithoutStore has a slow store beside one that is down, and failed for it.

--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -105,28 +105,29 @@
 
 // An exchange is the state of one request while it is served.
 type exchange struct {
-	countedSends    int            // sends that count as arrivals at endpoints; those after the first use the retry budget
-	crashChecks     sync.WaitGroup // pending checks whether an engine has crashed
-	deadline        time.Time
-	endpoint        persimmoncart.EndpointID                             // that made the response
-	engine          *persimmoncart.EngineCapacity                        // of the pool's decode engines; nil for a pool without engines
-	parts           []persimmoncart.RequestPart                          // that may crash endpoints: of the prompt, and last the whole request
-	observe         func(persimmoncart.RouteName, persimmoncart.Outcome) // records the end of the request in the metrics
-	origin          *persimmoncart.StreamOrigin                          // where the stream began; nil until it has begun
-	pool            persimmoncart.PoolName
-	prefillAccepted bool // an engine has accepted a prefill
-	request         *persimmoncart.ForwardRequest
-	retryPaid       bool // the next retry has already been taken from the budget
-	route           *persimmoncart.ForwardRoute
-	router          *Router
-	runs            int          // sends that may have run the request, those in flight included
-	sends           atomic.Int32 // all sends, up to maxSends; log lines of sends and checks in flight read it
-	startedPrefills int          // prefills that an engine may have accepted
-	stop            func()       // releases the context of withDeadline
-	trial           bool         // let through although a part is quarantined
-	tried           []persimmoncart.EndpointID
-	table           *persimmoncart.ForwardTable // in force when the request arrived; nil before the first
-	waited          time.Duration               // of the caller before this attempt, estimated
+	countedSends     int            // sends that count as arrivals at endpoints; those after the first use the retry budget
+	crashChecks      sync.WaitGroup // pending checks whether an engine has crashed
+	deadline         time.Time
+	endpoint         persimmoncart.EndpointID                             // that made the response
+	engine           *persimmoncart.EngineCapacity                        // of the pool's decode engines; nil for a pool without engines
+	parts            []persimmoncart.RequestPart                          // that may crash endpoints: of the prompt, and last the whole request
+	observe          func(persimmoncart.RouteName, persimmoncart.Outcome) // records the end of the request in the metrics
+	origin           *persimmoncart.StreamOrigin                          // where the stream began; nil until it has begun
+	originUnrecorded bool                                                 // a run was given up because its origin was not recorded in time
+	pool             persimmoncart.PoolName
+	prefillAccepted  bool // an engine has accepted a prefill
+	request          *persimmoncart.ForwardRequest
+	retryPaid        bool // the next retry has already been taken from the budget
+	route            *persimmoncart.ForwardRoute
+	router           *Router
+	runs             int          // sends that may have run the request, those in flight included
+	sends            atomic.Int32 // all sends, up to maxSends; log lines of sends and checks in flight read it
+	startedPrefills  int          // prefills that an engine may have accepted
+	stop             func()       // releases the context of withDeadline
+	trial            bool         // let through although a part is quarantined
+	tried            []persimmoncart.EndpointID
+	table            *persimmoncart.ForwardTable // in force when the request arrived; nil before the first
+	waited           time.Duration               // of the caller before this attempt, estimated
 }
 
 // withDeadline returns a context that ends at the request's deadline.
--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -44,14 +44,21 @@
 
 // software returns the version of the software that the request must be sent to; empty
 // for any. A stream that begins while the store cannot be written has to begin at the
-// version that needs no record, if there is an endpoint with the role.
+// default version.
 func (x *exchange) software(role persimmoncart.Role) persimmoncart.SoftwareVersion {
-	if x.origin != nil {
+	switch {
+	case x.origin != nil:
 		return x.origin.Software
-	}
-	if !x.beginsStream() {
+	case x.beginsStream() && (x.originUnrecorded || !x.router.Streams.Writable()):
+		return x.defaultSoftware(role)
+	default:
 		return ""
 	}
+}
+
+// defaultSoftware returns the version at which streams begin without a record, if the pool
+// has an endpoint with it and the role, and an empty one otherwise.
+func (x *exchange) defaultSoftware(role persimmoncart.Role) persimmoncart.SoftwareVersion {
 	version := x.router.Streams.Default(x.pool)
 	if version != "" && !x.router.Directory.Has(x.pool, policy.SelectorRequest{Role: role, Software: version}) {
 		return ""
@@ -85,7 +92,8 @@
 		return nil
 	}
 	if x.beginsStream() && !x.router.Streams.AwaitRecord(ctx, x.request.ID) {
-		if version := x.software(e.Role); version != "" && version != e.Software {
+		if version := x.defaultSoftware(e.Role); version != "" && version != e.Software {
+			x.originUnrecorded = true
 			return errOriginUnrecorded
 		}
 		x.log(x.router.Logger.Warn()).Str("software", string(e.Software)).Msg("stream begins before its origin is recorded")
--- a/internal/forward/software_test.go
+++ b/internal/forward/software_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/objectapi"
 )
 
 // setSoftware replaces the processes of engines by ones with another version of the
@@ -66,35 +68,50 @@
 }
 
 // Guards against a stream whose origin nobody can tell after its instance was killed:
-// while the store cannot be written, streams begin at the version that needs no record.
+// while the store cannot be written, or is slow, streams begin at the version that needs
+// no record.
 func TestStreamBeginsRecordedWithoutStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFixture(t)
-		f.readPause = 30 * time.Millisecond // engines that take no time are always preferred
-		time.Sleep(time.Second)
-		f.Store.SetDown(true)
-		f.setSoftware("v2", "d2")
-		sent := make(map[persimmoncart.EndpointID]int)
-		f.Upstream.send = func(ctx context.Context, n int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
-			sent[call.Endpoint.ID]++
-			return sendWhole(ctx, n, call)
-		}
-		for range 20 {
-			for range 10 {
-				f.Directory.RecordRequest(llm) // leaves a retry in the budget
+	for name, fail := range map[string]func(*objectapi.Faulty, bool){
+		"down": func(s *objectapi.Faulty, failing bool) { s.SetDown(failing) },
+		"slow": func(s *objectapi.Faulty, failing bool) {
+			s.SetDelay(0)
+			if failing {
+				s.SetDelay(10 * time.Second)
 			}
-			_, body, err := f.serve(t.Context(), "/long/")
-			assert.NilError(t, err)
-			assert.Equal(t, body, events(1, 5))
-		}
-		assert.Assert(t, sent["d1"] >= 20, "%v", sent)
-		assert.Assert(t, sent["d2"] <= 1, "%v", sent)
-		f.Store.SetDown(false)
-		time.Sleep(2 * time.Second)
-		for range 20 {
-			_, _, err := f.serve(t.Context(), "/long/")
-			assert.NilError(t, err)
-		}
-		assert.Assert(t, sent["d2"] > 2, "%v", sent)
-	})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				f.readPause = 30 * time.Millisecond // engines that take no time are always preferred
+				time.Sleep(time.Second)
+				fail(f.Store, true)
+				f.setSoftware("v2", "d2")
+				whole := map[persimmoncart.EndpointID]string{"d1": events(1, 5), "d2": events(1, 6)}
+				f.Upstream.send = func(_ context.Context, _ int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
+					return streamed(whole[call.Endpoint.ID], io.EOF), nil
+				}
+				serve := func() string {
+					for range 10 {
+						f.Directory.RecordRequest(llm) // leaves a retry in the budget
+					}
+					_, body, err := f.serve(t.Context(), "/long/")
+					assert.NilError(t, err)
+					return body
+				}
+				for range 20 {
+					assert.Equal(t, serve(), whole["d1"])
+				}
+				fail(f.Store, false)
+				time.Sleep(20 * time.Second)
+				atSecond := 0
+				for range 20 {
+					if serve() == whole["d2"] {
+						atSecond++
+					}
+				}
+				assert.Assert(t, atSecond > 2, "%d of 20 streams", atSecond)
+			})
+		})
+	}
 }
--- a/internal/forward/streamrecords.go
+++ b/internal/forward/streamrecords.go
@@ -24,6 +24,9 @@
 	streamWriteSpacing = 2500 * time.Microsecond
 	// streamWriteRetry is the mean pause after a failed write.
 	streamWriteRetry = 300 * time.Millisecond
+	// streamWriteLate is the time after which a write is expected to fail: the store
+	// usually responds within milliseconds.
+	streamWriteLate = 150 * time.Millisecond
 	// streamWriteWait is the longest time for which the first event of a stream waits
 	// for its record.
 	streamWriteWait = 300 * time.Millisecond
@@ -46,14 +49,15 @@
 	Store     persimmoncart.Store
 	Timer     persimmoncart.Timer
 
-	mutex   sync.Mutex // guards the fields below
-	failing bool       // the last write failed
-	listed  time.Time  // when the last successful list began; zero before
-	listing chan struct{}
-	origins policy.StreamOrigins
-	seen    map[string]seenRecord // records of other processes, by key
-	version persimmoncart.Version // of this process's record; zero without one
-	written chan struct{}         // closed after the next write
+	mutex      sync.Mutex // guards the fields below
+	failing    bool       // the last write failed
+	listed     time.Time  // when the last successful list began; zero before
+	listing    chan struct{}
+	origins    policy.StreamOrigins
+	seen       map[string]seenRecord // records of other processes, by key
+	version    persimmoncart.Version // of this process's record; zero without one
+	writeBegan time.Time             // of the write in progress; zero without one
+	written    chan struct{}         // closed after the next write
 
 	signal     chan struct{} // has a value if the record may have to be written
 	signalOnce sync.Once     // creates signal
@@ -153,17 +157,22 @@
 	return true
 }
 
-// Default returns the version at which streams of a pool may begin while the store cannot
-// be written; empty if it can, or there is none.
+// Default returns the version at which streams of a pool begin without a write; empty if
+// there is none.
 func (r *StreamRecords) Default(pool persimmoncart.PoolName) persimmoncart.SoftwareVersion {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if !r.failing {
-		return ""
-	}
 	return r.origins.Default(pool)
 }
 
+// Writable reports whether the store is expected to take a write in time: the last one
+// has not failed, and none has been under way for longer than streamWriteLate.
+func (r *StreamRecords) Writable() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return !r.failing && (r.writeBegan.IsZero() || r.Timer.Now().Sub(r.writeBegan) < streamWriteLate)
+}
+
 // recorded reports whether the store has the origin of a stream, and returns a channel
 // that is closed after the next write.
 func (r *StreamRecords) recorded(key persimmoncart.RequestID) (bool, <-chan struct{}) {
@@ -192,13 +201,14 @@
 	must, version := r.origins.MustWrite(next), r.version
 	if must {
 		r.origins.SetWriting(next)
+		r.writeBegan = r.Timer.Now()
 	}
 	r.mutex.Unlock()
 	if !must {
 		return true
 	}
 	err := r.save(ctx, next, version)
-	r.logWrite(next, err)
+	r.endWrite(next, err)
 	return err == nil
 }
 
@@ -245,11 +255,12 @@
 	r.version = object.Version
 }
 
-// logWrite logs a write, and the first of several failures.
-func (r *StreamRecords) logWrite(record policy.StreamRecord, err error) {
+// endWrite records the end of a write, and logs it unless it is a further failure in a
+// row.
+func (r *StreamRecords) endWrite(record policy.StreamRecord, err error) {
 	r.mutex.Lock()
 	failed := r.failing
-	r.failing = err != nil
+	r.failing, r.writeBegan = err != nil, time.Time{}
 	r.mutex.Unlock()
 	if err != nil {
 		if !failed {
--- a/internal/forward/streamrecords_test.go
+++ b/internal/forward/streamrecords_test.go
@@ -134,6 +134,7 @@
 		first.Directory.Put(newEngine("e2", "v2"))
 		waited, recorded = first.begin(t, "b", "v2")
 		assert.Assert(t, !recorded && waited <= 300*time.Millisecond)
+		assert.Assert(t, !first.Writable())
 		assert.Equal(t, first.Default(llm), persimmoncart.SoftwareVersion("v1"))
 		waited, recorded = first.begin(t, "c", "v1")
 		assert.Assert(t, recorded && waited == 0)
@@ -145,7 +146,7 @@
 		second.Faulty.SetDown(false)
 		time.Sleep(time.Second)
 		assert.Equal(t, second.find(t, "b"), persimmoncart.SoftwareVersion("v2"))
-		assert.Equal(t, first.Default(llm), persimmoncart.SoftwareVersion(""))
+		assert.Assert(t, first.Writable())
 	})
 }
 
