forward: lists for streams of unknown origin share the store's reads

What was seen, in a read of the change: each request to take up a stream that an instance does not know made one list of the records. Callers that name made-up attempts could use up the reads of the store that all instances share.

Change: lists of one instance are 1 ms apart for each instance of the system, so that all together make 1,000 a second at most; one serves all that wait.

--- a/internal/forward/streamlookup.go
+++ b/internal/forward/streamlookup.go
@@ -18,6 +18,9 @@
 const (
 	// streamLookupTimeout bounds the search for the origin of a stream.
 	streamLookupTimeout = 500 * time.Millisecond
+	// streamListSpacing is the shortest mean time between two lists of all instances
+	// together, however many streams of unknown origin are taken up.
+	streamListSpacing = time.Millisecond
 	// streamListPeriod is the mean time between two lists that search for records of
 	// departed instances. It varies, so that mostly one instance finds them. It is
 	// disagreedListPeriod while other processes have other default versions.
@@ -75,13 +78,17 @@
 		return errors.Wrap(ctx.Err(), "wait for records of streams")
 	}
 	defer func() { <-busy }()
-	began := r.Timer.Now()
 	r.mutex.Lock()
-	done := r.listed.After(after)
+	listed := r.listed
 	r.mutex.Unlock()
-	if done {
+	if listed.After(after) {
 		return nil
 	}
+	spacing := streamListSpacing * time.Duration(max(1, len(r.Directory.Instances())))
+	if err := r.Timer.Sleep(ctx, listed.Add(spacing).Sub(r.Timer.Now())); err != nil {
+		return errors.Wrap(err, "wait for records of streams")
+	}
+	began := r.Timer.Now()
 	objects, err := r.Store.List(ctx, StreamsPrefix)
 	if err != nil {
 		return errors.Wrap(err, "list records of streams")
--- a/internal/forward/streamrecords_test.go
+++ b/internal/forward/streamrecords_test.go
@@ -197,3 +197,27 @@
 		assert.Equal(t, count(), 1)
 	})
 }
+
+// Guards against callers that use up the store's reads with streams of unknown origin.
+func TestStreamRecordsListsSpaced(t *testing.T) {
+	const (
+		takeUps = 1000
+		length  = time.Second
+	)
+	withRecordKeepers(t, func(t *testing.T, store *objectapi.Memory, first, _ *recordKeeper, _ func(persimmoncart.InstanceID, persimmoncart.Incarnation) *recordKeeper) {
+		instances := make([]persimmoncart.InstanceID, 100)
+		for n := range instances {
+			instances[n] = persimmoncart.InstanceID(fmt.Sprintf("edge-%d", n))
+		}
+		first.Directory.SetInstances(instances)
+		before := store.Counters().Reads
+		var callers sync.WaitGroup
+		for n := range takeUps {
+			callers.Go(func() { first.find(t, persimmoncart.RequestID(fmt.Sprintf("unknown-%d", n))) })
+			time.Sleep(length / takeUps)
+		}
+		callers.Wait()
+		// One list in 100 ms, and the last one after the last caller.
+		assert.Assert(t, store.Counters().Reads-before <= 12, "%d reads", store.Counters().Reads-before)
+	})
+}
