--- a/internal/forward/streamrecords_test.go
+++ b/internal/forward/streamrecords_test.go
@@ -74,8 +74,15 @@
 	return origin.Software
 }
 
-// withRecordKeepers runs a test with the records of two instances before one store.
-func withRecordKeepers(t *testing.T, test func(t *testing.T, store *objectapi.Memory, first, second *recordKeeper, start func(persimmoncart.InstanceID, persimmoncart.Incarnation) *recordKeeper)) {
+// A recordFixture is two instances before one store.
+type recordFixture struct {
+	First, Second *recordKeeper
+	Start         func(id persimmoncart.InstanceID, incarnation persimmoncart.Incarnation) *recordKeeper // starts one more process
+	Store         *objectapi.Memory
+}
+
+// withRecordKeepers runs a test with a new recordFixture in virtual time.
+func withRecordKeepers(t *testing.T, test func(t *testing.T, f *recordFixture)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		store := &objectapi.Memory{Timer: &timer.System{}}
@@ -88,34 +95,34 @@
 			time.Sleep(time.Second)
 			return k
 		}
-		test(t, store, start("edge-1", 1), start("edge-2", 1), start)
+		test(t, &recordFixture{First: start("edge-1", 1), Second: start("edge-2", 1), Start: start, Store: store})
 	})
 }
 
 // Guards against a call to the store for each stream while a pool has one version.
 func TestStreamRecordsCostNothingAtOneVersion(t *testing.T) {
-	withRecordKeepers(t, func(t *testing.T, store *objectapi.Memory, first, _ *recordKeeper, _ func(persimmoncart.InstanceID, persimmoncart.Incarnation) *recordKeeper) {
-		before := store.Counters()
+	withRecordKeepers(t, func(t *testing.T, f *recordFixture) {
+		before := f.Store.Counters()
 		for n := range 100 {
-			waited, recorded := first.begin(t, persimmoncart.RequestID(fmt.Sprintf("a%d", n)), "v1")
+			waited, recorded := f.First.begin(t, persimmoncart.RequestID(fmt.Sprintf("a%d", n)), "v1")
 			assert.Assert(t, recorded && waited == 0)
 			time.Sleep(100 * time.Millisecond)
 		}
-		assert.Equal(t, store.Counters(), before)
+		assert.Equal(t, f.Store.Counters(), before)
 	})
 }
 
 // Guards against streams whose origin is forgotten with the process that served them,
 // while its pool has two versions, and after a release that went on without any process.
 func TestStreamRecordsOutliveProcesses(t *testing.T) {
-	withRecordKeepers(t, func(t *testing.T, _ *objectapi.Memory, first, second *recordKeeper, start func(persimmoncart.InstanceID, persimmoncart.Incarnation) *recordKeeper) {
-		first.begin(t, "a", "v1")
-		first.Directory.Put(newEngine("e2", "v2"))
-		first.begin(t, "b", "v2")
-		first.begin(t, "c", "v1")
-		first.Kill()
-		second.Kill()
-		third := start("edge-1", 2)
+	withRecordKeepers(t, func(t *testing.T, f *recordFixture) {
+		f.First.begin(t, "a", "v1")
+		f.First.Directory.Put(newEngine("e2", "v2"))
+		f.First.begin(t, "b", "v2")
+		f.First.begin(t, "c", "v1")
+		f.First.Kill()
+		f.Second.Kill()
+		third := f.Start("edge-1", 2)
 		third.Directory.Put(newEngine("e3", "v3"))
 		assert.Equal(t, third.find(t, "a"), persimmoncart.SoftwareVersion("v1"))
 		assert.Equal(t, third.find(t, "b"), persimmoncart.SoftwareVersion("v2"))
@@ -126,72 +133,72 @@
 // Guards against a stream that waits for the store while it is away, and a search for an
 // origin that holds the caller until its deadline.
 func TestStreamRecordsWithoutStore(t *testing.T) {
-	withRecordKeepers(t, func(t *testing.T, _ *objectapi.Memory, first, second *recordKeeper, _ func(persimmoncart.InstanceID, persimmoncart.Incarnation) *recordKeeper) {
-		first.Faulty.SetDown(true)
-		second.Faulty.SetDown(true)
-		waited, recorded := first.begin(t, "a", "v1")
+	withRecordKeepers(t, func(t *testing.T, f *recordFixture) {
+		f.First.Faulty.SetDown(true)
+		f.Second.Faulty.SetDown(true)
+		waited, recorded := f.First.begin(t, "a", "v1")
 		assert.Assert(t, recorded && waited == 0)
-		first.Directory.Put(newEngine("e2", "v2"))
-		waited, recorded = first.begin(t, "b", "v2")
+		f.First.Directory.Put(newEngine("e2", "v2"))
+		waited, recorded = f.First.begin(t, "b", "v2")
 		assert.Assert(t, !recorded && waited <= 300*time.Millisecond)
-		assert.Assert(t, !first.Writable())
-		assert.Equal(t, first.Default(llm), persimmoncart.SoftwareVersion("v1"))
-		waited, recorded = first.begin(t, "c", "v1")
+		assert.Assert(t, !f.First.Writable())
+		assert.Equal(t, f.First.Default(llm), persimmoncart.SoftwareVersion("v1"))
+		waited, recorded = f.First.begin(t, "c", "v1")
 		assert.Assert(t, recorded && waited == 0)
 		began := time.Now()
-		assert.Equal(t, second.find(t, "b"), persimmoncart.SoftwareVersion(""))
+		assert.Equal(t, f.Second.find(t, "b"), persimmoncart.SoftwareVersion(""))
 		assert.Assert(t, time.Since(began) <= 500*time.Millisecond)
-		assert.Equal(t, first.find(t, "b"), persimmoncart.SoftwareVersion("v2"))
-		first.Faulty.SetDown(false)
-		second.Faulty.SetDown(false)
+		assert.Equal(t, f.First.find(t, "b"), persimmoncart.SoftwareVersion("v2"))
+		f.First.Faulty.SetDown(false)
+		f.Second.Faulty.SetDown(false)
 		time.Sleep(time.Second)
-		assert.Equal(t, second.find(t, "b"), persimmoncart.SoftwareVersion("v2"))
-		assert.Assert(t, first.Writable())
+		assert.Equal(t, f.Second.find(t, "b"), persimmoncart.SoftwareVersion("v2"))
+		assert.Assert(t, f.First.Writable())
 	})
 }
 
 // Guards against a record that is not written again after its response was lost, or
 // after a store that was restored from an older copy has lost it.
 func TestStreamRecordsWrittenAgain(t *testing.T) {
-	withRecordKeepers(t, func(t *testing.T, store *objectapi.Memory, first, second *recordKeeper, _ func(persimmoncart.InstanceID, persimmoncart.Incarnation) *recordKeeper) {
-		first.Directory.Put(newEngine("e2", "v2"))
+	withRecordKeepers(t, func(t *testing.T, f *recordFixture) {
+		f.First.Directory.Put(newEngine("e2", "v2"))
 		time.Sleep(time.Second)
-		first.Faulty.LoseResponses(1)
-		first.begin(t, "a", "v2")
+		f.First.Faulty.LoseResponses(1)
+		f.First.begin(t, "a", "v2")
 		time.Sleep(2 * time.Second)
-		first.begin(t, "b", "v1")
-		assert.Equal(t, second.find(t, "a"), persimmoncart.SoftwareVersion("v2"))
-		assert.Equal(t, second.find(t, "b"), persimmoncart.SoftwareVersion("v1"))
+		f.First.begin(t, "b", "v1")
+		assert.Equal(t, f.Second.find(t, "a"), persimmoncart.SoftwareVersion("v2"))
+		assert.Equal(t, f.Second.find(t, "b"), persimmoncart.SoftwareVersion("v1"))
 
-		objects, err := store.List(t.Context(), forward.StreamsPrefix)
+		objects, err := f.Store.List(t.Context(), forward.StreamsPrefix)
 		assert.NilError(t, err)
 		for _, o := range objects {
-			assert.NilError(t, store.Delete(t.Context(), o.Key, o.Version))
+			assert.NilError(t, f.Store.Delete(t.Context(), o.Key, o.Version))
 		}
-		first.StoreRestored()
-		second.StoreRestored()
+		f.First.StoreRestored()
+		f.Second.StoreRestored()
 		time.Sleep(time.Second)
-		assert.Equal(t, second.find(t, "b"), persimmoncart.SoftwareVersion("v1"))
+		assert.Equal(t, f.Second.find(t, "b"), persimmoncart.SoftwareVersion("v1"))
 	})
 }
 
 // Guards against records of departed processes that stay in the store, and against
 // those that are removed while callers may still take up their streams.
 func TestStreamRecordsOfDepartedRemoved(t *testing.T) {
-	withRecordKeepers(t, func(t *testing.T, store *objectapi.Memory, first, second *recordKeeper, start func(persimmoncart.InstanceID, persimmoncart.Incarnation) *recordKeeper) {
+	withRecordKeepers(t, func(t *testing.T, f *recordFixture) {
 		count := func() int {
-			objects, err := store.List(t.Context(), forward.StreamsPrefix)
+			objects, err := f.Store.List(t.Context(), forward.StreamsPrefix)
 			assert.NilError(t, err)
 			return len(objects)
 		}
-		first.Kill()
-		third := start("edge-1", 2)
+		f.First.Kill()
+		third := f.Start("edge-1", 2)
 		time.Sleep(30 * time.Second)
 		assert.Equal(t, count(), 3)
 		time.Sleep(40 * time.Second)
 		assert.Equal(t, count(), 2)
 
-		second.Kill() // its instance does not come back
+		f.Second.Kill() // its instance does not come back
 		third.Directory.SetInstances([]persimmoncart.InstanceID{"edge-1"})
 		time.Sleep(10 * time.Minute)
 		assert.Equal(t, count(), 1)
@@ -204,20 +211,20 @@
 		takeUps = 1000
 		length  = time.Second
 	)
-	withRecordKeepers(t, func(t *testing.T, store *objectapi.Memory, first, _ *recordKeeper, _ func(persimmoncart.InstanceID, persimmoncart.Incarnation) *recordKeeper) {
+	withRecordKeepers(t, func(t *testing.T, f *recordFixture) {
 		instances := make([]persimmoncart.InstanceID, 100)
 		for n := range instances {
 			instances[n] = persimmoncart.InstanceID(fmt.Sprintf("edge-%d", n))
 		}
-		first.Directory.SetInstances(instances)
-		before := store.Counters().Reads
+		f.First.Directory.SetInstances(instances)
+		before := f.Store.Counters().Reads
 		var callers sync.WaitGroup
 		for n := range takeUps {
-			callers.Go(func() { first.find(t, persimmoncart.RequestID(fmt.Sprintf("unknown-%d", n))) })
+			callers.Go(func() { f.First.find(t, persimmoncart.RequestID(fmt.Sprintf("unknown-%d", n))) })
 			time.Sleep(length / takeUps)
 		}
 		callers.Wait()
 		// One list in 100 ms, and the last one after the last caller.
-		assert.Assert(t, store.Counters().Reads-before <= 12, "%d reads", store.Counters().Reads-before)
+		assert.Assert(t, f.Store.Counters().Reads-before <= 12, "%d reads", f.Store.Counters().Reads-before)
 	})
 }
