--- a/internal/forward/crest_test.go
+++ b/internal/forward/crest_test.go
@@ -173,10 +173,10 @@
 	})
 }
 
-// Guards against streams that callers take up again in an overload, and that wait behind
+// Guards against streams that callers resume in an overload, and that wait behind
 // all new ones because their callers have waited before. The share of them that goes on
 // is at least half of the share of new ones that begin, as the users ask.
-func TestCrestTakesUpStreams(t *testing.T) {
+func TestCrestResumedStreams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		model := &memoryModel{free: map[persimmoncart.EndpointID]int{"d1": 32000, "d2": 32000}, holds: map[string]hold{}}
 		f := newFixture(t)
@@ -193,22 +193,22 @@
 		for n := range int(length / interval) {
 			r := request("/long/")
 			r.ID = persimmoncart.RequestID(fmt.Sprintf("q%d", n))
-			takesUp := n%3 == 2
-			if takesUp {
+			resumes := n%3 == 2
+			if resumes {
 				r.Deadline, r.LastEventID, r.Resumes = r.Deadline.Add(-waited), 1, "first"
 			}
 			callers.Go(func() {
 				if _, refusal := f.send(t.Context(), r); refusal == nil {
 					mutex.Lock()
 					defer mutex.Unlock()
-					served[takesUp]++
+					served[resumes]++
 				}
 			})
 			time.Sleep(interval)
 		}
 		callers.Wait()
 		count := int(length / interval)
-		begun, goOn := float64(served[false])/float64(count-count/3), float64(served[true])/float64(count/3)
-		assert.Assert(t, goOn >= begun/2, "%.2f of the streams taken up go on, %.2f of the new ones begin", goOn, begun)
+		begun, resumed := float64(served[false])/float64(count-count/3), float64(served[true])/float64(count/3)
+		assert.Assert(t, resumed >= begun/2, "%.2f of the resumed streams go on, %.2f of the new ones begin", resumed, begun)
 	})
 }
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -167,7 +167,7 @@
 // reserveDecode chooses and reserves a decode engine. While all are full, it waits
 // for up to latestStartShare of the latency target. A request that can no longer be
 // in time, which includes most of those refused before, leaves room for one that can. One
-// that takes a stream up waits like a new one.
+// that resumes a stream waits like a new one.
 func (g *generation) reserveDecode(ctx context.Context) (*assignment, error) {
 	waited := g.waited
 	if g.origin != nil {
--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -13,16 +13,16 @@
 )
 
 const (
-	// retryAfterSoftwareGone is the pause before a caller takes a stream up again of
+	// retryAfterSoftwareGone is the pause before a caller resumes a stream of
 	// whose version of the software no endpoint is in service: one that crashed is back
 	// within seconds.
 	retryAfterSoftwareGone = time.Second
-	// retryAfterSoftwareUnknown is the pause before a caller takes a stream up again whose
+	// retryAfterSoftwareUnknown is the pause before a caller resumes a stream whose
 	// origin could not be read from the store.
 	retryAfterSoftwareUnknown = 500 * time.Millisecond
 )
 
-// resolveOrigin finds out where the stream began that the request takes up, and
+// resolveOrigin finds out where the stream began that the request resumes, and
 // keeps the request to that pool and version of the software. It returns a refusal if
 // that is not known, or the route no longer leads there.
 func (x *exchange) resolveOrigin(ctx context.Context) error {
@@ -66,12 +66,12 @@
 	return version
 }
 
-// beginsStream reports whether the request begins a stream that may be taken up again.
+// beginsStream reports whether the request begins a stream that may be resumed by its caller.
 func (x *exchange) beginsStream() bool {
 	return x.route.Stream && x.route.Repeat == persimmoncart.RepeatResume && x.request.LastEventID == 0
 }
 
-// recordOrigin records that the stream begins at an endpoint, unless it goes on there.
+// recordOrigin records that the stream begins at an endpoint, unless it continues there.
 func (x *exchange) recordOrigin(e *persimmoncart.Endpoint) {
 	if x.beginsStream() {
 		origin := persimmoncart.StreamOrigin{Pool: x.pool, Software: e.Software}
@@ -116,7 +116,7 @@
 	}
 }
 
-// softwareGoneRefusal returns the refusal of a request to take up a stream that no
+// softwareGoneRefusal returns the refusal of a request to resume a stream that no
 // endpoint in service can continue.
 func softwareGoneRefusal() error {
 	return &persimmoncart.Refusal{
@@ -125,7 +125,7 @@
 	}
 }
 
-// softwareUnknownRefusal returns the refusal of a request to take up a stream of unknown
+// softwareUnknownRefusal returns the refusal of a request to resume a stream of unknown
 // origin. A retry helps only if the records could not be read.
 func softwareUnknownRefusal(cause error) error {
 	r := &persimmoncart.Refusal{
--- a/internal/forward/streamlookup.go
+++ b/internal/forward/streamlookup.go
@@ -19,7 +19,7 @@
 	// streamLookupTimeout bounds the search for the origin of a stream.
 	streamLookupTimeout = 500 * time.Millisecond
 	// streamListSpacing is the shortest mean time between two lists of all instances
-	// together, however many streams of unknown origin are taken up.
+	// together, however many streams of unknown origin are resumed.
 	streamListSpacing = time.Millisecond
 	// streamListPeriod is the mean time between two lists that search for records of
 	// departed instances. It varies, so that mostly one instance finds them. It is
@@ -27,7 +27,7 @@
 	streamListPeriod    = 5 * time.Minute
 	disagreedListPeriod = 10 * time.Second
 	// streamRetention is the time for which the record of a departed process is kept:
-	// callers do not take streams up again later.
+	// callers do not resume streams later.
 	streamRetention = time.Minute
 )
 
--- a/internal/forward/streamrecords_test.go
+++ b/internal/forward/streamrecords_test.go
@@ -183,7 +183,7 @@
 }
 
 // Guards against records of departed processes that stay in the store, and against
-// those that are removed while callers may still take up their streams.
+// those that are removed while callers may still resume their streams.
 func TestStreamRecordsOfDepartedRemoved(t *testing.T) {
 	withRecordKeepers(t, func(t *testing.T, f *recordFixture) {
 		count := func() int {
@@ -208,8 +208,8 @@
 // Guards against callers that use up the store's reads with streams of unknown origin.
 func TestStreamRecordsListsSpaced(t *testing.T) {
 	const (
-		takeUps = 1000
-		length  = time.Second
+		resumptions = 1000
+		length      = time.Second
 	)
 	withRecordKeepers(t, func(t *testing.T, f *recordFixture) {
 		instances := make([]persimmoncart.InstanceID, 100)
@@ -219,9 +219,9 @@
 		f.First.Directory.SetInstances(instances)
 		before := f.Store.Counters().Reads
 		var callers sync.WaitGroup
-		for n := range takeUps {
+		for n := range resumptions {
 			callers.Go(func() { f.First.find(t, persimmoncart.RequestID(fmt.Sprintf("unknown-%d", n))) })
-			time.Sleep(length / takeUps)
+			time.Sleep(length / resumptions)
 		}
 		callers.Wait()
 		// One list in 100 ms, and the last one after the last caller.
--- a/internal/policy/streamorigins.go
+++ b/internal/policy/streamorigins.go
@@ -37,7 +37,7 @@
 
 // A begunStream is a stream that began at this instance.
 type begunStream struct {
-	expires time.Time // its caller does not take it up after this
+	expires time.Time // its caller does not resume it after this
 	origin  persimmoncart.StreamOrigin
 }
 
@@ -54,7 +54,7 @@
 }
 
 // Begin records that a stream begins, and the time after which its caller no longer
-// takes it up. A later call for the same attempt replaces the origin. It reports false
+// resumes it. A later call for the same attempt replaces the origin. It reports false
 // if too many streams are remembered.
 func (s *StreamOrigins) Begin(now time.Time, attempt persimmoncart.RequestID, origin persimmoncart.StreamOrigin, expires time.Time) bool {
 	if _, found := s.begun[attempt]; !found && len(s.begun) >= maxBegunStreams {
@@ -119,7 +119,7 @@
 
 // streamsOf returns the streams of a pool of which the given versions take new streams.
 // Streams are listed while any process may have streams of another version. Those that
-// are listed can be taken up even if the default versions of the processes differ.
+// are listed can be resumed even if the default versions of the processes differ.
 func (s *StreamOrigins) streamsOf(pool persimmoncart.PoolName, inService []persimmoncart.SoftwareVersion) StreamsOfPool {
 	streams := StreamsOfPool{Default: s.chooseDefault(pool, inService)}
 	listed := make(map[persimmoncart.RequestID]persimmoncart.SoftwareVersion)
@@ -282,7 +282,7 @@
 	return origins[0], true
 }
 
-// expire forgets the streams that are no longer taken up.
+// expire forgets the streams that callers no longer resume.
 func (s *StreamOrigins) expire(now time.Time) {
 	maps.DeleteFunc(s.begun, func(_ persimmoncart.RequestID, stream begunStream) bool { return now.After(stream.expires) })
 }
--- a/internal/policy/streamorigins_test.go
+++ b/internal/policy/streamorigins_test.go
@@ -71,7 +71,7 @@
 
 	assert.Assert(t, write("v2"))
 	assert.Equal(t, s.Default(llmPool), persimmoncart.SoftwareVersion("v2"))
-	assert.Assert(t, s.Recorded("a"), "a stream of v1 may still be taken up")
+	assert.Assert(t, s.Recorded("a"), "a stream of v1 may still be resumed")
 	assert.Assert(t, s.Lists(llmPool))
 	now = now.Add(11 * time.Second)
 	begin("d", "v2")
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -33,10 +33,10 @@
 	// requestCrashShare that of idempotent requests with crashBody, while crashes are open.
 	partCrashShare    = 0.1
 	requestCrashShare = 0.05
-	// maxTakeUps is the number of attempts of a caller to take up one stream, and
-	// takeUpPause the time before each.
-	maxTakeUps  = 8
-	takeUpPause = 400 * time.Millisecond
+	// maxResumptions is the number of attempts of a caller to resume one stream, and
+	// resumptionPause the time before each.
+	maxResumptions  = 8
+	resumptionPause = 400 * time.Millisecond
 	// sharedPart is a part of the prompts of all streams.
 	sharedPart = "a100"
 	// streamEvents is the number of events in each stream.
@@ -53,13 +53,13 @@
 	client         *http.Client
 	instance       int
 	name           string
-	others         []*process // at which it may take streams up
+	others         []*process // at which it may resume streams
 	partCrashes    *crashLog
 	process        *process
 	random         *rand.Rand
 	recorder       *recorder
 	requestCrashes *crashLog
-	takingUp       *atomic.Bool         // broken streams are taken up
+	resuming       *atomic.Bool         // broken streams are resumed
 	sentEndless    func(id string) bool // reports whether a replica has sent an endless body to a request
 }
 
@@ -109,8 +109,8 @@
 		o.wantBody = events.String()
 	}
 	err := c.exchange(ctx, c.process, request, o)
-	for kind == kindResumable && err != nil && c.mayTakeUp(ctx, o) {
-		err = c.takeUp(ctx, request, o)
+	for kind == kindResumable && err != nil && c.mayResume(ctx, o) {
+		err = c.resume(ctx, request, o)
 	}
 	if !stream && !strings.HasPrefix(o.wantBody, o.body) && c.sentEndless(id) {
 		// The replica's response has no end, so that a complete one is still a violation.
@@ -123,7 +123,7 @@
 }
 
 // exchange sends one attempt and adds its response to the outcome. The error is that of
-// a response that ends early, or errRefused for one to a stream that is taken up.
+// a response that ends early, or errRefused for one to a resumed stream.
 func (c *caller) exchange(ctx context.Context, p *process, request *standin.Request, o *outcome) error {
 	request.Addr = p.Callers
 	httpRequest, err := request.HTTP(ctx)
@@ -153,27 +153,27 @@
 	return err
 }
 
-// errRefused reports an attempt to take a stream up that was not answered.
-var errRefused = errors.New("the stream was not taken up")
+// errRefused reports an attempt to resume a stream that was not answered.
+var errRefused = errors.New("the stream was not resumed")
 
-// mayTakeUp reports whether the caller has a part of a stream that it may take up.
-func (c *caller) mayTakeUp(ctx context.Context, o *outcome) bool {
-	return ctx.Err() == nil && c.takingUp.Load() && o.takenUp < maxTakeUps && !o.crashes && strings.Contains(o.body, "\n\n")
+// mayResume reports whether the caller has a part of a stream that it may resume.
+func (c *caller) mayResume(ctx context.Context, o *outcome) bool {
+	return ctx.Err() == nil && c.resuming.Load() && o.resumptions < maxResumptions && !o.crashes && strings.Contains(o.body, "\n\n")
 }
 
-// takeUp takes a stream up at a random instance after a pause. The part of an event at
+// resume resumes a stream at a random instance after a pause. The part of an event at
 // the end of what the caller has is dropped.
-func (c *caller) takeUp(ctx context.Context, request *standin.Request, o *outcome) error {
+func (c *caller) resume(ctx context.Context, request *standin.Request, o *outcome) error {
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-time.After(takeUpPause):
+	case <-time.After(resumptionPause):
 	}
 	o.body = o.body[:strings.LastIndex(o.body, "\n\n")+2]
-	o.takenUp++
+	o.resumptions++
 	deadline, _ := ctx.Deadline()
 	next := *request
-	next.ID, next.LastEvent, next.Resumes = fmt.Sprintf("%s-%d", o.id, o.takenUp), strings.Count(o.body, "\n\n"), o.id
+	next.ID, next.LastEvent, next.Resumes = fmt.Sprintf("%s-%d", o.id, o.resumptions), strings.Count(o.body, "\n\n"), o.id
 	next.Timeout = time.Until(deadline)
 	return c.exchange(ctx, c.others[c.random.IntN(len(c.others))], &next, o)
 }
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -55,7 +55,7 @@
 	sent         time.Time
 	software     []string // versions of the replicas that wrote the events of a stream, in their order
 	status       int      // 0 if no response was received
-	takenUp      int      // attempts to take the stream up
+	resumptions  int      // attempts to resume the stream
 	wantBody     string   // complete and correct response body
 }
 
@@ -74,7 +74,7 @@
 	r.outcomes = append(r.outcomes, *o)
 	r.mutex.Unlock()
 	if versions := slices.Compact(slices.Clone(o.software)); len(versions) > 1 {
-		r.addViolation(OneSoftware, "%s has events of %v, taken up %d times", o.id, versions, o.takenUp)
+		r.addViolation(OneSoftware, "%s has events of %v, resumed %d times", o.id, versions, o.resumptions)
 	}
 	switch {
 	case o.otherID != "":
--- a/internal/soak/run/main.go
+++ b/internal/soak/run/main.go
@@ -98,9 +98,9 @@
 	for _, v := range violations {
 		fmt.Printf("seed %d: %s\n", seed, v)
 	}
-	takenUp, completed := s.TakenUp()
-	fmt.Printf("seed %d: %d requests, %d of %d streams taken up completed, %d crashes, %d violations\n",
-		seed, s.Requests(), completed, takenUp, s.Crashes(), len(violations))
+	resumptions, completed := s.ResumedStreams()
+	fmt.Printf("seed %d: %d requests, %d of %d resumed streams completed, %d crashes, %d violations\n",
+		seed, s.Requests(), completed, resumptions, s.Crashes(), len(violations))
 	if o.Break != "" {
 		for _, v := range violations {
 			if v.Invariant == soak.Invariant(o.Break) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -73,7 +73,7 @@
 	restarts       sync.WaitGroup // of replicas that crashed
 	store          *standin.Store
 	storeProxies   []*Proxy    // between each instance and the store
-	takingUp       atomic.Bool // callers take broken streams up
+	resuming       atomic.Bool // callers resume broken streams
 }
 
 // Requests returns the number of requests that have ended.
@@ -83,20 +83,20 @@
 	return len(s.recorder.outcomes)
 }
 
-// TakenUp returns the number of streams that callers have taken up, and of those that were
+// ResumedStreams returns the number of streams that callers have resumed, and of those that were
 // then complete.
-func (s *Soak) TakenUp() (takenUp, completed int) {
+func (s *Soak) ResumedStreams() (resumptions, completed int) {
 	s.recorder.mutex.Lock()
 	defer s.recorder.mutex.Unlock()
 	for n := range s.recorder.outcomes {
-		if o := &s.recorder.outcomes[n]; o.takenUp > 0 {
-			takenUp++
+		if o := &s.recorder.outcomes[n]; o.resumptions > 0 {
+			resumptions++
 			if !o.incomplete {
 				completed++
 			}
 		}
 	}
-	return takenUp, completed
+	return resumptions, completed
 }
 
 // Run runs the soak and returns the violations. It returns an error if the processes
@@ -115,7 +115,7 @@
 		return nil, err
 	}
 	callersCtx, stopCallers := context.WithCancel(ctx)
-	s.takingUp.Store(true)
+	s.resuming.Store(true)
 	s.startCallers(callersCtx)
 	endReleases := s.startReleases(ctx)
 	s.injectFaults()
@@ -133,7 +133,7 @@
 	if answered, sent := s.recorder.countAnswered(faultsEnded); float64(answered) < minAnsweredShare*float64(sent) || sent == 0 {
 		s.recorder.addViolation(Resumed, "%d of %d requests were answered after the faults", answered, sent)
 	}
-	s.takingUp.Store(false) // a stream that a stop breaks must show
+	s.resuming.Store(false) // a stream that a stop breaks must show
 	s.restartInOrder()
 	stopCallers()
 	s.group.Wait()
@@ -155,7 +155,7 @@
 			c := &caller{
 				client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 				instance: n, name: fmt.Sprintf("c%d.%d", n, k), partCrashes: &s.partCrashes, process: p,
-				others: s.processes, random: rand.New(rand.NewPCG(s.Seed, uint64(100+n*s.Callers+k))), recorder: &s.recorder, requestCrashes: &s.requestCrashes, sentEndless: s.sentEndless, takingUp: &s.takingUp,
+				others: s.processes, random: rand.New(rand.NewPCG(s.Seed, uint64(100+n*s.Callers+k))), recorder: &s.recorder, requestCrashes: &s.requestCrashes, sentEndless: s.sentEndless, resuming: &s.resuming,
 			}
 			s.group.Go(func() { c.run(ctx) })
 		}
