--- a/internal/soak/releases.go
+++ b/internal/soak/releases.go
@@ -24,8 +24,7 @@
 
 // startReleases has replicas refuse requests, and repeat refusals, and replaces the
 // engines by ones with later versions of the software, one after the other and again and
-// again, until the function that it returns is called. That waits until the engines that
-// have left are gone.
+// again, until the function that it returns is called.
 func (s *Soak) startReleases(ctx context.Context) (end func()) {
 	for _, r := range s.replicas {
 		r.fault.setRefusals(rand.New(rand.NewPCG(s.Seed, uint64(1000+r.number))))
