--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -39,7 +39,9 @@
 			listener := pipe.NewListener()
 			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if c.other {
-					r.Header.Set("X-Attempt-Id", "other")
+					other, err := (&standin.Request{Addr: netip.MustParseAddrPort("127.0.0.1:1"), ID: "other", Timeout: time.Second}).HTTP(r.Context())
+					assert.Check(t, err == nil, "%v", err)
+					r.Header = other.Header
 				}
 				replica.ServeHTTP(w, r)
 			}), ReadHeaderTimeout: time.Minute}
