--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// retryAfterSoftwareGone is the pause before a caller resumes a stream of
-	// whose version of the software no endpoint is in service: one that crashed is back
-	// within seconds.
+	// retryAfterSoftwareGone is the pause before a caller resumes a stream for whose
+	// version of the software no endpoint is in service: one that crashed is back within
+	// seconds.
 	retryAfterSoftwareGone = time.Second
 	// retryAfterSoftwareUnknown is the pause before a caller resumes a stream whose
 	// origin could not be read from the store.
@@ -120,7 +120,7 @@
 // endpoint in service can continue.
 func softwareGoneRefusal() error {
 	return &persimmoncart.Refusal{
-		Code: persimmoncart.RefusalSoftwareGone, Message: "no endpoint has the software version that began the stream",
+		Code: persimmoncart.RefusalSoftwareGone, Message: "no endpoint of the route has the software version that began the stream",
 		Outcome: persimmoncart.OutcomeNotRun, RetryAfter: retryAfterSoftwareGone,
 	}
 }
--- a/internal/forward/software_test.go
+++ b/internal/forward/software_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -115,3 +116,43 @@
 		})
 	}
 }
+
+// Guards against a stream on a split route that continues in another pool, since the pool
+// of an attempt follows from its identifier, and against one that continues where its
+// route no longer leads.
+func TestResumedStreamKeepsPool(t *testing.T) {
+	const other = persimmoncart.PoolName("llm2")
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		split := table(2)
+		split.Pools[other] = &persimmoncart.ForwardPool{Engine: split.Pools[llm].Engine, Name: other}
+		for _, r := range split.Routes["h"] {
+			if r.Prefix == "/long/" {
+				r.Pools = append(r.Pools, persimmoncart.WeightedPool{Pool: other, Weight: 1})
+			}
+		}
+		f.Directory.SetTable(split)
+		e := newEngine("o1", "v1")
+		e.Pool = other
+		f.Directory.Put(e)
+		f.Upstream.send = func(_ context.Context, _ int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
+			assert.Check(t, call.Endpoint.Pool == other, "%s continues in %s", call.Request.ID, call.Endpoint.Pool)
+			return streamed(events(2, 5), io.EOF), nil
+		}
+		f.Router.Streams.Begin("first", persimmoncart.StreamOrigin{Pool: other, Software: "v1"}, time.Now().Add(time.Minute))
+		resume := func(n int) *persimmoncart.Refusal {
+			r := request("/long/")
+			r.ID, r.LastEventID, r.Resumes = persimmoncart.RequestID(fmt.Sprintf("q%d", n)), 1, "first"
+			_, refusal := f.send(t.Context(), r)
+			return refusal
+		}
+		for n := range 8 {
+			assert.Assert(t, resume(n) == nil)
+		}
+		f.Directory.SetTable(table(3))
+		refusal := resume(8)
+		assert.Assert(t, refusal != nil)
+		assert.Equal(t, refusal.Code, persimmoncart.RefusalSoftwareGone)
+		assert.Equal(t, refusal.Outcome, persimmoncart.OutcomeNotRun)
+	})
+}
