forward: a record written while the store is restored is written again

If the store is restored from an older copy after it has accepted a write of the record of streams, and another call reports the restore before the response of the write arrives, the record counted as written, in an epoch in which nothing called for another write. The streams that it listed were unknown after the loss of the instance.

Change: a response that arrives after a restore counts as a failed write. TestStreamRecordsRestoredDuringWrite fails without the check. A failed read of the record after a write of unknown result is logged.

--- a/internal/forward/streamrecords.go
+++ b/internal/forward/streamrecords.go
@@ -38,6 +38,10 @@
 	maxStreamKey = 64
 )
 
+// errRestoredDuringWrite reports a write during which the store was restored from an older
+// copy.
+var errRestoredDuringWrite = errors.New("store was restored during the write")
+
 // StreamRecords is the owner of where streams began: at which version of the software
 // of their engines. Every path that places a stream asks it. What it knows outlives the
 // loss of all instances, as each process has a record in the store. Its exported fields
@@ -54,6 +58,7 @@
 	listed     time.Time  // when the last successful list began; zero before
 	listing    chan struct{}
 	origins    policy.StreamOrigins
+	restores   uint64                // calls of StoreRestored
 	seen       map[string]seenRecord // records of other processes, by key
 	version    persimmoncart.Version // of this process's record; zero without one
 	writeBegan time.Time             // of the write in progress; zero without one
@@ -113,6 +118,7 @@
 	r.mutex.Lock()
 	r.origins.Lost()
 	r.version = 0
+	r.restores++
 	r.mutex.Unlock()
 	r.Signal()
 }
@@ -198,7 +204,7 @@
 	inService := r.Directory.SoftwareInService()
 	r.mutex.Lock()
 	next := r.origins.Record(r.Timer.Now(), inService)
-	must, version := r.origins.MustWrite(next), r.version
+	must, version, restores := r.origins.MustWrite(next), r.version, r.restores
 	if must {
 		r.origins.SetWriting(next)
 		r.writeBegan = r.Timer.Now()
@@ -207,13 +213,15 @@
 	if !must {
 		return true
 	}
-	err := r.save(ctx, next, version)
+	err := r.save(ctx, next, version, restores)
 	r.endWrite(next, err)
 	return err == nil
 }
 
-// save writes a record in place of the given version; zero means that there is none.
-func (r *StreamRecords) save(ctx context.Context, record policy.StreamRecord, version persimmoncart.Version) error {
+// save writes a record in place of the given version; zero means that there is none. It
+// returns an error if the store was restored since the given number of restores, as it may
+// have lost the record.
+func (r *StreamRecords) save(ctx context.Context, record policy.StreamRecord, version persimmoncart.Version, restores uint64) error {
 	value, err := json.Marshal(record)
 	if err != nil {
 		return errors.Wrap(err, "encode record of streams")
@@ -231,6 +239,9 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if r.restores != restores {
+		return errors.Wrap(errRestoredDuringWrite, "write record of streams")
+	}
 	r.version = version
 	r.origins.SetWritten(record, version.Epoch())
 	if r.written != nil {
@@ -248,6 +259,7 @@
 func (r *StreamRecords) reread(ctx context.Context) {
 	object, err := r.Store.Get(ctx, r.key())
 	if err != nil && !isNotFound(err) {
+		r.Logger.Info().Err(err).Msg("record of streams not read after a write of unknown result")
 		return // the next write finds out
 	}
 	r.mutex.Lock()
--- a/internal/forward/streamrecords_test.go
+++ b/internal/forward/streamrecords_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,8 +24,9 @@
 type recordKeeper struct {
 	*forward.StreamRecords
 
-	Faulty *objectapi.Faulty
-	Kill   func()
+	Faulty    *objectapi.Faulty
+	Kill      func()
+	Restoring *restoringStore
 }
 
 // startRecordKeeper starts the records of a process before a shared store, with one
@@ -36,7 +38,8 @@
 		Home: persimmoncart.Instance{ID: id}, Logger: zerolog.Nop(), Random: rand.New(rand.NewPCG(1, 1)), Timer: clock,
 	}
 	d.SetInstances([]persimmoncart.InstanceID{"edge-1", "edge-2"})
-	k := &recordKeeper{Faulty: &objectapi.Faulty{Store: store, Timer: clock}, Kill: cancel}
+	restoring := &restoringStore{Store: store}
+	k := &recordKeeper{Faulty: &objectapi.Faulty{Store: restoring, Timer: clock}, Kill: cancel, Restoring: restoring}
 	k.StreamRecords = &forward.StreamRecords{
 		Directory: d, Logger: zerolog.Nop(), Self: persimmoncart.Instance{ID: id, Incarnation: incarnation}, Store: k.Faulty, Timer: clock,
 	}
@@ -182,6 +185,42 @@
 	})
 }
 
+// A restoringStore is a store that is restored to what it was before a write, whose
+// response arrives all the same.
+type restoringStore struct {
+	persimmoncart.Store
+
+	restored atomic.Pointer[func()] // called once before a response arrives; nil for none
+}
+
+// Update implements persimmoncart.Store.
+func (s *restoringStore) Update(ctx context.Context, key string, value []byte, version persimmoncart.Version) (persimmoncart.Version, error) {
+	written, err := s.Store.Update(ctx, key, value, version)
+	restored := s.restored.Swap(nil)
+	if restored == nil || err != nil {
+		return written, err
+	}
+	if err := s.Delete(ctx, key, written); err != nil {
+		return 0, err
+	}
+	(*restored)()
+	return written, nil
+}
+
+// Guards against a record that counts as written although the store was restored from an
+// older copy before its response arrived.
+func TestStreamRecordsRestoredDuringWrite(t *testing.T) {
+	withRecordKeepers(t, func(t *testing.T, f *recordFixture) {
+		restored := f.First.StoreRestored
+		f.First.Restoring.restored.Store(&restored)
+		f.First.Directory.Put(newEngine("e2", "v2"))
+		f.First.begin(t, "a", "v2")
+		time.Sleep(time.Second)
+		assert.Assert(t, f.First.Restoring.restored.Load() == nil)
+		assert.Equal(t, f.Second.find(t, "a"), persimmoncart.SoftwareVersion("v2"))
+	})
+}
+
 // Guards against records of departed processes that stay in the store, and against
 // those that are removed while callers may still resume their streams.
 func TestStreamRecordsOfDepartedRemoved(t *testing.T) {
