--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -341,9 +341,12 @@
 	return nil
 }
 
-// engineFailedRefusal returns the refusal of a generation whose engine failed and that
-// is not sent again.
+// engineFailedRefusal returns the refusal of a generation whose engine failed, or whose
+// run was given up, and that is not sent again.
 func (*exchange) engineFailedRefusal(cause error) error {
+	if errors.Is(cause, errOriginUnrecorded) {
+		return unrecordedRefusal(cause)
+	}
 	return &persimmoncart.Refusal{
 		Code: persimmoncart.RefusalEndpointFailed, Err: cause, Message: "the engine failed", Outcome: persimmoncart.OutcomeUnknown,
 	}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -207,7 +207,7 @@
 	if err := p.fixOrigin(ctx, result.endpoint, result.response.Status); err != nil {
 		_ = result.response.Body.Close()
 		p.cancel()
-		return nil, p.engineFailedRefusal(err)
+		return nil, unrecordedRefusal(err)
 	}
 	p.router.Metrics.ObserveCall(p.route.Name, p.router.Timer.Now().Sub(p.request.Arrived))
 	response := *result.response
--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -125,6 +125,14 @@
 	}
 }
 
+// unrecordedRefusal returns the refusal of a request whose run was given up because the
+// origin of its stream was not recorded in time.
+func unrecordedRefusal(cause error) error {
+	return &persimmoncart.Refusal{
+		Code: persimmoncart.RefusalStoreDown, Err: cause, Message: "the stream could not be recorded", Outcome: persimmoncart.OutcomeUnknown,
+	}
+}
+
 // softwareUnknownRefusal returns the refusal of a request to resume a stream of unknown
 // origin. A retry helps only if the records could not be read.
 func softwareUnknownRefusal(cause error) error {
--- a/internal/forward/software_test.go
+++ b/internal/forward/software_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -156,3 +157,41 @@
 		assert.Equal(t, refusal.Outcome, persimmoncart.OutcomeNotRun)
 	})
 }
+
+// Guards against a caller that is told that an engine failed when a run was given up for
+// want of its record.
+func TestStreamUnrecordedRefusal(t *testing.T) {
+	const streams = 10
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		time.Sleep(time.Second)
+		once := table(2)
+		for _, r := range once.Routes["h"] {
+			r.MaxAttempts = 1
+		}
+		f.Directory.SetTable(once)
+		f.Store.SetDelay(10 * time.Second)
+		f.setSoftware("v2", "d2")
+		f.Upstream.send = sendWhole
+		var callers sync.WaitGroup
+		var mutex sync.Mutex
+		refused := 0
+		for n := range streams {
+			callers.Go(func() {
+				r := request("/long/")
+				r.ID = persimmoncart.RequestID(fmt.Sprintf("q%d", n))
+				_, refusal := f.send(t.Context(), r)
+				if refusal == nil {
+					return
+				}
+				mutex.Lock()
+				defer mutex.Unlock()
+				refused++
+				assert.Check(t, refusal.Code == persimmoncart.RefusalStoreDown, "%v", refusal)
+				assert.Check(t, refusal.Outcome == persimmoncart.OutcomeUnknown, "%v", refusal)
+			})
+		}
+		callers.Wait()
+		assert.Assert(t, refused > 0)
+	})
+}
