--- a/review/internal/rig/engine.go
+++ b/review/internal/rig/engine.go
@@ -30,13 +30,16 @@
 
 // An Engine is a decode engine. Its exported fields are set before Start.
 type Engine struct {
-	Events     int           // of a stream
-	FirstEvent time.Duration // from the header of a response to its first event
-	FirstID    int           // identifier of the first event
-	Interval   time.Duration // between two events; SetInterval changes it
-	KeepsRuns  bool          // does not drop a request when its channel closes
+	Addr       netip.AddrPort // Start sets it if it is not valid
+	Events     int            // of a stream
+	FirstEvent time.Duration  // from the header of a response to its first event
+	FirstID    int            // identifier of the first event
+	Interval   time.Duration  // between two events; SetInterval changes it
+	KeepsRuns  bool           // does not drop a request when its channel closes
 	Name       string
+	Software   string // version of its software, which each event states; empty for v1, not stated
 
+	born        time.Time
 	connections map[net.Conn]struct{}
 	listener    net.Listener
 	mutex       sync.Mutex
@@ -52,22 +55,44 @@
 	Began time.Time
 }
 
-// Start serves the engine on a free port and writes its record to the store.
+// Start serves the engine and writes its record to the store.
 func (e *Engine) Start(ctx context.Context, r *Rig) {
+	e.Serve(ctx)
+	e.PutRecord(r)
+}
+
+// Serve serves the engine at its address or, without one, on a free port.
+func (e *Engine) Serve(ctx context.Context) {
+	listen := e.Addr
+	if !listen.IsValid() {
+		listen = netip.MustParseAddrPort("127.0.0.1:0")
+	}
 	var config net.ListenConfig
-	l, err := config.Listen(ctx, "tcp4", "127.0.0.1:0")
+	l, err := config.Listen(ctx, "tcp4", listen.String())
 	if err != nil {
 		panic(err)
 	}
+	e.Addr, e.born = netip.MustParseAddrPort(l.Addr().String()), time.Now()
 	e.listener, e.connections, e.runs = l, make(map[net.Conn]struct{}), make(map[string]*Run)
 	server := &http.Server{Handler: e, ReadHeaderTimeout: time.Minute, ConnState: e.connState}
 	go func() { _ = server.Serve(l) }()
+}
+
+// PutRecord writes the engine's record to the store.
+func (e *Engine) PutRecord(r *Rig) {
 	r.Store.PutEndpoint(&standin.EndpointRecord{
-		Addr: netip.MustParseAddrPort(l.Addr().String()), Born: time.Now(), DataCentre: enginesZone, ID: e.Name, Pool: Engines,
-		Role: "decode", Slots: EngineSlots, Software: "v1",
+		Addr: e.Addr, Born: e.born, DataCentre: enginesZone, ID: e.Name, Pool: Engines, Role: "decode", Slots: EngineSlots, Software: e.software(),
 	})
 }
 
+// software returns the version of the engine's software.
+func (e *Engine) software() string {
+	if e.Software == "" {
+		return "v1"
+	}
+	return e.Software
+}
+
 // connState keeps the open connections.
 func (e *Engine) connState(c net.Conn, s http.ConnState) {
 	e.mutex.Lock()
@@ -116,14 +141,19 @@
 	return Run{}, false
 }
 
-// Event returns an event of a stream.
-func Event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
+// event returns an event of a stream.
+func (e *Engine) event(id int) string {
+	if e.Software == "" {
+		return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
+	}
+	return fmt.Sprintf("id: %d\ndata: piece %d by %s\n\n", id, id, e.Software)
+}
 
 // Whole returns the events of a whole stream.
 func (e *Engine) Whole() string {
 	var b strings.Builder
 	for n := range e.Events {
-		b.WriteString(Event(e.FirstID + n))
+		b.WriteString(e.event(e.FirstID + n))
 	}
 	return b.String()
 }
@@ -145,7 +175,7 @@
 		e.mutex.Unlock()
 		reply(w, map[string]any{"hold": hold})
 	case r.URL.Path == "/persimmoncart/report":
-		reply(w, map[string]any{"stage": "decode", "busy": false, "seq": 0, "queued": 0, "running": 0, "kv-used": 0, "kv-total": kvTokens})
+		reply(w, map[string]any{"stage": "decode", "born": e.born.UnixMilli(), "busy": false, "seq": 0, "queued": 0, "running": 0, "kv-used": 0, "kv-total": kvTokens})
 	case strings.HasPrefix(r.URL.Path, "/persimmoncart/"):
 		w.WriteHeader(http.StatusOK)
 	default:
@@ -204,7 +234,7 @@
 			e.pending--
 		}
 		e.mutex.Unlock()
-		_, _ = io.WriteString(w, Event(n)) // the client may be gone
+		_, _ = io.WriteString(w, e.event(n)) // the client may be gone
 		_ = control.Flush()
 	}
 }
@@ -244,7 +274,7 @@
 // response. The error is that of a stream that is not complete.
 func SendStream(ctx context.Context, p *Process, route, id string) (string, error) {
 	request, err := (&standin.Request{
-		Addr: p.Callers, Body: "dossier " + id, Generation: true, ID: id, Parts: "5c1e07a2:200," + id + ":1800",
+		Addr: p.Callers, Body: "dossier " + id, Generation: true, ID: id, Parts: "5c" + id + ":200," + id + ":1800",
 		Path: "/" + route + "/lot", Timeout: StreamDeadline,
 	}).HTTP(ctx)
 	if err != nil {
