--- a/review/5/main.go
+++ b/review/5/main.go
@@ -50,17 +50,19 @@
 			body, err := rig.SendStream(ctx, p, route, id)
 			mutex.Lock()
 			defer mutex.Unlock()
+			verdict := "whole"
 			switch {
 			case err != nil:
 				failed++
-				r.Recordf("%s: not complete: %v", id, err)
+				verdict = "not complete: " + err.Error()
 			case body != whole:
 				missing++
-				r.Recordf("%s: ran at %v, ends as complete, but has %d of %d events, the first is %q", id, ranAt(engines, id),
-					strings.Count(body, "\n\n"), events, strings.SplitN(body, "\n", 2)[0])
+				verdict = "ends as complete, with a piece missing"
 			default:
 				complete++
 			}
+			r.Recordf("%s: sent, ran at %q, answered with %d of %d events, the first is %q: %s", id, rig.RanAt(engines, id),
+				strings.Count(body, "\n\n"), events, strings.SplitN(body, "\n", 2)[0], verdict)
 		})
 		time.Sleep(streamInterval)
 	}
@@ -89,14 +91,3 @@
 		}
 	}
 }
-
-// ranAt returns the engines at which a request ran.
-func ranAt(engines []*rig.Engine, id string) []string {
-	var names []string
-	for _, e := range engines {
-		if _, found := e.RunOf(id); found {
-			names = append(names, e.Name)
-		}
-	}
-	return names
-}
--- a/review/internal/rig/engine.go
+++ b/review/internal/rig/engine.go
@@ -141,6 +141,17 @@
 	return Run{}, false
 }
 
+// RanAt returns the engines at which a request ran, with their versions.
+func RanAt(engines []*Engine, id string) []string {
+	var names []string
+	for _, e := range engines {
+		if _, found := e.RunOf(id); found {
+			names = append(names, e.Name+" "+e.software())
+		}
+	}
+	return names
+}
+
 // event returns an event of a stream.
 func (e *Engine) event(id int) string {
 	if e.Software == "" {
