entry: a stopping instance accepts only what can end before it is killed

Cause: the time until the kill was known to one function only, which waited for it. Nothing that accepts a request or passes it on asked for it. Idle connections were closed by http.Server.Shutdown, after the first request of every new connection had been read, so that one caller that sends its header slowly kept all kept connections of the others open for 3 s more.

Change: policy.GracePeriod is the one owner of the time left. A request is refused at once, as not run, if its response will probably not be complete by then: on arrival (after its body), while it waits for an engine, before prefill and decode, before a retry or a hedge, and before a stream goes on at another engine. Kept connections are closed together with the listener by connTracker, which closes a connection either before its next request counts as read, or after that request is answered.

Ruled out: closing idle connections at the signal: the load balancer sends new connections for 2 s more, which would reach the same instance. Refusing whatever has a deadline beyond the kill: all streams of routes with long deadlines would be refused from the signal on, though most end in time.

--- /dev/null
+++ b/internal/entry/conntracker.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+// connPollPeriod is the interval between checks for connections in use. It also gives a
+// request that was just read time to reach its handler.
+const connPollPeriod = 50 * time.Millisecond
+
+// A connPhase is what is known of a caller's connection.
+type connPhase uint8
+
+const (
+	connNew    connPhase = iota + 1 // its first request has not been read
+	connActive                      // a request is being served
+	connIdle
+	connClosed // closed as idle; a request that was read nevertheless is not served
+)
+
+// A connContextKey is the key of a request's connection in its context.
+type connContextKey struct{}
+
+// A connTracker records the connections of an http.Server, so that a graceful stop can
+// close the idle ones without losing a request: a connection is either closed before its
+// next request counts as read, or kept until that is answered. Set its exported fields
+// before use.
+type connTracker struct {
+	Logger zerolog.Logger
+	Timer  persimmoncart.Timer
+
+	connections map[net.Conn]connPhase
+	draining    bool // idle connections are closed
+	mutex       sync.Mutex
+}
+
+// CloseIdle closes the idle connections, and each of the others once it is idle. Those
+// whose first request has not been read stay open.
+func (t *connTracker) CloseIdle() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.draining = true
+	for c, phase := range t.connections {
+		if phase == connIdle {
+			t.close(c)
+		}
+	}
+}
+
+// ConnContext is the ConnContext hook of an http.Server.
+func (*connTracker) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connContextKey{}, c)
+}
+
+// ConnState is the ConnState hook of an http.Server.
+func (t *connTracker) ConnState(c net.Conn, state http.ConnState) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.connections == nil {
+		t.connections = make(map[net.Conn]connPhase)
+	}
+	switch state {
+	case http.StateNew:
+		t.connections[c] = connNew
+	case http.StateActive:
+		if t.connections[c] != connClosed {
+			t.connections[c] = connActive
+		}
+	case http.StateIdle:
+		t.connections[c] = connIdle
+		if t.draining {
+			t.close(c)
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(t.connections, c)
+	}
+}
+
+// Handler returns a handler that drops requests whose connection was closed as idle when
+// they were read: their callers cannot be answered.
+func (t *connTracker) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if t.closed(r.Context()) {
+			t.Logger.Info().Msg("request crossed the close of its connection")
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Wait waits until no connection has a request or may bring its first one. It reports
+// false if ctx is done earlier.
+func (t *connTracker) Wait(ctx context.Context) bool {
+	for {
+		used := t.used()
+		// The pause follows the check, so that the last request that was read has
+		// reached its handler when Wait returns.
+		if t.Timer.Sleep(ctx, connPollPeriod) != nil {
+			return t.used() == 0
+		}
+		if used == 0 {
+			return true
+		}
+	}
+}
+
+// close closes a connection. The caller holds the mutex.
+func (t *connTracker) close(c net.Conn) {
+	t.connections[c] = connClosed
+	_ = c.Close() // the caller sees either a closed connection or none
+}
+
+// closed reports whether the connection of a request was closed as idle.
+func (t *connTracker) closed(ctx context.Context) bool {
+	c, found := ctx.Value(connContextKey{}).(net.Conn)
+	if !found {
+		return false
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.connections[c] == connClosed
+}
+
+// used returns the number of connections that are new or active.
+func (t *connTracker) used() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	used := 0
+	for _, phase := range t.connections {
+		if phase == connNew || phase == connActive {
+			used++
+		}
+	}
+	return used
+}
--- a/internal/entry/forwardinginstance.go
+++ b/internal/entry/forwardinginstance.go
@@ -5,7 +5,6 @@
 	"log"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -15,6 +14,7 @@
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/control"
 	"github.com/persimmoncart/persimmoncart/internal/forward"
+	"github.com/persimmoncart/persimmoncart/internal/policy"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
@@ -26,9 +26,6 @@
 	// maxForwardedHeaderBytes bounds the header of a request. It only protects
 	// memory; the operators' limit, which the configuration can change, is lower.
 	maxForwardedHeaderBytes = 64 << 10
-	// stopMargin is the time between the end of a graceful stop and the end of the
-	// grace time, when the process is killed.
-	stopMargin = 400 * time.Millisecond
 )
 
 // A ForwardingInstance is an entry instance that forwards requests to endpoints. Set
@@ -39,7 +36,7 @@
 	CallerListener   net.Listener
 	Directory        *forward.Directory
 	EndpointFollower *forward.Follower
-	Grace            time.Duration // from the signal to stop until the process is killed
+	GracePeriod      *policy.GracePeriod
 	HealthHandler    func(ready func() bool) http.Handler
 	HealthListener   net.Listener
 	Logger           zerolog.Logger
@@ -50,13 +47,11 @@
 	Timer            persimmoncart.Timer
 	VersionChanged   func(uint64) // called with each new version of the routes; may be nil
 
-	bus           *control.Bus
-	callerServer  *http.Server
-	controlLoop   *control.Loop
-	graceOverride atomic.Int64 // set by SetGrace, nanoseconds; zero means that Grace applies
-	healthServer  *http.Server
-	newConns      newConnTracker
-	stopping      atomic.Bool // responses ask callers to close their connections
+	bus          *control.Bus
+	callerServer *http.Server
+	connections  connTracker // of callers
+	controlLoop  *control.Loop
+	healthServer *http.Server
 }
 
 // Run serves until ctx is done or a listener fails, and then stops gracefully within
@@ -68,9 +63,10 @@
 	}
 	f.bus = bus
 	f.controlLoop = &control.Loop{Bus: bus, Logger: f.Logger}
-	f.newConns.Timer = f.Timer
-	f.callerServer = f.newServer(f.closeWhenStopping(f.CallerHandler))
-	f.callerServer.ConnState = f.newConns.ConnState
+	f.connections.Logger, f.connections.Timer = f.Logger, f.Timer
+	f.callerServer = f.newServer(f.connections.Handler(f.closeWhenStopping(f.CallerHandler)))
+	f.callerServer.ConnContext = f.connections.ConnContext
+	f.callerServer.ConnState = f.connections.ConnState
 	f.healthServer = f.newServer(f.HealthHandler(f.ready))
 	f.RouteFollower.ReachableChanged = func(reachable bool) { f.publish(control.StoreChanged{Reachable: reachable}) }
 
@@ -107,9 +103,6 @@
 // StoreReachable reports whether the store responded to the last call.
 func (f *ForwardingInstance) StoreReachable() bool { return f.controlLoop.State().StoreReachable }
 
-// SetGrace changes the time from the signal to stop until the process is killed.
-func (f *ForwardingInstance) SetGrace(grace time.Duration) { f.graceOverride.Store(int64(grace)) }
-
 // SetRoutesVersion records the version of the routes that have come into force.
 func (f *ForwardingInstance) SetRoutesVersion(version uint64) {
 	if f.VersionChanged != nil {
@@ -122,7 +115,7 @@
 // instance is stopping.
 func (f *ForwardingInstance) closeWhenStopping(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if f.stopping.Load() {
+		if f.GracePeriod.Stopping() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -131,23 +124,22 @@
 
 // drain stops gracefully: it reports that the instance is not ready, accepts new
 // connections until the load balancer has noticed, and finishes the requests in
-// flight as far as the grace time allows.
+// flight as far as the grace period allows. Kept connections are closed together with the
+// listener: a request on one of them would have less and less time.
 func (f *ForwardingInstance) drain() {
-	started, grace := f.Timer.Now(), f.Grace
-	if override := f.graceOverride.Load(); override > 0 {
-		grace = time.Duration(override)
-	}
+	started := f.Timer.Now()
+	length := f.GracePeriod.Begin(started).Sub(started)
 	f.publish(control.PhaseChanged{Phase: control.PhaseDraining})
-	f.stopping.Store(true)
-	ctx, stop := timer.WithTimeout(context.Background(), f.Timer, grace-stopMargin, nil)
+	ctx, stop := timer.WithTimeout(context.Background(), f.Timer, length, nil)
 	defer stop()
-	_ = f.Timer.Sleep(ctx, min(drainDelay, grace/2)) // an error means that the grace time is over; the stop continues
-	_ = f.CallerListener.Close()                     // accepted connections stay open
-	f.newConns.Wait(ctx)
-	if err := f.callerServer.Shutdown(ctx); err != nil {
-		f.Logger.Warn().Dur("took", f.Timer.Now().Sub(started)).Msg("requests were still in flight at the end of the grace time")
-		_ = f.callerServer.Close()
+	_ = f.Timer.Sleep(ctx, min(drainDelay, length/2)) // an error means that the grace period is over; the stop continues
+	_ = f.CallerListener.Close()                      // accepted connections stay open
+	f.connections.CloseIdle()
+	if !f.connections.Wait(ctx) {
+		f.Logger.Warn().Dur("took", f.Timer.Now().Sub(started)).Int("connections", f.connections.used()).
+			Msg("requests were still in flight at the end of the grace time")
 	}
+	_ = f.callerServer.Close() // what is left is cut
 	f.publish(control.PhaseChanged{Phase: control.PhaseStopped})
 	_ = f.healthServer.Close() // used only by the load balancer, which has noticed the stop
 	f.Logger.Info().Dur("took", f.Timer.Now().Sub(started)).Msg("stopped")
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -126,9 +126,9 @@
 	adminServer  *http.Server
 	bus          *control.Bus
 	callerServer *http.Server
+	connections  *connTracker // of callers
 	controlLoop  *control.Loop
 	instance     *Instance
-	newConns     *newConnTracker // connections of callers
 	peerServer   *http.Server
 	router       *route.Router
 	supervisor   *control.SupervisorTree
@@ -140,7 +140,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "create control event bus")
 	}
-	r := &runningInstance{acceptDone: make(chan struct{}), newConns: &newConnTracker{Timer: i.Timer}, bus: bus, instance: i}
+	r := &runningInstance{acceptDone: make(chan struct{}), bus: bus, connections: &connTracker{Logger: i.Logger, Timer: i.Timer}, instance: i}
 	r.controlLoop = &control.Loop{Bus: r.bus, Logger: i.Logger}
 	r.router = &route.Router{
 		Allocator:    i.Allocator,
@@ -165,8 +165,9 @@
 		Tag:           i.Self.Tag(),
 		Timer:         i.Timer,
 	}
-	r.callerServer = r.newServer(handler.Routes())
-	r.callerServer.ConnState = r.newConns.ConnState
+	r.callerServer = r.newServer(r.connections.Handler(handler.Routes()))
+	r.callerServer.ConnContext = r.connections.ConnContext
+	r.callerServer.ConnState = r.connections.ConnState
 	r.adminServer = r.newServer(adminRoutes(i, handler.Routes()))
 	r.peerServer = r.newPeerServer()
 	services := append([]control.Service{
--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -31,9 +31,9 @@
 // maxDeparted bounds the endpoints that are remembered as departed.
 const maxDeparted = 4096
 
-// maxPatienceRoutes bounds the routes whose callers' patience is known. Routes come
-// and go with the configuration; beyond it, all are learned anew.
-const maxPatienceRoutes = 4096
+// maxLearnedRoutes bounds the routes that are learned about. Routes come and go with the
+// configuration; beyond it, all are learned anew.
+const maxLearnedRoutes = 4096
 
 // A Directory holds the routes in force and the endpoints of all pools, with the
 // load and failures that this instance has observed. Its exported fields are set
@@ -56,10 +56,10 @@
 	limited         atomic.Int32                                           // endpoints with a rate limit
 	missing         map[persimmoncart.EndpointID]time.Time                 // until when they are kept
 	mutex           sync.Mutex
-	patience        map[persimmoncart.RouteName]*policy.Patience // up to maxPatienceRoutes
 	pools           map[persimmoncart.PoolName]*pool
-	storeLost       bool      // the store is unreachable
-	storeReturned   time.Time // when the store was reached again; zero before
+	routes          map[persimmoncart.RouteName]*learnedRoute // up to maxLearnedRoutes
+	storeLost       bool                                      // the store is unreachable
+	storeReturned   time.Time                                 // when the store was reached again; zero before
 	table           atomic.Pointer[persimmoncart.ForwardTable]
 }
 
@@ -71,6 +71,12 @@
 	selector    policy.Selector
 }
 
+// A learnedRoute is what earlier requests of a route have shown.
+type learnedRoute struct {
+	durations policy.DurationEstimator
+	patience  policy.Patience
+}
+
 // Ready reports whether routes and endpoints have been read from the store.
 func (d *Directory) Ready() bool { return d.endpointsListed.Load() && d.table.Load() != nil }
 
@@ -272,15 +278,23 @@
 func (d *Directory) Waited(route persimmoncart.RouteName, left time.Duration) time.Duration {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	p, found := d.patience[route]
-	if !found {
-		if d.patience == nil || len(d.patience) >= maxPatienceRoutes {
-			d.patience = make(map[persimmoncart.RouteName]*policy.Patience)
-		}
-		p = &policy.Patience{}
-		d.patience[route] = p
-	}
-	return p.Waited(left)
+	return d.route(route).patience.Waited(left)
+}
+
+// ExpectedDuration returns the time within which a response of the given size, in output
+// tokens or 1, is very probably complete. It reports false while none of the route is
+// known.
+func (d *Directory) ExpectedDuration(route persimmoncart.RouteName, size int) (time.Duration, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.route(route).durations.Estimate(size)
+}
+
+// RecordDuration records how long a complete response of the given size took.
+func (d *Directory) RecordDuration(route persimmoncart.RouteName, size int, took time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.route(route).durations.Record(size, took)
 }
 
 // Assign chooses an endpoint of a pool and counts a request on it. It returns nil
@@ -424,3 +438,17 @@
 	}
 	return p
 }
+
+// route returns what is learned about a route, and creates it if needed. The caller holds
+// the mutex.
+func (d *Directory) route(name persimmoncart.RouteName) *learnedRoute {
+	r, found := d.routes[name]
+	if !found {
+		if d.routes == nil || len(d.routes) >= maxLearnedRoutes {
+			d.routes = make(map[persimmoncart.RouteName]*learnedRoute)
+		}
+		r = &learnedRoute{}
+		d.routes[name] = r
+	}
+	return r
+}
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -21,6 +21,7 @@
 	"github.com/persimmoncart/persimmoncart/internal/forward"
 	"github.com/persimmoncart/persimmoncart/internal/metrics"
 	"github.com/persimmoncart/persimmoncart/internal/objectapi"
+	"github.com/persimmoncart/persimmoncart/internal/policy"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
@@ -210,7 +211,7 @@
 	go func() { _ = streams.Run(t.Context()) }()
 	u := &fakeUpstream{}
 	return &fixture{Directory: d, Store: store, Upstream: u, Router: &forward.Router{
-		Directory: d, Logger: zerolog.Nop(), Metrics: metrics.New(), Quarantine: &forward.Quarantine{Logger: zerolog.Nop(), Timer: clock}, StoreReachable: func() bool { return true }, Streams: streams, Timer: clock, Upstream: u,
+		Directory: d, GracePeriod: policy.NewGracePeriod(8 * time.Second), Logger: zerolog.Nop(), Metrics: metrics.New(), Quarantine: &forward.Quarantine{Logger: zerolog.Nop(), Timer: clock}, StoreReachable: func() bool { return true }, Streams: streams, Timer: clock, Upstream: u,
 	}}
 }
 
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -112,7 +112,8 @@
 }
 
 // reserveAndPrefill reserves a decode engine and has the prompt prefilled near it. The
-// quarantine is checked before each of the two and after them, as both take time. A trial
+// quarantine and the grace period are checked before each of the two and after them, as both
+// take time. A trial
 // is claimed once an engine is reserved for it.
 func (g *generation) reserveAndPrefill(ctx context.Context) (*assignment, error) {
 	if part, left, found := g.router.Quarantine.Check(g.parts); found && left > 0 && !g.trial {
@@ -131,6 +132,9 @@
 	if err == nil {
 		err = g.quarantineRefusal()
 	}
+	if err == nil {
+		err = g.stoppingRefusal()
+	}
 	if err != nil {
 		g.abandon(decode)
 		return nil, err
@@ -186,6 +190,9 @@
 		if !now.Before(entry.LatestStart) {
 			return nil, g.capacityRefusal(errNoCapacity)
 		}
+		if err := g.stoppingRefusal(); err != nil {
+			return nil, err
+		}
 		request := g.decodeRequest()
 		request.MinFreeTokens = entry.RequiredFreeTokens(now, request.Tokens)
 		assigned := g.router.Directory.Assign(g.pool, request)
@@ -295,6 +302,10 @@
 			avoid = append(avoid, assigned.Endpoint.ID)
 			continue
 		}
+		if err := g.stoppingRefusal(); err != nil {
+			assigned.Done()
+			return err
+		}
 		if !g.mayPrefill() || !g.countSend(persimmoncart.RetryEndpointDied) {
 			assigned.Done()
 			return nil
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -59,6 +59,9 @@
 	if err := x.quarantineRefusalOrTrial(ctx); err != nil {
 		return nil, err
 	}
+	if err := x.stoppingRefusal(); err != nil { // the quarantine may have taken time
+		return nil, err
+	}
 	sendCtx, cancel := context.WithCancel(ctx)
 	p := &plainCall{cancel: cancel, exchange: x, results: make(chan sendResult, maxSends)}
 	if !p.send(sendCtx, "") {
@@ -128,9 +131,9 @@
 
 // send starts to send the request to one more endpoint; the result goes to
 // results. It reports false if there is no endpoint, the route or the retry budget does
-// not allow another run, or the request crashes endpoints.
+// not allow another run, the request crashes endpoints, or the instance stops too soon.
 func (p *plainCall) send(ctx context.Context, reason persimmoncart.RetryReason) bool {
-	if p.quarantineRefusal() != nil {
+	if p.quarantineRefusal() != nil || p.stoppingRefusal() != nil {
 		return false
 	}
 	assigned := p.router.Directory.Assign(p.pool, policy.SelectorRequest{
@@ -177,6 +180,9 @@
 		}
 	default:
 		p.cancel()
+		if err := p.stoppingRefusal(); err != nil {
+			return nil, true, err
+		}
 		return nil, true, p.noEndpointRefusal(&persimmoncart.Refusal{
 			Code: persimmoncart.RefusalCapacity, Err: result.err, Message: "no endpoint took the request",
 			Outcome: persimmoncart.OutcomeNotRun, RetryAfter: retryAfterNoEndpoint,
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -39,6 +39,10 @@
 // reserveSuccessor reserves another engine for the rest of the stream. It returns nil
 // if the retry budget or the engines do not allow that.
 func (s *stream) reserveSuccessor(ctx context.Context) *successor {
+	if s.stoppingRefusal() != nil {
+		s.logNoSuccessor("the instance is stopping")
+		return nil
+	}
 	if !s.retryPaid && !s.router.Directory.MayRetry(s.pool) {
 		s.logNoSuccessor("retry budget is used up")
 		return nil
@@ -75,7 +79,7 @@
 
 // resume continues the stream at next or, if that is nil, at another engine. It
 // returns a refusal with the given cause if the route's number of runs, the retry
-// budget or the engines do not allow it.
+// budget or the engines do not allow it, or the instance stops before its end.
 func (s *stream) resume(cause error, next *successor) error {
 	if s.route.Repeat != persimmoncart.RepeatResume {
 		return &persimmoncart.Refusal{
@@ -88,6 +92,10 @@
 			cause = errSuspected
 			break
 		}
+		if s.stoppingRefusal() != nil {
+			cause = errStopping
+			break
+		}
 		if next == nil {
 			next = s.assignSuccessor()
 		}
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -21,6 +21,7 @@
 
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/metrics"
+	"github.com/persimmoncart/persimmoncart/internal/policy"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
 
@@ -59,6 +60,7 @@
 // A Router serves forwarded requests. Its fields are set before use.
 type Router struct {
 	Directory      *Directory
+	GracePeriod    *policy.GracePeriod // of the process; asked before a request is accepted or passed on
 	Logger         zerolog.Logger
 	Metrics        *metrics.Metrics
 	Quarantine     *Quarantine
@@ -76,6 +78,9 @@
 	if err := x.resolveRoute(); err != nil {
 		return nil, x.refuse(err)
 	}
+	if err := x.stoppingRefusal(); err != nil {
+		return nil, x.refuse(err)
+	}
 	x.parts = append(slices.Clone(x.promptParts()), persimmoncart.WholeRequest(request.Fingerprint()))
 	ctx = x.withDeadline(ctx)
 	if err := x.resolveOrigin(ctx); err != nil {
@@ -84,7 +89,7 @@
 	}
 	r.Directory.RecordRequest(x.pool)
 	serve := x.plain
-	if request.Generation != nil && x.engine != nil {
+	if x.generates() {
 		serve = x.generate
 	}
 	response, err := serve(ctx)
@@ -109,6 +114,7 @@
 	crashChecks      sync.WaitGroup // pending checks whether an engine has crashed
 	deadline         time.Time
 	endpoint         persimmoncart.EndpointID                             // that made the response
+	firstEvent       time.Time                                            // when the first event of a stream was passed on; zero before
 	engine           *persimmoncart.EngineCapacity                        // of the pool's decode engines; nil for a pool without engines
 	parts            []persimmoncart.RequestPart                          // that may crash endpoints: of the prompt, and last the whole request
 	observe          func(persimmoncart.RouteName, persimmoncart.Outcome) // records the end of the request in the metrics
@@ -402,7 +408,11 @@
 // Next implements Body.
 func (b *closingBody) Next() ([]byte, error) {
 	piece, err := b.Body.Next()
-	if err != nil && !isEOF(err) {
+	switch {
+	case err == nil:
+	case isEOF(err):
+		b.exchange.recordDuration(b.status)
+	default:
 		b.err = err
 	}
 	return piece, err
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -36,7 +36,6 @@
 	ctx         context.Context //nolint:containedctx // Body has no context
 	end         int             // bytes at the start of buffer that the last call of read passed on
 	filled      int             // bytes in buffer
-	first       time.Time       // when the first piece was passed on; zero before
 	lastID      uint64          // identifier of the last event passed on
 	noSuccessor bool            // it was logged that no engine can take over
 	pieces      int             // number of pieces passed on
@@ -50,7 +49,7 @@
 func (s *stream) Close() error {
 	s.abandon()
 	if s.pieces > 0 {
-		gap := s.router.Timer.Now().Sub(s.first) / time.Duration(max(1, s.pieces-1))
+		gap := s.router.Timer.Now().Sub(s.firstEvent) / time.Duration(max(1, s.pieces-1))
 		s.router.Metrics.EndStream(s.pieces, gap)
 		s.pieces = 0
 	}
@@ -117,8 +116,8 @@
 // countPiece counts a piece and records the time to the first one in the metrics.
 func (s *stream) countPiece() {
 	if s.pieces++; s.pieces == 1 {
-		s.first = s.router.Timer.Now()
-		s.router.Metrics.ObserveFirstToken(s.route.Name, s.first.Sub(s.request.Arrived))
+		s.firstEvent = s.router.Timer.Now()
+		s.router.Metrics.ObserveFirstToken(s.route.Name, s.firstEvent.Sub(s.request.Arrived))
 	}
 }
 
