entry: requests in flight at the end of the grace period are answered

Cause: the end of the grace period closed all connections at once. The contexts of the requests ended with them, as if their callers had gone.

A request whose response has not begun is then answered within 200 ms: 503, not run, if it was not passed on, and 502 otherwise. Streams that have begun are cut, as before; nothing else can end them.

Ruled out: a shorter deadline for requests that are passed on during a stop. The endpoint would give up work that the end of the connection ends as well.

--- a/internal/entry/forwardinginstance.go
+++ b/internal/entry/forwardinginstance.go
@@ -26,6 +26,9 @@
 	// maxForwardedHeaderBytes bounds the header of a request. It only protects
 	// memory; the operators' limit, which the configuration can change, is lower.
 	maxForwardedHeaderBytes = 64 << 10
+	// answerTime is how long the requests that are given up at the end of the grace
+	// period have to be answered.
+	answerTime = 200 * time.Millisecond
 )
 
 // A ForwardingInstance is an entry instance that forwards requests to endpoints. Set
@@ -64,7 +67,10 @@
 	f.bus = bus
 	f.controlLoop = &control.Loop{Bus: bus, Logger: f.Logger}
 	f.connections.Logger, f.connections.Timer = f.Logger, f.Timer
+	requests, giveUp := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer giveUp(nil)
 	f.callerServer = f.newServer(f.connections.Handler(f.closeWhenStopping(f.CallerHandler)))
+	f.callerServer.BaseContext = func(net.Listener) context.Context { return requests }
 	f.callerServer.ConnContext = f.connections.ConnContext
 	f.callerServer.ConnState = f.connections.ConnState
 	f.healthServer = f.newServer(f.HealthHandler(f.ready))
@@ -95,7 +101,7 @@
 	case <-ctx.Done():
 	case err = <-failed:
 	}
-	f.drain()
+	f.drain(giveUp)
 	stop()
 	return errors.Join(err, f.bus.Close(), group.Wait())
 }
@@ -125,8 +131,9 @@
 // drain stops gracefully: it reports that the instance is not ready, accepts new
 // connections until the load balancer has noticed, and finishes the requests in
 // flight as far as the grace period allows. Kept connections are closed together with the
-// listener: a request on one of them would have less and less time.
-func (f *ForwardingInstance) drain() {
+// listener: a request on one of them would have less and less time. GiveUp ends the
+// requests that are left.
+func (f *ForwardingInstance) drain(giveUp context.CancelCauseFunc) {
 	started := f.Timer.Now()
 	length := f.GracePeriod.Begin(started).Sub(started)
 	f.publish(control.PhaseChanged{Phase: control.PhaseDraining})
@@ -138,6 +145,7 @@
 	if !f.connections.Wait(ctx) {
 		f.Logger.Warn().Dur("took", f.Timer.Now().Sub(started)).Int("connections", f.connections.used()).
 			Msg("requests were still in flight at the end of the grace time")
+		f.answerRest(giveUp)
 	}
 	_ = f.callerServer.Close() // what is left is cut
 	f.publish(control.PhaseChanged{Phase: control.PhaseStopped})
@@ -145,6 +153,15 @@
 	f.Logger.Info().Dur("took", f.Timer.Now().Sub(started)).Msg("stopped")
 }
 
+// answerRest gives up the requests in flight, and waits until those whose response has not
+// begun are answered.
+func (f *ForwardingInstance) answerRest(giveUp context.CancelCauseFunc) {
+	giveUp(forward.ErrStopped)
+	ctx, stop := timer.WithTimeout(context.Background(), f.Timer, answerTime, nil)
+	defer stop()
+	f.connections.Wait(ctx)
+}
+
 // newServer returns an HTTP server with the limits that all listeners share.
 func (f *ForwardingInstance) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -93,7 +93,7 @@
 			break
 		}
 		if s.stoppingRefusal() != nil {
-			cause = errStopping
+			cause = ErrStopped
 			break
 		}
 		if next == nil {
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -161,10 +161,14 @@
 }
 
 // contextError returns the error of a request whose context has ended: a refusal
-// at its deadline, a *CallerGoneError otherwise. Sent states whether the request
-// may have reached an endpoint.
+// at its deadline and when the instance stops, a *CallerGoneError otherwise. Sent states
+// whether the request may have reached an endpoint.
 func (x *exchange) contextError(ctx context.Context, sent bool) error {
-	if !errors.Is(context.Cause(ctx), errDeadline) {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, ErrStopped):
+		return newStoppingRefusal(sent)
+	case !errors.Is(cause, errDeadline):
 		return &CallerGoneError{}
 	}
 	if sent {
--- a/internal/forward/stopping.go
+++ b/internal/forward/stopping.go
@@ -14,9 +14,9 @@
 // for.
 const retryAfterStopping = 50 * time.Millisecond
 
-// errStopping reports a stream that does not go on because the instance stops before its
-// end.
-var errStopping = errors.New("the instance stops before the end of the stream")
+// ErrStopped is the cause with which the contexts of requests end that are still in flight
+// at the end of the grace period.
+var ErrStopped = errors.New("grace period of the instance is over")
 
 // stoppingRefusal returns the refusal of a request whose response would be cut by the stop
 // of the instance if it were passed on now; nil if it will probably be complete.
@@ -31,15 +31,19 @@
 		return nil
 	}
 	x.log(x.router.Logger.Info()).Dur("expected", expected).Dur("left", left).Msg("request is too long for the rest of the grace period")
-	return newStoppingRefusal()
+	return newStoppingRefusal(false)
 }
 
 // newStoppingRefusal returns the refusal of a request that a stopping instance cannot
-// finish and has not passed on.
-func newStoppingRefusal() error {
-	return &persimmoncart.Refusal{
+// finish. Sent states whether it may have reached an endpoint.
+func newStoppingRefusal(sent bool) error {
+	refusal := &persimmoncart.Refusal{
 		Code: persimmoncart.RefusalDraining, Message: "the instance is stopping", Outcome: persimmoncart.OutcomeNotRun, RetryAfter: retryAfterStopping,
 	}
+	if sent {
+		refusal.Outcome, refusal.RetryAfter = persimmoncart.OutcomeUnknown, 0
+	}
+	return refusal
 }
 
 // expectedDuration returns the time until the response is very probably complete if the
