forward: a stream goes on after event 0, and before any event

Cause: zero stood for 'no event yet' and for 'event 0 was the last', in the stream, in the request of a caller that resumes one, and in the call of an engine. Events up to number zero were dropped as already received.

The same cause on related paths: a caller that resumes a stream after event 0 was taken for one that begins a stream, so that it went on at any version of the software; and a stream whose last event has no identifier was resumed after the one before it, so that an event came twice.

Change: persimmoncart.StreamPosition says whether an event was received and which was the last, in the request, the call and the stream. forward. streamProgress is the one owner for a stream; whoever sends, resumes, logs or estimates asks it. A stream whose last event has no identifier is not resumed. Output tokens are counted by events; a stream that its caller resumed shows only a part of them and is left out.

Ruled out: adding one to all identifiers inside: callers and engines name the same events by number.

--- a/forwardrequest.go
+++ b/forwardrequest.go
@@ -14,17 +14,17 @@
 // A ForwardRequest is one attempt of a caller, which an endpoint receives
 // unchanged.
 type ForwardRequest struct {
-	Arrived     time.Time
-	Body        []byte
-	Deadline    time.Time       // when the caller stops waiting
-	Generation  *GenerationSize // nil for a plain request
-	Header      http.Header     // end-to-end headers, without those that the instance sets itself
-	Host        string
-	ID          RequestID // of this attempt, chosen by the caller
-	LastEventID uint64    // last event of a resumed stream that the caller received; zero for none
-	Method      string
-	Resumes     RequestID // attempt that brought the first event of a resumed stream; empty if the caller does not state it
-	Target      string    // path and query as received
+	Arrived    time.Time
+	Body       []byte
+	Deadline   time.Time       // when the caller stops waiting
+	Generation *GenerationSize // nil for a plain request
+	Header     http.Header     // end-to-end headers, without those that the instance sets itself
+	Host       string
+	ID         RequestID // of this attempt, chosen by the caller
+	Method     string
+	Position   StreamPosition // of the caller in a stream that it resumes
+	Resumes    RequestID      // attempt that brought the first event of a resumed stream; empty if the caller does not state it
+	Target     string         // path and query as received
 }
 
 // Fingerprint returns a hash of what is asked for and with which credentials, which is
--- a/forwardrequest_test.go
+++ b/forwardrequest_test.go
@@ -22,7 +22,7 @@
 	same := request(func(*persimmoncart.ForwardRequest) {})
 	assert.Equal(t, len(same), 32)
 	assert.Equal(t, same, request(func(r *persimmoncart.ForwardRequest) {
-		r.ID, r.LastEventID = "q2", 7
+		r.ID, r.Position = "q2", persimmoncart.AfterEvent(7)
 		r.Header.Set("Accept", "text/plain")
 	}))
 	for name, change := range map[string]func(*persimmoncart.ForwardRequest){
--- a/internal/forward/crest_test.go
+++ b/internal/forward/crest_test.go
@@ -195,7 +195,7 @@
 			r.ID = persimmoncart.RequestID(fmt.Sprintf("q%d", n))
 			resumes := n%3 == 2
 			if resumes {
-				r.Deadline, r.LastEventID, r.Resumes = r.Deadline.Add(-waited), 1, "first"
+				r.Deadline, r.Position, r.Resumes = r.Deadline.Add(-waited), persimmoncart.AfterEvent(1), "first"
 			}
 			callers.Go(func() {
 				if _, refusal := f.send(t.Context(), r); refusal == nil {
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -149,6 +150,12 @@
 	return b.String()
 }
 
+// nextEvent returns the number of the first event that a call asks for, from one.
+func nextEvent(call *persimmoncart.UpstreamCall) int {
+	last, _ := strconv.Atoi(call.Position.String()) // zero before the first event
+	return last + 1
+}
+
 // streamed returns a response whose body is text and then returns err.
 func streamed(text string, err error) *persimmoncart.UpstreamResponse {
 	a := newResponse(http.StatusOK, "")
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -263,9 +263,8 @@
 		}
 		return result, err
 	}
-	s := &stream{
-		ctx: ctx, exchange: g.exchange, assigned: assigned, lastID: g.request.LastEventID, started: g.router.Timer.Now(),
-	}
+	g.progress.position = g.request.Position
+	s := &stream{ctx: ctx, exchange: g.exchange, assigned: assigned, started: g.router.Timer.Now()}
 	s.open(response.Body)
 	return &Response{Body: s, Header: response.Header, Length: -1, Status: response.Status, Stream: true}, nil
 }
--- a/internal/forward/generate_test.go
+++ b/internal/forward/generate_test.go
@@ -369,7 +369,7 @@
 					if n == 0 {
 						return streamed(c.cut, errReset), nil
 					}
-					assert.Equal(t, call.LastEventID, uint64(3))
+					assert.Equal(t, call.Position, persimmoncart.AfterEvent(3))
 					return streamed(c.next, io.EOF), nil
 				}
 				_, body, err := f.serve(t.Context(), c.path)
@@ -399,7 +399,7 @@
 					if n > 0 && n <= c.refused {
 						return nil, refused()
 					}
-					first := int(call.LastEventID) + 1
+					first := nextEvent(&call)
 					return streamed(events(first, first+2), errReset), nil
 				}
 				_, body, err := f.serve(t.Context(), "/long/")
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -81,7 +81,7 @@
 // returns a refusal with the given cause if the route's number of runs, the retry
 // budget or the engines do not allow it, or the instance stops before its end.
 func (s *stream) resume(cause error, next *successor) error {
-	if s.route.Repeat != persimmoncart.RepeatResume {
+	if s.route.Repeat != persimmoncart.RepeatResume || !s.progress.MayResume() {
 		return &persimmoncart.Refusal{
 			Code: persimmoncart.RefusalStreamBroken, Err: cause, Message: "the engine broke off",
 			Outcome: persimmoncart.OutcomeUnknown,
@@ -139,7 +139,7 @@
 // resumeAt sends the request for the rest of the stream to an engine.
 func (s *stream) resumeAt(next *successor) error {
 	call := s.upstreamCall(&next.assigned.Endpoint)
-	call.LastEventID, call.Reservation = s.lastID, next.reservation
+	call.Position, call.Reservation = s.progress.position, next.reservation
 	s.started = s.router.Timer.Now()
 	response, err := s.router.Upstream.Send(s.ctx, call)
 	if err != nil {
@@ -154,7 +154,7 @@
 		_ = response.Body.Close()
 		return err
 	}
-	s.assigned, s.endpoint, s.skipSeen = next.assigned, next.assigned.Endpoint.ID, true
+	s.assigned, s.endpoint, s.skipReceived = next.assigned, next.assigned.Endpoint.ID, true
 	s.open(response.Body)
 	return nil
 }
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -114,7 +114,6 @@
 	crashChecks      sync.WaitGroup // pending checks whether an engine has crashed
 	deadline         time.Time
 	endpoint         persimmoncart.EndpointID                             // that made the response
-	firstEvent       time.Time                                            // when the first event of a stream was passed on; zero before
 	engine           *persimmoncart.EngineCapacity                        // of the pool's decode engines; nil for a pool without engines
 	parts            []persimmoncart.RequestPart                          // that may crash endpoints: of the prompt, and last the whole request
 	observe          func(persimmoncart.RouteName, persimmoncart.Outcome) // records the end of the request in the metrics
@@ -122,6 +121,7 @@
 	originUnrecorded bool                                                 // a run was given up because its origin was not recorded in time
 	pool             persimmoncart.PoolName
 	prefillAccepted  bool // an engine has accepted a prefill
+	progress         streamProgress
 	request          *persimmoncart.ForwardRequest
 	retryPaid        bool // the next retry has already been taken from the budget
 	route            *persimmoncart.ForwardRoute
@@ -151,8 +151,8 @@
 // logChoice logs the choice of an endpoint with the state that it was based on.
 func (x *exchange) logChoice(assigned *assignment) {
 	line := x.log(x.router.Logger.Info())
-	if x.request.LastEventID > 0 {
-		line = line.Uint64("last", x.request.LastEventID).Str("resumes", string(x.request.Resumes))
+	if x.request.Position.Begun() {
+		line = line.Stringer("last", x.request.Position).Str("resumes", string(x.request.Resumes))
 	}
 	line.Str("endpoint", string(assigned.Endpoint.ID)).Stringer("role", assigned.Endpoint.Role).Str("software", string(assigned.Endpoint.Software)).
 		Dur("expected", assigned.Expected).Int("running", assigned.View.InFlight).Float64("others", assigned.View.OtherRequests).
--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -26,7 +26,7 @@
 // keeps the request to that pool and version of the software. It returns a refusal if
 // that is not known, or the route no longer leads there.
 func (x *exchange) resolveOrigin(ctx context.Context) error {
-	if !x.route.Stream || x.request.LastEventID == 0 {
+	if !x.route.Stream || !x.request.Position.Begun() {
 		return nil
 	}
 	pools := x.route.PoolNames()
@@ -68,7 +68,7 @@
 
 // beginsStream reports whether the request begins a stream that may be resumed by its caller.
 func (x *exchange) beginsStream() bool {
-	return x.route.Stream && x.route.Repeat == persimmoncart.RepeatResume && x.request.LastEventID == 0
+	return x.route.Stream && x.route.Repeat == persimmoncart.RepeatResume && !x.request.Position.Begun()
 }
 
 // recordOrigin records that the stream begins at an endpoint, unless it continues there.
--- a/internal/forward/software_test.go
+++ b/internal/forward/software_test.go
@@ -142,7 +142,7 @@
 		f.Router.Streams.Begin("first", persimmoncart.StreamOrigin{Pool: other, Software: "v1"}, time.Now().Add(time.Minute))
 		resume := func(n int) *persimmoncart.Refusal {
 			r := request("/long/")
-			r.ID, r.LastEventID, r.Resumes = persimmoncart.RequestID(fmt.Sprintf("q%d", n)), 1, "first"
+			r.ID, r.Position, r.Resumes = persimmoncart.RequestID(fmt.Sprintf("q%d", n)), persimmoncart.AfterEvent(1), "first"
 			_, refusal := f.send(t.Context(), r)
 			return refusal
 		}
--- a/internal/forward/stallwatch_test.go
+++ b/internal/forward/stallwatch_test.go
@@ -51,7 +51,7 @@
 				f := newFixture(t)
 				f.Upstream.reserve = c.reserve
 				f.Upstream.send = func(_ context.Context, n int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
-					next := int(call.LastEventID) + 1
+					next := nextEvent(&call)
 					switch {
 					case n < c.refusals:
 						return nil, refused()
@@ -88,7 +88,7 @@
 			return nil
 		}
 		f.Upstream.send = func(_ context.Context, _ int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
-			return silentStream(int(call.LastEventID)+1, 2500*time.Millisecond), nil
+			return silentStream(nextEvent(&call), 2500*time.Millisecond), nil
 		}
 		_, _, err := f.serve(t.Context(), "/long/")
 		assert.NilError(t, err)
@@ -129,7 +129,7 @@
 			if n > 0 {
 				return streamed(events(3, 4), io.EOF), nil
 			}
-			return silentStream(int(call.LastEventID)+1, 2500*time.Millisecond), nil
+			return silentStream(nextEvent(&call), 2500*time.Millisecond), nil
 		}
 		_, body, err := f.serve(t.Context(), "/long/")
 		time.Sleep(3 * time.Second) // the silent engine ends
--- a/internal/forward/stopping.go
+++ b/internal/forward/stopping.go
@@ -55,8 +55,8 @@
 	if !known {
 		return left
 	}
-	if !x.firstEvent.IsZero() {
-		expected = max(0, expected-now.Sub(x.firstEvent))
+	if x.progress.events > 0 {
+		expected = max(0, expected-now.Sub(x.progress.first))
 	}
 	if x.generates() {
 		expected += x.route.LatencyTarget // until the first event; later ones are refused
@@ -67,12 +67,12 @@
 // recordDuration records how long a complete response took: a plain one since the request
 // arrived, a stream since its first event. The rest of a resumed stream says nothing.
 func (x *exchange) recordDuration(status int) {
-	if status >= http.StatusBadRequest || x.request.LastEventID > 0 {
+	if status >= http.StatusBadRequest || x.request.Position.Begun() {
 		return
 	}
 	since := x.request.Arrived
-	if !x.firstEvent.IsZero() {
-		since = x.firstEvent
+	if x.progress.events > 0 {
+		since = x.progress.first
 	}
 	x.router.Directory.RecordDuration(x.route.Name, x.responseSize(), x.router.Timer.Now().Sub(since))
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"math"
-	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -18,9 +17,6 @@
 	maxEventSize    = 1 << 20
 )
 
-// eventEnd terminates every event.
-var eventEnd = []byte("\n\n")
-
 // errTruncated reports a stream that ended within an event.
 var errTruncated = errors.New("stream ended inside an event")
 
@@ -29,27 +25,26 @@
 type stream struct {
 	*exchange
 
-	assigned    *assignment
-	body        io.ReadCloser
-	brokeEarly  bool // the last engine broke off at the beginning of its response
-	buffer      []byte
-	ctx         context.Context //nolint:containedctx // Body has no context
-	end         int             // bytes at the start of buffer that the last call of read passed on
-	filled      int             // bytes in buffer
-	lastID      uint64          // identifier of the last event passed on
-	noSuccessor bool            // it was logged that no engine can take over
-	pieces      int             // number of pieces passed on
-	resumedFrom uint64          // lastID when the response of the current engine was opened
-	skipSeen    bool            // drop events up to lastID, which another engine may send again
-	started     time.Time       // when the request was sent to the current engine
-	watch       *stallWatch     // of the current engine; nil if the stream may not resume
+	assigned     *assignment
+	body         io.ReadCloser
+	brokeEarly   bool // the last engine broke off at the beginning of its response
+	buffer       []byte
+	ctx          context.Context //nolint:containedctx // Body has no context
+	end          int             // bytes at the start of buffer that the last call of read passed on
+	filled       int             // bytes in buffer
+	noSuccessor  bool            // it was logged that no engine can take over
+	pieces       int             // number of pieces passed on
+	received     int             // events of the current engine, those that are dropped included
+	skipReceived bool            // drop events that the caller has, which another engine may send again
+	started      time.Time       // when the request was sent to the current engine
+	watch        *stallWatch     // of the current engine; nil if the stream may not resume
 }
 
 // Close implements Body.
 func (s *stream) Close() error {
 	s.abandon()
 	if s.pieces > 0 {
-		gap := s.router.Timer.Now().Sub(s.firstEvent) / time.Duration(max(1, s.pieces-1))
+		gap := s.router.Timer.Now().Sub(s.progress.first) / time.Duration(max(1, s.pieces-1))
 		s.router.Metrics.EndStream(s.pieces, gap)
 		s.pieces = 0
 	}
@@ -68,7 +63,7 @@
 			continue
 		case isEOF(err):
 			s.recordOutput()
-			if s.lastID > s.resumedFrom {
+			if s.received > 0 {
 				s.router.Quarantine.RecordCompletion(s.parts)
 			}
 			s.assigned.Succeeded(s.router.Timer.Now().Sub(s.started), 1)
@@ -81,10 +76,10 @@
 		s.assigned.Failed()
 		next := s.closeEngine()
 		stalled := next != nil
-		s.withParts(s.router.Logger.Warn()).Str("endpoint", string(s.endpoint)).Uint64("last", s.lastID).Bool("stalled", stalled).
+		s.withParts(s.router.Logger.Warn()).Str("endpoint", string(s.endpoint)).Stringer("last", s.progress.position).Bool("stalled", stalled).
 			Err(err).Msg("stream broke")
 		s.tried = append(s.tried, s.endpoint)
-		s.brokeEarly = !stalled && s.lastID <= s.resumedFrom+maxEarlyEvents
+		s.brokeEarly = !stalled && s.received <= maxEarlyEvents
 		if s.brokeEarly {
 			s.checkCrash(&s.assigned.Endpoint)
 		}
@@ -116,38 +111,21 @@
 // countPiece counts a piece and records the time to the first one in the metrics.
 func (s *stream) countPiece() {
 	if s.pieces++; s.pieces == 1 {
-		s.firstEvent = s.router.Timer.Now()
-		s.router.Metrics.ObserveFirstToken(s.route.Name, s.firstEvent.Sub(s.request.Arrived))
+		s.router.Metrics.ObserveFirstToken(s.route.Name, s.progress.first.Sub(s.request.Arrived))
 	}
 }
 
-// recordOutput records the number of output tokens of the whole stream. Events have
-// consecutive identifiers from 1.
+// recordOutput records the number of output tokens of a stream that began here.
 func (s *stream) recordOutput() {
-	if s.engine.EventTokens > 0 && s.lastID > 0 {
-		s.router.Directory.RecordOutput(s.pool, s.request.Generation, int(min(s.lastID, math.MaxInt32))*s.engine.EventTokens)
-	}
-}
-
-// dropSeen drops the events at the start of piece up to lastID, which the caller
-// already has.
-func (s *stream) dropSeen(piece []byte) []byte {
-	for len(piece) > 0 {
-		end := bytes.Index(piece, eventEnd) + len(eventEnd)
-		id, found := lastEventID(piece[:end])
-		if !found || id > s.lastID {
-			s.skipSeen = false
-			return piece
-		}
-		piece = piece[end:]
+	if s.engine.EventTokens > 0 && s.progress.events > 0 && !s.request.Position.Begun() {
+		s.router.Directory.RecordOutput(s.pool, s.request.Generation, min(s.progress.events, math.MaxInt32/s.engine.EventTokens)*s.engine.EventTokens)
 	}
-	return nil
 }
 
 // open starts to read events from an engine's response, and watches it if the stream
 // may resume at another engine.
 func (s *stream) open(b io.ReadCloser) {
-	s.body, s.end, s.filled, s.resumedFrom = b, 0, 0, s.lastID
+	s.body, s.end, s.filled, s.received = b, 0, 0, 0
 	if s.buffer == nil {
 		s.buffer = make([]byte, eventBufferSize)
 	}
@@ -186,8 +164,8 @@
 	return nil, err
 }
 
-// wholeEvents returns the complete events in the buffer, without those that
-// dropSeen drops, and sets end and lastID.
+// wholeEvents returns the complete events in the buffer, without those that the caller
+// has, adds them to the progress and sets end.
 func (s *stream) wholeEvents() []byte {
 	whole := bytes.LastIndex(s.buffer[:s.filled], eventEnd)
 	if whole < 0 {
@@ -195,26 +173,12 @@
 	}
 	s.end = whole + len(eventEnd)
 	piece := s.buffer[:s.end]
-	if s.skipSeen {
-		piece = s.dropSeen(piece)
-	}
-	if id, found := lastEventID(piece); found {
-		s.lastID = id
+	count := bytes.Count(piece, eventEnd)
+	s.received += count
+	if s.skipReceived {
+		piece = s.progress.dropReceived(piece)
+		s.skipReceived, count = len(piece) == 0, bytes.Count(piece, eventEnd)
 	}
+	s.progress.Add(s.router.Timer, piece, count)
 	return piece
 }
-
-// lastEventID returns the identifier of the last event in piece that has one. It
-// reports false if there is none or it is not a number.
-func lastEventID(piece []byte) (uint64, bool) {
-	for len(piece) > 0 {
-		start := bytes.LastIndex(bytes.TrimRight(piece, "\n"), []byte("\n")) + 1
-		line := bytes.TrimRight(piece[start:], "\n")
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			id, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
-			return id, err == nil
-		}
-		piece = piece[:start]
-	}
-	return 0, false
-}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -51,6 +51,7 @@
 // to it, also while the instance stops.
 type caller struct {
 	client         *http.Client
+	firstEvent     int // number of the first event of a stream
 	instance       int
 	name           string
 	others         []*process // at which it may resume streams
@@ -104,7 +105,7 @@
 		request.Parts += fmt.Sprintf("%x:200", c.random.Uint32())
 		var events strings.Builder
 		for n := range streamEvents {
-			events.WriteString(standin.Event(n + 1))
+			events.WriteString(standin.Event(c.firstEvent + n))
 		}
 		o.wantBody = events.String()
 	}
@@ -139,7 +140,7 @@
 		o.otherID = got
 	}
 	text, err := io.ReadAll(response.Body)
-	if request.LastEvent > 0 && response.StatusCode != http.StatusOK {
+	if request.Resumes != "" && response.StatusCode != http.StatusOK {
 		return errRefused
 	}
 	o.status = response.StatusCode
@@ -173,7 +174,8 @@
 	o.resumptions++
 	deadline, _ := ctx.Deadline()
 	next := *request
-	next.ID, next.LastEvent, next.Resumes = fmt.Sprintf("%s-%d", o.id, o.resumptions), strings.Count(o.body, "\n\n"), o.id
+	next.ID, next.Resumes = fmt.Sprintf("%s-%d", o.id, o.resumptions), o.id
+	next.LastEvent = c.firstEvent + strings.Count(o.body, "\n\n") - 1
 	next.Timeout = time.Until(deadline)
 	return c.exchange(ctx, c.others[c.random.IntN(len(c.others))], &next, o)
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -153,8 +153,8 @@
 	for n, p := range s.processes {
 		for k := range s.Callers {
 			c := &caller{
-				client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
-				instance: n, name: fmt.Sprintf("c%d.%d", n, k), partCrashes: &s.partCrashes, process: p,
+				client:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+				firstEvent: s.firstEvent(), instance: n, name: fmt.Sprintf("c%d.%d", n, k), partCrashes: &s.partCrashes, process: p,
 				others: s.processes, random: rand.New(rand.NewPCG(s.Seed, uint64(100+n*s.Callers+k))), recorder: &s.recorder, requestCrashes: &s.requestCrashes, sentEndless: s.sentEndless, resuming: &s.resuming,
 			}
 			s.group.Go(func() { c.run(ctx) })
--- a/upstream.go
+++ b/upstream.go
@@ -71,8 +71,8 @@
 	Cache       *CacheSource // KV cache to fetch; nil for none
 	Deadline    time.Time
 	Endpoint    *Endpoint
-	LastEventID uint64 // last event that the caller received; zero sends the caller's own value
-	Priority    int    // 0 is the most urgent
+	Position    StreamPosition // of the caller in a stream that goes on here; one before the first event sends the caller's own
+	Priority    int            // 0 is the most urgent
 	Request     *ForwardRequest
 	Reservation string // reservation to use; empty for none
 }
