forward: an event of a stream is 64 KB at most

Cause: each stream's buffer grew to hold an event of up to 1 MB before its engine was given up. An instance has some hundred streams at the crest, and the smallest ones have 134 MB.

Change: an event has 64 KB at most, some thousand tokens; the limit of a response's header is the same.

Evidence: TestEndlessResponsesOfAllReplicas, 200 requests to replicas of which all are faulty, live heap above that before: header 26 MB, body 22 MB, header of a stream 25 MB, event 263 MB, event of a resumable stream 265 MB (bound 32 MB); all five pass with the change. The calls of the instance's own read 4 KB at most.

Ruled out: a header (64 KB a response, four responses a request) and a plain body (256 KB): shown by the same test.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -12,9 +12,10 @@
 
 const (
 	// eventBufferSize is the initial size in bytes of a stream's buffer. The buffer
-	// grows to hold an event of up to maxEventSize.
+	// grows to hold an event of up to maxEventSize, of some thousand tokens: each stream of
+	// a faulty engine may fill it.
 	eventBufferSize = 4 << 10
-	maxEventSize    = 1 << 20
+	maxEventSize    = 64 << 10
 )
 
 // errTruncated reports a stream that ended within an event.
