forward: a stream goes on only at an engine that has said who it is

Cause: the version of an engine is that of its record, which an instance may not have read yet. Identify compares the start time of the process, but was asked only before a reservation at an engine that had failed here. A stream that goes on within one response without a reservation asked nobody, and the engine may have failed elsewhere only.

Change: before a stream goes on, within one response or at its caller's request, the engine is identified, whether it has failed or not and with or without reservations.

Ruled out: the version in the response's header or events: engines state none. Identifying every engine before every stream: one more call for each.

--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -129,11 +129,17 @@
 // assignSuccessor chooses another engine for the rest of the stream, without a
 // reservation. It returns nil if there is none.
 func (s *stream) assignSuccessor() *successor {
-	assigned := s.router.Directory.Assign(s.pool, s.decodeRequest())
-	if assigned == nil {
-		return nil
+	for range maxSends {
+		assigned := s.router.Directory.Assign(s.pool, s.decodeRequest())
+		if assigned == nil {
+			return nil
+		}
+		if s.identify(s.ctx, assigned) {
+			return &successor{assigned: assigned, exchange: s.exchange}
+		}
+		s.tried = append(s.tried, assigned.Endpoint.ID)
 	}
-	return &successor{assigned: assigned, exchange: s.exchange}
+	return nil
 }
 
 // resumeAt sends the request for the rest of the stream to an engine.
