policy: late in a stop only requests that surely end are accepted

Late in the grace period each of the others is lost work, while a refusal costs its caller next to nothing: the load balancer has noticed the stop, and the next attempt reaches another instance.

Change: GracePeriod knows when no new connections arrive. From then on a request that has not run is accepted only if its deadline is before the end of the grace period. A stream that is already partly delivered is still judged by the estimate: refusing it would break it.

--- a/internal/entry/forwardinginstance.go
+++ b/internal/entry/forwardinginstance.go
@@ -141,6 +141,7 @@
 	defer stop()
 	_ = f.Timer.Sleep(ctx, min(drainDelay, length/2)) // an error means that the grace period is over; the stop continues
 	_ = f.CallerListener.Close()                      // accepted connections stay open
+	f.GracePeriod.CloseAdmission()
 	f.connections.CloseIdle()
 	if !f.connections.Wait(ctx) {
 		f.Logger.Warn().Dur("took", f.Timer.Now().Sub(started)).Int("connections", f.connections.used()).
--- a/internal/forward/stopping.go
+++ b/internal/forward/stopping.go
@@ -47,12 +47,12 @@
 }
 
 // expectedDuration returns the time until the response is very probably complete if the
-// request is passed on now: until its deadline at most, and that while nothing is known of
-// its route.
+// request is passed on now: until its deadline at most. It is the deadline while nothing is
+// known of its route, and for a request that has not run once admission is closed.
 func (x *exchange) expectedDuration(now time.Time) time.Duration {
 	left := x.deadline.Sub(now)
 	expected, known := x.router.Directory.ExpectedDuration(x.route.Name, x.responseSize())
-	if !known {
+	if !known || x.runs == 0 && x.router.GracePeriod.AdmissionClosed() {
 		return left
 	}
 	if x.progress.events > 0 {
--- a/internal/forward/stopping_test.go
+++ b/internal/forward/stopping_test.go
@@ -73,6 +73,7 @@
 	for _, c := range []struct {
 		name, path string
 		left       time.Duration
+		closed     bool // no new connections arrive
 		learned    bool // responses have taken a second, streams three
 		served     bool
 	}{
@@ -84,6 +85,9 @@
 		{name: "stream, duration unknown", path: "/draft/", left: grace},
 		{name: "stream, shorter than the rest", path: "/draft/", left: 4800 * time.Millisecond, learned: true, served: true},
 		{name: "stream, longer than the rest", path: "/draft/", left: 4200 * time.Millisecond, learned: true},
+		{name: "stream, admission closed", path: "/draft/", left: 7 * time.Second, learned: true, closed: true},
+		{name: "plain, admission closed", path: "/pay/", left: 1500 * time.Millisecond, learned: true, closed: true},
+		{name: "plain, admission closed, up to the deadline", path: "/pay/", left: 2100 * time.Millisecond, learned: true, closed: true, served: true},
 		{name: "resumable", path: "/long/", left: 4200 * time.Millisecond, learned: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -97,6 +101,9 @@
 					learn(t, c.path, took)
 				}
 				f.stopWith(c.left)
+				if c.closed {
+					f.Router.GracePeriod.CloseAdmission()
+				}
 				f.Upstream.send = func(context.Context, int, persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
 					return streamed(events(1, 3), io.EOF), nil
 				}
--- a/internal/policy/graceperiod.go
+++ b/internal/policy/graceperiod.go
@@ -13,6 +13,7 @@
 // to stop. It is the only owner of that fact: whoever accepts a request, passes it on or
 // sends it again asks it. Its methods may be called by several goroutines.
 type GracePeriod struct {
+	closed atomic.Bool               // no new connections arrive
 	end    atomic.Pointer[time.Time] // nil before Begin
 	length atomic.Int64              // nanoseconds
 }
@@ -41,6 +42,14 @@
 	return *g.end.Load()
 }
 
+// CloseAdmission records that no new connections arrive. A caller that is refused from now
+// on reaches another instance at once, so that no request should be accepted that may have
+// to be cut.
+func (g *GracePeriod) CloseAdmission() { g.closed.Store(true) }
+
+// AdmissionClosed reports whether CloseAdmission was called.
+func (g *GracePeriod) AdmissionClosed() bool { return g.closed.Load() }
+
 // Left returns the time until responses are cut, and whether the process is stopping at
 // all.
 func (g *GracePeriod) Left(now time.Time) (time.Duration, bool) {
