soak: callers keep using a stopping instance

Each stop of the soak now has its own load: 12 connections that were kept since a lookup and send one more request at any time until the process is gone, and 12 that the load balancer still sends, of which half take up to 2.9 s for their header; streams have 1 to 220 events, 30 ms apart. The route of streams has a timeout of 14 s, so that it does not end them first.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -39,8 +39,10 @@
 	resumptionPause = 400 * time.Millisecond
 	// sharedPart is a part of the prompts of all streams.
 	sharedPart = "a100"
-	// streamEvents is the number of events in each stream.
-	streamEvents = 12
+	// streamEvents is the number of events in a stream, unless its identifier states one,
+	// and eventInterval the time between them.
+	streamEvents  = 12
+	eventInterval = 30 * time.Millisecond
 )
 
 // weightedKinds lists each kind of request as often as its share of the load
@@ -103,11 +105,7 @@
 			request.Parts += crashPart + ":700,"
 		}
 		request.Parts += fmt.Sprintf("%x:200", c.random.Uint32())
-		var events strings.Builder
-		for n := range streamEvents {
-			events.WriteString(standin.Event(c.firstEvent + n))
-		}
-		o.wantBody = events.String()
+		o.wantBody = wholeStream(c.firstEvent, streamEvents)
 	}
 	err := c.exchange(ctx, c.process, request, o)
 	for kind == kindResumable && err != nil && c.mayResume(ctx, o) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -206,7 +206,7 @@
 // exists in version N only.
 func (s *Soak) writeConfiguration() {
 	s.configVersion++
-	engineRoute := standin.Route{Kind: standin.KindStreaming, LatencyTarget: 900 * time.Millisecond, MaxAttempts: maxAttempts, Pool: serviceLLM, Timeout: 6 * time.Second}
+	engineRoute := standin.Route{Kind: standin.KindStreaming, LatencyTarget: 900 * time.Millisecond, MaxAttempts: maxAttempts, Pool: serviceLLM, Timeout: 14 * time.Second}
 	booksRoute := standin.Route{LatencyTarget: 300 * time.Millisecond, MaxAttempts: maxAttempts, Pool: serviceBooks, Timeout: 6 * time.Second}
 	var routes []standin.Route
 	for name, r := range map[string]standin.Route{kindStream: engineRoute, kindResumable: engineRoute, kindIdempotent: booksRoute, kindNonIdempotent: booksRoute, fmt.Sprintf("v%d", s.configVersion): booksRoute} {
@@ -311,7 +311,9 @@
 // does, and checks that each stops gracefully.
 func (s *Soak) restartInOrder() {
 	for n, p := range s.processes {
+		load := s.startStopLoad(n, p)
 		signalled := time.Now()
+		load.begin()
 		if s.Violate == GracefulStop {
 			p.signal(syscall.SIGKILL)
 		} else {
@@ -327,6 +329,7 @@
 		}
 		s.logf("%s stopped after %s", p.Name, time.Since(signalled).Round(time.Millisecond))
 		ended := time.Now()
+		load.wait()
 		time.Sleep(200 * time.Millisecond) // callers record the outcomes of their requests
 		s.recorder.checkGracefulStop(n, signalled, ended, s.executions())
 		if err := p.start(); err != nil {
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -6,8 +6,14 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/persimmoncart/persimmoncart/platform/standin"
 )
 
+// excusedSendTime is the time after the signal to stop until which a request may be sent
+// that the end of the grace time then cuts.
+const excusedSendTime = 3 * time.Second
+
 // Invariants that the soak checks.
 const (
 	AtMostOnce     Invariant = "at-most-once"    // a request that may not be repeated runs at most once
@@ -127,7 +133,8 @@
 
 // checkGracefulStop checks that the graceful stop of an instance interrupted no
 // request that was passed on to a replica, given the number of executions of each
-// request. A request that reached the connection as it closed, and was not passed
+// request. Excused are requests that were sent up to excusedSendTime after the signal and
+// whose replica is still at work in the last sixth of the grace time. A request that reached the connection as it closed, and was not passed
 // on, may be sent again by its caller.
 func (r *recorder) checkGracefulStop(instance int, signalled, ended time.Time, executions map[string]int) {
 	r.mutex.Lock()
@@ -138,6 +145,10 @@
 		if o.instance != instance || o.disconnected || !o.incomplete || o.ended.Before(signalled) || o.sent.After(ended) {
 			continue
 		}
+		late := o.sent.Sub(signalled) > excusedSendTime
+		if atWork := o.ended.Sub(signalled) >= standin.GraceTime*5/6; atWork && !late {
+			continue // no instance can finish what is still being written then
+		}
 		if o.status != 0 || executions[o.id] > 0 {
 			r.addViolation(GracefulStop, "%s was interrupted by the stop of instance %d", o.id, instance)
 		}
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -170,7 +170,7 @@
 	p := &replicaProcess{}
 	p.Endpoint = &standin.Endpoint{
 		Born: time.Now(), CrashBody: crashBody, CrashPart: crashPart, EndpointAt: s.endpointAt,
-		EventInterval: 30 * time.Millisecond, Events: streamEvents, Fault: r.fault.next, FromZero: s.firstEvent() == 0, ID: fmt.Sprintf("i-%d", r.number),
+		EventInterval: eventInterval, EventsOf: eventsOf, Fault: r.fault.next, FromZero: s.firstEvent() == 0, ID: fmt.Sprintf("i-%d", r.number),
 		OnCrash: func() { s.handleCrash(ctx, r, p) }, Role: role, RoleChanged: func() { s.putEndpoint(r) },
 		Slots: replicaSlots, Software: r.nextSoftware(), StateSoftware: true, Timer: &timer.System{}, WorkTime: 15 * time.Millisecond,
 	}
