forward: an engine that was found replaced is dropped once

Cause: DropReplaced took an identifier. The process that was found replaced and the one that has replaced it have the same one, and the record of the second may arrive before the first is found gone.

Change: the endpoint that was found replaced is dropped if it is still the same process. Shown by TestDirectoryRestart, which fails without the comparison.

--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -227,11 +227,12 @@
 	d.Timer.After(grace, func(time.Time) { d.expire(id) })
 }
 
-// DropReplaced drops an endpoint at whose address another process responds.
-func (d *Directory) DropReplaced(id persimmoncart.EndpointID) {
+// DropReplaced drops an endpoint at whose address another process responds, unless the
+// record of that process has been read meanwhile.
+func (d *Directory) DropReplaced(replaced *persimmoncart.Endpoint) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if e, p := d.find(id); e != nil {
+	if e, p := d.find(replaced.ID); e != nil && isSameProcess(&e.Endpoint, replaced) {
 		d.drop(p, e)
 	}
 }
--- a/internal/forward/directory_test.go
+++ b/internal/forward/directory_test.go
@@ -127,7 +127,11 @@
 		f.Directory.Put(e)
 		assert.DeepEqual(t, dropped, []persimmoncart.EndpointID{"a1"})
 		assert.Assert(t, f.assignable("a1"))
-		f.Directory.DropReplaced("a1")
+		old := e
+		old.Incarnation = 1
+		f.Directory.DropReplaced(&old) // the process before has been found replaced
+		assert.Assert(t, f.assignable("a1"))
+		f.Directory.DropReplaced(&e)
 		assert.Assert(t, !f.assignable("a1"))
 	})
 }
@@ -140,14 +144,16 @@
 	assert.Assert(t, !d.Ready())
 	d.AddEndpoints(nil)
 	assert.Assert(t, !d.Ready())
+	var added []persimmoncart.Endpoint
 	for n := range 3 {
-		d.AddEndpoints([]persimmoncart.Endpoint{{
+		added = append(added, persimmoncart.Endpoint{
 			ID: persimmoncart.EndpointID(fmt.Sprint("a", n)), Pool: ledger, Role: persimmoncart.RoleApplication, Slots: 1,
-		}})
+		})
+		d.AddEndpoints(added[n:])
 		assert.Assert(t, d.Ready())
 	}
-	d.DropReplaced("a1")
-	d.DropReplaced("a2")
+	d.DropReplaced(&added[1])
+	d.DropReplaced(&added[2])
 	assert.Assert(t, d.Has(ledger, policy.SelectorRequest{Role: persimmoncart.RoleApplication}))
 }
 
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -260,7 +260,7 @@
 	refused, replaced := (*persimmoncart.EndpointRefusedError)(nil), (*persimmoncart.EndpointReplacedError)(nil)
 	switch {
 	case errors.As(err, &replaced):
-		x.router.Directory.DropReplaced(assigned.Endpoint.ID)
+		x.router.Directory.DropReplaced(&assigned.Endpoint)
 		outcome = sendNotRun
 	case errors.As(err, &refused):
 		assigned.ReportLoad(refused.Load)
--- a/internal/forward/stallwatch_test.go
+++ b/internal/forward/stallwatch_test.go
@@ -43,7 +43,11 @@
 			return nil
 		}},
 		{name: "other engine is gone", prepare: func(f *fixture) {
-			f.Directory.DropReplaced("d2")
+			for _, e := range f.Directory.Engines()[llm] {
+				if e.ID == "d2" {
+					f.Directory.DropReplaced(&e)
+				}
+			}
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
