--- a/forwardtable.go
+++ b/forwardtable.go
@@ -106,7 +106,7 @@
 type ForwardTable struct {
 	Limits  ForwardLimits
 	Pools   map[PoolName]*ForwardPool
-	Routes  map[string][]*ForwardRoute // by host, the longest prefix first
+	Routes  map[string][]*ForwardRoute // by host in lower case, the longest prefix first
 	Version uint64
 }
 
@@ -124,9 +124,10 @@
 	return slices.Compact(names)
 }
 
-// Route returns the route of the host with the longest prefix of the path.
+// Route returns the route of the host, whose case does not matter, with the longest prefix
+// of the path.
 func (t *ForwardTable) Route(host, path string) (*ForwardRoute, bool) {
-	for _, r := range t.Routes[host] {
+	for _, r := range t.Routes[strings.ToLower(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r, true
 		}
