platform: an entry without all of its fields names no endpoint

Besides, an entry that was found invalid took away the endpoint known under its identifier.

Ruled out: comparing the pool with the one known: replicas may move.

--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -108,14 +108,16 @@
 // Table returns the routes in force, or nil before the first.
 func (d *Directory) Table() *persimmoncart.ForwardTable { return d.table.Load() }
 
-// SetEndpoints replaces all endpoints. Those that are not in the list are marked
-// missing, as by Remove.
-func (d *Directory) SetEndpoints(endpoints []persimmoncart.Endpoint) {
+// SetEndpoints replaces all endpoints but those whose records are invalid: these say
+// nothing of the endpoint. Endpoints that are in neither list are marked missing, as by
+// Remove.
+func (d *Directory) SetEndpoints(endpoints []persimmoncart.Endpoint, invalid []persimmoncart.EndpointID) {
 	d.mutex.Lock()
 	var gone []persimmoncart.EndpointID
 	for _, p := range d.pools {
 		for _, e := range p.selector.Endpoints {
-			if !slices.ContainsFunc(endpoints, func(o persimmoncart.Endpoint) bool { return o.ID == e.Endpoint.ID }) {
+			listed := slices.ContainsFunc(endpoints, func(o persimmoncart.Endpoint) bool { return o.ID == e.Endpoint.ID })
+			if !listed && !slices.Contains(invalid, e.Endpoint.ID) {
 				gone = append(gone, e.Endpoint.ID)
 			}
 		}
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -210,7 +210,7 @@
 		add(id, llm, persimmoncart.RoleDecode)
 	}
 	d.SetTable(table(1))
-	d.SetEndpoints(list)
+	d.SetEndpoints(list, nil)
 	store := &objectapi.Faulty{Store: &objectapi.Memory{Timer: clock}, Timer: clock}
 	streams := &forward.StreamRecords{Directory: d, Logger: zerolog.Nop(), Self: d.Home, Store: store, Timer: clock}
 	d.EndpointsChanged = streams.Signal
--- a/internal/forward/streamrecords_test.go
+++ b/internal/forward/streamrecords_test.go
@@ -46,7 +46,7 @@
 	d.EndpointsChanged = k.Signal
 	running.Go(func() { _ = k.Run(ctx) })
 	d.SetTable(table(1))
-	d.SetEndpoints([]persimmoncart.Endpoint{newEngine("e1", "v1")})
+	d.SetEndpoints([]persimmoncart.Endpoint{newEngine("e1", "v1")}, nil)
 	return k
 }
 
