--- a/internal/entry/conntracker.go
+++ b/internal/entry/conntracker.go
@@ -115,7 +115,7 @@
 // close closes a connection. The caller holds the mutex.
 func (t *connTracker) close(c net.Conn) {
 	t.connections[c] = connClosed
-	_ = c.Close() // the caller sees either a closed connection or none
+	_ = c.Close() // fails only if the caller has closed it
 }
 
 // closed reports whether the connection of a request was closed as idle.
