entry: the instances' own interface closes no kept connection early

Cause: let this interface close idle connections when its listener closes, like that of the users' platform. Here responses that began before the stop do not ask their callers to close, and there is no kill time that would make a later request hopeless.

Change: it waits for the first requests of new connections, as before, and http.Server.Shutdown closes the rest.

The same on the platform's interface: a response that began before the signal and ends after the listener has closed has its connection closed too. A request that crosses the close is not read there, and its caller may send it again; keeping it open is the fault that mends.

--- a/internal/entry/conntracker.go
+++ b/internal/entry/conntracker.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -98,19 +99,12 @@
 
 // Wait waits until no connection has a request or may bring its first one. It reports
 // false if ctx is done earlier.
-func (t *connTracker) Wait(ctx context.Context) bool {
-	for {
-		used := t.used()
-		// The pause follows the check, so that the last request that was read has
-		// reached its handler when Wait returns.
-		if t.Timer.Sleep(ctx, connPollPeriod) != nil {
-			return t.used() == 0
-		}
-		if used == 0 {
-			return true
-		}
-	}
-}
+func (t *connTracker) Wait(ctx context.Context) bool { return t.wait(ctx, connNew, connActive) }
+
+// WaitFirst waits until the first request of every connection has been read. It reports
+// false if ctx is done earlier. http.Server.Shutdown drops such a request if it arrives
+// during the shutdown.
+func (t *connTracker) WaitFirst(ctx context.Context) bool { return t.wait(ctx, connNew) }
 
 // close closes a connection. The caller holds the mutex.
 func (t *connTracker) close(c net.Conn) {
@@ -129,15 +123,31 @@
 	return t.connections[c] == connClosed
 }
 
-// used returns the number of connections that are new or active.
-func (t *connTracker) used() int {
+// count returns the number of connections in one of the given phases.
+func (t *connTracker) count(phases ...connPhase) int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	used := 0
+	count := 0
 	for _, phase := range t.connections {
-		if phase == connNew || phase == connActive {
-			used++
+		if slices.Contains(phases, phase) {
+			count++
+		}
+	}
+	return count
+}
+
+// wait waits until no connection is in one of the given phases. It reports false if ctx is
+// done earlier.
+func (t *connTracker) wait(ctx context.Context, phases ...connPhase) bool {
+	for {
+		count := t.count(phases...)
+		// The pause follows the check, so that the last request that was read has
+		// reached its handler when wait returns.
+		if t.Timer.Sleep(ctx, connPollPeriod) != nil {
+			return t.count(phases...) == 0
+		}
+		if count == 0 {
+			return true
 		}
 	}
-	return used
 }
--- a/internal/entry/forwardinginstance.go
+++ b/internal/entry/forwardinginstance.go
@@ -144,7 +144,7 @@
 	f.GracePeriod.CloseAdmission()
 	f.connections.CloseIdle()
 	if !f.connections.Wait(ctx) {
-		f.Logger.Warn().Dur("took", f.Timer.Now().Sub(started)).Int("connections", f.connections.used()).
+		f.Logger.Warn().Dur("took", f.Timer.Now().Sub(started)).Int("connections", f.connections.count(connNew, connActive)).
 			Msg("requests were still in flight at the end of the grace time")
 		f.answerRest(giveUp)
 	}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -165,8 +165,7 @@
 		Tag:           i.Self.Tag(),
 		Timer:         i.Timer,
 	}
-	r.callerServer = r.newServer(r.connections.Handler(handler.Routes()))
-	r.callerServer.ConnContext = r.connections.ConnContext
+	r.callerServer = r.newServer(handler.Routes())
 	r.callerServer.ConnState = r.connections.ConnState
 	r.adminServer = r.newServer(adminRoutes(i, handler.Routes()))
 	r.peerServer = r.newPeerServer()
--- a/internal/entry/instance_test.go
+++ b/internal/entry/instance_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -100,6 +101,43 @@
 	})
 }
 
+// Guards against a kept connection that is closed at the end of a response which had not
+// announced it, while the instance still waits for first requests: the next request of its
+// caller would be lost.
+func TestInstanceStopKeepsConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		time.Sleep(time.Second)
+		dial := func() net.Conn {
+			c, err := f.client.Transport.(*http.Transport).DialContext(t.Context(), "", "")
+			assert.NilError(t, err)
+			return c
+		}
+		kept, unused := dial(), dial()
+		reader := bufio.NewReader(kept)
+		request := "POST /v1/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer key\r\nContent-Length: %d\r\n\r\n%s"
+		_, err := fmt.Fprintf(kept, request, len(draft), draft)
+		assert.NilError(t, err)
+		first, err := http.ReadResponse(reader, nil) // begins before the stop
+		assert.NilError(t, err)
+		f.cancel()
+		time.Sleep(1500 * time.Millisecond) // the listener is closed
+		assert.Equal(t, strings.Count(read(t, first), `"index":0`), 100)
+		assert.Assert(t, !first.Close)
+		_, err = fmt.Fprintf(kept, request, len(draft), draft)
+		assert.NilError(t, err)
+		second, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		assert.Assert(t, second.Close)
+		assert.Equal(t, strings.Count(read(t, second), `"index":0`), 100)
+		kept.Close()
+		unused.Close()
+		assert.NilError(t, <-f.done)
+		f.done <- nil
+		assert.NilError(t, f.stop())
+	})
+}
+
 // Guards against memory that is not released when a caller disconnects.
 func TestInstanceCallerDisconnects(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/entry/runninginstance.go
+++ b/internal/entry/runninginstance.go
@@ -52,8 +52,7 @@
 	_ = i.Timer.Sleep(ctx, i.Grace) // fails only if ctx ends, which it does not
 	_ = i.CallerListener.Close()    // accepted connections stay open
 	<-r.acceptDone
-	r.connections.CloseIdle()
-	r.connections.Wait(ctx) // ends, as headers and requests have deadlines
+	r.connections.WaitFirst(ctx) // ends, as headers have a timeout
 	r.shutdown(ctx, r.callerServer, "callers")
 	r.router.Wait()
 	r.publish(control.PhaseChanged{Phase: control.PhaseStopped})
