--- a/internal/policy/graceperiod.go
+++ b/internal/policy/graceperiod.go
@@ -26,13 +26,6 @@
 	return g
 }
 
-// Allows reports whether a response that takes the given time is complete before the
-// process is killed.
-func (g *GracePeriod) Allows(now time.Time, expected time.Duration) bool {
-	left, stopping := g.Left(now)
-	return !stopping || expected <= left
-}
-
 // Begin starts the grace period at the time of the signal to stop, and returns its end.
 // Later calls change nothing.
 func (g *GracePeriod) Begin(now time.Time) time.Time {
--- a/internal/policy/graceperiod_test.go
+++ b/internal/policy/graceperiod_test.go
@@ -13,13 +13,12 @@
 func ExampleGracePeriod() {
 	now := time.Unix(0, 0)
 	g := policy.NewGracePeriod(8 * time.Second)
-	fmt.Println(g.Stopping(), g.Allows(now, time.Hour))
+	fmt.Println(g.Left(now))
 	g.Begin(now)
-	left, _ := g.Left(now.Add(3 * time.Second))
-	fmt.Println(left, g.Allows(now.Add(3*time.Second), 4*time.Second), g.Allows(now.Add(3*time.Second), 5*time.Second))
+	fmt.Println(g.Left(now.Add(3 * time.Second)))
 	// Output:
-	// false true
-	// 4.6s true false
+	// 0s false
+	// 4.6s true
 }
 
 // Guards against a second signal or a change of the settings that moves the end of a grace
