soak: only streams that outlast a stop are excused

Now the replica must still be writing the stream in the last sixth of the grace time, by its number of events.

TestGracefulStopExcuse fails on the check before (a short stream and a plain request, no violation).

--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -65,6 +65,17 @@
 	wantBody     string   // complete and correct response body
 }
 
+// outlasts reports whether a request is a stream that was sent up to excusedSendTime after
+// the signal to stop, and whose replica still writes it in the last sixth of the grace time.
+func (o *outcome) outlasts(signalled time.Time) bool {
+	if o.kind != kindStream && o.kind != kindResumable {
+		return false
+	}
+	sent := o.sent.Sub(signalled)
+	written := sent + time.Duration(eventsOf(o.id))*eventInterval
+	return sent <= excusedSendTime && written >= standin.GraceTime*5/6
+}
+
 // A recorder collects the outcomes of requests and the violations of a run. It is
 // safe for concurrent use.
 type recorder struct {
@@ -133,9 +144,8 @@
 
 // checkGracefulStop checks that the graceful stop of an instance interrupted no
 // request that was passed on to a replica, given the number of executions of each
-// request. Excused are requests that were sent up to excusedSendTime after the signal and
-// whose replica is still at work in the last sixth of the grace time. A request that reached the connection as it closed, and was not passed
-// on, may be sent again by its caller.
+// request. Streams that outlast the stop are excused. A request that reached the
+// connection as it closed, and was not passed on, may be sent again by its caller.
 func (r *recorder) checkGracefulStop(instance int, signalled, ended time.Time, executions map[string]int) {
 	r.mutex.Lock()
 	outcomes := r.outcomes
@@ -145,9 +155,8 @@
 		if o.instance != instance || o.disconnected || !o.incomplete || o.ended.Before(signalled) || o.sent.After(ended) {
 			continue
 		}
-		late := o.sent.Sub(signalled) > excusedSendTime
-		if atWork := o.ended.Sub(signalled) >= standin.GraceTime*5/6; atWork && !late {
-			continue // no instance can finish what is still being written then
+		if o.outlasts(signalled) {
+			continue
 		}
 		if o.status != 0 || executions[o.id] > 0 {
 			r.addViolation(GracefulStop, "%s was interrupted by the stop of instance %d", o.id, instance)
--- a/internal/soak/invariants_test.go
+++ b/internal/soak/invariants_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -40,3 +41,27 @@
 		})
 	}
 }
+
+// Guards against a stop that cuts or loses a request and is excused although its replica
+// had long ended its work, and against blaming a stop for work that outlasts it.
+func TestGracefulStopExcuse(t *testing.T) {
+	signalled := time.Now()
+	const cut = 7600 * time.Millisecond
+	for _, c := range []struct {
+		name, id, kind string
+		sent           time.Duration // after the signal
+		violations     int
+	}{
+		{name: "long stream", id: "a-e220", kind: kindStream, sent: 2 * time.Second},
+		{name: "long stream, sent late", id: "a-e220", kind: kindStream, sent: 3100 * time.Millisecond, violations: 1},
+		{name: "short stream", id: "a-e20", kind: kindStream, sent: 2 * time.Second, violations: 1},
+		{name: "plain", id: "a", kind: kindNonIdempotent, sent: 2 * time.Second, violations: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := &recorder{started: signalled}
+			r.outcomes = []outcome{{id: c.id, kind: c.kind, incomplete: true, sent: signalled.Add(c.sent), ended: signalled.Add(cut), status: 200}}
+			r.checkGracefulStop(0, signalled, signalled.Add(8*time.Second), map[string]int{c.id: 1})
+			assert.Equal(t, len(r.violations), c.violations)
+		})
+	}
+}
