forward: prefill engines without reservations are identified again

A prompt was sent to a process that had taken the address of a prefill engine, in a pool whose engines make no reservations: the caller waits for a refusal.

Cause: moved the condition on reservations from reserve into identify, which the prefill asks too.

--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -112,9 +112,8 @@
 }
 
 // reserveAndPrefill reserves a decode engine and has the prompt prefilled near it. The
-// quarantine and the grace period are checked before each of the two and after them, as both
-// take time. A trial
-// is claimed once an engine is reserved for it.
+// quarantine and the grace period are checked before each of the two and after them, as
+// both take time. A trial is claimed once an engine is reserved for it.
 func (g *generation) reserveAndPrefill(ctx context.Context) (*assignment, error) {
 	if part, left, found := g.router.Quarantine.Check(g.parts); found && left > 0 && !g.trial {
 		g.releaseCache()
--- a/internal/forward/generate_test.go
+++ b/internal/forward/generate_test.go
@@ -320,6 +320,35 @@
 	})
 }
 
+// Guards against a prompt that is sent to a process which has taken the address of a
+// prefill engine, in a pool whose engines make no reservations.
+func TestGeneratePrefillEngineReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		unreserved := table(2)
+		unreserved.Pools[llm].Engine.MaxReservation = 0
+		f.Directory.SetTable(unreserved)
+		for _, e := range f.Directory.Engines()[llm] {
+			if e.ID == "p2" {
+				f.Directory.DropReplaced(&e) // p1 is the only prefill engine
+			}
+		}
+		f.Upstream.send = sendWhole
+		f.Upstream.prefill = func(int) error { return errReset }
+		f.Upstream.identify = func(persimmoncart.EndpointID) error { return errReset }
+		_, _, err := f.serve(t.Context(), "/draft/") // the prefill fails
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		synctest.Wait() // the crash checks have ended
+		f.Upstream.prefill = nil
+		f.Upstream.identify = func(id persimmoncart.EndpointID) error { return &persimmoncart.EndpointReplacedError{Want: id} }
+		before := f.Upstream.count("prefill")
+		_, _, err = f.serve(t.Context(), "/draft/")
+		assert.NilError(t, err)
+		assert.Equal(t, f.Upstream.count("prefill"), before)
+	})
+}
+
 // Guards against a queue at the prefill engines that uses up the latency target:
 // the decode engines read the remaining prompts of a burst.
 func TestGenerateLongPrefillQueue(t *testing.T) {
--- a/internal/forward/reservation.go
+++ b/internal/forward/reservation.go
@@ -27,11 +27,15 @@
 // reservation would be one more. If the engine is full or does not respond, the
 // assignment ends and ok is false.
 func (x *exchange) reserve(ctx context.Context, assigned *assignment, tokens, spare int) (reservation string, ok bool) {
+	unreserved := x.engine.MaxReservation <= 0 || assigned.Limited
+	if unreserved && x.origin == nil {
+		return "", true // the engine may refuse the request itself
+	}
 	if !x.identify(ctx, assigned) {
 		return "", false
 	}
-	if x.engine.MaxReservation <= 0 || assigned.Limited {
-		return "", true // the engine may refuse the request itself
+	if unreserved {
+		return "", true
 	}
 	if spare > 0 {
 		// Only the engine knows what other instances have reserved on it.
@@ -46,13 +50,12 @@
 
 // identify makes sure that an engine is still the process that it is taken for. It ends
 // the assignment and reports false if not. Asked are engines that have failed, unless they
-// have no reservations or limit their requests: a process that has taken the address
-// reserves memory as well, and then refuses the request, which takes a retry. Before a
-// stream goes on, every engine is asked: it may have started again under its identifier
-// with another version of the software, which this instance learns of later.
+// limit their requests: a process that has taken the address reserves memory as well, and
+// then refuses the request, which takes a retry. Before a stream goes on, every engine is
+// asked: it may have started again under its identifier with another version of the
+// software, which this instance learns of later.
 func (x *exchange) identify(ctx context.Context, assigned *assignment) bool {
-	needless := !assigned.Unverified || assigned.Limited || x.engine.MaxReservation <= 0
-	if needless && x.origin == nil {
+	if x.origin == nil && (!assigned.Unverified || assigned.Limited) {
 		return true
 	}
 	if x.origin != nil && assigned.Limited && !x.router.Directory.TakeCall(assigned.Endpoint.ID) {
