forward: requests of client accounts need a key

Cause: with accounts in the configuration, requests ran without a key, the key was passed on to endpoints, and endpoints learned no account. A key that is withdrawn stops waiting requests and retries too. The account's priority goes before the route's. Without accounts in the configuration nothing changes (TestNoAccounts).

--- a/configuration.go
+++ b/configuration.go
@@ -6,13 +6,16 @@
 
 // An Account is one caller account.
 type Account struct {
-	Burst     int   // requests that may arrive at once; see Rate
-	Class     Class // of the account's requests
-	Keys      []KeyHash
-	Name      AccountID
-	Rate      float64 // requests a second
-	TokenRate float64 // prompt and output tokens a second; zero is unlimited
-	Weight    int     // share in the admission queue relative to other accounts
+	Burst         int   // requests that may arrive at once; see Rate
+	Class         Class // of the account's requests
+	DefaultTokens int   // that a request counts which does not state its tokens
+	Keys          []KeyHash
+	Name          AccountID
+	Priority      int     // of the account's requests, 0 is the most urgent; negative for that of the route
+	Rate          float64 // requests a second
+	TokenBurst    int     // tokens that may be used at once; see TokenRate
+	TokenRate     float64 // prompt and output tokens a second; zero is unlimited
+	Weight        int     // share in the admission queue relative to other accounts
 }
 
 // A Configuration provides the configuration in force.
--- a/forwardrequest.go
+++ b/forwardrequest.go
@@ -21,6 +21,7 @@
 	Header     http.Header     // end-to-end headers, without those that the instance sets itself
 	Host       string
 	ID         RequestID // of this attempt, chosen by the caller
+	Key        KeyHash   // of the caller's account; zero for none
 	Method     string
 	Position   StreamPosition // of the caller in a stream that it resumes
 	Resumes    RequestID      // attempt that brought the first event of a resumed stream; empty if the caller does not state it
@@ -37,6 +38,9 @@
 		_ = binary.Write(h, binary.BigEndian, uint64(len(field))) // writes to a hash do not fail
 		_, _ = h.Write([]byte(field))
 	}
+	if r.Key != (KeyHash{}) {
+		_, _ = h.Write(r.Key[:])
+	}
 	_, _ = h.Write(r.Body)
 	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
 }
--- a/forwardtable.go
+++ b/forwardtable.go
@@ -53,6 +53,7 @@
 
 // A ForwardRoute assigns the requests for a host and path prefix to pools.
 type ForwardRoute struct {
+	Anonymous         bool          // callers need no key
 	CallerIdleTimeout time.Duration // time without an event after which callers close a stream
 	GapTarget         time.Duration // target time between events of a stream; zero if the route has no streams
 	Host              string
@@ -104,10 +105,11 @@
 // A ForwardTable is one version of the routes of forwarded requests. It is
 // immutable.
 type ForwardTable struct {
-	Limits  ForwardLimits
-	Pools   map[PoolName]*ForwardPool
-	Routes  map[string][]*ForwardRoute // by host in lower case, the longest prefix first
-	Version uint64
+	Accounts map[KeyHash]*Account // by key; nil if callers need no keys
+	Limits   ForwardLimits
+	Pools    map[PoolName]*ForwardPool
+	Routes   map[string][]*ForwardRoute // by host in lower case, the longest prefix first
+	Version  uint64
 }
 
 // ResumablePools returns the pools with streams that may be resumed, in ascending order.
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -132,7 +132,7 @@
 		err = g.quarantineRefusal()
 	}
 	if err == nil {
-		err = g.stoppingRefusal()
+		err = g.interruptionRefusal()
 	}
 	if err != nil {
 		g.abandon(decode)
@@ -189,7 +189,7 @@
 		if !now.Before(entry.LatestStart) {
 			return nil, g.capacityRefusal(errNoCapacity)
 		}
-		if err := g.stoppingRefusal(); err != nil {
+		if err := g.interruptionRefusal(); err != nil {
 			return nil, err
 		}
 		request := g.decodeRequest()
@@ -300,7 +300,7 @@
 			avoid = append(avoid, assigned.Endpoint.ID)
 			continue
 		}
-		if err := g.stoppingRefusal(); err != nil {
+		if err := g.interruptionRefusal(); err != nil {
 			assigned.Done()
 			return err
 		}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -59,7 +59,7 @@
 	if err := x.quarantineRefusalOrTrial(ctx); err != nil {
 		return nil, err
 	}
-	if err := x.stoppingRefusal(); err != nil { // the quarantine may have taken time
+	if err := x.interruptionRefusal(); err != nil { // the quarantine may have taken time
 		return nil, err
 	}
 	sendCtx, cancel := context.WithCancel(ctx)
@@ -133,7 +133,7 @@
 // results. It reports false if there is no endpoint, the route or the retry budget does
 // not allow another run, the request crashes endpoints, or the instance stops too soon.
 func (p *plainCall) send(ctx context.Context, reason persimmoncart.RetryReason) bool {
-	if p.quarantineRefusal() != nil || p.stoppingRefusal() != nil {
+	if p.quarantineRefusal() != nil || p.interruptionRefusal() != nil {
 		return false
 	}
 	assigned := p.router.Directory.Assign(p.pool, policy.SelectorRequest{
@@ -180,7 +180,7 @@
 		}
 	default:
 		p.cancel()
-		if err := p.stoppingRefusal(); err != nil {
+		if err := p.interruptionRefusal(); err != nil {
 			return nil, true, err
 		}
 		return nil, true, p.noEndpointRefusal(&persimmoncart.Refusal{
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -39,7 +39,7 @@
 // reserveSuccessor reserves another engine for the rest of the stream. It returns nil
 // if the retry budget or the engines do not allow that.
 func (s *stream) reserveSuccessor(ctx context.Context) *successor {
-	if s.stoppingRefusal() != nil {
+	if s.interruptionRefusal() != nil {
 		s.logNoSuccessor("the instance is stopping")
 		return nil
 	}
@@ -92,7 +92,7 @@
 			cause = errSuspected
 			break
 		}
-		if s.stoppingRefusal() != nil {
+		if s.interruptionRefusal() != nil {
 			cause = ErrStopped
 			break
 		}
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -74,18 +74,38 @@
 // *persimmoncart.Refusal if no endpoint gave a usable response, or a
 // *CallerGoneError.
 func (r *Router) Serve(ctx context.Context, request *persimmoncart.ForwardRequest) (*Response, error) {
+	x, err := r.Accept(request)
+	if err != nil {
+		return nil, err
+	}
+	return x.Serve(ctx)
+}
+
+// Accept decides by the head of a request whether it is served. The error is a
+// *persimmoncart.Refusal. Serve or Refuse of an accepted one has to be called.
+func (r *Router) Accept(request *persimmoncart.ForwardRequest) (*exchange, error) {
 	x := &exchange{observe: r.Metrics.StartRequest(), request: request, router: r}
-	if err := x.resolveRoute(); err != nil {
-		return nil, x.refuse(err)
+	for _, check := range []func() error{x.resolveRoute, x.resolveAccount, x.stoppingRefusal} {
+		if err := check(); err != nil {
+			return nil, x.Refuse(err)
+		}
 	}
-	if err := x.stoppingRefusal(); err != nil {
-		return nil, x.refuse(err)
+	return x, nil
+}
+
+// Serve serves an accepted request, whose body has been read. The caller closes the
+// response's body. The error is a *persimmoncart.Refusal if no endpoint gave a usable
+// response, or a *CallerGoneError.
+func (x *exchange) Serve(ctx context.Context) (*Response, error) {
+	if err := x.stoppingRefusal(); err != nil { // the body may have taken time
+		return nil, x.Refuse(err)
 	}
+	r, request := x.router, x.request
 	x.parts = append(slices.Clone(x.promptParts()), persimmoncart.WholeRequest(request.Fingerprint()))
 	ctx = x.withDeadline(ctx)
 	if err := x.resolveOrigin(ctx); err != nil {
 		x.stop()
-		return nil, x.refuse(err)
+		return nil, x.Refuse(err)
 	}
 	r.Directory.RecordRequest(x.pool)
 	serve := x.plain
@@ -95,7 +115,7 @@
 	response, err := serve(ctx)
 	if err != nil {
 		x.stop()
-		return nil, x.refuse(err)
+		return nil, x.Refuse(err)
 	}
 	response.Body = &closingBody{Body: response.Body, exchange: x, status: response.Status}
 	return response, nil
@@ -110,8 +130,9 @@
 
 // An exchange is the state of one request while it is served.
 type exchange struct {
-	countedSends     int            // sends that count as arrivals at endpoints; those after the first use the retry budget
-	crashChecks      sync.WaitGroup // pending checks whether an engine has crashed
+	account          *persimmoncart.Account // of the caller; nil for none
+	countedSends     int                    // sends that count as arrivals at endpoints; those after the first use the retry budget
+	crashChecks      sync.WaitGroup         // pending checks whether an engine has crashed
 	deadline         time.Time
 	endpoint         persimmoncart.EndpointID                             // that made the response
 	engine           *persimmoncart.EngineCapacity                        // of the pool's decode engines; nil for a pool without engines
@@ -145,7 +166,9 @@
 
 // upstreamCall returns the call that sends the request to an endpoint.
 func (x *exchange) upstreamCall(e *persimmoncart.Endpoint) persimmoncart.UpstreamCall {
-	return persimmoncart.UpstreamCall{Deadline: x.deadline, Endpoint: e, Priority: x.route.Priority, Request: x.request}
+	return persimmoncart.UpstreamCall{
+		Account: x.accountName(), Deadline: x.deadline, Endpoint: e, HasAccounts: x.table.Accounts != nil, Priority: x.priority(), Request: x.request,
+	}
 }
 
 // logChoice logs the choice of an endpoint with the state that it was based on.
@@ -186,6 +209,9 @@
 	if x.waited > 0 {
 		e = e.Dur("waited", x.waited)
 	}
+	if x.account != nil {
+		e = e.Str("account", string(x.account.Name))
+	}
 	return e.Str("request", string(x.request.ID)).Str("pool", string(x.pool)).Uint64("version", x.tableVersion()).
 		Dur("age", x.router.Timer.Now().Sub(x.request.Arrived)).Int32("sends", x.sends.Load())
 }
@@ -208,9 +234,9 @@
 	return x.request.Generation.PromptParts
 }
 
-// refuse counts and logs the end of a request without a response and returns the
+// Refuse counts and logs the end of a request without a response and returns the
 // error for its caller.
-func (x *exchange) refuse(err error) error {
+func (x *exchange) Refuse(err error) error {
 	name := persimmoncart.RouteName("")
 	if x.route != nil {
 		name = x.route.Name
@@ -232,7 +258,7 @@
 	}
 	x.router.Metrics.CountRefusal(refusal.Code)
 	x.log(x.router.Logger.Warn()).Str("route", string(name)).Str("code", string(refusal.Code)).
-		Stringer("outcome", refusal.Outcome).Dur("retry", refusal.RetryAfter).AnErr("cause", refusal.Err).Msg("request refused")
+		Stringer("outcome", refusal.Outcome).Dur("retry", refusal.RetryAfter).Str("reason", refusal.Message).AnErr("cause", refusal.Err).Msg("request refused")
 	x.observe(name, refusal.Outcome)
 	return refusal
 }
--- a/upstream.go
+++ b/upstream.go
@@ -68,9 +68,11 @@
 
 // An UpstreamCall is one request to one endpoint.
 type UpstreamCall struct {
+	Account     AccountID    // of the caller; empty for none
 	Cache       *CacheSource // KV cache to fetch; nil for none
 	Deadline    time.Time
 	Endpoint    *Endpoint
+	HasAccounts bool           // callers have accounts: the endpoint gets Account in place of the caller's key
 	Position    StreamPosition // of the caller in a stream that goes on here; one before the first event sends the caller's own
 	Priority    int            // 0 is the most urgent
 	Request     *ForwardRequest
