concurrency: endpoints are chosen by their estimated speed and load

The time of a unit of work was one average of what an instance measured, its queue included, so that an endpoint that two requests had met under load counted as slow. Each endpoint now has an estimate of its speed, corrected for the requests and the slowdown that it reported and drawn to the mean of its pool, and of the concurrency up to which its latency holds.

--- /dev/null
+++ b/internal/concurrency/pool.go
@@ -0,0 +1,106 @@
+package concurrency
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// initialUnitTime is the time of a unit of work before the first sample.
+	initialUnitTime = 30 * time.Millisecond
+	// initialScale is the mean deviation of the logarithm of a time before samples show
+	// it; minScale and maxScale bound it.
+	initialScale = 0.25
+	minScale     = 0.1
+	maxScale     = 0.5
+	// scaleGain is the weight of one sample in the mean deviation.
+	scaleGain = 0.01
+	// unitsGain is the weight of one sample in the mean units of work of a request.
+	unitsGain = 0.05
+)
+
+// A Pool joins the estimators of the endpoints that serve one role. Its mean is the prior
+// of each of them: an endpoint with few samples counts as the mean.
+type Pool struct {
+	level  float64 // logarithm of the seconds of a unit of work
+	others float64 // mean requests of other instances at an endpoint
+	scale  float64 // mean deviation of the logarithm of a time
+	slope  float64 // exponent of concurrency of an endpoint without samples
+	units  float64 // mean units of work of a request
+	weight float64 // of the samples; 0 before the first
+
+	sums poolSums
+}
+
+// poolSums are the sums of a refresh.
+type poolSums struct {
+	level, limit, others, spread, weight float64
+	endpoints                            int
+}
+
+// PoolStats are the means of a Pool.
+type PoolStats struct {
+	Endpoints int
+	Limit     float64 // mean concurrency up to which latency holds
+	Spread    float64 // mean deviation of the endpoints' speeds from 1
+}
+
+// NewPool returns a Pool without samples. Slope is the exponent of concurrency of an
+// endpoint without samples: 0 if requests do not slow down each other, and 1 if it works
+// on one after the other.
+func NewPool(slope float64) *Pool {
+	return &Pool{level: math.Log(initialUnitTime.Seconds()), scale: initialScale, slope: slope, units: 1}
+}
+
+// Others returns the mean number of requests of other instances at an endpoint.
+func (p *Pool) Others() float64 { return p.others }
+
+// Units returns the mean units of work of a request.
+func (p *Pool) Units() float64 { return p.units }
+
+// BeginRefresh starts to compute the means from calls of Add for all endpoints. They are
+// in force after EndRefresh.
+func (p *Pool) BeginRefresh() { p.sums = poolSums{} }
+
+// Add adds an endpoint to the means that are being computed.
+func (p *Pool) Add(now time.Time, e *Estimator, l *Load) {
+	level, weight := e.raw(now)
+	p.sums.endpoints++
+	p.sums.level += weight * level
+	p.sums.weight += weight
+	p.sums.limit += e.Limit(now)
+	p.sums.spread += math.Abs(1 - e.Speed(now))
+	p.sums.others += l.mean
+}
+
+// EndRefresh sets the means.
+func (p *Pool) EndRefresh() {
+	if p.sums.endpoints == 0 {
+		return
+	}
+	if p.weight = p.sums.weight; p.weight > 0 {
+		p.level = p.sums.level / p.weight
+	}
+	p.others = p.sums.others / float64(p.sums.endpoints)
+}
+
+// Stats returns the means of the last refresh.
+func (p *Pool) Stats() PoolStats {
+	n := float64(max(1, p.sums.endpoints))
+	return PoolStats{Endpoints: p.sums.endpoints, Limit: p.sums.limit / n, Spread: p.sums.spread / n}
+}
+
+// addResidual adds a deviation of a time from its estimate to the mean deviation.
+func (p *Pool) addResidual(residual float64) {
+	p.scale += scaleGain * (min(residual, 2*p.scale) - p.scale)
+	p.scale = min(max(p.scale, minScale), maxScale)
+}
+
+// addUnits adds the units of work of a request to their mean.
+func (p *Pool) addUnits(units float64) {
+	if p.units == 1 {
+		p.units = units
+	}
+	p.units += unitsGain * (units - p.units)
+	p.weight = max(p.weight, 1)
+}
--- a/internal/forward/assignment.go
+++ b/internal/forward/assignment.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/persimmoncart/persimmoncart"
@@ -87,11 +88,41 @@
 	a.state.ReservationRefused(a.directory.Timer.Now())
 }
 
+// GaveUp records that units of work that were given up have taken more than the given
+// time.
+func (a *assignment) GaveUp(took time.Duration, units float64) {
+	a.directory.mutex.Lock()
+	defer a.directory.mutex.Unlock()
+	a.state.GiveUpWork(a.directory.Timer.Now(), took, units)
+}
+
+// Responded counts a response with the given status after the given time.
+func (a *assignment) Responded(took time.Duration, status int) {
+	if status < http.StatusInternalServerError || !a.directory.Adaptive {
+		a.Succeeded(took, 1)
+		return
+	}
+	// An error says nothing about the speed of the endpoint, however fast it is.
+	a.directory.mutex.Lock()
+	defer a.directory.mutex.Unlock()
+	a.state.Failures.Fail(a.directory.Timer.Now())
+	a.state.Unverified = false
+}
+
+// Streamed records the time of the events of a stream that has come to its end, from the
+// first one on.
+func (a *assignment) Streamed(took time.Duration, events int) {
+	a.directory.mutex.Lock()
+	defer a.directory.mutex.Unlock()
+	a.state.AddStream(a.directory.Timer.Now(), took, events)
+}
+
 // Succeeded counts a response after the given time for the given units of work.
 func (a *assignment) Succeeded(took time.Duration, units float64) {
 	a.directory.mutex.Lock()
 	defer a.directory.mutex.Unlock()
-	a.state.Failures.Succeed(a.directory.Timer.Now())
+	now := a.directory.Timer.Now()
+	a.state.Failures.Succeed(now)
 	a.state.Unverified = false
-	a.state.AddWork(took, units)
+	a.state.AddWork(now, took, units)
 }
--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -39,6 +39,7 @@
 // load and failures that this instance has observed. Its exported fields are set
 // before use.
 type Directory struct {
+	Adaptive         bool                         // estimates the speed and the limit of each endpoint
 	DrainTime        time.Duration                // longest time for which an endpoint that leaves may get new requests
 	EndpointDropped  func(persimmoncart.Endpoint) // called when an endpoint is removed or its process replaced; may be nil
 	EndpointsChanged func()                       // called when the versions of the software in service may have changed; must not block; may be nil
@@ -436,7 +437,10 @@
 		if d.pools == nil {
 			d.pools = make(map[persimmoncart.PoolName]*pool)
 		}
-		p = &pool{decodeQueue: admissionQueue{timer: d.Timer}, retries: policy.RetryWindow{Ratio: d.RetryRatio, Slack: d.RetrySlack, Span: d.RetrySpan}}
+		p = &pool{
+			decodeQueue: admissionQueue{timer: d.Timer}, retries: policy.RetryWindow{Ratio: d.RetryRatio, Slack: d.RetrySlack, Span: d.RetrySpan},
+			selector: policy.Selector{Adaptive: d.Adaptive},
+		}
 		d.pools[name] = p
 	}
 	return p
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -235,6 +235,9 @@
 		result.response, err = p.readResponse(response)
 	}
 	if err != nil {
+		if ctx.Err() != nil {
+			assigned.GaveUp(p.router.Timer.Now().Sub(started), 1)
+		}
 		result.err = err
 		result.outcome = p.recordFailure(ctx, assigned, err)
 		if result.outcome == sendFailed && ctx.Err() == nil {
@@ -249,7 +252,7 @@
 	if response.Status < http.StatusBadRequest {
 		p.router.Quarantine.RecordCompletion(p.parts)
 	}
-	assigned.Succeeded(p.router.Timer.Now().Sub(started), 1)
+	assigned.Responded(p.router.Timer.Now().Sub(started), response.Status)
 	return result
 }
 
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -177,6 +177,9 @@
 	if x.request.Position.Begun() {
 		line = line.Stringer("last", x.request.Position).Str("resumes", string(x.request.Resumes))
 	}
+	if assigned.View.Adaptive {
+		line = line.Float64("limit", assigned.View.Limit).Float64("speed", assigned.View.Speed)
+	}
 	line.Str("endpoint", string(assigned.Endpoint.ID)).Stringer("role", assigned.Endpoint.Role).Str("software", string(assigned.Endpoint.Software)).
 		Dur("expected", assigned.Expected).Int("running", assigned.View.InFlight).Float64("others", assigned.View.OtherRequests).
 		Float64("failing", assigned.View.FailureRate).Float64("slow", assigned.View.Slowdown).Dur("reported", assigned.View.LoadAge).
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -26,19 +26,20 @@
 type stream struct {
 	*exchange
 
-	assigned     *assignment
-	body         io.ReadCloser
-	brokeEarly   bool // the last engine broke off at the beginning of its response
-	buffer       []byte
-	ctx          context.Context //nolint:containedctx // Body has no context
-	end          int             // bytes at the start of buffer that the last call of read passed on
-	filled       int             // bytes in buffer
-	noSuccessor  bool            // it was logged that no engine can take over
-	pieces       int             // number of pieces passed on
-	received     int             // events of the current engine, those that are dropped included
-	skipReceived bool            // drop events that the caller has, which another engine may send again
-	started      time.Time       // when the request was sent to the current engine
-	watch        *stallWatch     // of the current engine; nil if the stream may not resume
+	assigned      *assignment
+	body          io.ReadCloser
+	brokeEarly    bool // the last engine broke off at the beginning of its response
+	buffer        []byte
+	ctx           context.Context //nolint:containedctx // Body has no context
+	end           int             // bytes at the start of buffer that the last call of read passed on
+	filled        int             // bytes in buffer
+	noSuccessor   bool            // it was logged that no engine can take over
+	pieces        int             // number of pieces passed on
+	receivedFirst time.Time       // when the first of them was received
+	received      int             // events of the current engine, those that are dropped included
+	skipReceived  bool            // drop events that the caller has, which another engine may send again
+	started       time.Time       // when the request was sent to the current engine
+	watch         *stallWatch     // of the current engine; nil if the stream may not resume
 }
 
 // Close implements Body.
@@ -67,6 +68,7 @@
 			if s.received > 0 {
 				s.router.Quarantine.RecordCompletion(s.parts)
 			}
+			s.assigned.Streamed(s.router.Timer.Now().Sub(s.receivedFirst), s.received)
 			s.assigned.Succeeded(s.router.Timer.Now().Sub(s.started), 1)
 			s.abandon()
 			return nil, io.EOF
@@ -175,6 +177,9 @@
 	s.end = whole + len(eventEnd)
 	piece := s.buffer[:s.end]
 	count := bytes.Count(piece, eventEnd)
+	if s.received == 0 {
+		s.receivedFirst = s.router.Timer.Now()
+	}
 	s.received += count
 	if s.skipReceived {
 		piece = s.progress.dropReceived(piece)
--- a/internal/policy/selector.go
+++ b/internal/policy/selector.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -79,6 +78,7 @@
 	Unverified bool // failed since its last response: another process may be at its address
 	Tokens     int  // of this instance's requests: to prefill, or held in memory
 
+	adaptive            *adaptiveState             // nil unless the selector is adaptive
 	avoidUntil          time.Time                  // used only as a last resort until then
 	backOffUntil        time.Time                  // not used until then
 	fullUntil           time.Time                  // left out until then
@@ -144,10 +144,11 @@
 }
 
 // AddWork records how long the given number of units of work took.
-func (e *EndpointState) AddWork(took time.Duration, units float64) {
+func (e *EndpointState) AddWork(now time.Time, took time.Duration, units float64) {
 	if units <= 0 {
 		return
 	}
+	e.adaptWork(now, took, units)
 	seconds := took.Seconds() / units
 	if e.unitSeconds == 0 {
 		e.unitSeconds = initialWork.Seconds()
@@ -158,7 +159,9 @@
 // SetLoad records the load that the endpoint reports.
 func (e *EndpointState) SetLoad(now time.Time, load persimmoncart.EndpointLoad) {
 	// The report includes the requests of this instance.
-	load.Running = max(0, load.Running+load.Waiting-e.InFlight)
+	all := load.Running + load.Waiting
+	load.Running = max(0, all-e.InFlight)
+	e.adaptLoad(now, all, &load)
 	e.load, e.loadTime = load, now
 }
 
@@ -198,30 +201,6 @@
 	return 1 + (e.load.Slowdown-1)*decayWeight(now.Sub(e.loadTime), slowdownHalfLife)
 }
 
-// An EndpointView is the state of an endpoint when it was chosen, for logs.
-type EndpointView struct {
-	FailureRate   float64       // recent, from 0 to 1
-	InFlight      int           // requests of this instance
-	LoadAge       time.Duration // age of the last load report; zero if there is none
-	OtherRequests float64       // expected requests of other instances
-	Slowdown      float64       // time that work takes relative to normal
-}
-
-// View returns the state of the endpoint at now.
-func (e *EndpointState) View(now time.Time) EndpointView {
-	v := EndpointView{
-		FailureRate: hundredths(e.Failures.Rate(now)), InFlight: e.InFlight,
-		OtherRequests: hundredths(e.otherRequests(now)), Slowdown: hundredths(e.slowdown(now)),
-	}
-	if !e.loadTime.IsZero() {
-		v.LoadAge = now.Sub(e.loadTime)
-	}
-	return v
-}
-
-// hundredths rounds a number to two decimal places, for logs.
-func hundredths(x float64) float64 { return math.Round(100*x) / 100 }
-
 // A SelectorRequest is a request that an endpoint is chosen for.
 type SelectorRequest struct {
 	Avoid         []persimmoncart.EndpointID // used only if there is no other
@@ -245,7 +224,10 @@
 // failure. It is made for load that changes faster than reports arrive and for
 // many instances that choose at the same time.
 type Selector struct {
+	Adaptive  bool // estimates the speed and the limit of each endpoint
 	Endpoints []*EndpointState
+
+	adaptation adaptation
 }
 
 // Has reports whether there is an endpoint for the request, however loaded it is.
@@ -275,6 +257,7 @@
 	var best *EndpointState
 	var least float64
 	withoutMissing := s.fewMissing(r)
+	s.adapt(now, random)
 	for _, e := range s.Endpoints {
 		if !r.matches(&e.Endpoint) || e.WaitLeft(now) > 0 || withoutMissing && e.Missing {
 			continue
@@ -353,6 +336,9 @@
 // expectedSeconds returns the expected time at the endpoint in seconds, its wait
 // included.
 func (s *Selector) expectedSeconds(now time.Time, e *EndpointState, r *SelectorRequest) float64 {
+	if e.adaptive != nil {
+		return e.adaptiveSeconds(now, r)
+	}
 	work := e.unitSeconds
 	if work == 0 {
 		work = initialWork.Seconds()
