concurrency: slopes and slowdowns of the pool are the prior of an endpoint

One instance sees too few requests at an endpoint to learn how concurrency prolongs them there. The slope of all endpoints of a pool is now the prior of each, and so is their mean slowdown. Samples count for minutes, since speeds differ lastingly; deviations within two mean deviations are no change.

--- a/internal/concurrency/estimator.go
+++ b/internal/concurrency/estimator.go
@@ -15,15 +15,18 @@
 	// maxSamples bounds the weight of the samples of one endpoint, so that it follows a
 	// lasting change.
 	maxSamples = 24
-	// sampleHalfLife is the age at which samples count half. It exceeds the length of
-	// usual faults, so that an endpoint is known again after one.
-	sampleHalfLife = 30 * time.Second
+	// sampleHalfLife is the age at which samples count half. An instance has one sample of
+	// an engine in a minute, and speeds differ lastingly.
+	sampleHalfLife = 3 * time.Minute
 	// maxResidualScales is the number of mean deviations at which one sample is clipped.
 	maxResidualScales = 2
 	// recentGain is the weight of one sample in the recent deviation of an endpoint.
 	recentGain = 0.5
 	// recentHalfLife is the time in which the recent deviation halves without samples.
-	recentHalfLife = 2 * time.Second
+	recentHalfLife = 3 * time.Second
+	// deadScales is the number of mean deviations up to which recent requests show no
+	// change.
+	deadScales = 2
 	// maxRecent bounds the logarithm of the recent deviation.
 	maxRecent = 2.5
 	// maxSlope is the highest exponent of concurrency: a little more than that of an
@@ -34,7 +37,7 @@
 	latencyTolerance = 1.5
 	// maxLoad is the share of the slots in use up to which the wait of requests that come
 	// at random is estimated; it has no bound at 1.
-	maxLoad = 0.9
+	maxLoad = 0.95
 )
 
 // A Sample is one request that an endpoint has served.
@@ -70,11 +73,11 @@
 	return &Estimator{jitter: 0.7 + 0.6*random, level: pool.level, pool: pool, slope: pool.slope}
 }
 
-// Deviation returns the factor by which recent requests took longer than the model of the
+// deviation returns the factor by which recent requests took longer than the model of the
 // endpoint says.
 func (e *Estimator) deviation(now time.Time) float64 {
 	recent := e.recent * decayWeight(now.Sub(e.updated), time.Duration(e.jitter*float64(recentHalfLife)))
-	switch dead := e.pool.scale; {
+	switch dead := deadScales*e.pool.scale; {
 	case recent > dead:
 		return math.Exp(recent - dead)
 	case recent < -dead:
@@ -142,6 +145,7 @@
 	e.weight, e.sumX, e.sumXX = e.weight*keep+1, e.sumX*keep+x, e.sumXX*keep+x*x
 	e.sumY, e.sumXY = e.sumY*keep+y, e.sumXY*keep+x*y
 	e.pool.addUnits(s.Units)
+	e.pool.addSlope(x, y-e.level+e.pool.level)
 	e.solve()
 }
 
--- a/internal/concurrency/load.go
+++ b/internal/concurrency/load.go
@@ -5,6 +5,9 @@
 const (
 	// loadHalfLife is the age at which a report counts half in the mean load.
 	loadHalfLife = time.Second
+	// loadForgetHalfLife is the time in which the mean load returns half-way to the mean of
+	// the pool without reports.
+	loadForgetHalfLife = 4 * time.Second
 	// slowdownHalfLife is the same for the reported slowdown.
 	slowdownHalfLife = 3 * time.Second
 	// slowdownMemory is the age at which the difference of the last reported slowdown
@@ -31,30 +34,30 @@
 		return p.others
 	}
 	age := now.Sub(l.reported)
-	return max(0, p.others+(l.mean-p.others)*decayWeight(age, loadHalfLife*4)+(l.last-l.mean)*decayWeight(age, memory))
+	return max(0, p.others+(l.mean-p.others)*decayWeight(age, loadForgetHalfLife)+(l.last-l.mean)*decayWeight(age, memory))
 }
 
 // Report adds a report: the requests of other instances, and the time that work takes
 // relative to normal, 0 if unknown.
-func (l *Load) Report(now time.Time, others, slowdown float64) {
+func (l *Load) Report(now time.Time, p *Pool, others, slowdown float64) {
 	slowdown = max(1, slowdown)
 	if l.reported.IsZero() {
-		l.mean, l.meanSlowdown = others, 1
+		l.mean, l.meanSlowdown = others, p.slowdown
 	} else {
 		age := now.Sub(l.reported)
 		l.mean += max(minReportGain, 1-decayWeight(age, loadHalfLife)) * (others - l.mean)
-		l.meanSlowdown = 1 + (l.meanSlowdown-1)*decayWeight(age, slowdownHalfLife)
+		l.meanSlowdown = p.slowdown + (l.meanSlowdown-p.slowdown)*decayWeight(age, slowdownHalfLife)
 		l.meanSlowdown += max(minReportGain, 1-decayWeight(age, slowdownHalfLife)) * (slowdown - l.meanSlowdown)
 	}
 	l.last, l.lastSlowdown, l.reported = others, slowdown, now
 }
 
 // Slowdown returns the expected time that work takes relative to normal; at least 1.
-func (l *Load) Slowdown(now time.Time) float64 {
+func (l *Load) Slowdown(now time.Time, p *Pool) float64 {
 	if l.reported.IsZero() {
-		return 1
+		return p.slowdown
 	}
 	age := now.Sub(l.reported)
-	mean := 1 + (l.meanSlowdown-1)*decayWeight(age, slowdownHalfLife)
+	mean := p.slowdown + (l.meanSlowdown-p.slowdown)*decayWeight(age, slowdownHalfLife)
 	return max(1, mean+(l.lastSlowdown-l.meanSlowdown)*decayWeight(age, slowdownMemory))
 }
--- a/internal/concurrency/pool.go
+++ b/internal/concurrency/pool.go
@@ -13,6 +13,8 @@
 	initialScale = 0.25
 	minScale     = 0.1
 	maxScale     = 0.5
+	// maxSlopeSamples bounds the weight of the samples of which the slope follows.
+	maxSlopeSamples = 200
 	// scaleGain is the weight of one sample in the mean deviation.
 	scaleGain = 0.01
 	// unitsGain is the weight of one sample in the mean units of work of a request.
@@ -25,16 +27,21 @@
 	level  float64 // logarithm of the seconds of a unit of work
 	others float64 // mean requests of other instances at an endpoint
 	scale  float64 // mean deviation of the logarithm of a time
+	slowdown float64
 	slope  float64 // exponent of concurrency of an endpoint without samples
 	units  float64 // mean units of work of a request
 	weight float64 // of the samples; 0 before the first
 
 	sums poolSums
+
+	// Sums over samples with decay, of which the slope follows: x is the logarithm of
+	// concurrency, y that of the seconds of a unit at an endpoint of mean speed.
+	initialSlope, sumX, sumXX, sumXY, sumY, sumWeight float64
 }
 
 // poolSums are the sums of a refresh.
 type poolSums struct {
-	level, limit, others, spread, weight float64
+	level, limit, others, slowdown, spread, weight float64
 	endpoints                            int
 }
 
@@ -49,7 +56,7 @@
 // endpoint without samples: 0 if requests do not slow down each other, and 1 if it works
 // on one after the other.
 func NewPool(slope float64) *Pool {
-	return &Pool{level: math.Log(initialUnitTime.Seconds()), scale: initialScale, slope: slope, units: 1}
+	return &Pool{level: math.Log(initialUnitTime.Seconds()), scale: initialScale, initialSlope: slope, slope: slope, slowdown: 1, units: 1}
 }
 
 // Others returns the mean number of requests of other instances at an endpoint.
@@ -71,6 +78,7 @@
 	p.sums.limit += e.Limit(now)
 	p.sums.spread += math.Abs(1 - e.Speed(now))
 	p.sums.others += l.mean
+	p.sums.slowdown += max(1, l.meanSlowdown)
 }
 
 // EndRefresh sets the means.
@@ -81,6 +89,7 @@
 	if p.weight = p.sums.weight; p.weight > 0 {
 		p.level = p.sums.level / p.weight
 	}
+	p.slowdown = p.sums.slowdown / float64(p.sums.endpoints)
 	p.others = p.sums.others / float64(p.sums.endpoints)
 }
 
@@ -96,6 +105,16 @@
 	p.scale = min(max(p.scale, minScale), maxScale)
 }
 
+// addSlope adds a sample to the slope.
+func (p *Pool) addSlope(x, y float64) {
+	const keep = 1 - 1.0/maxSlopeSamples
+	p.sumWeight, p.sumX, p.sumXX = p.sumWeight*keep+1, p.sumX*keep+x, p.sumXX*keep+x*x
+	p.sumY, p.sumXY = p.sumY*keep+y, p.sumXY*keep+x*y
+	covariance := p.sumXY - p.sumX*p.sumY/p.sumWeight + priorSlopeWeight*p.initialSlope
+	variance := p.sumXX - p.sumX*p.sumX/p.sumWeight + priorSlopeWeight
+	p.slope = min(max(0, covariance/variance), maxSlope)
+}
+
 // addUnits adds the units of work of a request to their mean.
 func (p *Pool) addUnits(units float64) {
 	if p.units == 1 {
--- a/internal/policy/adaptive.go
+++ b/internal/policy/adaptive.go
@@ -107,7 +107,7 @@
 func (e *EndpointState) adaptLoad(now time.Time, all int, load *persimmoncart.EndpointLoad) {
 	if e.adaptive != nil {
 		e.adaptive.reported = all
-		e.adaptive.load.Report(now, float64(load.Running), load.Slowdown)
+		e.adaptive.load.Report(now, e.adaptive.pool, float64(load.Running), load.Slowdown)
 	}
 }
 
@@ -178,12 +178,12 @@
 		if r.Tokens > 0 {
 			others += float64(e.Tokens)/float64(r.Tokens) - float64(e.InFlight)
 		}
-		return a.estimator.Expected(now, others, slots) * units * a.load.Slowdown(now)
+		return a.estimator.Expected(now, others, slots) * units * a.load.Slowdown(now, a.pool)
 	case persimmoncart.RoleDecode:
 		if r.Size.Slots > 0 {
 			slots = r.Size.Slots
 		}
-		c := a.estimator.Expected(now, others, slots) * a.pool.Units() * a.load.Slowdown(now)
+		c := a.estimator.Expected(now, others, slots) * a.pool.Units() * a.load.Slowdown(now, a.pool)
 		room := float64(max(1, slots))
 		c += overflowCost.Seconds() * max(0, others+1-float64(slots))
 		if r.Size.KVTokens > 0 && r.Tokens > 0 {
@@ -195,6 +195,6 @@
 		// requests in proportion to the room, it gets fewer.
 		return c * (1 + others/room)
 	default:
-		return a.estimator.ExpectedInQueue(now, others, slots) * a.load.Slowdown(now)
+		return a.estimator.ExpectedInQueue(now, others, slots) * a.load.Slowdown(now, a.pool)
 	}
 }
--- a/internal/policy/endpointview.go
+++ b/internal/policy/endpointview.go
@@ -28,7 +28,7 @@
 	}
 	if a := e.adaptive; a != nil {
 		v.Adaptive, v.Limit, v.Speed = true, hundredths(a.estimator.Limit(now)), hundredths(a.estimator.Speed(now))
-		v.OtherRequests, v.Slowdown = hundredths(a.others(now)), hundredths(a.load.Slowdown(now))
+		v.OtherRequests, v.Slowdown = hundredths(a.others(now)), hundredths(a.load.Slowdown(now, a.pool))
 	}
 	return v
 }
