concurrency: tests in a model of queues, gauges of limits and speeds

Deviations beyond chance count in full; before, the part that chance explains was taken off each, so that an endpoint 7.5 times slower counted as 1.9 times after two requests.

--- a/internal/concurrency/estimator.go
+++ b/internal/concurrency/estimator.go
@@ -26,12 +26,14 @@
 	recentHalfLife = 3 * time.Second
 	// deadScales is the number of mean deviations up to which recent requests show no
 	// change.
-	deadScales = 2
+	deadScales = 1.5
 	// maxRecent bounds the logarithm of the recent deviation.
 	maxRecent = 2.5
 	// maxSlope is the highest exponent of concurrency: a little more than that of an
 	// endpoint which works on one request after the other.
 	maxSlope = 1.2
+	// maxLimit is the highest limit of an endpoint that states no slots.
+	maxLimit = 1000
 	// latencyTolerance is the time of a unit of work, relative to that without other
 	// requests, up to which latency holds.
 	latencyTolerance = 1.5
@@ -74,17 +76,15 @@
 }
 
 // deviation returns the factor by which recent requests took longer than the model of the
-// endpoint says.
+// endpoint says. Deviations that chance explains count as none, and twice as large ones in
+// full.
 func (e *Estimator) deviation(now time.Time) float64 {
-	recent := e.recent * decayWeight(now.Sub(e.updated), time.Duration(e.jitter*float64(recentHalfLife)))
-	switch dead := deadScales*e.pool.scale; {
-	case recent > dead:
-		return math.Exp(recent - dead)
-	case recent < -dead:
-		return math.Exp(recent + dead)
-	default:
-		return 1
+	chance := deadScales * e.pool.scale
+	if math.Abs(e.recent) <= chance {
+		return 1 // it only falls with time
 	}
+	recent := e.recent * decayWeight(now.Sub(e.updated), time.Duration(e.jitter*float64(recentHalfLife)))
+	return math.Exp(recent * min(max(0, math.Abs(recent)/chance-1), 1))
 }
 
 // Expected returns the expected seconds of a unit of work beside other requests, the wait
@@ -109,12 +109,12 @@
 // Limit returns the concurrency up to which latency holds: at least 1, and at most the
 // endpoint's slots.
 func (e *Estimator) Limit(time.Time) float64 {
-	limit := math.Inf(1)
-	if e.slope > 0 {
-		limit = math.Pow(latencyTolerance, 1/e.slope)
-	}
+	limit := float64(maxLimit)
 	if e.slots > 0 {
-		limit = min(limit, float64(e.slots))
+		limit = float64(e.slots)
+	}
+	if e.slope > 0 {
+		limit = min(limit, math.Pow(latencyTolerance, 1/e.slope))
 	}
 	return max(1, limit)
 }
@@ -131,8 +131,8 @@
 	if e.pool.weight == 0 && !s.AtLeast {
 		// The first sample of the pool: there is no prior to compare it with.
 		e.pool.level = y - e.pool.slope*x
-		e.level = e.pool.level
 	}
+	e.solve()
 	residual := y - e.level - e.slope*x
 	if s.AtLeast && residual <= 0 {
 		return
--- /dev/null
+++ b/internal/concurrency/main_test.go
@@ -0,0 +1,9 @@
+package concurrency_test
+
+import (
+	"testing"
+
+	"github.com/persimmoncart/persimmoncart/internal/testmain"
+)
+
+func TestMain(m *testing.M) { testmain.Run(m) }
--- a/internal/concurrency/pool.go
+++ b/internal/concurrency/pool.go
@@ -24,13 +24,13 @@
 // A Pool joins the estimators of the endpoints that serve one role. Its mean is the prior
 // of each of them: an endpoint with few samples counts as the mean.
 type Pool struct {
-	level  float64 // logarithm of the seconds of a unit of work
-	others float64 // mean requests of other instances at an endpoint
-	scale  float64 // mean deviation of the logarithm of a time
+	level    float64 // logarithm of the seconds of a unit of work
+	others   float64 // mean requests of other instances at an endpoint
+	scale    float64 // mean deviation of the logarithm of a time
 	slowdown float64
-	slope  float64 // exponent of concurrency of an endpoint without samples
-	units  float64 // mean units of work of a request
-	weight float64 // of the samples; 0 before the first
+	slope    float64 // exponent of concurrency of an endpoint without samples
+	units    float64 // mean units of work of a request
+	weight   float64 // of the samples; 0 before the first
 
 	sums poolSums
 
@@ -42,7 +42,7 @@
 // poolSums are the sums of a refresh.
 type poolSums struct {
 	level, limit, others, slowdown, spread, weight float64
-	endpoints                            int
+	endpoints                                      int
 }
 
 // PoolStats are the means of a Pool.
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -33,11 +33,18 @@
 		m.ObserveCall(persimmoncart.RouteName(fmt.Sprint("route-", n)), time.Millisecond)
 		m.StartRequest()(persimmoncart.RouteName(fmt.Sprint("route-", n)), persimmoncart.OutcomeAnswered)
 	}
+	m.ExportConcurrency(func() (groups []metrics.GroupConcurrency) {
+		for n := range 1000 { // the first name has a label value already
+			groups = append(groups, metrics.GroupConcurrency{Pool: persimmoncart.PoolName(fmt.Sprint("route-", n)), Role: persimmoncart.RoleDecode})
+		}
+		return groups
+	})
 	for name, want := range map[string]int{
-		"persimmoncart_call_seconds":   65,
-		"persimmoncart_refusals_total": len(persimmoncart.RefusalCodes),
-		"persimmoncart_requests_total": 65,
-		"persimmoncart_retries_total":  len(persimmoncart.RetryReasons),
+		"persimmoncart_call_seconds":               65,
+		"persimmoncart_endpoint_concurrency_limit": 64,
+		"persimmoncart_refusals_total":             len(persimmoncart.RefusalCodes),
+		"persimmoncart_requests_total":             65,
+		"persimmoncart_retries_total":              len(persimmoncart.RetryReasons),
 	} {
 		count, err := testutil.GatherAndCount(m.Registry, name)
 		assert.NilError(t, err)
@@ -58,6 +65,7 @@
 	m.StartRequest()("r", persimmoncart.OutcomeAnswered)
 	m.CountRetry(persimmoncart.RetryHedge)
 	m.EndStream(2, 0)
+	m.ExportConcurrency(nil)
 	m.SetConfigurationVersion(1)
 	m.CountWastedPrefill(1)
 }
--- a/internal/policy/adaptive.go
+++ b/internal/policy/adaptive.go
@@ -141,6 +141,25 @@
 	}
 }
 
+// Concurrency returns the means of what is estimated of the endpoints of a role, as of the
+// last choice of an endpoint.
+func (s *Selector) Concurrency(role persimmoncart.Role) concurrency.PoolStats {
+	var sum concurrency.PoolStats
+	for k, p := range s.adaptation.pools {
+		if k.role != role {
+			continue
+		}
+		stats := p.Stats()
+		n := float64(stats.Endpoints)
+		sum.Endpoints += stats.Endpoints
+		sum.Limit += n * stats.Limit
+		sum.Spread += n * stats.Spread
+	}
+	n := float64(max(1, sum.Endpoints))
+	sum.Limit, sum.Spread = sum.Limit/n, sum.Spread/n
+	return sum
+}
+
 // pool returns the pool of estimates with the given key.
 func (a *adaptation) pool(k adaptiveKey) *concurrency.Pool {
 	p, found := a.pools[k]
--- a/internal/policy/selector_test.go
+++ b/internal/policy/selector_test.go
@@ -148,3 +148,68 @@
 		})
 	}
 }
+
+// BenchmarkPick measures the choice among 72 engines, with and without estimates.
+func BenchmarkPick(b *testing.B) {
+	for _, c := range []struct {
+		name     string
+		adaptive bool
+		role     persimmoncart.Role
+	}{
+		{name: "decode", role: persimmoncart.RoleDecode},
+		{name: "decode adaptive", adaptive: true, role: persimmoncart.RoleDecode},
+		{name: "plain", role: persimmoncart.RoleApplication},
+		{name: "plain adaptive", adaptive: true, role: persimmoncart.RoleApplication},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			s, random, now := busySelector(c.adaptive, c.role)
+			request := busyRequest(c.role)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				s.Pick(now, random, request)
+			}
+		})
+	}
+}
+
+// busySelector returns a Selector of 72 endpoints that have served requests.
+func busySelector(adaptive bool, role persimmoncart.Role) (*policy.Selector, *rand.Rand, time.Time) {
+	s, random, now := &policy.Selector{Adaptive: adaptive}, rand.New(rand.NewPCG(1, 1)), time.Unix(1000, 0)
+	for n := range 72 {
+		s.Endpoints = append(s.Endpoints, &policy.EndpointState{Endpoint: persimmoncart.Endpoint{
+			DataCentre: "r1", ID: persimmoncart.EndpointID(rune('a' + n)), Region: "r", Role: role, Slots: 16,
+		}})
+	}
+	s.Pick(now, random, busyRequest(role))
+	for n, e := range s.Endpoints {
+		e.SetLoad(now, persimmoncart.EndpointLoad{Running: n % 9, Slots: 16, Slowdown: 1})
+		e.AddWork(now, 20*time.Millisecond, 1)
+		e.AddStream(now, time.Second, 66)
+	}
+	return s, random, now
+}
+
+// busyRequest returns a request for an endpoint of busySelector.
+func busyRequest(role persimmoncart.Role) *policy.SelectorRequest {
+	r := &policy.SelectorRequest{DataCentre: "r1", Region: "r", Role: role}
+	if role == persimmoncart.RoleDecode {
+		r.MinFreeTokens, r.Size, r.Tokens = 3300, persimmoncart.EngineCapacity{KVTokens: 26331, Slots: 16}, 3300
+	}
+	return r
+}
+
+// Guards against an allocation for each choice and each response.
+func TestSelectorAllocates(t *testing.T) {
+	for _, role := range []persimmoncart.Role{persimmoncart.RoleApplication, persimmoncart.RoleDecode, persimmoncart.RolePrefill} {
+		s, random, now := busySelector(true, role)
+		request := busyRequest(role)
+		assert.Equal(t, testing.AllocsPerRun(1000, func() {
+			now = now.Add(time.Millisecond)
+			e := s.Pick(now, random, request)
+			e.SetLoad(now, persimmoncart.EndpointLoad{Running: 1, Slots: 16, Slowdown: 1})
+			e.AddWork(now, 20*time.Millisecond, 1)
+			e.AddStream(now, time.Second, 66)
+		}), 0.0)
+	}
+}
