--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -184,9 +184,16 @@
 // newFixture returns a fixture with three application endpoints, two prefill and
 // two decode engines.
 func newFixture(t testing.TB) *fixture {
+	t.Helper()
+	return newAdaptiveFixture(t, false)
+}
+
+// newAdaptiveFixture returns the same with a Directory that may be Adaptive.
+func newAdaptiveFixture(t testing.TB, adaptive bool) *fixture {
 	t.Helper()
 	clock := &timer.System{}
 	d := &forward.Directory{
+		Adaptive:   adaptive,
 		Home:       persimmoncart.Instance{DataCentre: "d1", ID: "i1", Region: "r1"},
 		Logger:     zerolog.Nop(),
 		Random:     rand.New(rand.NewPCG(1, 1)),
