concurrency: mean loads count reported endpoints only; decode cost covers ten events

A whole stream as the cost of an engine's pace outweighs the distance between regions, and KV cache would cross it. Endpoints without a report counted as idle in the mean load.

--- a/internal/concurrency/estimator.go
+++ b/internal/concurrency/estimator.go
@@ -144,7 +144,6 @@
 	keep := 1 - 1/float64(maxSamples)
 	e.weight, e.sumX, e.sumXX = e.weight*keep+1, e.sumX*keep+x, e.sumXX*keep+x*x
 	e.sumY, e.sumXY = e.sumY*keep+y, e.sumXY*keep+x*y
-	e.pool.addUnits(s.Units)
 	e.pool.addSlope(x, y-e.level+e.pool.level)
 	e.solve()
 }
--- a/internal/concurrency/pool.go
+++ b/internal/concurrency/pool.go
@@ -15,10 +15,11 @@
 	maxScale     = 0.5
 	// maxSlopeSamples bounds the weight of the samples of which the slope follows.
 	maxSlopeSamples = 200
+	// minReports is the weight of load reports, which halves with loadForgetHalfLife, below
+	// which the mean load is no longer that of the reports.
+	minReports = 0.1
 	// scaleGain is the weight of one sample in the mean deviation.
 	scaleGain = 0.01
-	// unitsGain is the weight of one sample in the mean units of work of a request.
-	unitsGain = 0.05
 )
 
 // A Pool joins the estimators of the endpoints that serve one role. Its mean is the prior
@@ -27,9 +28,8 @@
 	level    float64 // logarithm of the seconds of a unit of work
 	others   float64 // mean requests of other instances at an endpoint
 	scale    float64 // mean deviation of the logarithm of a time
-	slowdown float64
+	slowdown float64 // mean time that work takes relative to normal
 	slope    float64 // exponent of concurrency of an endpoint without samples
-	units    float64 // mean units of work of a request
 	weight   float64 // of the samples; 0 before the first
 
 	sums poolSums
@@ -41,8 +41,8 @@
 
 // poolSums are the sums of a refresh.
 type poolSums struct {
-	level, limit, others, slowdown, spread, weight float64
-	endpoints                                      int
+	level, limit, others, reports, slowdown, spread, weight float64
+	endpoints                                               int
 }
 
 // PoolStats are the means of a Pool.
@@ -56,15 +56,12 @@
 // endpoint without samples: 0 if requests do not slow down each other, and 1 if it works
 // on one after the other.
 func NewPool(slope float64) *Pool {
-	return &Pool{level: math.Log(initialUnitTime.Seconds()), scale: initialScale, initialSlope: slope, slope: slope, slowdown: 1, units: 1}
+	return &Pool{level: math.Log(initialUnitTime.Seconds()), scale: initialScale, initialSlope: slope, slope: slope, slowdown: 1}
 }
 
 // Others returns the mean number of requests of other instances at an endpoint.
 func (p *Pool) Others() float64 { return p.others }
 
-// Units returns the mean units of work of a request.
-func (p *Pool) Units() float64 { return p.units }
-
 // BeginRefresh starts to compute the means from calls of Add for all endpoints. They are
 // in force after EndRefresh.
 func (p *Pool) BeginRefresh() { p.sums = poolSums{} }
@@ -77,20 +74,22 @@
 	p.sums.weight += weight
 	p.sums.limit += e.Limit(now)
 	p.sums.spread += math.Abs(1 - e.Speed(now))
-	p.sums.others += l.mean
-	p.sums.slowdown += max(1, l.meanSlowdown)
+	if !l.reported.IsZero() {
+		recent := decayWeight(now.Sub(l.reported), loadForgetHalfLife)
+		p.sums.others += recent * l.mean
+		p.sums.reports += recent
+		p.sums.slowdown += recent * l.meanSlowdown
+	}
 }
 
 // EndRefresh sets the means.
 func (p *Pool) EndRefresh() {
-	if p.sums.endpoints == 0 {
-		return
-	}
 	if p.weight = p.sums.weight; p.weight > 0 {
 		p.level = p.sums.level / p.weight
 	}
-	p.slowdown = p.sums.slowdown / float64(p.sums.endpoints)
-	p.others = p.sums.others / float64(p.sums.endpoints)
+	if p.sums.reports > minReports {
+		p.others, p.slowdown = p.sums.others/p.sums.reports, p.sums.slowdown/p.sums.reports
+	}
 }
 
 // Stats returns the means of the last refresh.
@@ -108,18 +107,10 @@
 // addSlope adds a sample to the slope.
 func (p *Pool) addSlope(x, y float64) {
 	const keep = 1 - 1.0/maxSlopeSamples
+	p.weight = max(p.weight, 1)
 	p.sumWeight, p.sumX, p.sumXX = p.sumWeight*keep+1, p.sumX*keep+x, p.sumXX*keep+x*x
 	p.sumY, p.sumXY = p.sumY*keep+y, p.sumXY*keep+x*y
 	covariance := p.sumXY - p.sumX*p.sumY/p.sumWeight + priorSlopeWeight*p.initialSlope
 	variance := p.sumXX - p.sumX*p.sumX/p.sumWeight + priorSlopeWeight
 	p.slope = min(max(0, covariance/variance), maxSlope)
 }
-
-// addUnits adds the units of work of a request to their mean.
-func (p *Pool) addUnits(units float64) {
-	if p.units == 1 {
-		p.units = units
-	}
-	p.units += unitsGain * (units - p.units)
-	p.weight = max(p.weight, 1)
-}
--- a/internal/forward/concurrency_test.go
+++ b/internal/forward/concurrency_test.go
@@ -20,6 +20,9 @@
 	const count = 60
 	first := 0
 	for range count {
+		for range 5 { // so that the retry budget allows a second send of each
+			f.Directory.RecordRequest(ledger)
+		}
 		sent := f.Upstream.count("send")
 		_, _, err := f.serve(t.Context(), path)
 		assert.NilError(t, err)
--- a/internal/policy/adaptive.go
+++ b/internal/policy/adaptive.go
@@ -23,6 +23,10 @@
 	plainSlope   = 0.1
 	prefillSlope = 1
 	decodeSlope  = 0.2
+	// decodeCostEvents is the number of events whose time is the cost of an engine's pace.
+	// With those of whole streams, KV cache would be moved to another region for an
+	// engine that is a little faster or emptier.
+	decodeCostEvents = 10
 	// minPaceEvents is the number of events from which a stream shows an engine's pace.
 	minPaceEvents = 8
 )
@@ -113,7 +117,7 @@
 
 // An adaptation holds the estimates of the pools of a Selector.
 type adaptation struct {
-	endpoints int // number of endpoints at the last refresh
+	last      *EndpointState // of the endpoints at the last refresh, to which new ones are appended
 	pools     map[adaptiveKey]*concurrency.Pool
 	refreshed time.Time
 }
@@ -122,10 +126,14 @@
 // of the pools from time to time. It does nothing unless the selector is adaptive.
 func (s *Selector) adapt(now time.Time, random *rand.Rand) {
 	a := &s.adaptation
-	if !s.Adaptive || now.Sub(a.refreshed) < adaptPeriod && len(s.Endpoints) == a.endpoints {
+	if !s.Adaptive || len(s.Endpoints) == 0 {
 		return
 	}
-	a.endpoints, a.refreshed = len(s.Endpoints), now
+	last := s.Endpoints[len(s.Endpoints)-1]
+	if now.Sub(a.refreshed) < adaptPeriod && last == a.last {
+		return
+	}
+	a.last, a.refreshed = last, now
 	for _, p := range a.pools {
 		p.BeginRefresh()
 	}
@@ -202,7 +210,7 @@
 		if r.Size.Slots > 0 {
 			slots = r.Size.Slots
 		}
-		c := a.estimator.Expected(now, others, slots) * a.pool.Units() * a.load.Slowdown(now, a.pool)
+		c := a.estimator.Expected(now, others, slots) * decodeCostEvents * a.load.Slowdown(now, a.pool)
 		room := float64(max(1, slots))
 		c += overflowCost.Seconds() * max(0, others+1-float64(slots))
 		if r.Size.KVTokens > 0 && r.Tokens > 0 {
