--- a/internal/policy/queuemodel_test.go
+++ b/internal/policy/queuemodel_test.go
@@ -25,6 +25,13 @@
 	modelSends       = 3
 	modelSigma       = 0.3 // of the logarithm of the time of a request
 	modelSlots       = 6
+
+	// A prefill engine works on one prompt after the other.
+	modelPrefillRate  = 20_000 // tokens a second
+	modelPrefillSlots = 16     // that it states
+	modelPrompt       = 3200   // tokens, mean
+	modelPromptMax    = 6600   // tokens
+	modelPromptSigma  = 0.5    // of the logarithm of the tokens
 )
 
 // modelSpeeds are the speeds of the endpoints of a pool, relative to nominal.
@@ -55,6 +62,7 @@
 	instance int
 	sent     time.Duration
 	state    *policy.EndpointState
+	tokens   int // to prefill; 0 for a plain request
 }
 
 // A queueModel is a pool of endpoints and the instances that send requests to it, in
@@ -62,6 +70,7 @@
 type queueModel struct {
 	endpoints []*modelEndpoint
 	load      float64 // arriving work relative to what the endpoints could do without noise or faults
+	prefill   bool    // the endpoints are prefill engines
 	selectors []*policy.Selector
 
 	errors    int
@@ -73,15 +82,28 @@
 	refused   int
 }
 
-// newQueueModel returns a model with one endpoint for each of modelSpeeds.
+// newPrefillModel returns a model with four prefill engines for each of modelSpeeds.
+func newPrefillModel(seed uint64, adaptive bool, load float64) *queueModel {
+	return newModel(seed, adaptive, load, true)
+}
+
+// newQueueModel returns a model with one application endpoint for each of modelSpeeds.
 func newQueueModel(seed uint64, adaptive bool, load float64) *queueModel {
-	m := &queueModel{load: load, pick: rand.New(rand.NewPCG(seed, 2)), random: rand.New(rand.NewPCG(seed, 1))}
+	return newModel(seed, adaptive, load, false)
+}
+
+// newModel returns a model of either kind.
+func newModel(seed uint64, adaptive bool, load float64, prefill bool) *queueModel {
+	m := &queueModel{prefill: prefill, load: load, pick: rand.New(rand.NewPCG(seed, 2)), random: rand.New(rand.NewPCG(seed, 1))}
 	const instances = 60
 	for range instances {
 		m.selectors = append(m.selectors, &policy.Selector{Adaptive: adaptive})
 	}
 	for _, speed := range modelSpeeds {
 		m.addEndpoint(speed)
+		for n := 0; prefill && n < 3; n++ {
+			m.addEndpoint(speed)
+		}
 	}
 	return m
 }
@@ -91,13 +113,49 @@
 	e := &modelEndpoint{speed: speed, quietUntil: m.now + time.Duration(m.random.Float64()*float64(modelNoiseLength)/modelNoiseShare)}
 	for _, s := range m.selectors {
 		s.Endpoints = append(s.Endpoints, &policy.EndpointState{Endpoint: persimmoncart.Endpoint{
-			DataCentre: "r1", ID: persimmoncart.EndpointID(rune('a' + len(m.endpoints))), Region: "r", Role: persimmoncart.RoleApplication, Slots: modelSlots,
+			DataCentre: "r1", ID: persimmoncart.EndpointID(rune('a' + len(m.endpoints))), Region: "r", Role: m.role(), Slots: m.slots(),
 		}})
 	}
 	m.endpoints = append(m.endpoints, e)
 	return e
 }
 
+// role returns the role of the endpoints.
+func (m *queueModel) role() persimmoncart.Role {
+	if m.prefill {
+		return persimmoncart.RolePrefill
+	}
+	return persimmoncart.RoleApplication
+}
+
+// slots returns the slots that the endpoints state.
+func (m *queueModel) slots() int {
+	if m.prefill {
+		return modelPrefillSlots
+	}
+	return modelSlots
+}
+
+// servers returns the requests that an endpoint works on at the same time.
+func (m *queueModel) servers() int {
+	if m.prefill {
+		return 1
+	}
+	return modelSlots
+}
+
+// work returns the seconds of work of a request at nominal speed.
+func (m *queueModel) work(r *modelRequest) float64 {
+	if m.prefill {
+		return float64(r.tokens) / modelPrefillRate
+	}
+	work := modelMedian.Seconds() * math.Exp(modelSigma*m.random.NormFloat64())
+	if m.random.IntN(modelLongOneIn) == 0 {
+		work *= modelLongFactor
+	}
+	return work
+}
+
 // clock returns the time for the selectors.
 func (m *queueModel) clock() time.Time { return time.Unix(1000, 0).Add(m.now) }
 
@@ -122,13 +180,18 @@
 
 // newRequest sends one request and schedules the next.
 func (m *queueModel) newRequest() {
+	mean := modelMedian.Seconds() * math.Exp(modelSigma*modelSigma/2) * (1 + (modelLongFactor-1.0)/modelLongOneIn)
+	r := &modelRequest{arrived: m.now, instance: m.random.IntN(len(m.selectors))}
+	if m.prefill {
+		mean = modelPrompt / float64(modelPrefillRate)
+		r.tokens = min(modelPromptMax, int(modelPrompt*math.Exp(modelPromptSigma*m.random.NormFloat64()-modelPromptSigma*modelPromptSigma/2)))
+	}
 	rate := 0.0
-	for _, speed := range modelSpeeds {
-		mean := modelMedian.Seconds() * math.Exp(modelSigma*modelSigma/2) * (1 + (modelLongFactor-1.0)/modelLongOneIn)
-		rate += m.load * speed * modelSlots / mean
+	for _, e := range m.endpoints {
+		rate += m.load * e.speed * float64(m.servers()) / mean
 	}
 	m.after(time.Duration(m.random.ExpFloat64()/rate*float64(time.Second)), m.newRequest)
-	m.send(&modelRequest{arrived: m.now, instance: m.random.IntN(len(m.selectors))})
+	m.send(r)
 }
 
 // send sends a request to the endpoint that its instance chooses.
@@ -137,7 +200,7 @@
 	r.state = nil
 	if len(r.avoid) < modelSends {
 		r.state = s.Pick(m.clock(), m.pick, &policy.SelectorRequest{
-			Avoid: r.avoid, DataCentre: "r1", Region: "r", Role: persimmoncart.RoleApplication,
+			Avoid: r.avoid, DataCentre: "r1", Region: "r", Role: m.role(), Tokens: r.tokens,
 		})
 	}
 	if r.state == nil {
@@ -146,6 +209,7 @@
 	}
 	r.endpoint, r.sent = m.endpoints[slices.Index(s.Endpoints, r.state)], m.now
 	r.state.InFlight++
+	r.state.Tokens += r.tokens
 	m.after(modelNetwork, func() { m.arrive(r) })
 }
 
@@ -156,7 +220,7 @@
 	case m.random.Float64() < e.errorShare:
 		m.errors++
 		m.after(modelNetwork, func() { m.fail(r) })
-	case e.running < modelSlots:
+	case e.running < m.servers():
 		m.start(r)
 	case len(e.waiting) < modelQueue:
 		e.waiting = append(e.waiting, r)
@@ -174,10 +238,7 @@
 func (m *queueModel) start(r *modelRequest) {
 	e := r.endpoint
 	e.running++
-	work := modelMedian.Seconds() * math.Exp(modelSigma*m.random.NormFloat64()) * m.noise(e) / e.speed
-	if m.random.IntN(modelLongOneIn) == 0 {
-		work *= modelLongFactor
-	}
+	work := m.work(r) * m.noise(e) / e.speed
 	if e.slowness != nil {
 		work *= e.slowness(m.now)
 	}
@@ -209,13 +270,14 @@
 
 // report returns the load header of an endpoint.
 func (m *queueModel) report(e *modelEndpoint) persimmoncart.EndpointLoad {
-	return persimmoncart.EndpointLoad{Running: e.running, Slots: modelSlots, Slowdown: m.noise(e), Waiting: len(e.waiting)}
+	return persimmoncart.EndpointLoad{Running: e.running, Slots: m.slots(), Slowdown: m.noise(e), Waiting: len(e.waiting)}
 }
 
 // fail lets an instance send a request again that an endpoint refused or failed.
 func (m *queueModel) fail(r *modelRequest) {
 	r.state.Failures.Fail(m.clock())
 	r.state.InFlight--
+	r.state.Tokens -= r.tokens
 	r.avoid = append(r.avoid, r.state.Endpoint.ID)
 	m.send(r)
 }
@@ -224,8 +286,13 @@
 func (m *queueModel) respond(r *modelRequest, load persimmoncart.EndpointLoad) {
 	r.state.SetLoad(m.clock(), load)
 	r.state.Failures.Succeed(m.clock())
-	r.state.AddWork(m.clock(), m.now-r.sent, 1)
+	units := 1.0
+	if m.prefill {
+		units = float64(r.tokens) / 1000
+	}
+	r.state.AddWork(m.clock(), m.now-r.sent, units)
 	r.state.InFlight--
+	r.state.Tokens -= r.tokens
 	m.latencies = append(m.latencies, m.now-r.arrived)
 }
 
--- a/internal/policy/uneven_test.go
+++ b/internal/policy/uneven_test.go
@@ -12,14 +12,14 @@
 
 // compareUneven runs a model with estimates off and on and returns the means over all
 // seeds. Prepare sets the model up before it runs for the given time.
-func compareUneven(t *testing.T, load float64, length time.Duration, prepare func(*queueModel)) (off, on modelFigures) {
+func compareUneven(t *testing.T, newModel func(seed uint64, adaptive bool, load float64) *queueModel, load float64, length time.Duration, prepare func(*queueModel)) (off, on modelFigures) {
 	t.Helper()
 	for _, f := range []struct {
 		adaptive bool
 		sum      *modelFigures
 	}{{adaptive: false, sum: &off}, {adaptive: true, sum: &on}} {
 		for seed := range uint64(unevenSeeds) {
-			m := newQueueModel(seed, f.adaptive, load)
+			m := newModel(seed, f.adaptive, load)
 			prepare(m)
 			m.run(length)
 			figures := m.figures()
@@ -70,7 +70,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for _, load := range c.loads {
-				off, on := compareUneven(t, load, 16*time.Second, c.prepare)
+				off, on := compareUneven(t, newQueueModel, load, 16*time.Second, c.prepare)
 				assert.Check(t, on.mean <= off.mean)
 				assert.Check(t, on.refused <= off.refused+0.001)
 			}
@@ -165,7 +165,7 @@
 // refused than they cannot do.
 func TestUnevenAllSlow(t *testing.T) {
 	for _, load := range []float64{0.85, 1.1} {
-		off, on := compareUneven(t, load/3, 12*time.Second, func(m *queueModel) {
+		off, on := compareUneven(t, newQueueModel, load/3, 12*time.Second, func(m *queueModel) {
 			for _, e := range m.endpoints {
 				e.slowness, e.steady = slowDuring(0, time.Hour, 3), true
 			}
@@ -174,3 +174,16 @@
 		assert.Check(t, on.refused <= off.refused+0.005)
 	}
 }
+
+// Guards against prompts that wait at a slow prefill engine, or at one that other instances
+// have filled since its last report, while another is free. An instance has one sample of
+// an engine in some seconds.
+func TestUnevenPrefill(t *testing.T) {
+	for _, load := range []float64{0.3, 0.6, 0.8} {
+		off, on := compareUneven(t, newPrefillModel, load, time.Minute, func(m *queueModel) {
+			m.endpoints[20].slowness, m.endpoints[8].slowness = slowDuring(20*time.Second, 26*time.Second, 7.5), slowDuring(40*time.Second, 46*time.Second, 7.5)
+		})
+		assert.Check(t, on.mean <= off.mean)
+		assert.Check(t, on.p99 <= off.p99)
+	}
+}
