--- a/internal/forward/assignment.go
+++ b/internal/forward/assignment.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -88,9 +89,12 @@
 	a.state.ReservationRefused(a.directory.Timer.Now())
 }
 
-// GaveUp records that units of work that were given up have taken more than the given
-// time.
-func (a *assignment) GaveUp(took time.Duration, units float64) {
+// GaveUp records that units of work have taken more than the given time, if they were
+// given up, which ends ctx. Another failure says nothing about the time.
+func (a *assignment) GaveUp(ctx context.Context, took time.Duration, units float64) {
+	if ctx.Err() == nil {
+		return
+	}
 	a.directory.mutex.Lock()
 	defer a.directory.mutex.Unlock()
 	a.state.GiveUpWork(a.directory.Timer.Now(), took, units)
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -332,9 +332,7 @@
 	defer stop()
 	cache, err := g.router.Upstream.Prefill(prefillCtx, g.upstreamCall(&assigned.Endpoint))
 	if err != nil {
-		if prefillCtx.Err() != nil {
-			assigned.GaveUp(g.router.Timer.Now().Sub(started), float64(g.request.Generation.PromptTokens)/1000)
-		}
+		assigned.GaveUp(prefillCtx, g.router.Timer.Now().Sub(started), float64(g.request.Generation.PromptTokens)/1000)
 		if g.recordFailure(ctx, assigned, err) == sendNotRun {
 			return errors.Wrap(err, "prefill")
 		}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -235,9 +235,7 @@
 		result.response, err = p.readResponse(response)
 	}
 	if err != nil {
-		if ctx.Err() != nil {
-			assigned.GaveUp(p.router.Timer.Now().Sub(started), 1)
-		}
+		assigned.GaveUp(ctx, p.router.Timer.Now().Sub(started), 1)
 		result.err = err
 		result.outcome = p.recordFailure(ctx, assigned, err)
 		if result.outcome == sendFailed && ctx.Err() == nil {
