forward: an answer with an error counts little against its endpoint

With the weight of a failure, one request that all endpoints answer with an error costs more than the distance to another region until it is forgotten; by the constants that is six seconds for requests that run once (not measured). An endpoint that answers errors at once still gets at most a sixth of the requests, of three endpoints; without estimates it gets all of them.

--- a/internal/forward/assignment.go
+++ b/internal/forward/assignment.go
@@ -109,7 +109,7 @@
 	// An error says nothing about the speed of the endpoint, however fast it is.
 	a.directory.mutex.Lock()
 	defer a.directory.mutex.Unlock()
-	a.state.Failures.Fail(a.directory.Timer.Now())
+	a.state.Failures.FailWithStatus(a.directory.Timer.Now())
 	a.state.Unverified = false
 }
 
--- a/internal/forward/concurrency_test.go
+++ b/internal/forward/concurrency_test.go
@@ -46,6 +46,7 @@
 // and against a slow endpoint that gets as many requests as the others. Each may get half
 // of its share, which is a third or, of decode engines, a half.
 func TestAdaptiveShares(t *testing.T) {
+	failing := false
 	for _, c := range []struct {
 		name     string
 		endpoint persimmoncart.EndpointID
@@ -56,6 +57,13 @@
 		{name: "fast errors", endpoint: "a1", path: "/look/", share: 1. / 6, slow: func(context.Context) (*persimmoncart.UpstreamResponse, error) {
 			return newResponse(http.StatusInternalServerError, "failed"), nil
 		}},
+		{name: "every other a fast error", endpoint: "a1", path: "/look/", share: 1. / 6, slow: func(context.Context) (*persimmoncart.UpstreamResponse, error) {
+			if failing = !failing; failing {
+				return newResponse(http.StatusInternalServerError, "failed"), nil
+			}
+			time.Sleep(15 * time.Millisecond)
+			return newResponse(http.StatusOK, "done"), nil
+		}},
 		{name: "given up", endpoint: "a1", path: "/look/", share: 1. / 6, slow: func(ctx context.Context) (*persimmoncart.UpstreamResponse, error) {
 			select {
 			case <-ctx.Done():
--- a/internal/policy/selector_test.go
+++ b/internal/policy/selector_test.go
@@ -64,6 +64,21 @@
 	assert.Assert(t, countPicks(s, now.Add(30*time.Second), true)["a"] > 200)
 }
 
+// Guards against one request that endpoints answer with an error, whose own fault it may
+// be, and after which all requests cross to another region; and against an endpoint that
+// answers most requests so and keeps its share.
+func TestSelectorErrorStatus(t *testing.T) {
+	now := time.Unix(0, 0)
+	s := testSelector("r1", "q1")
+	s.Endpoints[0].Failures.FailWithStatus(now)
+	assert.Equal(t, countPicks(s, now, true)["b"], 0)
+	s = testSelector("r1", "r1")
+	for range 4 {
+		s.Endpoints[0].Failures.FailWithStatus(now)
+	}
+	assert.Equal(t, countPicks(s, now, true)["a"], 0)
+}
+
 // Guards against a slow machine that keeps its share of requests, and against
 // the use of an old report.
 func TestSelectorAvoidsSlow(t *testing.T) {
