http1: a failed read of a body stays failed

Cause: the kernel reports a reset to one read, and net/http a missing rest of a body once; the next read of either ends with io.EOF, which counted as the end of the response and put the connection back among the idle ones.

Change: the first error of a body is returned by all later reads, and closes the connection. forward.stream relies on that ("the next read returns the error again"). No path was found on which a caller received a cut response through it.

--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -192,6 +192,30 @@
 	})
 }
 
+// Guards against a body that was cut and looks complete to whoever reads on after the
+// error.
+func TestReadAfterFailure(t *testing.T) {
+	for name, response := range map[string]string{
+		"with a length": "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab" + end,
+		"in chunks":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nab" + end,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				requests := 0
+				client := &http1.Client{Dial: script{{response}}.dial(&requests), Timer: &timer.System{}}
+				response, err := client.Do(t.Context(), addr, &http1.Request{Header: http.Header{}, Host: "h", Method: http.MethodGet, Target: "/"})
+				assert.NilError(t, err)
+				defer func() { _ = response.Body.Close() }()
+				_, err = io.ReadAll(response.Body)
+				assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+				n, err := response.Body.Read(make([]byte, 8))
+				assert.Equal(t, n, 0)
+				assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			})
+		})
+	}
+}
+
 // Guards against an endpoint that takes the rest of a long body for the next
 // request: it may respond before it has read the body.
 func TestEarlyResponse(t *testing.T) {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -262,6 +262,7 @@
 	conn           *conn
 	ctx            context.Context //nolint:containedctx // io.Reader has no context
 	done           bool            // the end was reached or Close was called
+	failure        error           // of a read; nil if none has failed
 	idle           time.Duration   // how long the connection may be idle afterwards
 	mutex          sync.Mutex      // Close may be called during Read
 	reader         io.ReadCloser
@@ -274,9 +275,11 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	b.mutex.Lock()
-	done, closed := b.done, b.closed
+	done, closed, failure := b.done, b.closed, b.failure
 	b.mutex.Unlock()
 	switch {
+	case failure != nil:
+		return 0, failure
 	case closed:
 		return 0, errors.Wrap(net.ErrClosed, "read body") // not io.EOF: the body is incomplete
 	case done:
@@ -289,16 +292,25 @@
 	case errors.Is(err, io.EOF) && b.closeDelimited && !b.requestWritten():
 		// The concurrent write has received the connection's reset, so that the read ends
 		// with io.EOF: the response may be incomplete.
-		_ = b.Close()
-		return n, errors.Wrap(io.ErrUnexpectedEOF, "read body: request was not written")
+		err = errors.Wrap(io.ErrUnexpectedEOF, "request was not written")
 	case errors.Is(err, io.EOF):
 		b.finish()
 		return n, io.EOF
 	case b.ctx.Err() != nil:
-		return n, errors.Wrap(b.ctx.Err(), "read body")
-	default:
-		return n, errors.Wrap(err, "read body")
+		err = b.ctx.Err()
 	}
+	return n, b.fail(errors.Wrap(err, "read body"))
+}
+
+// fail makes all later reads return err, and closes the connection. Without it, a second
+// read would end with io.EOF: the kernel reports a reset once, and net/http a missing rest
+// of a body once.
+func (b *body) fail(err error) error {
+	b.mutex.Lock()
+	b.failure = err
+	b.mutex.Unlock()
+	_ = b.Close()
+	return err
 }
 
 // Close implements io.Closer.
