http1: a response without a length needs an orderly end of its connection

Cause: such a response counted as complete if the read ended with io.EOF and the write of the request had succeeded. A write succeeds once its bytes are in the socket's buffer, and after a FIN no read reports a reset. What the kernel reports to the reader (each case below in the tests, Linux 6.18): - reset, body written inline, in the socket or read: ECONNRESET, once - reset while the body is written: ECONNRESET to the reader or the writer, io.EOF to the other one - FIN and then a reset, or FIN with the request never read: io.EOF

Change: after io.EOF the client waits until the endpoint has acknowledged the request (SIOCOUTQ), and looks at the state of the connection (TCP_INFO) twice, 5 ms apart: it is CLOSE_WAIT after a FIN without a reset. An endpoint that leaves bytes unread sends a reset with or right after its FIN. Without an acknowledgement the response fails at the end of the context. Connections other than TCP keep the rule of the successful write.

Before: of TestResponseWithoutLength, the cases "FIN and reset" with an inline body unread, an inline body in the socket and a body in the socket, and "FIN, body never read" ended cleanly. The test passes 60 times each with 1, 2 and 7 processors and the race detector, beside load.

Left: an endpoint that shuts down its direction with an inline body unread, and closes more than 5 ms later, is taken for one that has read it; so is a process that crashes in the middle of a response after it has read the whole request.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -21,6 +21,10 @@
 )
 
 const (
+	// endPause is the pause between two looks at a connection at whose end a response
+	// ends. A process that ends its responses and closes the connection with a part of the
+	// request unread sends a FIN and right after it a reset.
+	endPause = 5 * time.Millisecond
 	// maxHeaderSize bounds the header of one response, bytes.
 	maxHeaderSize = 64 << 10
 	// readBufferSize is the size of a connection's read buffer, bytes.
@@ -258,6 +262,7 @@
 // A body reads the body of a response and returns the connection to the client at
 // its end.
 type body struct {
+	closeDelimited bool // the body has no length and ends with the connection
 	closed         bool // Close was called before the end
 	conn           *conn
 	ctx            context.Context //nolint:containedctx // io.Reader has no context
@@ -268,7 +273,6 @@
 	reader         io.ReadCloser
 	reuse          bool        // the connection may carry another request
 	stop           func() bool // detaches the connection from ctx; false if ctx has ended
-	closeDelimited bool        // the body has no length and ends with the connection
 	written        chan bool   // receives whether the complete request body was written
 }
 
@@ -289,13 +293,11 @@
 	switch {
 	case err == nil:
 		return n, nil
-	case errors.Is(err, io.EOF) && b.closeDelimited && !b.requestWritten():
-		// The concurrent write has received the connection's reset, so that the read ends
-		// with io.EOF: the response may be incomplete.
-		err = errors.Wrap(io.ErrUnexpectedEOF, "request was not written")
 	case errors.Is(err, io.EOF):
-		b.finish()
-		return n, io.EOF
+		if err = b.checkEnd(); err == nil {
+			b.finish()
+			return n, io.EOF
+		}
 	case b.ctx.Err() != nil:
 		err = b.ctx.Err()
 	}
@@ -325,6 +327,32 @@
 	return nil
 }
 
+// checkEnd returns an error if the connection, at whose end a response without a length
+// ends, was not ended in order by an endpoint that had received the whole request. The
+// read has ended with io.EOF, which proves neither: the concurrent write of the request
+// may have received the error of a reset, and after a FIN no read reports a reset.
+func (b *body) checkEnd() error {
+	if !b.closeDelimited {
+		return nil
+	}
+	if !b.requestWritten() {
+		return errors.Wrap(io.ErrUnexpectedEOF, "request was not written")
+	}
+	for ended := false; ; {
+		switch state := stateAfterEnd(b.conn.network); {
+		case state == socketReset:
+			return errors.Wrap(io.ErrUnexpectedEOF, "connection was reset")
+		case state == socketUnknown, state == socketEnded && ended:
+			return nil
+		default:
+			ended = state == socketEnded
+		}
+		if err := b.conn.client.Timer.Sleep(b.ctx, endPause); err != nil {
+			return errors.Wrap(err, "wait until the endpoint has received the request")
+		}
+	}
+}
+
 // requestWritten waits for the end of the request's write and reports whether the
 // complete body was written.
 func (b *body) requestWritten() bool {
