http1: a status that HTTP does not have is no response

Cause: a status below 200, 000 and +20 included, counted as interim, and the body behind it was read as the next response. 101, which no request asks for, and 600 to 999 counted as responses; with X-Not-Executed they stated that the request had not run, and a call of the instance's own took them for a refusal. After 101 the connection was used again.

Change: a status below 100 or above 599, or 101, gives an *InvalidStatusError. The request may have run, and the connection is closed. Other interim responses are skipped as before, without a body. net/http refuses more or fewer than three characters and letters.

--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -192,6 +192,78 @@
 	})
 }
 
+// Guards against a status that the protocol does not have, and that reaches a caller or
+// counts as interim, so that its body is read as the next response.
+func TestStatus(t *testing.T) {
+	const body = "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 4\r\n\r\nfake"
+	line := func(status string) string {
+		return fmt.Sprintf("HTTP/1.1 %s\r\nId: 0\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+	}
+	type expectation struct {
+		body   string // of the response; empty for an error
+		status int
+	}
+	cases := map[string]expectation{
+		"HTTP/1.1 100 Continue\r\n\r\n" + reply("0", "a"):                                        {body: "a", status: 200},
+		"HTTP/1.1 100\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + reply("0", "a"):      {body: "a", status: 200},
+		"HTTP/1.1 102 Processing\r\nContent-Length: 5\r\n\r\n" + reply("0", "a"):                 {body: "a", status: 200},
+		"HTTP/1.1 199 x\r\nTransfer-Encoding: chunked\r\n\r\n" + reply("0", "a"):                 {body: "a", status: 200},
+		"HTTP/1.1 100 Continue\r\n\r\nab\r\n":                                                    {},
+		"HTTP/1.1 101 Switching Protocols\r\n\r\n" + reply("0", "a"):                             {},
+		"HTTP/1.1 101 x\r\nConnection: upgrade\r\nUpgrade: x\r\nId: 0\r\n\r\n" + reply("0", "a"): {},
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 101 x\r\nId: 0\r\n\r\n" + reply("0", "a"):         {},
+		strings.Replace(reply("0", "a"), "200 OK", "200", 1):                                     {body: "a", status: 200},
+		strings.Replace(reply("0", "a"), "200 OK", "299 x", 1):                                   {body: "a", status: 299},
+		strings.Replace(reply("0", "a"), "200 OK", "418 x", 1):                                   {body: "a", status: 418},
+		strings.Replace(reply("0", "a"), "200 OK", "599 x", 1):                                   {body: "a", status: 599},
+		strings.Replace(reply("0", "a"), "HTTP/1.1 200 OK", "HTTP/1.1", 1):                       {},
+		strings.Replace(reply("0", "a"), "HTTP/1.1 200 OK", "200 OK", 1):                         {},
+		strings.Replace(reply("0", "a"), "HTTP/1.1 200 OK", "HTTP/1.1 ", 1):                      {},
+		strings.Replace(reply("0", "a"), "HTTP/1.1 200 OK", "HTTP/1.1 OK", 1):                    {},
+		strings.Replace(reply("0", "a"), "HTTP/1.1 200 OK", "HTTP/1.1 200\tOK", 1):               {},
+	}
+	for _, status := range []string{
+		"000", "000 OK", "001 OK", "020 OK", "099 OK", "600 OK", "666 OK", "700 OK", "899 OK", "999 OK", "+20 OK", "-20 OK", "+00 OK", "-00 OK", "2 0 OK",
+		"2000 OK", "1000 OK", "0200 OK", "20 OK", "99 OK", "2 OK", "0x2 OK", "2e2 OK", "abc OK", "20O OK", "\u0662\u0660\u0660 OK", "200.0 OK", "-1 OK",
+	} {
+		cases[line(status)] = expectation{}
+	}
+	for response, want := range cases {
+		name, _, _ := strings.Cut(response, "\r\n")
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				requests := 0
+				client := &http1.Client{Dial: script{{response, reply("1", "b")}, {reply("1", "b")}}.dial(&requests), Timer: &timer.System{}}
+				defer client.CloseIdle(addr)
+				request := &http1.Request{
+					Header: http.Header{}, Host: "h", Matches: func(h http.Header) bool { return h.Get("Id") == "0" }, Method: http.MethodPost, Target: "/",
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				response, err := client.Do(ctx, addr, request)
+				if err == nil {
+					defer func() { _ = response.Body.Close() }()
+				}
+				if want.body == "" {
+					unsent := (*http1.NotSentError)(nil)
+					assert.Assert(t, err != nil && !errors.As(err, &unsent), "%v", err)
+					assert.NilError(t, ctx.Err(), "the connection was kept")
+				} else {
+					assert.NilError(t, err)
+					assert.Equal(t, response.Status, want.status)
+					b, err := io.ReadAll(response.Body)
+					assert.NilError(t, err)
+					assert.Equal(t, string(b), want.body)
+				}
+				got, err := get(ctx, client, "1")
+				assert.NilError(t, err)
+				assert.Equal(t, got, "b")
+				assert.Equal(t, client.Opened(), map[bool]uint64{true: 2, false: 1}[want.body == ""])
+			})
+		})
+	}
+}
+
 // Guards against a body that was cut and looks complete to whoever reads on after the
 // error.
 func TestReadAfterFailure(t *testing.T) {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -11,7 +12,6 @@
 	"net/netip"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,10 +21,6 @@
 )
 
 const (
-	// endPause is the pause between two looks at a connection at whose end a response
-	// ends. A process that ends its responses and closes the connection with a part of the
-	// request unread sends a FIN and right after it a reset.
-	endPause = 5 * time.Millisecond
 	// maxHeaderSize bounds the header of one response, bytes.
 	maxHeaderSize = 64 << 10
 	// readBufferSize is the size of a connection's read buffer, bytes.
@@ -43,11 +39,25 @@
 	// no room for the rest of it while it responds. Until the end of the response, the
 	// connection then does not fail for want of acknowledgements.
 	largeBody = 64 << 10
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
 	// maxCarried is the number of requests with an identifier after which a connection is
 	// not used again, so that their identifiers need little memory.
 	maxCarried = 256
 )
 
+// An InvalidStatusError reports a response with a status that HTTP does not have, signs and
+// leading zeros included, or with 101: no request asks for another protocol.
+type InvalidStatusError struct {
+	Addr   netip.AddrPort
+	Status string // with the reason
+}
+
+// Error implements error.
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("%s responded with invalid status %.64q", e.Addr, e.Status)
+}
+
 // A MismatchedResponseError reports a connection on which only responses to other
 // requests arrived.
 type MismatchedResponseError struct {
@@ -194,7 +204,8 @@
 
 // readResponse reads the header of the response to r. It drops interim responses
 // and those to other requests, and returns a *MismatchedResponseError if none of
-// maxMismatched responses is the one to r.
+// maxMismatched responses is the one to r, and an *InvalidStatusError for a status that no
+// response to r has.
 func (k *conn) readResponse(r *Request) (*http.Response, error) {
 	for range maxMismatched {
 		k.limited.N = maxHeaderSize
@@ -203,7 +214,10 @@
 			return nil, errors.Wrap(err, "read response")
 		}
 		k.limited.N = math.MaxInt64
-		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+		switch status := response.StatusCode; {
+		case status < http.StatusContinue, status > maxStatus, status == http.StatusSwitchingProtocols:
+			return nil, &InvalidStatusError{Addr: k.addr, Status: response.Status}
+		case status < http.StatusOK: // net/http reads no body of it
 			continue
 		}
 		if r.Matches == nil || r.Matches(response.Header) {
@@ -258,126 +272,3 @@
 	}
 	return defaultIdleTimeout, true
 }
-
-// A body reads the body of a response and returns the connection to the client at
-// its end.
-type body struct {
-	closeDelimited bool // the body has no length and ends with the connection
-	closed         bool // Close was called before the end
-	conn           *conn
-	ctx            context.Context //nolint:containedctx // io.Reader has no context
-	done           bool            // the end was reached or Close was called
-	failure        error           // of a read; nil if none has failed
-	idle           time.Duration   // how long the connection may be idle afterwards
-	mutex          sync.Mutex      // Close may be called during Read
-	reader         io.ReadCloser
-	reuse          bool        // the connection may carry another request
-	stop           func() bool // detaches the connection from ctx; false if ctx has ended
-	written        chan bool   // receives whether the complete request body was written
-}
-
-// Read implements io.Reader.
-func (b *body) Read(p []byte) (int, error) {
-	b.mutex.Lock()
-	done, closed, failure := b.done, b.closed, b.failure
-	b.mutex.Unlock()
-	switch {
-	case failure != nil:
-		return 0, failure
-	case closed:
-		return 0, errors.Wrap(net.ErrClosed, "read body") // not io.EOF: the body is incomplete
-	case done:
-		return 0, io.EOF
-	}
-	n, err := b.reader.Read(p)
-	switch {
-	case err == nil:
-		return n, nil
-	case errors.Is(err, io.EOF):
-		if err = b.checkEnd(); err == nil {
-			b.finish()
-			return n, io.EOF
-		}
-	case b.ctx.Err() != nil:
-		err = b.ctx.Err()
-	}
-	return n, b.fail(errors.Wrap(err, "read body"))
-}
-
-// fail makes all later reads return err, and closes the connection. Without it, a second
-// read would end with io.EOF: the kernel reports a reset once, and net/http a missing rest
-// of a body once.
-func (b *body) fail(err error) error {
-	b.mutex.Lock()
-	b.failure = err
-	b.mutex.Unlock()
-	_ = b.Close()
-	return err
-}
-
-// Close implements io.Closer.
-func (b *body) Close() error {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if !b.done {
-		b.done, b.closed = true, true
-		b.stop()
-		b.conn.close()
-	}
-	return nil
-}
-
-// checkEnd returns an error if the connection, at whose end a response without a length
-// ends, was not ended in order by an endpoint that had received the whole request. The
-// read has ended with io.EOF, which proves neither: the concurrent write of the request
-// may have received the error of a reset, and after a FIN no read reports a reset.
-func (b *body) checkEnd() error {
-	if !b.closeDelimited {
-		return nil
-	}
-	if !b.requestWritten() {
-		return errors.Wrap(io.ErrUnexpectedEOF, "request was not written")
-	}
-	for ended := false; ; {
-		switch state := stateAfterEnd(b.conn.network); {
-		case state == socketReset:
-			return errors.Wrap(io.ErrUnexpectedEOF, "connection was reset")
-		case state == socketUnknown, state == socketEnded && ended:
-			return nil
-		default:
-			ended = state == socketEnded
-		}
-		if err := b.conn.client.Timer.Sleep(b.ctx, endPause); err != nil {
-			return errors.Wrap(err, "wait until the endpoint has received the request")
-		}
-	}
-}
-
-// requestWritten waits for the end of the request's write and reports whether the
-// complete body was written.
-func (b *body) requestWritten() bool {
-	complete := <-b.written
-	b.written <- complete // for finish
-	return complete
-}
-
-// finish returns the connection to the client if it is clean after the response,
-// and closes it otherwise.
-func (b *body) finish() {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if b.done {
-		return
-	}
-	b.done = true
-	complete := false
-	select {
-	case complete = <-b.written:
-	default: // the endpoint responded before the request body was written
-	}
-	if b.stop() && complete && b.reuse && b.conn.reader.Buffered() == 0 && b.conn.endLarge() {
-		b.conn.client.put(b.conn, b.idle)
-		return
-	}
-	b.conn.close()
-}
