transport: a status that HTTP does not have fails the call

Cause: net/http returns 000, +20 and 600 to 999 as responses, and 101 with the connection as its body, which the end of the call's context no longer closes. The store's client took each of them on a write for a refusal without effect; a call that got 101 never returned, so that a follower would have heard of no change again.

Change: the transport of all clients returns a *ProtocolError for them. A write to the store is then ambiguous, a read unavailable. The same holds for the clients of engines, applications and our own object API.

--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -55,7 +55,7 @@
 	protocols.SetHTTP1(true)
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		Transport: &http.Transport{
+		Transport: &statusTransport{&http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				c, err := dial(ctx, network, address)
 				if err != nil {
@@ -70,7 +70,7 @@
 			ReadBufferSize:      readBufferBytes,
 			TLSClientConfig:     config,
 			TLSHandshakeTimeout: dialTimeout,
-		},
+		}},
 	}
 }
 
