entry: a response to an HTTP/1.0 caller that is cut ends with a reset

Cause: HTTP/1.0 has no chunks, so that a response without a length ends with its connection. When the rest of one was missing, the handler aborted the response, and net/http closed the connection in order: the caller took the part for the whole.

Change: a panic of the handler under HTTP/1.0 makes the close a reset. HTTP/1.1 is as before: the last chunk is missing.

Before: TestConnTrackerCutResponse failed for HTTP/1.0.

Left: a listener that wraps connections has to pass SetLinger on.

--- a/internal/entry/conntracker.go
+++ b/internal/entry/conntracker.go
@@ -86,13 +86,18 @@
 }
 
 // Handler returns a handler that drops requests whose connection was closed as idle when
-// they were read: their callers cannot be answered.
+// they were read: their callers cannot be answered. If next aborts a response to a request
+// of HTTP/1.0, which has no chunks, the connection is reset: the caller would take its
+// orderly end for that of the response.
 func (t *connTracker) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if t.closed(r.Context()) {
 			t.Logger.Info().Msg("request crossed the close of its connection")
 			panic(http.ErrAbortHandler)
 		}
+		if !r.ProtoAtLeast(1, 1) {
+			defer resetAfterPanic(r.Context())
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -123,6 +128,19 @@
 	return t.connections[c] == connClosed
 }
 
+// resetAfterPanic makes the close of a request's connection a reset if the handler panics.
+// It is deferred, and passes the panic on.
+func resetAfterPanic(ctx context.Context) {
+	reason := recover()
+	if reason == nil {
+		return
+	}
+	if c, ok := ctx.Value(connContextKey{}).(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0) // fails only if the connection is closed
+	}
+	panic(reason)
+}
+
 // count returns the number of connections in one of the given phases.
 func (t *connTracker) count(phases ...connPhase) int {
 	t.mutex.Lock()
--- a/internal/entry/conntracker_test.go
+++ b/internal/entry/conntracker_test.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -65,3 +68,42 @@
 		assert.Assert(t, tracker.Wait(t.Context()))
 	})
 }
+
+// Guards against a response that was cut and looks complete to its caller: without a
+// length or chunks, which HTTP/1.0 does not have, it ends with its connection.
+func TestConnTrackerCutResponse(t *testing.T) {
+	for _, c := range []struct {
+		version string
+		cut     bool
+		whole   bool
+	}{
+		{version: "1.0", cut: true},
+		{version: "1.0", whole: true},
+		{version: "1.1", cut: true},
+		{version: "1.1", whole: true},
+	} {
+		t.Run(fmt.Sprintf("%s, cut %t", c.version, c.cut), func(t *testing.T) {
+			tracker := &connTracker{Logger: zerolog.Nop(), Timer: &timer.System{}}
+			server := httptest.NewUnstartedServer(tracker.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, "part")
+				_ = http.NewResponseController(w).Flush()
+				if c.cut {
+					panic(http.ErrAbortHandler)
+				}
+			})))
+			server.Config.ConnContext, server.Config.ConnState = tracker.ConnContext, tracker.ConnState
+			server.Start()
+			defer server.Close()
+			conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp4", server.Listener.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = fmt.Fprintf(conn, "GET / HTTP/%s\r\nHost: h\r\nConnection: close\r\n\r\n", c.version)
+			assert.NilError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+			}
+			assert.Equal(t, err == nil, c.whole, "%v", err)
+		})
+	}
+}
