persimmonctl: check finds the faults of a platform configuration before it is sent

Cause: instances log what they cannot use of a configuration and go on; a route to a pool that does not exist, or an account without a usable key, was seen only in the refusals of callers.

Change: persimmonctl check FILE [--against FILE] [--json] reads JSON or YAML in the platform's field names, encodes it like the store and decodes it with the decoder of the instances (platform.CheckConfiguration). It reports errors, entries without effect, contradictions and changes against the version in force. Keys are counted, never shown; an error of syntax names its position only.

Tests: testdata/check.txtar, TestCheckShowsNoKey, TestCheckNumbers.

--- a/cmd/persimmonctl/internal/cmd/main.go
+++ b/cmd/persimmonctl/internal/cmd/main.go
@@ -111,6 +111,7 @@
 		data              any
 	}{
 		{"apply", "make the content of files the next version", applyHelp, &applyCommand{app: a}},
+		{"check", "check the platform's configuration before it is sent", checkHelp, &checkCommand{app: a}},
 		{"completion", "print the completion script of a shell", completionHelp, &completionCommand{app: a}},
 		{"diff", "show what apply would change", diffHelp, &diffCommand{app: a}},
 		{"drain", "give endpoints no new work", drainHelp, &drainCommand{app: a}},
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -18,9 +18,6 @@
 	// first byte goes to the caller. If a response breaks off within it, the request
 	// can be sent again.
 	bufferLimit = 256 << 10
-	// hedgeDelayShare is the share of the latency target after which an idempotent
-	// request without a response goes to a second endpoint.
-	hedgeDelayShare = 0.45
 	// suspectShare is the share of the latency target after which an endpoint that
 	// has not responded is counted as failed.
 	suspectShare = 0.9
@@ -73,7 +70,7 @@
 		return nil, x.noEndpointRefusal(refusal)
 	}
 	hedge := make(chan time.Time, 1)
-	defer x.router.Timer.After(x.latencyShare(hedgeDelayShare), func(now time.Time) { hedge <- now })()
+	defer x.router.Timer.After(HedgeDelay(x.route), func(now time.Time) { hedge <- now })()
 	for {
 		select {
 		case <-ctx.Done():
