--- a/internal/http1/incomplete_test.go
+++ b/internal/http1/incomplete_test.go
@@ -101,13 +101,17 @@
 	}
 }
 
-// A hookedTimer is a system timer whose Sleep calls a function instead of waiting.
+// A hookedTimer is a system timer whose Sleep calls a function instead of waiting, and
+// under which no call times out.
 type hookedTimer struct {
 	timer.System
 
 	sleep func(ctx context.Context) error
 }
 
+// After implements persimmoncart.Timer.
+func (*hookedTimer) After(time.Duration, func(time.Time)) (stop func()) { return func() {} }
+
 // Sleep implements persimmoncart.Timer.
 func (t *hookedTimer) Sleep(ctx context.Context, d time.Duration) error {
 	if t.sleep == nil {
@@ -362,7 +366,7 @@
 		}
 		_ = conn.Close()
 	})
-	client := &http1.Client{Timer: &timer.System{}, Dial: func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
+	client := &http1.Client{Timer: &hookedTimer{}, Dial: func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "unix", l.Addr().String())
 	}}
 	response, err := client.Do(t.Context(), addr, &http1.Request{Header: http.Header{}, Host: "h", Method: http.MethodGet, Target: "/"})
