--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -11,7 +12,6 @@
 	"net/netip"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,11 +39,25 @@
 	// no room for the rest of it while it responds. Until the end of the response, the
 	// connection then does not fail for want of acknowledgements.
 	largeBody = 64 << 10
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
 	// maxCarried is the number of requests with an identifier after which a connection is
 	// not used again, so that their identifiers need little memory.
 	maxCarried = 256
 )
 
+// An InvalidStatusError reports a response with a status that HTTP does not have, signs and
+// leading zeros included, or with 101: no request asks for another protocol.
+type InvalidStatusError struct {
+	Addr   netip.AddrPort
+	Status string // with the reason
+}
+
+// Error implements error.
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("%s responded with invalid status %.64q", e.Addr, e.Status)
+}
+
 // A MismatchedResponseError reports a connection on which only responses to other
 // requests arrived.
 type MismatchedResponseError struct {
@@ -190,7 +204,8 @@
 
 // readResponse reads the header of the response to r. It drops interim responses
 // and those to other requests, and returns a *MismatchedResponseError if none of
-// maxMismatched responses is the one to r.
+// maxMismatched responses is the one to r, and an *InvalidStatusError for a status that no
+// response to r has.
 func (k *conn) readResponse(r *Request) (*http.Response, error) {
 	for range maxMismatched {
 		k.limited.N = maxHeaderSize
@@ -199,7 +214,10 @@
 			return nil, errors.Wrap(err, "read response")
 		}
 		k.limited.N = math.MaxInt64
-		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+		switch status := response.StatusCode; {
+		case status < http.StatusContinue, status > maxStatus, status == http.StatusSwitchingProtocols:
+			return nil, &InvalidStatusError{Addr: k.addr, Status: response.Status}
+		case status < http.StatusOK: // net/http reads no body of it
 			continue
 		}
 		if r.Matches == nil || r.Matches(response.Header) {
@@ -254,90 +272,3 @@
 	}
 	return defaultIdleTimeout, true
 }
-
-// A body reads the body of a response and returns the connection to the client at
-// its end.
-type body struct {
-	closed         bool // Close was called before the end
-	conn           *conn
-	ctx            context.Context //nolint:containedctx // io.Reader has no context
-	done           bool            // the end was reached or Close was called
-	idle           time.Duration   // how long the connection may be idle afterwards
-	mutex          sync.Mutex      // Close may be called during Read
-	reader         io.ReadCloser
-	reuse          bool        // the connection may carry another request
-	stop           func() bool // detaches the connection from ctx; false if ctx has ended
-	closeDelimited bool        // the body has no length and ends with the connection
-	written        chan bool   // receives whether the complete request body was written
-}
-
-// Read implements io.Reader.
-func (b *body) Read(p []byte) (int, error) {
-	b.mutex.Lock()
-	done, closed := b.done, b.closed
-	b.mutex.Unlock()
-	switch {
-	case closed:
-		return 0, errors.Wrap(net.ErrClosed, "read body") // not io.EOF: the body is incomplete
-	case done:
-		return 0, io.EOF
-	}
-	n, err := b.reader.Read(p)
-	switch {
-	case err == nil:
-		return n, nil
-	case errors.Is(err, io.EOF) && b.closeDelimited && !b.requestWritten():
-		// The concurrent write has received the connection's reset, so that the read ends
-		// with io.EOF: the response may be incomplete.
-		_ = b.Close()
-		return n, errors.Wrap(io.ErrUnexpectedEOF, "read body: request was not written")
-	case errors.Is(err, io.EOF):
-		b.finish()
-		return n, io.EOF
-	case b.ctx.Err() != nil:
-		return n, errors.Wrap(b.ctx.Err(), "read body")
-	default:
-		return n, errors.Wrap(err, "read body")
-	}
-}
-
-// Close implements io.Closer.
-func (b *body) Close() error {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if !b.done {
-		b.done, b.closed = true, true
-		b.stop()
-		b.conn.close()
-	}
-	return nil
-}
-
-// requestWritten waits for the end of the request's write and reports whether the
-// complete body was written.
-func (b *body) requestWritten() bool {
-	complete := <-b.written
-	b.written <- complete // for finish
-	return complete
-}
-
-// finish returns the connection to the client if it is clean after the response,
-// and closes it otherwise.
-func (b *body) finish() {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if b.done {
-		return
-	}
-	b.done = true
-	complete := false
-	select {
-	case complete = <-b.written:
-	default: // the endpoint responded before the request body was written
-	}
-	if b.stop() && complete && b.reuse && b.conn.reader.Buffered() == 0 && b.conn.endLarge() {
-		b.conn.client.put(b.conn, b.idle)
-		return
-	}
-	b.conn.close()
-}
