forward: responses without a body may state a length

Cause: the response to a HEAD request, or with status 304, states the length of a body that it does not have. It counted as cut, so that the caller got 502 although the request had run. Change: their end is the end of the header. Test: TestHead, which failed with 502 before.

--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -284,6 +284,11 @@
 		_ = response.Body.Close()
 		return nil, err
 	}
+	if x.request.Method == http.MethodHead || response.Status == http.StatusNotModified {
+		// The length is that of a body that the response does not have.
+		_ = response.Body.Close()
+		return &Response{Body: &bufferedBody{}, Header: response.Header, Length: response.BodyLength, Status: response.Status}, nil
+	}
 	size := bufferLimit
 	if response.BodyLength >= 0 && response.BodyLength < bufferLimit {
 		size = int(response.BodyLength)
