quota: limits of accounts hold over all instances

Cause: limits of accounts were decoded and not enforced; equal shares of the instances would refuse most of the allowed load, as the callers of one account reach few instances. Change: internal/quota decides without I/O (holders by rendezvous hashing over the heartbeat records, token buckets, batches), internal/quotanet carries its messages as datagrams, forward.Router.Accept takes what a request costs by its head. Only with the contract quota in the settings; without it heartbeat records and traffic stay as they were, and one warning tells of limits that are not enforced. Tests: TestQuotaOfAllInstances (four processes, 100 requests a second at an account that may use 20: 95% of the limit served, no window above it by a tenth, and none refused below it from one instance).

--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -64,6 +64,7 @@
 	Logger         zerolog.Logger
 	Metrics        *metrics.Metrics
 	Quarantine     *Quarantine
+	Quota          persimmoncart.Quota // nil if limits of accounts are not enforced
 	Streams        *StreamRecords
 	StoreReachable func() bool // while it returns false, an unknown route may be a new one
 	Timer          persimmoncart.Timer
@@ -74,22 +75,26 @@
 // *persimmoncart.Refusal if no endpoint gave a usable response, or a
 // *CallerGoneError.
 func (r *Router) Serve(ctx context.Context, request *persimmoncart.ForwardRequest) (*Response, error) {
-	x, err := r.Accept(request)
+	x, err := r.Accept(ctx, request)
 	if err != nil {
 		return nil, err
 	}
 	return x.Serve(ctx)
 }
 
-// Accept decides by the head of a request whether it is served. The error is a
-// *persimmoncart.Refusal. Serve or Refuse of an accepted one has to be called.
-func (r *Router) Accept(request *persimmoncart.ForwardRequest) (*exchange, error) {
+// Accept decides by the head of a request whether it is served, and takes what it costs
+// from the limit of its account. The error is a *persimmoncart.Refusal, or a
+// *CallerGoneError. Serve or Refuse of an accepted request has to be called.
+func (r *Router) Accept(ctx context.Context, request *persimmoncart.ForwardRequest) (*exchange, error) {
 	x := &exchange{observe: r.Metrics.StartRequest(), request: request, router: r}
 	for _, check := range []func() error{x.resolveRoute, x.resolveAccount, x.stoppingRefusal} {
 		if err := check(); err != nil {
 			return nil, x.Refuse(err)
 		}
 	}
+	if err := x.takeQuota(ctx); err != nil {
+		return nil, x.Refuse(err)
+	}
 	return x, nil
 }
 
@@ -151,7 +156,8 @@
 	sends            atomic.Int32 // all sends, up to maxSends; log lines of sends and checks in flight read it
 	startedPrefills  int          // prefills that an engine may have accepted
 	stop             func()       // releases the context of withDeadline
-	trial            bool         // let through although a part is quarantined
+	ticket           persimmoncart.QuotaTicket
+	trial            bool // let through although a part is quarantined
 	tried            []persimmoncart.EndpointID
 	table            *persimmoncart.ForwardTable // in force when the request arrived; nil before the first
 	waited           time.Duration               // of the caller before this attempt, estimated
@@ -237,6 +243,7 @@
 // Refuse counts and logs the end of a request without a response and returns the
 // error for its caller.
 func (x *exchange) Refuse(err error) error {
+	x.returnQuota()
 	name := persimmoncart.RouteName("")
 	if x.route != nil {
 		name = x.route.Name
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -42,6 +42,7 @@
 	firstToken    *prometheus.HistogramVec
 	labelValues   map[string]bool
 	mutex         sync.Mutex
+	quota         quotaMetrics
 	refusals      map[persimmoncart.RefusalCode]prometheus.Counter
 	requests      *prometheus.CounterVec
 	retries       map[persimmoncart.RetryReason]prometheus.Counter
@@ -63,6 +64,7 @@
 		discarded:     counter(r, "discarded_answers_total", "Answers and tokens that belonged to another attempt or were repeated."),
 		firstToken:    histogram(r, "first_token_seconds", "Time from the request to its first token.", latencyBuckets, "route"),
 		labelValues:   make(map[string]bool),
+		quota:         newQuotaMetrics(r),
 		tokenGap:      prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "token_gap_seconds", Help: "Mean time between tokens of one stream.", Buckets: tokenGapBuckets}),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "requests_total", Help: "Requests by route and outcome.",
--- /dev/null
+++ b/internal/quota/asker.go
@@ -0,0 +1,362 @@
+package quota
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+)
+
+const (
+	// AskTimeout is the time after which a holder that has not replied is taken to be
+	// silent, and the next one is asked. A round trip between regions takes 24 ms.
+	AskTimeout = 60 * time.Millisecond
+	// WaitLimit bounds the time for which a request waits for units.
+	WaitLimit = 150 * time.Millisecond
+	// batchSpan is the time of expected use that a batch covers.
+	batchSpan = 500 * time.Millisecond
+	// demandSpan is the time over which expected use is averaged.
+	demandSpan = time.Second
+	// prefetchShare is the part of a batch below which the next one is asked for, before
+	// a request waits for it.
+	prefetchShare = 0.25
+	// silencePause is the time for which a silent holder is not asked. It doubles with
+	// each further silence, up to maxSilencePause.
+	silencePause    = time.Second
+	maxSilencePause = 8 * time.Second
+	// idleLimit is the time after which an account that is not used is forgotten.
+	idleLimit = 10 * time.Second
+	// maxPending bounds the asks without a reply.
+	maxPending = 4096
+	// maxWaiters bounds the requests that wait for units of one account.
+	maxWaiters = 1024
+	// retryJitter is the largest random addition to the time after which a refused caller
+	// comes back, as a share of it, and minRetryJitter its least upper bound.
+	retryJitter    = 0.25
+	minRetryJitter = 50 * time.Millisecond
+	// unavailableRetry is the time after which a caller comes back if no holder answered.
+	unavailableRetry = 200 * time.Millisecond
+)
+
+// Outcomes of a Waiter.
+const (
+	OutcomePending     Outcome = iota
+	OutcomeGranted             // Ticket is set
+	OutcomeLimited             // the account is over its limit; RetryAfter is set
+	OutcomeUnavailable         // no holder answered; RetryAfter is set
+)
+
+// An Outcome is the result of waiting for units.
+type Outcome uint8
+
+// A Waiter is a request that waits for units.
+type Waiter struct {
+	Outcome    Outcome
+	Ready      chan struct{} // closed by the caller of Instance once Outcome is set; may be nil
+	RetryAfter time.Duration
+	Ticket     persimmoncart.QuotaTicket
+
+	account *persimmoncart.Account
+	units   int
+}
+
+// A lot is what is left of one batch.
+type lot struct {
+	expires     time.Duration
+	holder      persimmoncart.InstanceID
+	incarnation persimmoncart.Incarnation
+	units       int
+}
+
+// A slot is one holder of an account from the view of an asker. Times are since
+// asker.started.
+type slot struct {
+	member    *member
+	notBefore time.Duration // it is not asked before
+	refused   int           // units that callers were refused since it was asked last
+	retryAt   time.Duration // when callers may come back, as it stated last
+	saidNo    bool          // its last reply granted nothing
+}
+
+// An accountState is what an instance knows of an account that it serves.
+type accountState struct {
+	asking     uint64  // identifier of the ask in flight; zero for none
+	backlog    float64 // units refused here since the last reply
+	backlogAt  time.Duration
+	batch      int     // units of the last reply
+	demand     float64 // units a second, averaged
+	demandAt   time.Duration
+	generation uint64 // of the ring, when slots were set
+	key        uint64
+	lots       []lot
+	slots      []slot
+	waiters    []*Waiter
+}
+
+// A pendingAsk is an ask that was sent to another instance.
+type pendingAsk struct {
+	account  *persimmoncart.Account
+	addr     netip.AddrPort
+	limit    Limit
+	member   *member
+	sent     time.Duration
+	state    *accountState
+	timedOut bool
+	want     int
+}
+
+// An asker serves the requests of one instance from batches.
+type asker struct {
+	accounts  map[uint64]*accountState
+	batchLife time.Duration
+	holder    *holder
+	nextID    uint64
+	pending   map[uint64]*pendingAsk
+	random    *rand.Rand
+	ring      *Ring
+	started   time.Time
+}
+
+// take takes units from batches at hand.
+func (a *asker) take(now time.Time, s *accountState, account *persimmoncart.Account, units int) (persimmoncart.QuotaTicket, bool) {
+	if left := s.drop(now.Sub(a.started)); left < units {
+		return persimmoncart.QuotaTicket{}, false
+	}
+	ticket := persimmoncart.QuotaTicket{Account: account, Units: units}
+	for n := range s.lots {
+		l := &s.lots[n]
+		taken := min(units, l.units)
+		l.units -= taken
+		ticket.Holder, ticket.Incarnation = l.holder, l.incarnation
+		if units -= taken; units == 0 {
+			break
+		}
+	}
+	return ticket, true
+}
+
+// state returns the state of an account.
+func (a *asker) state(key uint64) *accountState {
+	s := a.accounts[key]
+	if s == nil {
+		s = &accountState{key: key}
+		a.accounts[key] = s
+	}
+	return s
+}
+
+// advance serves the waiting requests of an account, and asks the next holder if units
+// are missing. It returns the asks to send and the waiters that are done.
+func (a *asker) advance(now time.Time, s *accountState, limit Limit, e *Effects) {
+	for {
+		served := 0
+		for _, w := range s.waiters {
+			ticket, ok := a.take(now, s, w.account, w.units)
+			if !ok {
+				break
+			}
+			w.Outcome, w.Ticket = OutcomeGranted, ticket
+			e.Done = append(e.Done, w)
+			served++
+		}
+		s.waiters = slices.Delete(s.waiters, 0, served)
+		if len(s.waiters) == 0 || s.asking != 0 {
+			return
+		}
+		next := a.choose(now, s)
+		if next == nil {
+			a.refuse(now, s, limit, e)
+			return
+		}
+		if !a.ask(now, s, next, s.waiters[0].account, limit, s.waiters[0].units, e) {
+			return
+		}
+	}
+}
+
+// ask asks a holder for units. It reports true if the reply is known already, as the
+// holder is this instance.
+func (a *asker) ask(now time.Time, s *accountState, t *slot, account *persimmoncart.Account, limit Limit, least int, e *Effects) bool {
+	at := now.Sub(a.started)
+	want := int(min(s.demand*batchSpan.Seconds(), math.MaxInt32)) - s.drop(at)
+	waiting := 0
+	for _, w := range s.waiters {
+		waiting += w.units
+	}
+	a.nextID++
+	q := Ask{Account: s.key, ID: a.nextID, Least: least, Refused: t.refused, Want: max(want, waiting, least)}
+	t.refused = 0
+	p := &pendingAsk{account: account, addr: t.member.Addr, limit: limit, member: t.member, sent: at, state: s, want: q.Want}
+	if t.member.id == a.ring.Self {
+		a.apply(at, p, a.holder.ask(now, limit, q))
+		return true
+	}
+	if len(a.pending) >= maxPending {
+		t.notBefore = at + minAskAgain
+		return true
+	}
+	a.pending[q.ID] = p
+	s.asking = q.ID
+	e.Asks = append(e.Asks, Outgoing{Addr: p.addr, Ask: q})
+	return false
+}
+
+// apply applies a reply to the account's state.
+func (a *asker) apply(at time.Duration, p *pendingAsk, r Reply) {
+	s := p.state
+	if expires := p.sent + a.batchLife; r.Granted > 0 && expires > at {
+		s.lots = append(s.lots, lot{expires: expires, holder: p.member.id, incarnation: p.member.incarnation, units: r.Granted})
+		s.batch = r.Granted
+	}
+	s.backlog = 0
+	for n := range s.slots {
+		t := &s.slots[n]
+		if t.member.id != p.member.id {
+			continue
+		}
+		t.notBefore, t.saidNo = at+r.Next, r.Granted == 0 && !r.NotHolder
+		t.retryAt = at + r.RetryAfter
+	}
+}
+
+// choose returns the nearest holder that may have units; nil if there is none.
+func (a *asker) choose(now time.Time, s *accountState) *slot {
+	if s.slots == nil || s.generation != a.ring.generation {
+		a.setSlots(s)
+	}
+	at := now.Sub(a.started)
+	for n := range s.slots {
+		if t := &s.slots[n]; t.notBefore <= at && t.member.silentUntil <= at {
+			return t
+		}
+	}
+	return nil
+}
+
+// setSlots sets the holders of an account, the nearest first.
+func (a *asker) setSlots(s *accountState) {
+	known := s.slots
+	s.slots, s.generation = make([]slot, 0, MaxHolders), a.ring.generation
+	for _, m := range a.ring.holders(s.key, make([]*member, 0, MaxHolders+1)) {
+		t := slot{}
+		if n := slices.IndexFunc(known, func(k slot) bool { return k.member.id == m.id && k.member.incarnation == m.incarnation }); n >= 0 {
+			t = known[n]
+		}
+		t.member = m
+		s.slots = append(s.slots, t)
+	}
+	slices.SortStableFunc(s.slots, func(x, y slot) int { return cmp.Compare(a.distance(x.member), a.distance(y.member)) })
+}
+
+// distance returns the distance to a member; this instance itself is the nearest.
+func (a *asker) distance(m *member) int {
+	if m.id == a.ring.Self {
+		return -1
+	}
+	return m.distance
+}
+
+// refuse refuses all waiting requests of an account that no holder has units for.
+func (a *asker) refuse(now time.Time, s *accountState, limit Limit, e *Effects) {
+	at := now.Sub(a.started)
+	outcome, retryAt := OutcomeUnavailable, time.Duration(math.MaxInt64)
+	for n := range s.slots {
+		if t := &s.slots[n]; t.saidNo && t.notBefore > at {
+			outcome, retryAt = OutcomeLimited, min(retryAt, t.retryAt)
+		}
+	}
+	for _, w := range s.waiters {
+		if ticket, ok := a.take(now, s, w.account, w.units); ok {
+			w.Outcome, w.Ticket = OutcomeGranted, ticket
+			e.Done = append(e.Done, w)
+			continue
+		}
+		w.Outcome, w.RetryAfter = outcome, unavailableRetry
+		if outcome == OutcomeLimited {
+			w.RetryAfter = max(0, retryAt-at) + s.countRefused(at, limit, w.units)
+		}
+		w.RetryAfter += time.Duration(a.random.Int64N(int64(max(minRetryJitter, time.Duration(retryJitter*float64(w.RetryAfter))))))
+		e.Done = append(e.Done, w)
+	}
+	s.waiters = nil
+}
+
+// timeout handles that an ask has had no reply for AskTimeout.
+func (a *asker) timeout(now time.Time, id uint64, e *Effects) {
+	p := a.pending[id]
+	if p == nil || p.timedOut {
+		return
+	}
+	p.timedOut = true // the batch of a late reply is still used
+	m := p.member
+	m.silentUntil = now.Sub(a.started) + min(silencePause<<min(m.silences, 8), maxSilencePause)
+	m.silences++
+	e.Silent = append(e.Silent, m.id)
+	if p.state.asking == id {
+		p.state.asking = 0
+		a.advance(now, p.state, p.limit, e)
+	}
+}
+
+// reply handles a reply from an address. It reports false for one that was not asked for.
+func (a *asker) reply(now time.Time, from netip.AddrPort, r Reply, e *Effects) bool {
+	p := a.pending[r.ID]
+	if p == nil || p.addr != from || p.state.key != r.Account || r.Granted < 0 || r.Granted > p.want {
+		return false
+	}
+	delete(a.pending, r.ID)
+	p.member.silences, p.member.silentUntil = 0, 0
+	a.apply(now.Sub(a.started), p, r)
+	if p.state.asking == r.ID {
+		p.state.asking = 0
+	}
+	a.advance(now, p.state, p.limit, e)
+	return true
+}
+
+// sweep forgets asks whose reply would be too late, and accounts that are not used.
+func (a *asker) sweep(now time.Time) {
+	at := now.Sub(a.started)
+	for id, p := range a.pending {
+		if p.timedOut && p.sent+a.batchLife <= at {
+			delete(a.pending, id)
+		}
+	}
+	for key, s := range a.accounts {
+		if s.asking == 0 && len(s.waiters) == 0 && at-s.demandAt > idleLimit {
+			delete(a.accounts, key)
+		}
+	}
+}
+
+// expect counts units for the expected use of an account.
+func (s *accountState) expect(at time.Duration, units int) {
+	s.demand = s.demand*math.Exp(-(at-s.demandAt).Seconds()/demandSpan.Seconds()) + float64(units)/demandSpan.Seconds()
+	s.demandAt = at
+}
+
+// countRefused counts units refused here, and returns the time that earlier ones add.
+func (s *accountState) countRefused(at time.Duration, limit Limit, units int) time.Duration {
+	s.backlog = max(0, s.backlog-limit.Rate*(at-s.backlogAt).Seconds())
+	s.backlogAt = at
+	wait := min(seconds(s.backlog/limit.Rate), maxRetryAfter)
+	s.backlog += float64(units)
+	for n := range s.slots {
+		s.slots[n].refused = min(s.slots[n].refused+units, math.MaxInt32)
+	}
+	return wait
+}
+
+// drop drops batches that have expired, and returns the units that are left.
+func (s *accountState) drop(at time.Duration) int {
+	s.lots = slices.DeleteFunc(s.lots, func(l lot) bool { return l.units == 0 || l.expires <= at })
+	left := 0
+	for _, l := range s.lots {
+		left += l.units
+	}
+	return left
+}
--- /dev/null
+++ b/internal/quotanet/ring.go
@@ -0,0 +1,97 @@
+package quotanet
+
+import (
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/quota"
+)
+
+// Record returns what the next heartbeat of this instance states.
+func (s *Service) Record() quota.Record {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.Instance.Ring.Record(s.Timer.Now(), quota.Record{Addr: s.Addr, DataCentre: s.DataCentre})
+}
+
+// Due returns the time until the next heartbeat has to be written; false if it may be
+// written at any time.
+func (s *Service) Due() (time.Duration, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.Instance.Ring.Due(s.Timer.Now())
+}
+
+// Found handles that an earlier process of this instance has written a heartbeat.
+func (s *Service) Found(r *quota.Record, epoch uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.Instance.Ring.Found(s.Timer.Now(), r, epoch)
+	s.Logger.Info().Bool("holds", r != nil && r.Holds).Msg("heartbeat of an earlier process found")
+}
+
+// Written handles a heartbeat that was written. MustList reports whether all records have
+// to be listed then; Confirmed follows.
+func (s *Service) Written(began time.Time, r quota.Record, created bool, epoch uint64) (mustList bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	ring, now := s.Instance.Ring, s.Timer.Now()
+	held := ring.Holding(now)
+	ring.Written(began, now, r, created, epoch)
+	s.logHolding(held)
+	return ring.MustConfirm()
+}
+
+// Confirmed handles that all records were listed and observed after Written.
+func (s *Service) Confirmed() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.Timer.Now()
+	held := s.Instance.Ring.Holding(now)
+	s.Instance.Ring.Confirmed(now)
+	s.logHolding(held)
+}
+
+// Contact handles a response of the store that shows all records.
+func (s *Service) Contact() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.Timer.Now()
+	held := s.Instance.Ring.Holding(now)
+	s.Instance.Ring.Contact(now)
+	s.logHolding(held)
+}
+
+// Listed handles that all records were listed and observed.
+func (s *Service) Listed() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.Timer.Now()
+	held := s.Instance.Ring.Holding(now)
+	s.Instance.Ring.Listed(now)
+	s.logHolding(held)
+}
+
+// Observe handles the record of an instance; nil if it takes no part.
+func (s *Service) Observe(id persimmoncart.InstanceID, incarnation persimmoncart.Incarnation, r *quota.Record) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.Instance.Ring.Observe(s.Timer.Now(), id, incarnation, r)
+}
+
+// Gone handles that the record of an instance was removed.
+func (s *Service) Gone(id persimmoncart.InstanceID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if id == s.Instance.Ring.Self {
+		s.Instance.Ring.Lost()
+	}
+	s.Instance.Ring.Gone(s.Timer.Now(), id)
+}
+
+// logHolding logs that this instance has begun to hold limits.
+func (s *Service) logHolding(held bool) {
+	if now := s.Timer.Now(); !held && s.Instance.Ring.Holding(now) {
+		s.Logger.Info().Int("instances", s.Instance.Ring.Len()).Msg("holds limits of accounts")
+	}
+}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -39,9 +39,17 @@
 
 // Score returns the score of candidate for key, a hash of both.
 func Score(key, candidate string) uint64 {
+	return ScoreHashes(Hash(key), Hash(candidate))
+}
+
+// Hash returns the hash of a key or candidate for ScoreHashes.
+func Hash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// ScoreHashes returns what Score does, from the hashes of key and candidate.
+func ScoreHashes(key, candidate uint64) uint64 {
 	// Hashing the key and the candidate separately gives "ab"+"c" another score
 	// than "a"+"bc".
-	x := xxhash.Sum64String(key) ^ (xxhash.Sum64String(candidate) * 0x9e3779b97f4a7c15)
+	x := key ^ (candidate * 0x9e3779b97f4a7c15)
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
