quota: requests wait for room, holders share load, and a model test

Also: at the first start, an instance counts the records that it sees before it holds at once. TestQuotaModel found two of two instances holding 1.5 times an account. Tests: TestQuotaModel (rapid, virtual time: lost, late and doubled datagrams, restarts, loss of all, partitions, joins, limits that change; shares of all holders and the sum in each window) and TestQuotaModelWithoutJoinDelay, in which an account uses 25% above the bound.

--- a/internal/quota/asker.go
+++ b/internal/quota/asker.go
@@ -61,6 +61,7 @@
 	Ticket     persimmoncart.QuotaTicket
 
 	account *persimmoncart.Account
+	until   time.Duration // when it has waited for WaitLimit
 	units   int
 }
 
@@ -75,6 +76,10 @@
 // A slot is one holder of an account from the view of an asker. Times are since
 // asker.started.
 type slot struct {
+	asked     bool          // it has replied
+	holds     bool          // its last reply did not deny that it holds the account
+	left      int           // units that it had left at leftAt
+	leftAt    time.Duration // of the last reply
 	member    *member
 	notBefore time.Duration // it is not asked before
 	refused   int           // units that callers were refused since it was asked last
@@ -92,9 +97,11 @@
 	demandAt   time.Duration
 	generation uint64 // of the ring, when slots were set
 	key        uint64
+	limit      Limit // when the last request waited
 	lots       []lot
 	slots      []slot
 	waiters    []*Waiter
+	wakeAt     time.Duration // when Instance.Wake is due; zero for never
 }
 
 // A pendingAsk is an ask that was sent to another instance.
@@ -167,9 +174,10 @@
 		if len(s.waiters) == 0 || s.asking != 0 {
 			return
 		}
-		next := a.choose(now, s)
+		next := a.choose(now, s, limit)
 		if next == nil {
 			a.refuse(now, s, limit, e)
+			a.scheduleWake(now.Sub(a.started), s, e)
 			return
 		}
 		if !a.ask(now, s, next, s.waiters[0].account, limit, s.waiters[0].units, e) {
@@ -182,11 +190,14 @@
 // holder is this instance.
 func (a *asker) ask(now time.Time, s *accountState, t *slot, account *persimmoncart.Account, limit Limit, least int, e *Effects) bool {
 	at := now.Sub(a.started)
-	want := int(min(s.demand*batchSpan.Seconds(), math.MaxInt32)) - s.drop(at)
-	waiting := 0
+	left, waiting := s.drop(at), 0
+	want := int(min(s.demand*batchSpan.Seconds(), math.MaxInt32)) - left
 	for _, w := range s.waiters {
 		waiting += w.units
 	}
+	if waiting > 0 {
+		least, waiting = least-left, waiting-left // more than is left, or it would have been served
+	}
 	a.nextID++
 	q := Ask{Account: s.key, ID: a.nextID, Least: least, Refused: t.refused, Want: max(want, waiting, least)}
 	t.refused = 0
@@ -218,23 +229,41 @@
 		if t.member.id != p.member.id {
 			continue
 		}
+		t.asked, t.holds, t.left, t.leftAt = true, !r.NotHolder, r.Left, at
 		t.notBefore, t.saidNo = at+r.Next, r.Granted == 0 && !r.NotHolder
 		t.retryAt = at + r.RetryAfter
 	}
 }
 
-// choose returns the nearest holder that may have units; nil if there is none.
-func (a *asker) choose(now time.Time, s *accountState) *slot {
+// choose returns the holder to ask next: of the nearest ones that may have units, that
+// which probably has the most. It returns nil if there is none.
+func (a *asker) choose(now time.Time, s *accountState, limit Limit) *slot {
 	if s.slots == nil || s.generation != a.ring.generation {
 		a.setSlots(s)
 	}
-	at := now.Sub(a.started)
+	at, best, most := now.Sub(a.started), (*slot)(nil), 0.0
 	for n := range s.slots {
-		if t := &s.slots[n]; t.notBefore <= at && t.member.silentUntil <= at {
-			return t
+		t := &s.slots[n]
+		if t.notBefore > at || t.member.silentUntil > at {
+			continue
+		}
+		if best != nil && a.distance(t.member) > a.distance(best.member) {
+			break
+		}
+		if left := t.expectedLeft(at, limit, len(s.slots)); best == nil || left > most {
+			best, most = t, left
 		}
 	}
-	return nil
+	return best
+}
+
+// expectedLeft returns the units that a holder has if no other instance asks it.
+func (t *slot) expectedLeft(at time.Duration, limit Limit, shares int) float64 {
+	capacity := limit.capacity(shares)
+	if !t.asked {
+		return capacity
+	}
+	return min(capacity, float64(t.left)+limit.Rate/float64(shares)*(at-t.leftAt).Seconds())
 }
 
 // setSlots sets the holders of an account, the nearest first.
@@ -249,6 +278,8 @@
 		t.member = m
 		s.slots = append(s.slots, t)
 	}
+	// Instances that see the same records begin with different holders.
+	a.random.Shuffle(len(s.slots), func(x, y int) { s.slots[x], s.slots[y] = s.slots[y], s.slots[x] })
 	slices.SortStableFunc(s.slots, func(x, y slot) int { return cmp.Compare(a.distance(x.member), a.distance(y.member)) })
 }
 
@@ -260,29 +291,67 @@
 	return m.distance
 }
 
-// refuse refuses all waiting requests of an account that no holder has units for.
+// refuse refuses the waiting requests of an account that no holder has units for now. It
+// keeps those that will probably get units before they have waited for WaitLimit.
 func (a *asker) refuse(now time.Time, s *accountState, limit Limit, e *Effects) {
 	at := now.Sub(a.started)
-	outcome, retryAt := OutcomeUnavailable, time.Duration(math.MaxInt64)
-	for n := range s.slots {
-		if t := &s.slots[n]; t.saidNo && t.notBefore > at {
-			outcome, retryAt = OutcomeLimited, min(retryAt, t.retryAt)
-		}
-	}
+	room, ahead := s.room(at), 0.0
+	kept := s.waiters[:0]
 	for _, w := range s.waiters {
 		if ticket, ok := a.take(now, s, w.account, w.units); ok {
 			w.Outcome, w.Ticket = OutcomeGranted, ticket
 			e.Done = append(e.Done, w)
 			continue
 		}
-		w.Outcome, w.RetryAfter = outcome, unavailableRetry
-		if outcome == OutcomeLimited {
-			w.RetryAfter = max(0, retryAt-at) + s.countRefused(at, limit, w.units)
+		if room < math.MaxInt64 && room+seconds(ahead/limit.Rate) < w.until {
+			ahead += float64(w.units)
+			kept = append(kept, w)
+			continue
 		}
-		w.RetryAfter += time.Duration(a.random.Int64N(int64(max(minRetryJitter, time.Duration(retryJitter*float64(w.RetryAfter))))))
+		a.end(at, s, limit, w)
 		e.Done = append(e.Done, w)
 	}
-	s.waiters = nil
+	clear(s.waiters[len(kept):])
+	s.waiters = kept
+}
+
+// end refuses one request.
+func (a *asker) end(at time.Duration, s *accountState, limit Limit, w *Waiter) {
+	w.Outcome, w.RetryAfter = OutcomeUnavailable, unavailableRetry
+	retryAt, limited := time.Duration(math.MaxInt64), false
+	for n := range s.slots {
+		// A holder that had none for this request may have some again by now.
+		if t := &s.slots[n]; t.holds && (t.notBefore > at || t.saidNo && t.leftAt+WaitLimit > at) {
+			retryAt, limited = min(retryAt, max(t.notBefore, t.retryAt)), true
+		}
+	}
+	if limited {
+		w.Outcome, w.RetryAfter = OutcomeLimited, max(0, retryAt-at)+s.countRefused(at, limit, w.units)
+	}
+	w.RetryAfter += time.Duration(a.random.Int64N(int64(max(minRetryJitter, time.Duration(retryJitter*float64(w.RetryAfter))))))
+}
+
+// room returns when a holder that has no units now will probably have some;
+// math.MaxInt64 if none has said so.
+func (s *accountState) room(at time.Duration) time.Duration {
+	first := time.Duration(math.MaxInt64)
+	for n := range s.slots {
+		if t := &s.slots[n]; t.holds && t.notBefore > at && t.member.silentUntil <= at {
+			first = min(first, max(t.notBefore, t.retryAt))
+		}
+	}
+	return first
+}
+
+// scheduleWake asks for a call of Instance.Wake when a holder has room for waiting
+// requests.
+func (a *asker) scheduleWake(at time.Duration, s *accountState, e *Effects) {
+	room := s.room(at)
+	if len(s.waiters) == 0 || s.wakeAt > at && s.wakeAt <= room {
+		return
+	}
+	s.wakeAt = room
+	e.Wakes = append(e.Wakes, Wake{Account: s.key, After: room - at})
 }
 
 // timeout handles that an ask has had no reply for AskTimeout.
--- /dev/null
+++ b/internal/quota/export_test.go
@@ -0,0 +1,23 @@
+package quota
+
+import "time"
+
+// SetJoinDelay sets the time that takes the place of joinDelay.
+func (g *Ring) SetJoinDelay(d time.Duration) { g.shortDelay = d }
+
+// Share returns the share of an account's limit that the instance holds.
+func (i *Instance) Share(now time.Time, key uint64) float64 {
+	shares, holds := i.Ring.share(now, key)
+	if !holds {
+		return 0
+	}
+	return 1 / float64(shares)
+}
+
+// Excess returns how much the holders of an account may grant at once beyond its burst, in
+// requests of up to a number of units.
+func Excess(l Limit, units int) float64 {
+	capacity := l.capacity(MaxHolders)
+	largest := max(capacity, min(float64(units), capacity+l.Least))
+	return MaxHolders * (largest - l.Burst/MaxHolders)
+}
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -8,10 +8,19 @@
 const (
 	// minAskAgain and maxAskAgain bound the time that a holder without units states until
 	// it is to be asked again. Without the lower bound, instances would ask again for each
-	// request; without the upper one, units that the instance which was to have them does
-	// not fetch would stay unused.
+	// request.
 	minAskAgain = 20 * time.Millisecond
-	maxAskAgain = 250 * time.Millisecond
+	maxAskAgain = 2 * time.Second
+	// fillShare is the part of the time between room for a request and a full bucket that a
+	// holder states as well. An account over its limit causes fewer questions then, and its
+	// bucket does not overflow although nobody asks.
+	fillShare = 0.5
+	// notHolderPause is the time after which an instance that does not hold an account is
+	// asked again. Instances know the records of the others within seconds.
+	notHolderPause = 500 * time.Millisecond
+	// backlogShare is the part of the units granted while callers are to come back that
+	// goes to others, who have not been refused before.
+	backlogShare = 0.75
 	// maxRetryAfter bounds the time that is stated to refused callers. Callers do not wait
 	// longer, so that those who are told so are not counted as coming back.
 	maxRetryAfter = 10 * time.Second
@@ -31,7 +40,8 @@
 	Account    uint64 // see Key
 	Granted    int
 	ID         uint64
-	Next       time.Duration // until the holder has room for the smallest useful number again
+	Left       int           // units that the holder has left
+	Next       time.Duration // until it has room for the smallest useful number again
 	NotHolder  bool          // the instance does not hold the account, and states nothing about it
 	RetryAfter time.Duration // for callers whose request is refused
 }
@@ -53,14 +63,14 @@
 func (h *holder) ask(now time.Time, limit Limit, q Ask) Reply {
 	shares, holds := h.ring.share(now, q.Account)
 	if !holds {
-		return Reply{Account: q.Account, ID: q.ID, Next: maxAskAgain, NotHolder: true}
+		return Reply{Account: q.Account, ID: q.ID, Next: notHolderPause, NotHolder: true}
 	}
 	b := h.bucket(now, limit, shares, q.Account)
-	capacity, rate := limit.Burst/float64(shares), limit.Rate/float64(shares)
+	capacity, rate := limit.capacity(shares), limit.Rate/float64(shares)
 	least := float64(max(q.Least, 1))
 	need := min(least, capacity)
 	reply := Reply{Account: q.Account, ID: q.ID}
-	fits := least <= capacity+limit.Debt
+	fits := least <= capacity+limit.Least
 	b.count(float64(q.Refused)/float64(shares), rate)
 	switch {
 	case fits && b.level >= need-rounding:
@@ -68,18 +78,21 @@
 		batches := max(1, math.Floor(min(float64(q.Want), b.level/2)/least))
 		b.level -= batches * least
 		reply.Granted = int(batches * least)
+		if b.backlog > 0 {
+			b.count(backlogShare*batches*least, rate)
+		}
+		if missing := need - b.level; missing > rounding {
+			reply.Next = min(max(seconds(missing/rate), minAskAgain), maxAskAgain)
+		}
 	case fits:
-		wait := seconds((need - b.level + b.backlog) / rate)
+		wait, alone := seconds((need-b.level+b.backlog)/rate), seconds((need-b.level)/rate)
 		reply.RetryAfter = min(wait, maxRetryAfter)
+		reply.Next = min(max(min(wait, alone+seconds(fillShare*(capacity-need)/rate)), minAskAgain), maxAskAgain)
 		b.count(least/float64(shares), rate)
 	default:
-		reply.RetryAfter = maxRetryAfter
-	}
-	if missing := need - b.level; missing > rounding {
-		reply.Next = min(max(seconds(missing/rate), minAskAgain), maxAskAgain)
-	} else if !fits {
-		reply.Next = maxAskAgain
+		reply.RetryAfter, reply.Next = maxRetryAfter, maxAskAgain
 	}
+	reply.Left = int(max(0, b.level))
 	h.buckets[q.Account] = b
 	return reply
 }
@@ -91,7 +104,7 @@
 		return
 	}
 	b := h.bucket(now, limit, shares, key)
-	b.level = min(b.level+float64(units), limit.Burst/float64(shares))
+	b.level = min(b.level+float64(units), limit.capacity(shares))
 	h.buckets[key] = b
 }
 
@@ -105,7 +118,7 @@
 		b.updated = h.ring.emptySince
 	}
 	refilled := limit.Rate / float64(shares) * now.Sub(b.updated).Seconds()
-	b.level = min(b.level+refilled, limit.Burst/float64(shares))
+	b.level = min(b.level+refilled, limit.capacity(shares))
 	b.backlog = max(0, b.backlog-refilled)
 	b.updated = now
 	return b
--- a/internal/quota/instance.go
+++ b/internal/quota/instance.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/persimmoncart/persimmoncart"
@@ -11,9 +12,16 @@
 // Effects are what a decision asks its caller to do.
 type Effects struct {
 	Asks    []Outgoing // to send; Instance.Timeout is called AskTimeout later for each
-	Done    []*Waiter  // whose Outcome is set
+	Done    []*Waiter  // whose Outcome was set
 	Returns []Return   // to send
 	Silent  []persimmoncart.InstanceID
+	Wakes   []Wake
+}
+
+// A Wake asks for a call of Instance.Wake.
+type Wake struct {
+	Account uint64 // see Key
+	After   time.Duration
 }
 
 // An Outgoing is an Ask to send to an address.
@@ -68,7 +76,7 @@
 		left += l.units
 	}
 	if s.asking == 0 && float64(left) < prefetchShare*float64(s.batch) && s.demand*batchSpan.Seconds() > 2*float64(units) {
-		if next := i.asker.choose(now, s); next != nil {
+		if next := i.asker.choose(now, s, limit); next != nil {
 			i.asker.ask(now, s, next, account, limit, units, e)
 		}
 	}
@@ -77,8 +85,9 @@
 
 // Wait adds a request that waits for units. Its Outcome may be set at once.
 func (i *Instance) Wait(now time.Time, account *persimmoncart.Account, limit Limit, units int, e *Effects) *Waiter {
-	w := &Waiter{account: account, units: units}
+	w := &Waiter{account: account, units: units, until: now.Sub(i.asker.started) + WaitLimit}
 	s := i.asker.state(Key(account.Name))
+	s.limit = limit
 	if len(s.waiters) >= maxWaiters {
 		w.Outcome, w.RetryAfter = OutcomeUnavailable, unavailableRetry
 		return w
@@ -88,20 +97,24 @@
 	return w
 }
 
-// Cancel ends the wait of a request. It reports false if its Outcome was set before.
-func (i *Instance) Cancel(w *Waiter) bool {
+// Cancel ends the wait of a request, and sets its Outcome if it is not set yet.
+func (i *Instance) Cancel(now time.Time, w *Waiter) {
 	if w.Outcome != OutcomePending {
-		return false
+		return
 	}
 	s := i.asker.state(Key(w.account.Name))
-	for n, other := range s.waiters {
-		if other == w {
-			s.waiters = append(s.waiters[:n], s.waiters[n+1:]...)
-			break
-		}
+	if n := slices.Index(s.waiters, w); n >= 0 {
+		s.waiters = slices.Delete(s.waiters, n, n+1)
+	}
+	i.asker.end(now.Sub(i.asker.started), s, s.limit, w)
+}
+
+// Wake handles that a holder may have units for the waiting requests of an account.
+func (i *Instance) Wake(now time.Time, key uint64, e *Effects) {
+	if s := i.asker.accounts[key]; s != nil {
+		s.wakeAt = 0
+		i.asker.advance(now, s, s.limit, e)
 	}
-	w.Outcome, w.RetryAfter = OutcomeUnavailable, unavailableRetry
-	return true
 }
 
 // Return gives the units of a ticket back. They may be lost.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -23,12 +23,14 @@
 	// MaxHolders is the number of instances that hold the limit of an account, each an
 	// equal share; all instances if there are fewer.
 	MaxHolders = 6
-	// maxDebt is how far one request may overdraw a full bucket that is smaller than the
-	// request, tokens. It lets accounts whose burst is smaller than one request at each
-	// holder use their limit. MaxHolders of it are less than the 190,000 tokens that an
-	// account may have above its limit in one window, and it is more than any engine has
-	// memory for.
-	maxDebt = 30_000
+	// minTokens is the size of a holder's bucket of tokens that it has at least, if the
+	// account's whole burst allows it. A bucket of few requests overflows between them, so
+	// that the account could not use its limit. It is also how far one request may
+	// overdraw a full bucket that is smaller than the request. MaxHolders of both are less
+	// than the 190,000 tokens by which an account may exceed its limit in a window.
+	minTokens = 15_000
+	// minRequests is the same for limits in requests.
+	minRequests = 1
 	// overage is the share of a limit by which use may exceed it within one window.
 	overage = 0.1
 	// maxBatchLife bounds the time for which a batch is valid.
@@ -38,7 +40,7 @@
 // A Limit is the rate limit of an account.
 type Limit struct {
 	Burst float64
-	Debt  float64 // how far one request may overdraw a full bucket
+	Least float64 // size of a holder's bucket; see minTokens
 	Rate  float64 // units a second
 }
 
@@ -47,14 +49,19 @@
 func LimitOf(a *persimmoncart.Account) (Limit, bool) {
 	switch {
 	case a.TokenRate > 0:
-		return Limit{Burst: float64(a.TokenBurst), Debt: maxDebt, Rate: a.TokenRate}, true
+		return Limit{Burst: float64(a.TokenBurst), Least: minTokens, Rate: a.TokenRate}, true
 	case a.Rate > 0:
-		return Limit{Burst: float64(a.Burst), Debt: 1, Rate: a.Rate}, true
+		return Limit{Burst: float64(a.Burst), Least: minRequests, Rate: a.Rate}, true
 	default:
 		return Limit{}, false
 	}
 }
 
+// capacity returns the size of the bucket of one of an account's holders.
+func (l *Limit) capacity(shares int) float64 {
+	return max(l.Burst/float64(shares), min(l.Burst, l.Least))
+}
+
 // Units returns what a request takes of its account's limit: its prompt and output
 // tokens, Account.DefaultTokens if it does not state them, and 1 if the limit counts
 // requests.
--- a/internal/quota/ring.go
+++ b/internal/quota/ring.go
@@ -66,7 +66,6 @@
 type Ring struct {
 	Bootstrap bool // the system starts for the first time, unless a record shows that another instance holds
 	Distance  func(persimmoncart.DataCentre) int
-	JoinDelay time.Duration // joinDelay if zero; tests shorten it to show what it is for
 	Self      persimmoncart.InstanceID
 
 	byAddr      map[netip.AddrPort]*member
@@ -82,6 +81,7 @@
 	listed      bool
 	members     []*member // in ascending order, self included once its record is seen
 	onShrinking func(now time.Time)
+	shortDelay  time.Duration // takes the place of joinDelay in tests that show what that is for
 }
 
 // Record returns what the instance's next heartbeat states. Addr and DataCentre are those
@@ -191,7 +191,7 @@
 		if known.incarnation == incarnation {
 			m.lastReturn, m.silences, m.silentUntil = known.lastReturn, known.silences, known.silentUntil
 		}
-	} else if g.holds && !g.contact.IsZero() {
+	} else if g.begun() && !g.contact.IsZero() {
 		m.counts = g.contact.Add(contactLimit)
 	}
 	if r.Holds {
@@ -221,10 +221,12 @@
 
 // Holding reports whether the instance may hold limits now.
 func (g *Ring) Holding(now time.Time) bool {
-	return g.holds && g.listed && (!g.Bootstrap || g.confirmed) &&
-		now.Sub(g.contact) < contactLimit && now.Sub(g.heartbeat) < heartbeatLimit
+	return g.begun() && now.Sub(g.contact) < contactLimit && now.Sub(g.heartbeat) < heartbeatLimit
 }
 
+// begun reports whether the instance has begun to hold limits.
+func (g *Ring) begun() bool { return g.holds && g.listed && (!g.Bootstrap || g.confirmed) }
+
 // Len returns the number of instances in the ring.
 func (g *Ring) Len() int { return len(g.members) }
 
@@ -290,12 +292,12 @@
 
 // join handles the first write of the instance's record.
 func (g *Ring) join(now time.Time) {
-	delay := g.JoinDelay
-	if delay == 0 {
-		delay = joinDelay
-	}
-	if g.Bootstrap {
+	delay := joinDelay
+	switch {
+	case g.Bootstrap:
 		delay = bootstrapDelay
+	case g.shortDelay > 0:
+		delay = g.shortDelay
 	}
 	g.holdFrom, g.holds = now.Add(delay), false
 }
--- /dev/null
+++ b/internal/quota/world_test.go
@@ -0,0 +1,419 @@
+package quota_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/quota"
+	"github.com/persimmoncart/persimmoncart/internal/timer"
+)
+
+const (
+	window = 8 * time.Second
+	// tableLag bounds the time until an instance applies a new configuration.
+	tableLag = 4 * time.Second
+	// watchLag bounds how late a watch reports a change of a record, and watchPeriod is
+	// the time between its responses.
+	watchLag    = 5 * time.Second
+	watchPeriod = 500 * time.Millisecond
+	// beatPeriod, beatRetry and expiry are those of forward.Heartbeats.
+	beatPeriod = time.Minute
+	beatRetry  = 2 * time.Second
+	expiry     = 4 * beatPeriod
+	// demandPeriod is the time between two requests of each account at an instance.
+	demandPeriod = 250 * time.Millisecond
+)
+
+// A storedRecord is a record in the world's store.
+type storedRecord struct {
+	incarnation persimmoncart.Incarnation
+	record      quota.Record
+	version     int
+}
+
+// A storeChange is a change of a record; nil if it was removed.
+type storeChange struct {
+	at     time.Time
+	id     persimmoncart.InstanceID
+	stored *storedRecord
+}
+
+// A spend is a use of units.
+type spend struct {
+	at    time.Time
+	units int
+}
+
+// A limitChange is a limit of an account that was in force from a time.
+type limitChange struct {
+	account *persimmoncart.Account
+	at      time.Time
+}
+
+// A world simulates instances with a store and a network, in virtual time. It breaks the
+// rules of none of them, and takes every freedom that they leave.
+type world struct {
+	calm      bool // every request runs, and no datagram is delivered twice
+	clock     *timer.Virtual
+	changes   []storeChange
+	epoch     uint64
+	joinDelay time.Duration // of the rings, if not zero
+	latency   time.Duration // longest of a datagram
+	limits    map[persimmoncart.AccountID][]limitChange
+	lossShare float64
+	nodes     []*node
+	random    *rand.Rand
+	records   map[persimmoncart.InstanceID]*storedRecord
+	spends    map[persimmoncart.AccountID][]spend
+	units     int // largest request
+	version   int
+	waits     int // requests that were refused
+}
+
+// A heartbeat is the last one that a node knows of an instance.
+type heartbeat struct {
+	at      time.Time
+	version int
+}
+
+// A node is one instance, over all its processes.
+type node struct {
+	addr        netip.AddrPort
+	beating     bool // a write of a heartbeat is in flight
+	cut         map[*node]bool
+	id          persimmoncart.InstanceID
+	incarnation persimmoncart.Incarnation
+	instance    *quota.Instance // nil while no process runs
+	found       bool            // see forward.Heartbeats
+	noReads     bool            // of the store
+	noWrites    bool
+	seen        map[persimmoncart.InstanceID]heartbeat
+	tables      map[persimmoncart.AccountID]int // number of limits applied
+	accounts    map[persimmoncart.AccountID]*persimmoncart.Account
+	version     int
+	watched     int // changes applied
+	world       *world
+}
+
+// newWorld returns a world without instances.
+func newWorld(seed uint64) *world {
+	return &world{
+		clock: timer.NewVirtual(time.Unix(1_000_000, 0)), limits: make(map[persimmoncart.AccountID][]limitChange), random: rand.New(rand.NewPCG(seed, 1)),
+		records: make(map[persimmoncart.InstanceID]*storedRecord), spends: make(map[persimmoncart.AccountID][]spend),
+	}
+}
+
+// after calls f after a time if the process of a node still runs then.
+func (w *world) after(n *node, d time.Duration, f func(now time.Time)) {
+	incarnation := n.incarnation
+	w.clock.After(d, func(now time.Time) {
+		if n.instance != nil && n.incarnation == incarnation {
+			f(now)
+		}
+	})
+}
+
+// upTo returns a random duration.
+func (w *world) upTo(d time.Duration) time.Duration {
+	return time.Duration(w.random.Int64N(int64(d) + 1))
+}
+
+// addNode adds an instance without a process.
+func (w *world) addNode() *node {
+	n := &node{
+		addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(w.nodes) + 1)}), 7000), cut: make(map[*node]bool),
+		id: persimmoncart.InstanceID(fmt.Sprintf("edge-%d", len(w.nodes))), world: w,
+	}
+	w.nodes = append(w.nodes, n)
+	return n
+}
+
+// start starts a process of a node.
+func (n *node) start(bootstrap bool) {
+	w := n.world
+	if n.instance != nil {
+		return
+	}
+	n.incarnation++
+	ring := &quota.Ring{Bootstrap: bootstrap, Self: n.id}
+	ring.SetJoinDelay(w.joinDelay)
+	n.instance = quota.NewInstance(w.clock.Now(), ring, n.incarnation, quota.BatchLife(window), rand.New(rand.NewPCG(w.random.Uint64(), 1)))
+	n.found, n.version, n.watched, n.beating = false, 0, -1, false
+	n.seen, n.accounts = make(map[persimmoncart.InstanceID]heartbeat), make(map[persimmoncart.AccountID]*persimmoncart.Account)
+	n.tables = make(map[persimmoncart.AccountID]int)
+	for id, changes := range w.limits {
+		n.accounts[id], n.tables[id] = changes[len(changes)-1].account, len(changes)
+	}
+	w.after(n, w.upTo(100*time.Millisecond), n.beat)
+	w.after(n, w.upTo(time.Second), n.watch)
+	w.after(n, time.Second, n.sweep)
+	for _, id := range w.accountIDs() {
+		w.after(n, w.upTo(demandPeriod), func(time.Time) { n.demand(id) })
+	}
+}
+
+// kill ends the process of a node.
+func (n *node) kill() { n.instance = nil }
+
+// beat writes a heartbeat as forward.Heartbeats does.
+func (n *node) beat(now time.Time) {
+	w, ring := n.world, n.instance.Ring
+	if n.noWrites || n.noReads {
+		w.after(n, beatRetry/2+w.upTo(beatRetry), n.beat)
+		return
+	}
+	stored := w.records[n.id]
+	if stored != nil && n.version == 0 && !n.found {
+		n.found = true
+		if stored.incarnation != n.incarnation {
+			ring.Found(now, &stored.record, w.epoch)
+		}
+	}
+	created := stored == nil
+	r := ring.Record(now, quota.Record{Addr: n.addr, Epoch: w.epoch})
+	w.version++
+	n.version = w.version
+	w.put(n.id, &storedRecord{incarnation: n.incarnation, record: r, version: n.version})
+	if w.random.IntN(20) == 0 { // the response is lost
+		n.version = 0
+		w.after(n, beatRetry/2+w.upTo(beatRetry), n.beat)
+		return
+	}
+	w.after(n, w.upTo(200*time.Millisecond), func(acknowledged time.Time) {
+		n.found = true
+		if ring.Written(now, acknowledged, r, created, w.epoch); ring.MustConfirm() {
+			n.list(acknowledged)
+			ring.Confirmed(acknowledged)
+		}
+		pause := beatPeriod/2 + w.upTo(beatPeriod)
+		if due, found := ring.Due(acknowledged); found {
+			pause = min(pause, max(due, 100*time.Millisecond))
+		}
+		n.removeExpired(acknowledged)
+		w.after(n, pause, n.beat)
+	})
+}
+
+// removeExpired removes the records of instances without heartbeats.
+func (n *node) removeExpired(now time.Time) {
+	for _, other := range n.world.nodes {
+		seen, found := n.seen[other.id]
+		if !found || other == n || now.Sub(seen.at) < expiry || n.noReads || n.noWrites {
+			continue
+		}
+		delete(n.seen, other.id)
+		if stored := n.world.records[other.id]; stored != nil && stored.version == seen.version {
+			n.world.put(other.id, nil)
+			n.instance.Ring.Gone(now, other.id)
+		}
+	}
+}
+
+// accountIDs returns the accounts in a fixed order.
+func (w *world) accountIDs() []persimmoncart.AccountID {
+	return slices.Sorted(maps.Keys(w.limits))
+}
+
+// put writes a record; nil removes it.
+func (w *world) put(id persimmoncart.InstanceID, stored *storedRecord) {
+	w.changes = append(w.changes, storeChange{at: w.clock.Now(), id: id, stored: stored})
+	if stored == nil {
+		delete(w.records, id)
+		return
+	}
+	w.records[id] = stored
+}
+
+// list lists all records.
+func (n *node) list(now time.Time) {
+	for _, other := range n.world.nodes {
+		if stored := n.world.records[other.id]; stored != nil {
+			n.observe(now, other.id, stored)
+		}
+	}
+	n.instance.Ring.Listed(now)
+}
+
+// observe handles a record.
+func (n *node) observe(now time.Time, id persimmoncart.InstanceID, stored *storedRecord) {
+	n.seen[id] = heartbeat{at: now, version: stored.version}
+	n.instance.Ring.Observe(now, id, stored.incarnation, &stored.record)
+}
+
+// watch reads the changes of records, with a lag after a first list.
+func (n *node) watch(now time.Time) {
+	w := n.world
+	w.after(n, watchPeriod, n.watch)
+	switch {
+	case n.noReads:
+		for id, seen := range n.seen {
+			n.seen[id] = heartbeat{at: now, version: seen.version} // as forward.Heartbeats.SetStoreReachable does
+		}
+		return
+	case n.watched < 0:
+		n.list(now)
+		n.watched = len(w.changes)
+		return
+	}
+	until := now.Add(-w.upTo(watchLag))
+	for ; n.watched < len(w.changes) && w.changes[n.watched].at.Before(until); n.watched++ {
+		c := w.changes[n.watched]
+		switch {
+		case c.stored != nil:
+			n.observe(now, c.id, c.stored)
+		case c.id == n.id:
+			n.instance.Ring.Lost()
+			n.instance.Ring.Gone(now, c.id)
+		default:
+			delete(n.seen, c.id)
+			n.instance.Ring.Gone(now, c.id)
+		}
+	}
+	n.instance.Ring.Contact(now)
+}
+
+// sweep is the periodic call of Instance.Sweep.
+func (n *node) sweep(now time.Time) {
+	n.instance.Sweep(now)
+	n.world.after(n, time.Second, n.sweep)
+}
+
+// demand makes a request of an account, and the next one later.
+func (n *node) demand(id persimmoncart.AccountID) {
+	w, now := n.world, n.world.clock.Now()
+	w.after(n, w.upTo(2*demandPeriod), func(time.Time) { n.demand(id) })
+	account := n.accounts[id]
+	limit, limited := quota.LimitOf(account)
+	if !limited {
+		return
+	}
+	for range 1 + w.random.IntN(3) {
+		n.request(now, account, limit, 1+w.random.IntN(w.units))
+	}
+}
+
+// request makes one request.
+func (n *node) request(now time.Time, account *persimmoncart.Account, limit quota.Limit, units int) {
+	w := n.world
+	var e quota.Effects
+	ticket, ok := n.instance.Take(now, account, limit, units, &e)
+	n.perform(&e)
+	if ok {
+		n.use(now, ticket)
+		return
+	}
+	e = quota.Effects{}
+	waiter := n.instance.Wait(now, account, limit, units, &e)
+	n.perform(&e)
+	w.after(n, quota.WaitLimit, func(now time.Time) { n.instance.Cancel(now, waiter) })
+}
+
+// use spends the units of a ticket or, at times, gives them back.
+func (n *node) use(now time.Time, ticket persimmoncart.QuotaTicket) {
+	w := n.world
+	if w.calm || w.random.IntN(10) > 0 {
+		id := ticket.Account.Name
+		w.spends[id] = append(w.spends[id], spend{at: now, units: ticket.Units})
+		return
+	}
+	w.after(n, w.upTo(time.Second), func(now time.Time) {
+		limit, _ := quota.LimitOf(ticket.Account)
+		var e quota.Effects
+		n.instance.Return(now, ticket, limit, &e)
+		n.perform(&e)
+	})
+}
+
+// perform sends the datagrams of a decision.
+func (n *node) perform(e *quota.Effects) {
+	w := n.world
+	for _, done := range e.Done {
+		if done.Outcome == quota.OutcomeGranted {
+			n.use(w.clock.Now(), done.Ticket)
+		} else {
+			w.waits++
+		}
+	}
+	for _, q := range e.Asks {
+		w.send(n, q.Addr, func(now time.Time, to *node) {
+			limit, limited := quota.LimitOf(to.account(q.Ask.Account))
+			if !limited || !to.instance.Member(n.addr) {
+				return
+			}
+			reply := to.instance.HandleAsk(now, n.addr, limit, q.Ask)
+			w.send(to, n.addr, func(now time.Time, back *node) {
+				var e quota.Effects
+				back.instance.HandleReply(now, to.addr, reply, &e)
+				back.perform(&e)
+			})
+		})
+		w.after(n, quota.AskTimeout, func(now time.Time) {
+			var e quota.Effects
+			n.instance.Timeout(now, q.Ask.ID, &e)
+			n.perform(&e)
+		})
+	}
+	for _, wake := range e.Wakes {
+		w.after(n, wake.After, func(now time.Time) {
+			var e quota.Effects
+			n.instance.Wake(now, wake.Account, &e)
+			n.perform(&e)
+		})
+	}
+	for _, r := range e.Returns {
+		w.send(n, r.Addr, func(now time.Time, to *node) {
+			if limit, limited := quota.LimitOf(to.account(r.Account)); limited {
+				to.instance.HandleReturn(now, n.addr, limit, r)
+			}
+		})
+	}
+}
+
+// account returns the account with a key.
+func (n *node) account(key uint64) *persimmoncart.Account {
+	for id, a := range n.accounts {
+		if quota.Key(id) == key {
+			return a
+		}
+	}
+	return &persimmoncart.Account{}
+}
+
+// send delivers a datagram late, twice or not at all.
+func (w *world) send(from *node, addr netip.AddrPort, deliver func(now time.Time, to *node)) {
+	for _, to := range w.nodes {
+		if to.addr != addr || from.cut[to] || w.random.Float64() < w.lossShare {
+			continue
+		}
+		copies := 1
+		if !w.calm && w.random.IntN(20) == 0 {
+			copies = 2
+		}
+		for range copies {
+			w.clock.After(w.upTo(w.latency), func(now time.Time) {
+				if to.instance != nil {
+					deliver(now, to)
+				}
+			})
+		}
+	}
+}
+
+// setLimit changes the limit of an account. The instances apply it within tableLag.
+func (w *world) setLimit(a *persimmoncart.Account) {
+	w.limits[a.Name] = append(w.limits[a.Name], limitChange{account: a, at: w.clock.Now()})
+	version := len(w.limits[a.Name])
+	for _, n := range w.nodes {
+		w.after(n, w.upTo(tableLag), func(time.Time) {
+			if version > n.tables[a.Name] {
+				n.tables[a.Name] = version
+				n.accounts[a.Name] = a
+			}
+		})
+	}
+}
--- a/internal/quotanet/message.go
+++ b/internal/quotanet/message.go
@@ -40,6 +40,7 @@
 	Least       uint64
 	Refused     uint64
 	Incarnation uint64 // of the holder
+	Left        uint64
 	NextMillis  uint64
 	RetryMillis uint64
 	NotHolder   bool
@@ -70,7 +71,7 @@
 	}
 	switch {
 	case m.Kind < kindAsk || m.Kind > kindReturn,
-		m.Units > maxUnits || m.Least > maxUnits || m.Refused > maxUnits,
+		m.Units > maxUnits || m.Least > maxUnits || m.Refused > maxUnits || m.Left > maxUnits,
 		m.NextMillis > maxMillis || m.RetryMillis > maxMillis:
 		return m, errMessage
 	}
@@ -102,7 +103,7 @@
 // replyMessage returns a Reply as a message.
 func replyMessage(r *quota.Reply) *message {
 	return &message{
-		Account: r.Account, ID: r.ID, Kind: kindReply, NextMillis: millis(r.Next), NotHolder: r.NotHolder,
+		Account: r.Account, ID: r.ID, Kind: kindReply, Left: uint64(min(max(0, r.Left), maxUnits)), NextMillis: millis(r.Next), NotHolder: r.NotHolder,
 		RetryMillis: millis(r.RetryAfter), Units: uint64(max(0, r.Granted)),
 	}
 }
@@ -110,7 +111,7 @@
 // reply returns the message as a Reply.
 func (m *message) reply() quota.Reply {
 	return quota.Reply{
-		Account: m.Account, Granted: int(m.Units), ID: m.ID, Next: time.Duration(m.NextMillis) * time.Millisecond,
+		Account: m.Account, Granted: int(m.Units), ID: m.ID, Left: int(m.Left), Next: time.Duration(m.NextMillis) * time.Millisecond,
 		NotHolder: m.NotHolder, RetryAfter: time.Duration(m.RetryMillis) * time.Millisecond,
 	}
 }
--- a/internal/quotanet/service.go
+++ b/internal/quotanet/service.go
@@ -150,7 +150,7 @@
 func (s *Service) cancel(w *quota.Waiter) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.Instance.Cancel(w)
+	s.Instance.Cancel(s.Timer.Now(), w)
 }
 
 // ReturnQuota implements persimmoncart.QuotaReturner.
@@ -159,11 +159,16 @@
 	if !limited {
 		return
 	}
+	s.decide(func(e *quota.Effects) { s.Instance.Return(s.Timer.Now(), ticket, limit, e) })
+	s.Metrics.CountQuotaReturned(ticket.Units)
+}
+
+// decide has the instance decide, and performs the effects.
+func (s *Service) decide(f func(e *quota.Effects)) {
 	var e quota.Effects
 	s.mutex.Lock()
-	s.Instance.Return(s.Timer.Now(), ticket, limit, &e)
+	f(&e)
 	s.mutex.Unlock()
-	s.Metrics.CountQuotaReturned(ticket.Units)
 	s.perform(&e)
 }
 
@@ -178,11 +183,12 @@
 		q := &e.Asks[n]
 		s.send(q.Addr, askMessage(&q.Ask))
 		s.Timer.After(quota.AskTimeout, func(now time.Time) {
-			var late quota.Effects
-			s.mutex.Lock()
-			s.Instance.Timeout(now, q.Ask.ID, &late)
-			s.mutex.Unlock()
-			s.perform(&late)
+			s.decide(func(e *quota.Effects) { s.Instance.Timeout(now, q.Ask.ID, e) })
+		})
+	}
+	for _, wake := range e.Wakes {
+		s.Timer.After(wake.After, func(now time.Time) {
+			s.decide(func(e *quota.Effects) { s.Instance.Wake(now, wake.Account, e) })
 		})
 	}
 	for n := range e.Returns {
@@ -222,11 +228,7 @@
 		return
 	}
 	if m.Kind == kindReply {
-		var e quota.Effects
-		s.mutex.Lock()
-		s.Instance.HandleReply(s.Timer.Now(), from, m.reply(), &e)
-		s.mutex.Unlock()
-		s.perform(&e)
+		s.decide(func(e *quota.Effects) { s.Instance.HandleReply(s.Timer.Now(), from, m.reply(), e) })
 		return
 	}
 	account := s.account(m.Account)
