quota: contact with the store is checked against its newest version

Cause: reads of heartbeat records may lag, a suspended machine's clock stands still, and instances that start some seconds later at the first start displaced holders for the 54 s before they held themselves. Change: a response that lacks what another one showed 5 s before is no contact; time of suspension counts; records state whether an instance may hold early, so that all others displace holders only shortly before they hold. Tests: the model freezes what instances read, and compares all grants with one bucket of the whole limit.

--- a/internal/forward/heartbeats.go
+++ b/internal/forward/heartbeats.go
@@ -69,8 +69,9 @@
 type HeartbeatRing interface {
 	// Confirmed is called after Listed if Written asked for it.
 	Confirmed()
-	// Contact is called after each response of the store that shows all records.
-	Contact()
+	// Contact is called after each response of the store, when all records up to a
+	// version have been observed.
+	Contact(version persimmoncart.Version)
 	// Due returns the time until the next heartbeat has to be written; false if it may
 	// be written at any time.
 	Due() (time.Duration, bool)
@@ -85,9 +86,9 @@
 	Observe(id persimmoncart.InstanceID, incarnation persimmoncart.Incarnation, r *quota.Record)
 	// Record returns what the next heartbeat of this instance states.
 	Record() quota.Record
-	// Written is called when a heartbeat was written that began at a time. It reports
-	// whether all records have to be listed now.
-	Written(began time.Time, r quota.Record, created bool, epoch uint64) (mustList bool)
+	// Written is called when a heartbeat was written that began at a time, with its new
+	// version. It reports whether all records have to be listed now.
+	Written(began time.Time, r quota.Record, created bool, version persimmoncart.Version) (mustList bool)
 }
 
 // A heartbeat is the last known heartbeat of an instance.
@@ -197,9 +198,9 @@
 
 // HandleContact handles a response of the store after which all changes up to a version
 // are known.
-func (h *Heartbeats) HandleContact(persimmoncart.Version) {
+func (h *Heartbeats) HandleContact(version persimmoncart.Version) {
 	if h.Ring != nil {
-		h.Ring.Contact()
+		h.Ring.Contact(version)
 	}
 }
 
@@ -307,7 +308,7 @@
 		return nil
 	}
 	h.found = true // a record that is read from now on is that of this process
-	if !h.Ring.Written(began, *r, created, h.version.Epoch()) {
+	if !h.Ring.Written(began, *r, created, h.version) {
 		return nil
 	}
 	objects, err := h.Store.List(ctx, HeartbeatsPrefix)
--- a/internal/quota/export_test.go
+++ b/internal/quota/export_test.go
@@ -5,6 +5,10 @@
 // SetJoinDelay sets the time that takes the place of joinDelay.
 func (g *Ring) SetJoinDelay(d time.Duration) { g.shortDelay = d }
 
+// OnGrant sets a function that is called with each grant of the instance, and with
+// negative units for what is given back.
+func (i *Instance) OnGrant(f func(now time.Time, account uint64, units int)) { i.holder.granted = f }
+
 // Share returns the share of an account's limit that the instance holds.
 func (i *Instance) Share(now time.Time, key uint64) float64 {
 	shares, holds := i.Ring.share(now, key)
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -55,7 +55,8 @@
 
 // A holder grants units of the accounts that its instance holds.
 type holder struct {
-	buckets map[uint64]bucket // by Key
+	buckets map[uint64]bucket                              // by Key
+	granted func(now time.Time, account uint64, units int) // called with each grant, and with negative units for what is given back; nil outside tests
 	ring    *Ring
 }
 
@@ -93,6 +94,9 @@
 		reply.RetryAfter, reply.Next = maxRetryAfter, maxAskAgain
 	}
 	reply.Left = int(max(0, b.level))
+	if h.granted != nil {
+		h.granted(now, q.Account, reply.Granted)
+	}
 	h.buckets[q.Account] = b
 	return reply
 }
@@ -105,6 +109,9 @@
 	}
 	b := h.bucket(now, limit, shares, key)
 	b.level = min(b.level+float64(units), limit.capacity(shares))
+	if h.granted != nil {
+		h.granted(now, key, -units)
+	}
 	h.buckets[key] = b
 }
 
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -17,6 +17,7 @@
 	eventAdd       = "add"        // an instance joins
 	eventCutStore  = "cut store"  // an instance cannot reach the store
 	eventCutWrites = "cut writes" // an instance cannot write to the store
+	eventFreeze    = "freeze"     // what an instance reads of the store does not change any more
 	eventHealStore = "heal store"
 	eventIsolate   = "isolate" // an instance's datagrams are lost
 	eventKill      = "kill"
@@ -38,7 +39,8 @@
 
 // A plan is one course of a world.
 type plan struct {
-	Calm      bool // see world.calm
+	Burst     float64 // of the large account, in the size of the largest request
+	Calm      bool    // see world.calm
 	Events    []event
 	Instances int // at the first start
 	Latency   time.Duration
@@ -53,7 +55,7 @@
 		return event{
 			Factor: rapid.SampledFrom([]float64{0.25, 0.5, 1, 2}).Draw(t, "factor"),
 			Kind: rapid.SampledFrom([]string{
-				eventAdd, eventAdd, eventCutStore, eventCutStore, eventCutWrites, eventHealStore, eventIsolate, eventKill, eventKillAll, eventLimit, eventOutage,
+				eventAdd, eventAdd, eventCutStore, eventCutStore, eventCutWrites, eventFreeze, eventHealStore, eventIsolate, eventKill, eventKillAll, eventLimit, eventOutage,
 				eventReach, eventRestart, eventRestart, eventWait,
 			}).Draw(t, "kind"),
 			Node:  rapid.IntRange(0, 11).Draw(t, "node"),
@@ -61,6 +63,7 @@
 		}
 	})
 	return plan{
+		Burst:     rapid.SampledFrom([]float64{10, 40}).Draw(t, "burst"),
 		Events:    rapid.SliceOfN(events, 3, 14).Draw(t, "events"),
 		Instances: rapid.IntRange(1, 8).Draw(t, "instances"),
 		Latency:   time.Duration(rapid.SampledFrom([]int{1, 20, 100}).Draw(t, "latency")) * time.Millisecond,
@@ -73,7 +76,6 @@
 // Limits of the accounts, in the size of the largest request.
 const (
 	largeRate  = 4
-	largeBurst = 8
 	smallRate  = 1
 	smallBurst = 0.4
 )
@@ -87,16 +89,16 @@
 }
 
 // run plays a plan and returns the first violation; empty if there is none.
-func (p *plan) run(joinDelay time.Duration, checkShares bool) (w *world, violation string) {
+func (p *plan) run(joinDelay time.Duration, checkGrants bool) (w *world, violation string) {
 	w = newWorld(p.Seed)
 	w.calm, w.joinDelay, w.latency, w.lossShare, w.units = p.Calm, joinDelay, p.Latency, p.Loss, p.Units
-	w.setLimit(p.accountWith("large", largeRate, largeBurst))
+	w.setLimit(p.accountWith("large", largeRate, p.Burst))
 	w.setLimit(p.accountWith("small", smallRate, smallBurst))
 	for range p.Instances {
 		n := w.addNode()
 		w.clock.After(w.upTo(10*time.Second), func(time.Time) { n.start(true) })
 	}
-	if checkShares {
+	if checkGrants {
 		w.clock.Subscribe(250*time.Millisecond, func(now time.Time) {
 			if violation == "" {
 				violation = w.checkShares(now)
@@ -110,10 +112,13 @@
 	}
 	w.clock.Advance(90 * time.Second)
 	for _, id := range w.accountIDs() {
-		if violation == "" {
-			violation = w.checkSpends(id)
+		if v := w.checkSpends(id); v != "" {
+			return w, v
 		}
 	}
+	if violation == "" && checkGrants {
+		violation = w.violation
+	}
 	return w, violation
 }
 
@@ -129,9 +134,11 @@
 		n.noReads, n.noWrites = true, true
 	case eventCutWrites:
 		n.noWrites = true
+	case eventFreeze:
+		n.frozen = true
 	case eventHealStore:
 		for _, n := range w.nodes {
-			n.noReads, n.noWrites = false, false
+			n.frozen, n.noReads, n.noWrites = false, false, false
 		}
 	case eventIsolate:
 		for _, other := range w.nodes {
@@ -142,10 +149,10 @@
 	case eventKillAll:
 		for _, n := range w.nodes {
 			n.kill()
-			w.clock.After(w.upTo(5*time.Second), func(time.Time) { n.start(true) })
+			w.clock.After(w.upTo(time.Second), func(time.Time) { n.start(true) })
 		}
 	case eventLimit:
-		w.setLimit(p.accountWith("large", largeRate*e.Factor, largeBurst*e.Factor))
+		w.setLimit(p.accountWith("large", largeRate*e.Factor, p.Burst*e.Factor))
 	case eventOutage:
 		for _, n := range w.nodes {
 			n.noReads, n.noWrites = true, true
@@ -233,7 +240,7 @@
 // that a new instance waits, a holder that has lost the store goes on beside those that
 // take its place.
 func TestQuotaModelWithoutJoinDelay(t *testing.T) {
-	p := plan{Events: []event{{Kind: eventCutStore}}, Instances: 1, Latency: time.Millisecond, Seed: 1, Units: 30_000}
+	p := plan{Burst: 10, Events: []event{{Kind: eventCutStore}}, Instances: 1, Latency: time.Millisecond, Seed: 1, Units: 30_000}
 	for range 6 {
 		p.Events = append(p.Events, event{Kind: eventAdd})
 	}
@@ -248,10 +255,10 @@
 // Guards against a model in which nothing happens, and against instances that cannot use
 // the limit of a small account together.
 func TestQuotaModelServes(t *testing.T) {
-	p := plan{Calm: true, Instances: 8, Latency: 20 * time.Millisecond, Seed: 1, Units: 6600, Events: []event{{Kind: eventWait, Pause: 100 * time.Second}}}
+	p := plan{Burst: 10, Calm: true, Instances: 8, Latency: 20 * time.Millisecond, Seed: 1, Units: 6600, Events: []event{{Kind: eventWait, Pause: 100 * time.Second}}}
 	w, violation := p.run(0, true)
 	assert.Equal(t, violation, "")
-	used, from, length := 0, time.Unix(1_000_000, 0).Add(60*time.Second), 120*time.Second
+	used, from, length := 0, time.Unix(1_000_000, 0).Add(90*time.Second), 120*time.Second
 	for _, s := range w.spends["small"] {
 		if !s.at.Before(from) && s.at.Before(from.Add(length)) {
 			used += s.units
--- a/internal/quota/ring.go
+++ b/internal/quota/ring.go
@@ -22,6 +22,10 @@
 	// contactLimit is the time without a response of the store after which an instance
 	// holds no limits: it may have missed records.
 	contactLimit = 50 * time.Second
+	// lagLimit is how far reads of the store may lag: a response that lacks what another one
+	// showed longer ago is no contact. With the time between such responses it is less than
+	// the difference of joinDelay and contactLimit.
+	lagLimit = 5 * time.Second
 	// heartbeatLimit is the time after its last heartbeat from which an instance holds no
 	// limits. Others remove its record after 240 s without a heartbeat and take its place.
 	heartbeatLimit = 200 * time.Second
@@ -32,6 +36,7 @@
 	Addr       netip.AddrPort           `json:"addr"`
 	DataCentre persimmoncart.DataCentre `json:"zone"`
 	Epoch      uint64                   `json:"epoch,omitempty"` // highest of the store that the instance knew
+	Fast       bool                     `json:"fast,omitempty"`  // it does not hold, and may before joinDelay is over
 	Holds      bool                     `json:"holds,omitempty"` // the instance has been in the ring for joinDelay
 }
 
@@ -39,8 +44,8 @@
 type member struct {
 	Record
 
-	counts      time.Time // from when it displaces holders of lower rank; zero for at once
-	distance    int       // 0 for this data centre, 1 for this region, 2 for others
+	unseen      moment // the last contact without its record; zero if that is not known
+	distance    int    // 0 for this data centre, 1 for this region, 2 for others
 	hash        uint64
 	id          persimmoncart.InstanceID
 	incarnation persimmoncart.Incarnation
@@ -67,36 +72,64 @@
 	Bootstrap bool // the system starts for the first time, unless a record shows that another instance holds
 	Distance  func(persimmoncart.DataCentre) int
 	Self      persimmoncart.InstanceID
+	// Suspended returns how long the machine has been suspended in all, which the clock
+	// does not show; nil means never.
+	Suspended func() time.Duration
 
 	byAddr      map[netip.AddrPort]*member
-	checked     bool // at the first start: no other instance held after this one's first write
-	confirmed   bool // at the first start: all records were listed after this one stated that it holds
-	contact     time.Time
-	emptySince  time.Time // buckets that were not used since were empty then
-	epoch       uint64    // of the store at the last write
-	generation  uint64    // of members
-	heartbeat   time.Time // when the last written one began
-	holdFrom    time.Time // when a newcomer may hold; zero before its first write
-	holds       bool      // holdFrom is over, and the record states it
+	checked     bool         // at the first start: no other instance held after this one's first write
+	confirmed   bool         // at the first start: all records were listed after this one stated that it holds
+	contact     moment       // last one
+	emptySince  time.Time    // buckets that were not used since were empty then
+	epoch       uint64       // of the store at the last write
+	fast        bool         // the delay until holdFrom is less than joinDelay
+	generation  uint64       // of members
+	heartbeat   moment       // when the last written one began
+	holdFrom    time.Time    // when a newcomer may hold; zero before its first write
+	holds       bool         // holdFrom is over, and the record states it
+	lagging     storeVersion // lowest one above reached that is known to exist; zero for none
 	listed      bool
+	stated      Record    // last one written
 	members     []*member // in ascending order, self included once its record is seen
 	onShrinking func(now time.Time)
-	shortDelay  time.Duration // takes the place of joinDelay in tests that show what that is for
+	reached     persimmoncart.Version // of the store that the records are known up to
+	shortDelay  time.Duration         // takes the place of joinDelay in tests that show what that is for
+}
+
+// A moment is a time with the time for which the machine was suspended before it.
+type moment struct {
+	at        time.Time
+	suspended time.Duration
+}
+
+// since returns the time from an earlier moment to this one.
+func (m moment) since(earlier moment) time.Duration {
+	return m.at.Sub(earlier.at) + m.suspended - earlier.suspended
+}
+
+// A storeVersion is a version that the store had at a time.
+type storeVersion struct {
+	at      time.Time
+	version persimmoncart.Version
 }
 
 // Record returns what the instance's next heartbeat states. Addr and DataCentre are those
 // of r.
 func (g *Ring) Record(now time.Time, r Record) Record {
 	r.Holds = g.holds || !g.holdFrom.IsZero() && !now.Before(g.holdFrom)
+	r.Fast = !r.Holds && (g.fast || g.holdFrom.IsZero() && g.Bootstrap)
 	return r
 }
 
-// Due returns the time until the instance has to write that it holds; false if nothing is
-// due.
+// Due returns the time until the instance has to write that it holds, or that it will not
+// do so early; false if nothing is due.
 func (g *Ring) Due(now time.Time) (time.Duration, bool) {
 	if g.holds || g.holdFrom.IsZero() {
 		return 0, false
 	}
+	if g.stated.Fast && !g.fast {
+		return 0, true
+	}
 	return max(0, g.holdFrom.Sub(now)), true
 }
 
@@ -113,7 +146,7 @@
 	g.holdFrom, g.holds = now, true
 	if r.Epoch < epoch {
 		// Records of other instances may be lost until these write them again.
-		g.holdFrom, g.holds = now.Add(bootstrapDelay), false
+		g.fast, g.holdFrom, g.holds = true, now.Add(bootstrapDelay), false
 	}
 	g.empty(now)
 }
@@ -121,8 +154,8 @@
 // Written handles a heartbeat with a record that was written between two times. Created
 // states that there was no record before; epoch is that of the store.
 func (g *Ring) Written(began, now time.Time, r Record, created bool, epoch uint64) {
-	restored := epoch > g.epoch && began.Sub(g.heartbeat) < heartbeatLimit
-	g.epoch, g.heartbeat = epoch, began
+	restored := epoch > g.epoch && g.moment(began).since(g.heartbeat) < heartbeatLimit
+	g.epoch, g.heartbeat, g.stated = epoch, g.moment(began), r
 	switch {
 	case g.holdFrom.IsZero():
 		g.join(now)
@@ -137,7 +170,7 @@
 
 // Lost handles that the own record was removed: another instance may have taken its place.
 func (g *Ring) Lost() {
-	g.Bootstrap, g.holdFrom, g.holds = false, time.Time{}, false
+	g.Bootstrap, g.fast, g.holdFrom, g.holds = false, false, time.Time{}, false
 }
 
 // MustConfirm reports whether all records have to be listed now; Confirmed is called after
@@ -148,8 +181,7 @@
 
 // Confirmed handles that all records were listed after MustConfirm.
 func (g *Ring) Confirmed(now time.Time) {
-	g.listed = true
-	g.Contact(now)
+	g.Listed(now)
 	if g.holds {
 		g.confirmed = true
 		g.empty(now)
@@ -162,13 +194,37 @@
 	}
 }
 
-// Contact handles a response of the store that shows all records.
-func (g *Ring) Contact(now time.Time) { g.contact = now }
+// Contact handles a response of the store after which all records up to a version are
+// known.
+func (g *Ring) Contact(now time.Time, version persimmoncart.Version) {
+	g.reached = max(g.reached, version)
+	contact := now
+	if late := now.Sub(g.lagging.at) > lagLimit; g.lagging.version > g.reached {
+		if late {
+			return
+		}
+	} else {
+		if late && g.lagging.version > 0 {
+			contact = g.lagging.at // the response may be that old
+		}
+		g.lagging = storeVersion{}
+	}
+	if contact.After(g.contact.at) {
+		g.contact = g.moment(contact)
+	}
+}
+
+// Fresh handles that the store has reached a version, as read without a lag.
+func (g *Ring) Fresh(now time.Time, version persimmoncart.Version) {
+	if g.lagging.version == 0 && version > g.reached {
+		g.lagging = storeVersion{at: now, version: version}
+	}
+}
 
 // Listed handles the first list of all records.
 func (g *Ring) Listed(now time.Time) {
 	g.listed = true
-	g.Contact(now)
+	g.contact = g.moment(now)
 }
 
 // Observe handles the record of an instance, nil if it takes no part.
@@ -185,17 +241,16 @@
 	if g.Distance != nil {
 		m.distance = g.Distance(r.DataCentre)
 	}
+	m.unseen = g.contact
 	if found {
 		known := g.members[n]
-		m.counts = known.counts
+		m.unseen = known.unseen
 		if known.incarnation == incarnation {
 			m.lastReturn, m.silences, m.silentUntil = known.lastReturn, known.silences, known.silentUntil
 		}
-	} else if g.begun() && !g.contact.IsZero() {
-		m.counts = g.contact.Add(contactLimit)
 	}
 	if r.Holds {
-		m.counts = time.Time{}
+		m.unseen = moment{}
 	}
 	if found {
 		g.members[n] = m
@@ -221,7 +276,19 @@
 
 // Holding reports whether the instance may hold limits now.
 func (g *Ring) Holding(now time.Time) bool {
-	return g.begun() && now.Sub(g.contact) < contactLimit && now.Sub(g.heartbeat) < heartbeatLimit
+	if !g.begun() {
+		return false
+	}
+	m := g.moment(now)
+	return m.since(g.contact) < contactLimit && m.since(g.heartbeat) < heartbeatLimit
+}
+
+// moment returns the moment of a time.
+func (g *Ring) moment(now time.Time) moment {
+	if g.Suspended == nil {
+		return moment{at: now}
+	}
+	return moment{at: now, suspended: g.Suspended()}
 }
 
 // begun reports whether the instance has begun to hold limits.
@@ -236,9 +303,9 @@
 		return 0, false
 	}
 	own := rendezvous.ScoreHashes(key, rendezvous.Hash(string(g.Self)))
-	above, counted := 0, 1
+	above, counted, at := 0, 1, g.moment(now)
 	for _, m := range g.members {
-		if m.id == g.Self || now.Before(m.counts) {
+		if m.id == g.Self || !m.counts(at) {
 			continue
 		}
 		counted++
@@ -251,6 +318,12 @@
 	return min(counted, MaxHolders), true
 }
 
+// counts reports whether a member displaces holders of lower rank. A newcomer does so
+// before it may hold.
+func (m *member) counts(now moment) bool {
+	return m.Holds || m.Fast || m.unseen.at.IsZero() || now.since(m.unseen) >= contactLimit
+}
+
 // holders appends the instances that an account's units are asked of, by rank.
 func (g *Ring) holders(key uint64, out []*member) []*member {
 	for _, m := range g.members {
@@ -293,6 +366,7 @@
 // join handles the first write of the instance's record.
 func (g *Ring) join(now time.Time) {
 	delay := joinDelay
+	g.fast = g.Bootstrap
 	switch {
 	case g.Bootstrap:
 		delay = bootstrapDelay
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -21,6 +21,8 @@
 	// the time between its responses.
 	watchLag    = 5 * time.Second
 	watchPeriod = 500 * time.Millisecond
+	// freshPeriod is the time between two reads of the store that do not lag.
+	freshPeriod = 3 * time.Second
 	// beatPeriod, beatRetry and expiry are those of forward.Heartbeats.
 	beatPeriod = time.Minute
 	beatRetry  = 2 * time.Second
@@ -58,21 +60,23 @@
 // A world simulates instances with a store and a network, in virtual time. It breaks the
 // rules of none of them, and takes every freedom that they leave.
 type world struct {
-	calm      bool // every request runs, and no datagram is delivered twice
-	clock     *timer.Virtual
-	changes   []storeChange
-	epoch     uint64
-	joinDelay time.Duration // of the rings, if not zero
-	latency   time.Duration // longest of a datagram
-	limits    map[persimmoncart.AccountID][]limitChange
-	lossShare float64
-	nodes     []*node
-	random    *rand.Rand
-	records   map[persimmoncart.InstanceID]*storedRecord
-	spends    map[persimmoncart.AccountID][]spend
-	units     int // largest request
-	version   int
-	waits     int // requests that were refused
+	calm       bool // every request runs, and no datagram is delivered twice
+	clock      *timer.Virtual
+	changes    []storeChange
+	epoch      uint64
+	joinDelay  time.Duration // of the rings, if not zero
+	latency    time.Duration // longest of a datagram
+	limits     map[persimmoncart.AccountID][]limitChange
+	lossShare  float64
+	nodes      []*node
+	random     *rand.Rand
+	records    map[persimmoncart.InstanceID]*storedRecord
+	references map[uint64]*reference // by quota.Key
+	spends     map[persimmoncart.AccountID][]spend
+	units      int // largest request
+	version    int
+	violation  string // the first one of the grants; empty for none
+	waits      int    // requests that were refused
 }
 
 // A heartbeat is the last one that a node knows of an instance.
@@ -84,19 +88,20 @@
 // A node is one instance, over all its processes.
 type node struct {
 	addr        netip.AddrPort
-	beating     bool // a write of a heartbeat is in flight
 	cut         map[*node]bool
 	id          persimmoncart.InstanceID
 	incarnation persimmoncart.Incarnation
 	instance    *quota.Instance // nil while no process runs
 	found       bool            // see forward.Heartbeats
+	frozen      bool            // reads of the store do not show new changes
 	noReads     bool            // of the store
 	noWrites    bool
 	seen        map[persimmoncart.InstanceID]heartbeat
 	tables      map[persimmoncart.AccountID]int // number of limits applied
 	accounts    map[persimmoncart.AccountID]*persimmoncart.Account
 	version     int
-	watched     int // changes applied
+	watched     int       // changes applied
+	watchTo     time.Time // changes before it are reported
 	world       *world
 }
 
@@ -104,7 +109,36 @@
 func newWorld(seed uint64) *world {
 	return &world{
 		clock: timer.NewVirtual(time.Unix(1_000_000, 0)), limits: make(map[persimmoncart.AccountID][]limitChange), random: rand.New(rand.NewPCG(seed, 1)),
-		records: make(map[persimmoncart.InstanceID]*storedRecord), spends: make(map[persimmoncart.AccountID][]spend),
+		references: make(map[uint64]*reference), records: make(map[persimmoncart.InstanceID]*storedRecord), spends: make(map[persimmoncart.AccountID][]spend),
+	}
+}
+
+// A reference is one bucket with the whole limit of an account.
+type reference struct {
+	level   float64
+	updated time.Time
+}
+
+// granted counts what all holders grant of an account. Together they grant no more than
+// one holder of the whole limit would, in any span of time.
+func (w *world) granted(now time.Time, key uint64, units int) {
+	for _, id := range w.accountIDs() {
+		if quota.Key(id) != key || len(w.limits[id]) > 1 {
+			continue // a limit that changes has no reference
+		}
+		limit, _ := quota.LimitOf(w.limits[id][0].account)
+		capacity := limit.Burst + quota.Excess(limit, w.units)
+		r := w.references[key]
+		if r == nil {
+			r = &reference{level: capacity, updated: now}
+			w.references[key] = r
+		}
+		r.level = min(capacity, r.level+limit.Rate*now.Sub(r.updated).Seconds())
+		r.level = min(capacity, r.level-float64(units))
+		r.updated = now
+		if r.level < -0.01 && w.violation == "" {
+			w.violation = fmt.Sprintf("%.0f units of account %s more than its limit were granted at %s", -r.level, id, now.Sub(time.Unix(1_000_000, 0)))
+		}
 	}
 }
 
@@ -143,7 +177,8 @@
 	ring := &quota.Ring{Bootstrap: bootstrap, Self: n.id}
 	ring.SetJoinDelay(w.joinDelay)
 	n.instance = quota.NewInstance(w.clock.Now(), ring, n.incarnation, quota.BatchLife(window), rand.New(rand.NewPCG(w.random.Uint64(), 1)))
-	n.found, n.version, n.watched, n.beating = false, 0, -1, false
+	n.instance.OnGrant(w.granted)
+	n.found, n.version, n.watched = false, 0, -1
 	n.seen, n.accounts = make(map[persimmoncart.InstanceID]heartbeat), make(map[persimmoncart.AccountID]*persimmoncart.Account)
 	n.tables = make(map[persimmoncart.AccountID]int)
 	for id, changes := range w.limits {
@@ -152,6 +187,7 @@
 	w.after(n, w.upTo(100*time.Millisecond), n.beat)
 	w.after(n, w.upTo(time.Second), n.watch)
 	w.after(n, time.Second, n.sweep)
+	w.after(n, w.upTo(freshPeriod), n.fresh)
 	for _, id := range w.accountIDs() {
 		w.after(n, w.upTo(demandPeriod), func(time.Time) { n.demand(id) })
 	}
@@ -260,7 +296,10 @@
 		n.watched = len(w.changes)
 		return
 	}
-	until := now.Add(-w.upTo(watchLag))
+	if !n.frozen {
+		n.watchTo = now.Add(-w.upTo(watchLag))
+	}
+	until := n.watchTo
 	for ; n.watched < len(w.changes) && w.changes[n.watched].at.Before(until); n.watched++ {
 		c := w.changes[n.watched]
 		switch {
@@ -274,7 +313,16 @@
 			n.instance.Ring.Gone(now, c.id)
 		}
 	}
-	n.instance.Ring.Contact(now)
+	n.instance.Ring.Contact(now, persimmoncart.Version(n.watched))
+}
+
+// fresh reads the version of the store without a lag, as the watch of the configuration
+// does.
+func (n *node) fresh(now time.Time) {
+	if !n.noReads {
+		n.instance.Ring.Fresh(now, persimmoncart.Version(len(n.world.changes)))
+	}
+	n.world.after(n, freshPeriod, n.fresh)
 }
 
 // sweep is the periodic call of Instance.Sweep.
--- a/internal/quotanet/ring.go
+++ b/internal/quotanet/ring.go
@@ -32,12 +32,13 @@
 
 // Written handles a heartbeat that was written. MustList reports whether all records have
 // to be listed then; Confirmed follows.
-func (s *Service) Written(began time.Time, r quota.Record, created bool, epoch uint64) (mustList bool) {
+func (s *Service) Written(began time.Time, r quota.Record, created bool, version persimmoncart.Version) (mustList bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	ring, now := s.Instance.Ring, s.Timer.Now()
 	held := ring.Holding(now)
-	ring.Written(began, now, r, created, epoch)
+	ring.Written(began, now, r, created, version.Epoch())
+	ring.Fresh(now, version)
 	s.logHolding(held)
 	return ring.MustConfirm()
 }
@@ -52,16 +53,24 @@
 	s.logHolding(held)
 }
 
-// Contact handles a response of the store that shows all records.
-func (s *Service) Contact() {
+// Contact handles a response of the store after which all records up to a version are
+// known.
+func (s *Service) Contact(version persimmoncart.Version) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.Timer.Now()
 	held := s.Instance.Ring.Holding(now)
-	s.Instance.Ring.Contact(now)
+	s.Instance.Ring.Contact(now, version)
 	s.logHolding(held)
 }
 
+// Fresh handles that the store has reached a version, as read without a lag.
+func (s *Service) Fresh(version persimmoncart.Version) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.Instance.Ring.Fresh(s.Timer.Now(), version)
+}
+
 // Listed handles that all records were listed and observed.
 func (s *Service) Listed() {
 	s.mutex.Lock()
