--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -50,6 +50,7 @@
 type bucket struct {
 	backlog float64 // units of refused callers who have not had room for them since
 	level   float64 // negative after a request larger than the bucket
+	shares  int     // when it was updated
 	updated time.Time
 }
 
@@ -123,12 +124,19 @@
 	b, found := h.buckets[key]
 	if !found {
 		b.updated = h.ring.emptySince
+	} else if b.shares > shares && b.updated.Before(h.ring.emptySince) {
+		b.refill(h.ring.emptySince, limit, b.shares) // the larger share begins only then
 	}
+	b.refill(now, limit, shares)
+	return b
+}
+
+// refill adds what one of a number of shares has got up to a time.
+func (b *bucket) refill(now time.Time, limit Limit, shares int) {
 	refilled := limit.Rate / float64(shares) * now.Sub(b.updated).Seconds()
 	b.level = min(b.level+refilled, limit.capacity(shares))
 	b.backlog = max(0, b.backlog-refilled)
-	b.updated = now
-	return b
+	b.shares, b.updated = shares, now
 }
 
 // count adds the units of refused callers who were told to come back.
