quota: what is left of a batch goes back to its holder

Change: what is left of an expired batch is returned if it is enough for another request, and so is the batch of a reply that came too late.

--- a/internal/quota/accountstate.go
+++ b/internal/quota/accountstate.go
@@ -49,9 +49,10 @@
 	demandAt   time.Duration
 	generation uint64 // of the ring, when slots were set
 	key        uint64
-	limit      Limit // when the last request waited
+	limit      Limit // at the last request
 	lots       []lot
 	slots      []slot
+	units      int // of the last request
 	waiters    []*Waiter
 	wakeAt     time.Duration // when Instance.Wake is due; zero for never
 }
--- a/internal/quota/asker.go
+++ b/internal/quota/asker.go
@@ -79,14 +79,15 @@
 
 // An asker serves the requests of one instance from batches.
 type asker struct {
-	accounts  map[uint64]*accountState
-	batchLife time.Duration
-	holder    *holder
-	nextID    uint64
-	pending   map[uint64]*pendingAsk
-	random    *rand.Rand
-	ring      *Ring
-	started   time.Time
+	accounts    map[uint64]*accountState
+	batchLife   time.Duration
+	holder      *holder
+	incarnation persimmoncart.Incarnation
+	nextID      uint64
+	pending     map[uint64]*pendingAsk
+	random      *rand.Rand
+	ring        *Ring
+	started     time.Time
 }
 
 // take takes units from batches at hand.
@@ -121,6 +122,7 @@
 // are missing. It returns the asks to send and the waiters that are done.
 func (a *asker) advance(now time.Time, s *accountState, limit Limit, e *Effects) {
 	for {
+		a.expire(now, s, e)
 		served := 0
 		for _, w := range s.waiters {
 			ticket, ok := a.take(now, s, w.account, w.units)
@@ -177,6 +179,40 @@
 	return false
 }
 
+// expire returns what is left of batches that have expired, if it is enough for another
+// request.
+func (a *asker) expire(now time.Time, s *accountState, e *Effects) {
+	at := now.Sub(a.started)
+	for n := range s.lots {
+		if l := &s.lots[n]; l.expires <= at && l.units > 0 {
+			if l.units >= s.units {
+				a.giveBack(now, s.key, s.limit, l.holder, l.incarnation, l.units, e)
+			}
+			l.units = 0
+		}
+	}
+}
+
+// giveBack gives units back to the holder that granted them. They are lost if the message
+// is, or the holder's process has ended.
+func (a *asker) giveBack(now time.Time, key uint64, limit Limit, id persimmoncart.InstanceID, incarnation persimmoncart.Incarnation, units int, e *Effects) {
+	if units <= 0 {
+		return
+	}
+	if id == a.ring.Self {
+		if incarnation == a.incarnation {
+			a.holder.giveBack(now, limit, key, units)
+		}
+		return
+	}
+	n, found := a.ring.find(id)
+	if !found {
+		return
+	}
+	a.nextID++
+	e.Returns = append(e.Returns, Return{Account: key, Addr: a.ring.members[n].Addr, ID: a.nextID, Incarnation: incarnation, Units: units})
+}
+
 // apply applies a reply to the account's state.
 func (a *asker) apply(at time.Duration, p *pendingAsk, r Reply) {
 	s := p.state
@@ -319,7 +355,9 @@
 	}
 	delete(a.pending, r.ID)
 	p.member.silences, p.member.silentUntil = 0, 0
-	a.apply(now.Sub(a.started), p, r)
+	if a.apply(now.Sub(a.started), p, r); p.sent+a.batchLife <= now.Sub(a.started) {
+		a.giveBack(now, r.Account, p.limit, p.member.id, p.member.incarnation, r.Granted, e)
+	}
 	if p.state.asking == r.ID {
 		p.state.asking = 0
 	}
@@ -327,8 +365,9 @@
 	return true
 }
 
-// sweep forgets asks whose reply would be too late, and accounts that are not used.
-func (a *asker) sweep(now time.Time) {
+// sweep forgets asks whose reply would be too late, and accounts that are not used, and
+// returns what is left of their batches.
+func (a *asker) sweep(now time.Time, e *Effects) {
 	at := now.Sub(a.started)
 	for id, p := range a.pending {
 		if p.timedOut && p.sent+a.batchLife <= at {
@@ -336,6 +375,7 @@
 		}
 	}
 	for key, s := range a.accounts {
+		a.expire(now, s, e)
 		if s.asking == 0 && len(s.waiters) == 0 && at-s.demandAt > idleLimit {
 			delete(a.accounts, key)
 		}
--- a/internal/quota/instance.go
+++ b/internal/quota/instance.go
@@ -53,17 +53,20 @@
 	i := &Instance{Incarnation: incarnation, Ring: ring, holder: holder{buckets: make(map[uint64]bucket), ring: ring}}
 	ring.onShrinking = i.holder.prune
 	i.asker = asker{
-		accounts: make(map[uint64]*accountState), batchLife: batchLife, holder: &i.holder, nextID: uint64(random.Uint32()) << 20,
+		accounts: make(map[uint64]*accountState), batchLife: batchLife, holder: &i.holder, incarnation: incarnation, nextID: uint64(random.Uint32()) << 20,
 		pending: make(map[uint64]*pendingAsk), random: random, ring: ring, started: now,
 	}
 	return i
 }
 
-// Take takes units of an account from batches at hand. If it reports false, Wait follows.
+// Take takes units of an account from batches at hand. If it reports false, Wait follows at
+// once.
 // The asks of the effects fetch the next batch.
 func (i *Instance) Take(now time.Time, account *persimmoncart.Account, limit Limit, units int, e *Effects) (persimmoncart.QuotaTicket, bool) {
 	s := i.asker.state(Key(account.Name))
 	s.expect(now.Sub(i.asker.started), units)
+	s.limit, s.units = limit, units
+	i.asker.expire(now, s, e)
 	if len(s.waiters) > 0 {
 		return persimmoncart.QuotaTicket{}, false
 	}
@@ -87,7 +90,6 @@
 func (i *Instance) Wait(now time.Time, account *persimmoncart.Account, limit Limit, units int, e *Effects) *Waiter {
 	w := &Waiter{account: account, units: units, until: now.Sub(i.asker.started) + WaitLimit}
 	s := i.asker.state(Key(account.Name))
-	s.limit = limit
 	if len(s.waiters) >= maxWaiters {
 		w.Outcome, w.RetryAfter = OutcomeUnavailable, unavailableRetry
 		return w
@@ -119,21 +121,7 @@
 
 // Return gives the units of a ticket back. They may be lost.
 func (i *Instance) Return(now time.Time, t persimmoncart.QuotaTicket, limit Limit, e *Effects) {
-	key := Key(t.Account.Name)
-	if t.Holder == i.Ring.Self {
-		if t.Incarnation == i.Incarnation {
-			i.holder.giveBack(now, limit, key, t.Units)
-		}
-		return
-	}
-	n, found := i.Ring.find(t.Holder)
-	if !found {
-		return
-	}
-	i.asker.nextID++
-	e.Returns = append(e.Returns, Return{
-		Account: key, Addr: i.Ring.members[n].Addr, ID: i.asker.nextID, Incarnation: t.Incarnation, Units: t.Units,
-	})
+	i.asker.giveBack(now, Key(t.Account.Name), limit, t.Holder, t.Incarnation, t.Units, e)
 }
 
 // Member reports whether an instance of the ring has the address.
@@ -169,7 +157,7 @@
 func (i *Instance) Timeout(now time.Time, id uint64, e *Effects) { i.asker.timeout(now, id, e) }
 
 // Sweep forgets what is not used any more. It is called about once a second.
-func (i *Instance) Sweep(now time.Time) { i.asker.sweep(now) }
+func (i *Instance) Sweep(now time.Time, e *Effects) { i.asker.sweep(now, e) }
 
 // Forget drops the buckets of accounts that the function reports true for.
 func (i *Instance) Forget(unknown func(key uint64) bool) {
--- a/internal/quota/node_test.go
+++ b/internal/quota/node_test.go
@@ -180,7 +180,9 @@
 
 // sweep is the periodic call of Instance.Sweep.
 func (n *node) sweep(now time.Time) {
-	n.instance.Sweep(now)
+	var e quota.Effects
+	n.instance.Sweep(now, &e)
+	n.perform(&e)
 	n.world.after(n, time.Second, n.sweep)
 }
 
--- a/internal/quotanet/service.go
+++ b/internal/quotanet/service.go
@@ -275,10 +275,10 @@
 
 // sweep forgets what is not used any more.
 func (s *Service) sweep(now time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.Instance.Sweep(now)
-	s.Metrics.SetQuotaAccountsHeld(s.Instance.Held())
+	s.decide(func(e *quota.Effects) {
+		s.Instance.Sweep(now, e)
+		s.Metrics.SetQuotaAccountsHeld(s.Instance.Held())
+	})
 }
 
 // warn returns a log line of a class, of which one a second is written.
