--- a/internal/forward/quota_test.go
+++ b/internal/forward/quota_test.go
@@ -214,7 +214,7 @@
 		assert.NilError(t, err)
 		var value map[string]any
 		assert.NilError(t, json.Unmarshal(object.Value, &value))
-		assert.DeepEqual(t, value["quota"], map[string]any{"addr": recordAddr.String(), "zone": "d1"})
+		assert.DeepEqual(t, value["quota"], map[string]any{"addr": recordAddr.String(), "dc": "d1"})
 		assert.Equal(t, ring.count("created"), 1)
 		assert.Equal(t, ring.count("confirmed"), 1, "not all records were listed on request")
 		assert.Equal(t, ring.count("found"), 0)
--- a/internal/quota/asker_test.go
+++ b/internal/quota/asker_test.go
@@ -21,7 +21,6 @@
 	instance *quota.Instance
 	limit    quota.Limit
 	now      time.Time
-	waiting  []*quota.Waiter
 }
 
 // newAskerFixture returns an askerFixture.
--- a/internal/quota/ring.go
+++ b/internal/quota/ring.go
@@ -26,6 +26,10 @@
 	// showed longer ago is no contact. With the time between such responses it is less than
 	// the difference of joinDelay and contactLimit.
 	lagLimit = 5 * time.Second
+	// maxKnown bounds the versions that reads may lack, and knownSpacing is the shortest time
+	// between two of them. Reads of heartbeat records are held for 15 s.
+	maxKnown     = 32
+	knownSpacing = time.Second
 	// heartbeatLimit is the time after its last heartbeat from which an instance holds no
 	// limits. Others remove its record after 240 s without a heartbeat and take its place.
 	heartbeatLimit = 200 * time.Second
@@ -34,7 +38,7 @@
 // A Record is the part of an instance's heartbeat record that the quotas need.
 type Record struct {
 	Addr       netip.AddrPort           `json:"addr"`
-	DataCentre persimmoncart.DataCentre `json:"zone"`
+	DataCentre persimmoncart.DataCentre `json:"dc"`
 	Epoch      uint64                   `json:"epoch,omitempty"` // highest of the store that the instance knew
 	Fast       bool                     `json:"fast,omitempty"`  // it does not hold, and may before joinDelay is over
 	Holds      bool                     `json:"holds,omitempty"` // the instance has been in the ring for joinDelay
@@ -77,17 +81,17 @@
 	Suspended func() time.Duration
 
 	byAddr      map[netip.AddrPort]*member
-	checked     bool         // at the first start: no other instance held after this one's first write
-	confirmed   bool         // at the first start: all records were listed after this one stated that it holds
-	contact     moment       // last one
-	emptySince  time.Time    // buckets that were not used since were empty then
-	epoch       uint64       // of the store at the last write
-	fast        bool         // the delay until holdFrom is less than joinDelay
-	generation  uint64       // of members
-	heartbeat   moment       // when the last written one began
-	holdFrom    time.Time    // when a newcomer may hold; zero before its first write
-	holds       bool         // holdFrom is over, and the record states it
-	lagging     storeVersion // lowest one above reached that is known to exist; zero for none
+	checked     bool           // at the first start: no other instance held after this one's first write
+	confirmed   bool           // at the first start: all records were listed after this one stated that it holds
+	contact     moment         // last one
+	emptySince  time.Time      // buckets that were not used since were empty then
+	epoch       uint64         // of the store at the last write
+	fast        bool           // the delay until holdFrom is less than joinDelay
+	generation  uint64         // of members
+	heartbeat   moment         // when the last written one began
+	holdFrom    time.Time      // when a newcomer may hold; zero before its first write
+	holds       bool           // holdFrom is over, and the record states it
+	known       []storeVersion // versions above reached that the store has had, in ascending order
 	listed      bool
 	stated      Record    // last one written
 	members     []*member // in ascending order, self included once its record is seen
@@ -198,17 +202,20 @@
 // known.
 func (g *Ring) Contact(now time.Time, version persimmoncart.Version) {
 	g.reached = max(g.reached, version)
-	contact := now
-	if late := now.Sub(g.lagging.at) > lagLimit; g.lagging.version > g.reached {
-		if late {
-			return
+	contact, shown := now, 0
+	for _, v := range g.known {
+		if v.version > g.reached {
+			break
 		}
-	} else {
-		if late && g.lagging.version > 0 {
-			contact = g.lagging.at // the response may be that old
+		shown++
+	}
+	if shown < len(g.known) && now.Sub(g.known[shown].at) > lagLimit {
+		contact = time.Time{} // the response is older than the first version that it lacks
+		if shown > 0 {
+			contact = g.known[shown-1].at
 		}
-		g.lagging = storeVersion{}
 	}
+	g.known = slices.Delete(g.known, 0, shown)
 	if contact.After(g.contact.at) {
 		g.contact = g.moment(contact)
 	}
@@ -216,8 +223,12 @@
 
 // Fresh handles that the store has reached a version, as read without a lag.
 func (g *Ring) Fresh(now time.Time, version persimmoncart.Version) {
-	if g.lagging.version == 0 && version > g.reached {
-		g.lagging = storeVersion{at: now, version: version}
+	last := storeVersion{version: g.reached}
+	if len(g.known) > 0 {
+		last = g.known[len(g.known)-1]
+	}
+	if len(g.known) < maxKnown && version > last.version && now.Sub(last.at) >= knownSpacing {
+		g.known = append(g.known, storeVersion{at: now, version: version})
 	}
 }
 
--- a/internal/quota/ring_test.go
+++ b/internal/quota/ring_test.go
@@ -166,11 +166,20 @@
 			play: func(g *quota.Ring) {
 				*g = *newHolder()
 				g.Fresh(at(2), 11)
+				g.Fresh(at(20), 12)
 				g.Contact(at(40), 11) // shows what there was at 2 s
-				g.Fresh(at(41), 12)
-				g.Contact(at(42), 12)
 			},
-			holds: map[float64]bool{91: true, 92: false},
+			holds: map[float64]bool{51.9: true, 52: false},
+		},
+		"reads that are held": {
+			play: func(g *quota.Ring) {
+				*g = *newHolder()
+				for n := range 12 {
+					g.Fresh(at(float64(3*n)), persimmoncart.Version(11+n))
+				}
+				g.Contact(at(36), 22)
+			},
+			holds: map[float64]bool{85.9: true, 86: false},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/quotanet/export_test.go
+++ b/internal/quotanet/export_test.go
@@ -37,3 +37,9 @@
 	}
 	return data
 }
+
+// Largest is the length of the largest message.
+var Largest = len(mustEncode(&message{
+	Account: 1<<64 - 1, ID: 1<<64 - 1, Incarnation: 1<<64 - 1, Kind: kindReply, Least: maxUnits, Left: maxUnits, NextMillis: maxMillis,
+	Refused: maxUnits, RetryMillis: maxMillis, Units: maxUnits,
+}))
--- a/internal/quotanet/message.go
+++ b/internal/quotanet/message.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// maxDatagram is the largest datagram that is read, bytes. Messages have less than 80.
+	// maxDatagram is the largest datagram that is read, bytes. Messages have at most 56.
 	maxDatagram = 256
 	// maxUnits bounds the units in a message.
 	maxUnits = math.MaxInt32
