admission: urgent and small generations first where callers compete for room

Cause: while engines lack memory, urgent generations were refused as often as others, requests of all sizes waited for the same memory until most were late, and an engine that had crashed was asked again and again, since it looked idle. Change: policy.Waitlist moves to internal/admission as Queue. A weighted queue tells urgent requests from the others by the mean priority, keeps some engines for them, refuses the most expensive requests at once under pressure (a share is exempt), charges accounts fair shares, and bounds the engines asked at one turn. The account's priority comes before that of the route within one number. Engines that do not respond are left out for a time that doubles. All of it only with Directory.Pressure.

--- a/internal/policy/waitlist_test.go
+++ b/internal/admission/queue_test.go
@@ -1,4 +1,4 @@
-package policy_test
+package admission_test
 
 import (
 	"testing"
@@ -6,12 +6,12 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/persimmoncart/persimmoncart/internal/policy"
+	"github.com/persimmoncart/persimmoncart/internal/admission"
 )
 
 // Guards against an overload in which every slot goes to a request that is already
 // late: serving in the order of arrival leaves all of them late.
-func TestWaitlistOverload(t *testing.T) {
+func TestQueueOverload(t *testing.T) {
 	const (
 		inTime   = 500 * time.Millisecond
 		interval = 20 * time.Millisecond // between arrivals
@@ -19,11 +19,11 @@
 		length   = 4 * time.Second
 	)
 	start := time.Unix(0, 0)
-	var l policy.Waitlist
+	var l admission.Queue
 	served, late := 0, 0
 	for at := time.Duration(0); at < length; at += interval {
 		now := start.Add(at)
-		l.Add(&policy.WaitlistEntry{TargetStart: now.Add(inTime), Arrived: now, LatestStart: now.Add(length)})
+		l.Add(&admission.Entry{TargetStart: now.Add(inTime), Arrived: now, LatestStart: now.Add(length)})
 		if at%slotFree != 0 {
 			continue
 		}
@@ -40,16 +40,16 @@
 
 // Guards against late requests that are not served after an overload, and against an
 // order that starves the oldest of them.
-func TestWaitlistLateInOrder(t *testing.T) {
+func TestQueueLateInOrder(t *testing.T) {
 	now := time.Unix(100, 0)
-	var l policy.Waitlist
-	older := &policy.WaitlistEntry{TargetStart: now.Add(-2 * time.Second), Arrived: now.Add(-3 * time.Second)}
-	newer := &policy.WaitlistEntry{TargetStart: now.Add(-time.Second), Arrived: now.Add(-2 * time.Second)}
-	fresh := &policy.WaitlistEntry{TargetStart: now.Add(time.Second), Arrived: now}
-	for _, w := range []*policy.WaitlistEntry{newer, fresh, older} {
+	var l admission.Queue
+	older := &admission.Entry{TargetStart: now.Add(-2 * time.Second), Arrived: now.Add(-3 * time.Second)}
+	newer := &admission.Entry{TargetStart: now.Add(-time.Second), Arrived: now.Add(-2 * time.Second)}
+	fresh := &admission.Entry{TargetStart: now.Add(time.Second), Arrived: now}
+	for _, w := range []*admission.Entry{newer, fresh, older} {
 		l.Add(w)
 	}
-	for _, want := range []*policy.WaitlistEntry{fresh, older, newer} {
+	for _, want := range []*admission.Entry{fresh, older, newer} {
 		got := l.Next(now)
 		assert.Assert(t, got == want)
 		l.Remove(got)
@@ -59,8 +59,9 @@
 
 // Guards against late requests that take the last slot from one that can be in time.
 func TestRequiredFreeTokens(t *testing.T) {
+	var q admission.Queue
 	now := time.Unix(100, 0)
-	fresh, late := policy.WaitlistEntry{TargetStart: now.Add(time.Second)}, policy.WaitlistEntry{TargetStart: now.Add(-time.Second)}
-	assert.Equal(t, fresh.RequiredFreeTokens(now, 4000), 4000)
-	assert.Equal(t, late.RequiredFreeTokens(now, 4000), 8000)
+	fresh, late := admission.Entry{TargetStart: now.Add(time.Second)}, admission.Entry{TargetStart: now.Add(-time.Second)}
+	assert.Equal(t, q.RequiredFreeTokens(now, fresh, 4000), 4000)
+	assert.Equal(t, q.RequiredFreeTokens(now, late, 4000), 8000)
 }
--- a/internal/forward/account.go
+++ b/internal/forward/account.go
@@ -70,11 +70,15 @@
 	return x.account.Name
 }
 
-// priority returns the priority of the request: that of its account, if it has one, or
-// else of its route.
+// routePriorities is the number of priorities of routes that are told apart within one
+// priority of accounts.
+const routePriorities = 3
+
+// priority returns the priority of the request: that of its account, if it has one, comes
+// before that of its route.
 func (x *exchange) priority() int {
-	if x.account != nil && x.account.Priority >= 0 {
-		return x.account.Priority
+	if x.account == nil || x.account.Priority < 0 {
+		return x.route.Priority
 	}
-	return x.route.Priority
+	return x.account.Priority*routePriorities + min(max(x.route.Priority, 0), routePriorities-1)
 }
--- a/internal/forward/admissionqueue.go
+++ b/internal/forward/admissionqueue.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/persimmoncart/persimmoncart"
-	"github.com/persimmoncart/persimmoncart/internal/policy"
+	"github.com/persimmoncart/persimmoncart/internal/admission"
 )
 
 // admissionPollPeriod is the time between two wake-ups while requests wait: a
@@ -20,17 +20,66 @@
 
 	mutex   sync.Mutex
 	polling bool
-	turns   map[*policy.WaitlistEntry]chan struct{}
-	waiting policy.Waitlist
+	turns   map[*admission.Entry]chan struct{}
+	waiting admission.Queue
+}
+
+// An admissionTurn states what a request may do at its turn.
+type admissionTurn struct {
+	freeTokens int     // that an engine must have free
+	reserved   float64 // share of the engines that are left to more urgent requests
+	tries      int     // engines that it may ask
+}
+
+// Enter takes note of a request that has arrived. It reports false if the request has no
+// prospect of an engine in time. Leave has to follow.
+func (q *admissionQueue) Enter(entry *admission.Entry) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.waiting.Enter(entry)
+	return !q.waiting.Hopeless(q.timer.Now(), entry)
+}
+
+// Leave takes note that a request has found an engine, or that it is given up.
+func (q *admissionQueue) Leave(entry *admission.Entry, served bool) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.waiting.Leave(entry, served)
+}
+
+// Observe records whether a request found an engine with room at its first attempt.
+func (q *admissionQueue) Observe(room bool) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.waiting.Observe(q.timer.Now(), room)
+}
+
+// Pressure returns the share of recent requests that found no room at once.
+func (q *admissionQueue) Pressure() float64 {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.waiting.Pressure(q.timer.Now())
+}
+
+// Turn returns what a request that itself needs tokens may do at its turn.
+func (q *admissionQueue) Turn(entry *admission.Entry, tokens int) admissionTurn {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	now := q.timer.Now()
+	return admissionTurn{
+		freeTokens: q.waiting.RequiredFreeTokens(now, entry, tokens),
+		reserved:   q.waiting.Reserved(now, entry),
+		tries:      q.waiting.Tries(now, entry),
+	}
 }
 
 // Wait waits until the request may try again to reserve an engine, its LatestStart has
 // come, or ctx ends.
-func (q *admissionQueue) Wait(ctx context.Context, entry *policy.WaitlistEntry) {
+func (q *admissionQueue) Wait(ctx context.Context, entry *admission.Entry) {
 	turn := make(chan struct{}, 1)
 	q.mutex.Lock()
 	if q.turns == nil {
-		q.turns = make(map[*policy.WaitlistEntry]chan struct{})
+		q.turns = make(map[*admission.Entry]chan struct{})
 	}
 	q.waiting.Add(entry)
 	q.turns[entry] = turn
--- a/internal/forward/assignment.go
+++ b/internal/forward/assignment.go
@@ -39,6 +39,19 @@
 	a.state.MarkFull(a.directory.Timer.Now())
 }
 
+// DoneUnreachable ends the assignment to an endpoint that did not respond.
+func (a *assignment) DoneUnreachable() {
+	a.end()
+	a.directory.mutex.Lock()
+	defer a.directory.mutex.Unlock()
+	now := a.directory.Timer.Now()
+	if a.directory.Pressure {
+		a.state.MarkUnreachable(now)
+	} else {
+		a.state.MarkFull(now)
+	}
+}
+
 // end removes the request from the load of the endpoint. It reports false if an
 // earlier call has done so.
 func (a *assignment) end() bool {
@@ -67,6 +80,7 @@
 	a.directory.mutex.Lock()
 	defer a.directory.mutex.Unlock()
 	a.Unverified, a.state.Unverified = false, false
+	a.state.MarkReachable()
 }
 
 // ReportLoad records the load that the endpoint reported; nil is ignored.
@@ -93,5 +107,6 @@
 	defer a.directory.mutex.Unlock()
 	a.state.Failures.Succeed(a.directory.Timer.Now())
 	a.state.Unverified = false
+	a.state.MarkReachable()
 	a.state.AddWork(took, units)
 }
--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/admission"
 	"github.com/persimmoncart/persimmoncart/internal/policy"
 )
 
@@ -44,6 +45,7 @@
 	EndpointsChanged func()                       // called when the versions of the software in service may have changed; must not block; may be nil
 	Home             persimmoncart.Instance
 	Logger           zerolog.Logger
+	Pressure         bool          // callers compete for too little room; see admission.Queue
 	Random           *rand.Rand    // guarded by the Directory
 	RetryRatio       float64       // retries allowed for each request, over all instances; SetRetryRatio changes it during use
 	RetrySlack       int           // retries of this instance allowed beyond RetryRatio
@@ -436,7 +438,7 @@
 		if d.pools == nil {
 			d.pools = make(map[persimmoncart.PoolName]*pool)
 		}
-		p = &pool{decodeQueue: admissionQueue{timer: d.Timer}, retries: policy.RetryWindow{Ratio: d.RetryRatio, Slack: d.RetrySlack, Span: d.RetrySpan}}
+		p = &pool{decodeQueue: admissionQueue{timer: d.Timer, waiting: admission.Queue{Weighted: d.Pressure}}, retries: policy.RetryWindow{Ratio: d.RetryRatio, Slack: d.RetrySlack, Span: d.RetrySpan}}
 		d.pools[name] = p
 	}
 	return p
--- a/internal/forward/reservation.go
+++ b/internal/forward/reservation.go
@@ -73,7 +73,7 @@
 		assigned.Done()
 	default:
 		x.recordFailure(ctx, assigned, err)
-		assigned.DoneFull(nil)
+		assigned.DoneUnreachable()
 	}
 	return false
 }
@@ -95,7 +95,7 @@
 		assigned.Done()
 	default:
 		x.recordFailure(ctx, assigned, err)
-		assigned.DoneFull(nil)
+		assigned.DoneUnreachable()
 	}
 	return "", false
 }
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -367,7 +367,7 @@
 		}
 	}
 	x.route = route
-	x.setPool(route.Pool(float64(xxhash.Sum64String(string(x.request.ID))) / math.MaxUint64))
+	x.setPool(route.Pool(hashShare(string(x.request.ID))))
 	x.deadline = x.request.Arrived.Add(route.Timeout)
 	if x.request.Deadline.Before(x.deadline) {
 		x.deadline = x.request.Deadline
@@ -375,6 +375,9 @@
 	return nil
 }
 
+// hashShare returns a number from 0 to 1 that is the same for the same text.
+func hashShare(text string) float64 { return float64(xxhash.Sum64String(text)) / math.MaxUint64 }
+
 // setPool sets the pool of the request.
 func (x *exchange) setPool(name persimmoncart.PoolName) {
 	x.pool, x.engine = name, nil
--- a/internal/policy/selector.go
+++ b/internal/policy/selector.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/persimmoncart/persimmoncart"
 )
 
@@ -46,6 +48,10 @@
 	// fullPeriod is how long an engine that refused a request is left out,
 	// unless a request of this instance ends there.
 	fullPeriod = 120 * time.Millisecond
+	// unreachablePeriod is how long an engine that did not respond is left out; it
+	// doubles with each further time up to maxUnreachablePeriod.
+	unreachablePeriod    = 120 * time.Millisecond
+	maxUnreachablePeriod = 2 * time.Second
 	// reservationRefusedPeriod is how long an engine is avoided after it refused a
 	// request with a reservation: the engine is changing its role or about to
 	// stop.
@@ -85,8 +91,10 @@
 	load                persimmoncart.EndpointLoad // last report; Running is without this instance's requests
 	loadTime            time.Time                  // of the last report; zero if there is none
 	requests            requestLimit
-	reservationRefusals int     // consecutive refusals of requests with a reservation
-	unitSeconds         float64 // average time of a unit of work, without the network
+	reservationRefusals int           // consecutive refusals of requests with a reservation
+	unitSeconds         float64       // average time of a unit of work, without the network
+	unreachable         time.Duration // for which it was left out the last time that it did not respond; zero after a response
+	unreachableUntil    time.Time     // left out until then
 }
 
 // BackOff records that the endpoint wants no requests of this instance until the
@@ -132,6 +140,20 @@
 // MarkFull records that the endpoint refused a request because it is full.
 func (e *EndpointState) MarkFull(now time.Time) { e.fullUntil = now.Add(fullPeriod) }
 
+// MarkUnreachable records that the endpoint did not respond to a call. One that has ended
+// looks idle until its record is removed: without a pause, waiting requests would spend
+// their time on it.
+func (e *EndpointState) MarkUnreachable(now time.Time) {
+	if now.Before(e.unreachableUntil) {
+		return // another request has found the same
+	}
+	e.unreachable = min(max(unreachablePeriod, 2*e.unreachable), maxUnreachablePeriod)
+	e.unreachableUntil = now.Add(e.unreachable)
+}
+
+// MarkReachable records that the endpoint responded.
+func (e *EndpointState) MarkReachable() { e.unreachable, e.unreachableUntil = 0, time.Time{} }
+
 // ReservationRefused records that the endpoint refused a request with a
 // reservation. Refusals are in a row if each is within twice
 // reservationRefusedPeriod of the previous one.
@@ -180,7 +202,7 @@
 // hasRoom reports whether the engine is expected to have a free slot and enough
 // free memory.
 func (e *EndpointState) hasRoom(now time.Time, r *SelectorRequest) bool {
-	if now.Before(e.fullUntil) || now.Before(e.avoidUntil) && e.reservationRefusals >= excludeAfterRefusals {
+	if now.Before(e.fullUntil) || now.Before(e.unreachableUntil) || now.Before(e.avoidUntil) && e.reservationRefusals >= excludeAfterRefusals {
 		return false
 	}
 	otherRequests := e.otherRequests(now)
@@ -190,6 +212,12 @@
 	return r.Size.KVTokens == 0 || float64(e.Tokens+r.MinFreeTokens)+otherRequests*float64(r.Tokens) <= float64(r.Size.KVTokens)
 }
 
+// draw returns a number from 0 to 1 by which all instances tell the same endpoints from
+// the others.
+func (e *EndpointState) draw() float64 {
+	return float64(xxhash.Sum64String(string(e.Endpoint.ID))) / math.MaxUint64
+}
+
 // slowdown returns how long work takes relative to normal; at least 1.
 func (e *EndpointState) slowdown(now time.Time) float64 {
 	if e.load.Slowdown <= 1 {
@@ -228,6 +256,7 @@
 	DataCentre    persimmoncart.DataCentre   // where the request comes from
 	MinFreeTokens int                        // memory that must be free, in tokens; zero allows full engines
 	Region        persimmoncart.Region
+	Reserved      float64 // share of the endpoints that are kept for more urgent requests
 	Role          persimmoncart.Role
 	RunOnce       bool                          // must not be sent again after it may have run
 	Size          persimmoncart.EngineCapacity  // of an engine; zero if unknown
@@ -279,7 +308,7 @@
 		if !r.matches(&e.Endpoint) || e.WaitLeft(now) > 0 || withoutMissing && e.Missing {
 			continue
 		}
-		if r.MinFreeTokens > 0 && !e.hasRoom(now, r) {
+		if r.MinFreeTokens > 0 && !e.hasRoom(now, r) || r.Reserved > 0 && e.draw() < r.Reserved {
 			continue
 		}
 		c := s.cost(now, e, r) * (1 + costNoise*random.Float64())
