admission: the test of free memory compiles

Cause: Queue.RequiredFreeTokens takes a pointer since the package exists, and the test passed values, so that no test of the package ran. Change: the test passes pointers.

--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -62,6 +62,6 @@
 	var q admission.Queue
 	now := time.Unix(100, 0)
 	fresh, late := admission.Entry{TargetStart: now.Add(time.Second)}, admission.Entry{TargetStart: now.Add(-time.Second)}
-	assert.Equal(t, q.RequiredFreeTokens(now, fresh, 4000), 4000)
-	assert.Equal(t, q.RequiredFreeTokens(now, late, 4000), 8000)
+	assert.Equal(t, q.RequiredFreeTokens(now, &fresh, 4000), 4000)
+	assert.Equal(t, q.RequiredFreeTokens(now, &late, 4000), 8000)
 }
