admission: fair shares charge accounts for what is served

Cause: each waiting request got a start tag when it arrived. Of an account with ten or a hundred times the requests of another, most are refused; what remained kept tags that counted the refused ones, so that the account got 0.84 or 0.28 of the other's room, and 1.5 times it afterwards. Change: an account is charged when a request is served, and requests are compared by the present tags of their accounts. Within an account, the earliest start goes first, as before in effect.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -37,7 +37,9 @@
 	// exemptShare is the share of requests that are not refused for their size, so that
 	// no size is starved.
 	exemptShare = 0.35
-	// equalWeight is the weight of each account in the fair shares.
+	// equalWeight is the weight of each account in the fair shares. They are charged what
+	// is served, not what is asked for: most requests of an account that asks for too much
+	// are refused, and tags that count them would take its share as well.
 	equalWeight = 1
 )
 
@@ -53,23 +55,23 @@
 
 	nextTurn time.Time // earliest next turn of a late request
 	rank     float64   // share of recent requests with a lower cost; zero if the size does not count
-	tag      float64   // start tag in the fair shares
 	urgent   bool      // more urgent than most
 }
 
 // Late reports whether a start at now is later than TargetStart.
 func (e *Entry) Late(now time.Time) bool { return now.After(e.TargetStart) }
 
-// A Queue orders requests that wait for a slot. In an overload, more requests
+// A Queue orders requests that wait for room at an engine. In an overload, more requests
 // arrive than can start in time. Then the newest request that can still be in time
-// goes first, because the oldest one would take its slot for a late response. Late
+// goes first, because the oldest one would take its room for a late response. Late
 // requests follow in the order of arrival once the overload is over.
 //
 // A Weighted queue also tells requests apart:
 //
 //   - More urgent requests go first. Since other instances compete for the same engines,
 //     urgent ones ask more engines at each turn, and some engines are left to them.
-//   - Accounts of equal priority get fair shares of what their requests cost.
+//   - Accounts of equal priority get fair shares of what their served requests cost. Within
+//     an account, the request goes first that has to start first to be in time.
 //   - Requests that would take much memory for long are refused at once while there is
 //     room for few: several others are served in place of one.
 type Queue struct {
@@ -92,7 +94,7 @@
 	if q.shares == nil {
 		q.shares = policy.NewFairShares(policy.DefaultMaxFairAccounts)
 	}
-	e.tag = q.shares.Start(e.Account, equalWeight, e.Cost)
+	q.shares.Start(e.Account, equalWeight, 0) // charged when it is served
 	if !q.urgencyKnown {
 		q.urgencyKnown, q.urgency = true, float64(e.Priority)
 	}
@@ -105,13 +107,13 @@
 
 // Leave takes note that a request has found room, or that it is given up.
 func (q *Queue) Leave(e *Entry, served bool) {
-	switch {
-	case !q.Weighted:
-	case served:
-		q.shares.Serve(e.Account, e.Cost)
-	default:
-		q.shares.Drop(e.Account, e.Cost)
+	if !q.Weighted {
+		return
+	}
+	if served {
+		q.shares.Charge(e.Account, e.Cost)
 	}
+	q.shares.Drop(e.Account, 0)
 }
 
 // Hopeless reports whether a request has no prospect of room in time, so that it is
@@ -198,7 +200,7 @@
 	case late:
 		return a.Arrived.Compare(b.Arrived)
 	case q.Weighted:
-		return cmp.Or(cmp.Compare(a.tag, b.tag), b.Arrived.Compare(a.Arrived))
+		return cmp.Or(cmp.Compare(q.shares.Tag(a.Account), q.shares.Tag(b.Account)), a.TargetStart.Compare(b.TargetStart))
 	default:
 		return b.Arrived.Compare(a.Arrived)
 	}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -182,6 +182,60 @@
 	}
 }
 
+// Load: a backlog of two accounts of equal priority, the first of which sends ten times
+// the requests of the other and later as many, and a third that asks for less than its
+// share; room for one request a tick. Guards against an account that gets more because it
+// sends more, and against one that is charged for requests that were not served.
+func TestFairSharesInBacklog(t *testing.T) {
+	const tick, backlog, ticks = 50 * time.Millisecond, 3000, 6000
+	accounts := []persimmoncart.AccountID{"first", "other", "third"}
+	perTick := map[persimmoncart.AccountID]float64{"first": 10, "other": 1, "third": 0.2}
+	q := admission.Queue{Weighted: true}
+	random := rand.New(rand.NewPCG(1, 1))
+	var waiting []*admission.Entry
+	leave := func(e *admission.Entry, served bool) {
+		q.Remove(e)
+		q.Leave(e, served)
+		waiting = slices.DeleteFunc(waiting, func(o *admission.Entry) bool { return o == e })
+	}
+	served, asked := map[persimmoncart.AccountID]float64{}, map[persimmoncart.AccountID]float64{}
+	check := func() {
+		assert.Assert(t, served["third"] >= 0.9*asked["third"], "%.0f served of %.0f", served["third"], asked["third"])
+		ratio := served["first"] / served["other"]
+		assert.Assert(t, ratio > 0.9 && ratio < 1.1, "the first account gets %.2f times the room of the other", ratio)
+		clear(asked)
+		clear(served)
+	}
+	now := start
+	for n := range ticks {
+		if n == backlog {
+			check()
+			perTick["first"] = perTick["other"]
+		}
+		now = now.Add(tick)
+		for _, account := range accounts {
+			for range int(perTick[account] + random.Float64()) {
+				e := newEntry(now, 1, math.Exp(0.6*random.NormFloat64()))
+				e.Account = account
+				q.Enter(e)
+				q.Add(e)
+				waiting = append(waiting, e)
+				asked[account] += e.Cost
+			}
+		}
+		if e := q.Next(now); e != nil {
+			served[e.Account] += e.Cost
+			leave(e, true)
+		}
+		for _, e := range slices.Clone(waiting) {
+			if !now.Before(e.LatestStart) {
+				leave(e, false)
+			}
+		}
+	}
+	check()
+}
+
 // Load: full pressure and log-normal sizes. Guards against a size that is starved: the
 // largest requests are let in at least a quarter as often as all, as the users ask, and
 // against a pressure at which no large request is refused.
--- a/internal/policy/fairshares.go
+++ b/internal/policy/fairshares.go
@@ -35,6 +35,17 @@
 	return &FairShares{accounts: make(map[persimmoncart.AccountID]*fairAccount), maxAccounts: maxAccounts}
 }
 
+// Charge adds the cost of a request that was started without it and is served now, and
+// advances the virtual time. The request is still to be removed.
+func (f *FairShares) Charge(account persimmoncart.AccountID, cost float64) {
+	a, found := f.accounts[account]
+	if !found || a.waiting == 0 {
+		return
+	}
+	a.finishTag = max(a.finishTag, f.virtualTime) + cost/a.weight
+	f.virtualTime += cost / f.activeWeight
+}
+
 // Drop removes a request that was not served and takes its cost off the account.
 func (f *FairShares) Drop(account persimmoncart.AccountID, cost float64) {
 	if a, found := f.accounts[account]; found && a.waiting > 0 {
@@ -72,6 +83,14 @@
 	return tag
 }
 
+// Tag returns the start tag that the next request of the account would get.
+func (f *FairShares) Tag(account persimmoncart.AccountID) float64 {
+	if a, found := f.accounts[account]; found {
+		return max(a.finishTag, f.virtualTime)
+	}
+	return f.virtualTime
+}
+
 // VirtualTime returns the current virtual time.
 func (f *FairShares) VirtualTime() float64 { return f.virtualTime }
 
