policy: a small pool keeps no endpoints for urgent requests

Cause: an endpoint was kept for urgent requests if the hash of its identifier was below the share. In a pool of one or two, that could be all of them: the others found none, which kept the pressure up, and so on for as long as they arrived. Change: the share is rounded down to a number of endpoints, those with the lowest hashes. Measured: TestSelectorReserved fails without the change.

--- a/internal/policy/selector.go
+++ b/internal/policy/selector.go
@@ -303,12 +303,12 @@
 func (s *Selector) Pick(now time.Time, random *rand.Rand, r *SelectorRequest) *EndpointState {
 	var best *EndpointState
 	var least float64
-	withoutMissing := s.fewMissing(r)
+	withoutMissing, reserved := s.fewMissing(r), s.reservedDraw(r)
 	for _, e := range s.Endpoints {
 		if !r.matches(&e.Endpoint) || e.WaitLeft(now) > 0 || withoutMissing && e.Missing {
 			continue
 		}
-		if r.MinFreeTokens > 0 && !e.hasRoom(now, r) || r.Reserved > 0 && e.draw() < r.Reserved {
+		if r.MinFreeTokens > 0 && !e.hasRoom(now, r) || reserved > 0 && e.draw() < reserved {
 			continue
 		}
 		c := s.cost(now, e, r) * (1 + costNoise*random.Float64())
@@ -322,6 +322,26 @@
 	return best
 }
 
+// reservedDraw returns the draw below which endpoints are kept for more urgent requests;
+// zero if none is. They are no more than their share, so that a small pool keeps none.
+func (s *Selector) reservedDraw(r *SelectorRequest) float64 {
+	if r.Reserved <= 0 {
+		return 0
+	}
+	var draws []float64
+	for _, e := range s.Endpoints {
+		if r.matches(&e.Endpoint) {
+			draws = append(draws, e.draw())
+		}
+	}
+	reserved := int(r.Reserved * float64(len(draws)))
+	if reserved == 0 {
+		return 0
+	}
+	slices.Sort(draws)
+	return draws[min(reserved, len(draws)-1)]
+}
+
 // fewMissing reports whether so few endpoints for a request are missing that they
 // have probably left: then none of them is used, however loaded the others are.
 // After an outage of the store many records are missing at once, most of which come
--- a/internal/policy/selector_test.go
+++ b/internal/policy/selector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,6 +25,23 @@
 	return s
 }
 
+// Guards against a small pool all of whose endpoints are kept for urgent requests, by
+// which the others would find none as long as they arrive.
+func TestSelectorReserved(t *testing.T) {
+	for _, c := range []struct {
+		endpoints, reserved int
+		share               float64
+	}{{1, 0, 0.9}, {5, 0, 0.17}, {6, 1, 0.17}, {40, 6, 0.17}, {4, 3, 1}} {
+		s := testSelector(slices.Repeat([]string{"r1"}, c.endpoints)...)
+		random, used := rand.New(rand.NewPCG(1, 1)), make(map[persimmoncart.EndpointID]bool)
+		for range 5000 {
+			e := s.Pick(time.Unix(0, 0), random, &policy.SelectorRequest{DataCentre: "r1", Region: "r", Reserved: c.share, Role: persimmoncart.RoleApplication})
+			used[e.Endpoint.ID] = true
+		}
+		assert.Equal(t, len(used), c.endpoints-c.reserved, "%d endpoints", c.endpoints)
+	}
+}
+
 // countPicks returns how often each endpoint is chosen for a request from data
 // centre r1.
 func countPicks(s *policy.Selector, now time.Time, runOnce bool) map[persimmoncart.EndpointID]int {
