--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/persimmoncart/persimmoncart"
-	"github.com/persimmoncart/persimmoncart/internal/admission"
 	"github.com/persimmoncart/persimmoncart/internal/policy"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
@@ -28,31 +26,11 @@
 	// expected to take, its queue included. Beyond it the decode engine reads the
 	// prompt itself, more slowly.
 	maxPrefillShare = 0.5
-	// targetStartShare is the share of the latency target after which the reservation
-	// of a decode engine is late: the rest is needed for prefill and the first event.
-	targetStartShare = 0.6
-	// latestStartShare is the share of the latency target after which a request
-	// without a decode engine is refused, so that its caller retries after the overload.
-	latestStartShare = 0.75
-	// retryAfterOverload is the shortest pause before a caller retries a generation that
-	// found no decode engine, and the span over which the retries are spread: overloads
-	// last some seconds.
-	retryAfterOverload = 2 * time.Second
-	// patientShare is the share of the time that a caller has left for which it waits
-	// before a retry, and retrySpreadShare the part of it over which retries are spread.
-	patientShare     = 0.33
-	retrySpreadShare = 0.25
 	// cacheReuseShare is the share of its lifetime during which exported KV cache is
 	// offered to a second decode engine.
 	cacheReuseShare = 0.6
 )
 
-// errNoCapacity reports that no decode engine had a free slot and memory in time.
-var errNoCapacity = errors.New("no decode engine had capacity in time")
-
-// errNoProspect reports that the engines have room for smaller requests only.
-var errNoProspect = errors.New("no decode engine is expected to have capacity in time")
-
 // errRetryBudget reports a request that may not be sent again.
 var errRetryBudget = errors.New("retry budget is used up")
 
@@ -167,105 +145,6 @@
 	g.releaseReservation(&assigned.Endpoint, reservation)
 }
 
-// decodeRequest returns the request by which a decode engine is chosen.
-func (x *exchange) decodeRequest() policy.SelectorRequest {
-	return policy.SelectorRequest{
-		Avoid: x.tried, Role: persimmoncart.RoleDecode, RunOnce: x.route.Repeat == persimmoncart.RepeatNever,
-		Size: *x.engine, Software: x.software(persimmoncart.RoleDecode), Tokens: x.request.Generation.PromptTokens + x.router.Directory.OutputTokens(x.pool, x.request.Generation),
-	}
-}
-
-// reserveDecode chooses and reserves a decode engine. While all are full, it waits
-// for up to latestStartShare of the latency target. A request that can no longer be
-// in time, which includes most of those refused before, leaves room for one that can. One
-// that resumes a stream waits like a new one.
-func (g *generation) reserveDecode(ctx context.Context) (assigned *assignment, err error) {
-	waited := g.waited
-	if g.origin != nil {
-		// The target for the first event is past anyway. Behind all new requests, streams
-		// that are partly delivered would end for want of a slot.
-		waited = 0
-	}
-	entry := &admission.Entry{
-		Account:     g.accountName(),
-		Arrived:     g.request.Arrived,
-		Cost:        g.cost(),
-		Draw:        hashShare(string(g.request.ID)),
-		LatestStart: g.request.Arrived.Add(g.latencyShare(latestStartShare)),
-		Priority:    g.priority(),
-		TargetStart: g.request.Arrived.Add(g.latencyShare(targetStartShare) - waited),
-	}
-	queue := g.router.Directory.DecodeQueue(g.pool)
-	hopeful := queue.Enter(entry)
-	defer func() { queue.Leave(entry, assigned != nil) }()
-	if !hopeful && g.origin == nil {
-		return nil, g.capacityRefusal(errNoProspect)
-	}
-	for first := true; ; first = false {
-		if assigned, err = g.takeTurn(ctx, queue, entry, first); assigned != nil || err != nil {
-			return assigned, err
-		}
-		queue.Wait(ctx, entry)
-		if ctx.Err() != nil {
-			return nil, g.contextError(ctx, false)
-		}
-	}
-}
-
-// takeTurn asks decode engines, one after the other, for room. It returns nil if none of
-// those that it may ask has any.
-func (g *generation) takeTurn(ctx context.Context, queue *admissionQueue, entry *admission.Entry, first bool) (*assignment, error) {
-	for tries := 1; ; tries++ {
-		now := g.router.Timer.Now()
-		if !now.Before(entry.LatestStart) {
-			return nil, g.capacityRefusal(errNoCapacity)
-		}
-		if err := g.interruptionRefusal(); err != nil {
-			return nil, err
-		}
-		request := g.decodeRequest()
-		turn := queue.Turn(entry, request.Tokens)
-		request.MinFreeTokens, request.Reserved = turn.freeTokens, turn.reserved
-		assigned := g.router.Directory.Assign(g.pool, request)
-		ok := false
-		if assigned != nil {
-			g.reservation, ok = g.reserve(ctx, assigned, request.Tokens, request.MinFreeTokens-request.Tokens)
-		}
-		if first && tries == 1 {
-			queue.Observe(ok)
-		}
-		switch {
-		case ok:
-			g.logChoice(assigned)
-			return assigned, nil
-		case assigned == nil:
-			return nil, g.unavailableRefusal(entry.LatestStart.Sub(now))
-		case ctx.Err() != nil || tries >= turn.tries:
-			return nil, nil //nolint:nilnil // the request waits for its next turn
-		}
-	}
-}
-
-// cost returns the memory that the generation takes times the time for which it does so,
-// in tokens and output tokens: it holds its prompt and half of its output on average.
-func (x *exchange) cost() float64 {
-	output := float64(max(1, x.router.Directory.OutputTokens(x.pool, x.request.Generation)))
-	return (float64(x.request.Generation.PromptTokens) + output/2) * output
-}
-
-// unavailableRefusal returns the refusal of a request whose pool has no decode engine
-// for it, or none that takes requests within the given time; nil if one does.
-func (g *generation) unavailableRefusal(within time.Duration) error {
-	if err := g.missingEndpointRefusal(persimmoncart.RoleDecode); err != nil {
-		return err
-	}
-	request := policy.SelectorRequest{Role: persimmoncart.RoleDecode, Software: g.software(persimmoncart.RoleDecode)}
-	if left, ok := g.router.Directory.WaitLeft(g.pool, request); ok && left > within {
-		return g.backOffRefusal(left)
-	}
-	return nil
-}
-
 // decode sends the request to the decode engine and returns its stream.
 func (g *generation) decode(ctx context.Context, assigned *assignment) (*Response, error) {
 	call := g.upstreamCall(&assigned.Endpoint)
@@ -397,20 +276,6 @@
 	}
 }
 
-// capacityRefusal returns the refusal of a generation that no engine accepted. Where
-// callers compete for too little room, they are asked to return as late as they will.
-func (g *generation) capacityRefusal(cause error) error {
-	retryAfter := retryAfterOverload + rand.N(retryAfterOverload)
-	if g.router.Directory.Pressure {
-		latest := time.Duration(patientShare * float64(g.request.Deadline.Sub(g.router.Timer.Now())))
-		retryAfter = max(retryAfterOverload, latest-time.Duration(retrySpreadShare*rand.Float64()*float64(latest)))
-	}
-	return &persimmoncart.Refusal{
-		Code: persimmoncart.RefusalCapacity, Err: cause, Message: "no engine took the request",
-		Outcome: persimmoncart.OutcomeNotRun, RetryAfter: retryAfter,
-	}
-}
-
 // releaseCache frees exported KV cache that no decode engine will fetch, without
 // waiting for it.
 func (g *generation) releaseCache() {
