forward: priorities with and without an account are on one scale

Cause: requests of accounts had priorities from three times that of the account, those of accounts without one and of routes without accounts that of the route: they went before requests that are as urgent. A priority that is invalid by its size overflowed, and one far above the others made all of them urgent. Change: where callers have accounts, a missing priority of the account is that of the route, and accounts are told apart up to priority 9. Without accounts nothing changes.

--- a/internal/forward/account.go
+++ b/internal/forward/account.go
@@ -70,15 +70,24 @@
 	return x.account.Name
 }
 
-// routePriorities is the number of priorities of routes that are told apart within one
-// priority of accounts.
-const routePriorities = 3
+const (
+	// routePriorities is the number of priorities of routes that are told apart within one
+	// priority of accounts.
+	routePriorities = 3
+	// lowestAccountPriority is the least urgent priority of accounts that is told from
+	// others. A number far above all others would make their requests urgent.
+	lowestAccountPriority = 9
+)
 
-// priority returns the priority of the request: that of its account, if it has one, comes
-// before that of its route.
+// priority returns the priority of the request. Where callers have accounts, that of the
+// account, if it has one, comes before that of the route.
 func (x *exchange) priority() int {
-	if x.account == nil || x.account.Priority < 0 {
+	if x.table.Accounts == nil {
 		return x.route.Priority
 	}
-	return x.account.Priority*routePriorities + min(max(x.route.Priority, 0), routePriorities-1)
+	priority := x.route.Priority
+	if x.account != nil && x.account.Priority >= 0 {
+		priority = x.account.Priority
+	}
+	return min(max(priority, 0), lowestAccountPriority)*routePriorities + min(max(x.route.Priority, 0), routePriorities-1)
 }
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -184,11 +184,18 @@
 // newFixture returns a fixture with three application endpoints, two prefill and
 // two decode engines.
 func newFixture(t testing.TB) *fixture {
+	t.Helper()
+	return newPressureFixture(t, false)
+}
+
+// newPressureFixture returns the same with the given Directory.Pressure.
+func newPressureFixture(t testing.TB, pressure bool) *fixture {
 	t.Helper()
 	clock := &timer.System{}
 	d := &forward.Directory{
 		Home:       persimmoncart.Instance{DataCentre: "d1", ID: "i1", Region: "r1"},
 		Logger:     zerolog.Nop(),
+		Pressure:   pressure,
 		Random:     rand.New(rand.NewPCG(1, 1)),
 		RetryRatio: 0.2, RetrySlack: 2, RetrySpan: 10 * time.Second,
 		Timer: clock,
