forward: an account is charged once for a generation

Cause: a generation whose engine refuses it after the reservation reserves another one. Its account was charged for both, and it could be refused at once for its size. Change: its cost is zero after the first reservation.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -63,9 +63,15 @@
 		Priority:    g.priority(),
 		TargetStart: g.request.Arrived.Add(g.latencyShare(targetStartShare) - waited),
 	}
+	if g.charged {
+		entry.Cost = 0
+	}
 	queue := g.router.Directory.DecodeQueue(g.pool)
 	hopeful := queue.Enter(entry)
-	defer func() { queue.Leave(entry, assigned != nil) }()
+	defer func() {
+		queue.Leave(entry, assigned != nil)
+		g.charged = g.charged || assigned != nil
+	}()
 	if !hopeful && g.origin == nil {
 		return nil, g.capacityRefusal(errNoProspect)
 	}
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -41,6 +41,7 @@
 
 	cache        *exportedCache // of the prompt; nil before the prefill and after its use
 	cacheRefused bool           // a decode engine has refused the request with this cache
+	charged      bool           // its account has been charged for it
 	reservation  string         // identifier of the reservation on the decode engine; empty without one
 }
 
