forward: the requests exempt from refusal are drawn in each pool

Cause: the pool of a route and the requests that are not refused for their size were drawn by the same number. A pool with the upper part of the numbers had no exempt requests, and its largest ones were all refused under pressure. Change: the second draw hashes the identifier with a prefix.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -27,6 +27,9 @@
 	// before a retry, and retrySpreadShare the part of it over which retries are spread.
 	patientShare     = 0.33
 	retrySpreadShare = 0.25
+	// drawSalt makes Entry.Draw independent of the choice of the pool, which takes its
+	// number from the request's identifier as well.
+	drawSalt = "admission "
 )
 
 // errNoCapacity reports that no decode engine had a free slot and memory in time.
@@ -58,7 +61,7 @@
 		Account:     g.accountName(),
 		Arrived:     g.request.Arrived,
 		Cost:        g.cost(),
-		Draw:        hashShare(string(g.request.ID)),
+		Draw:        hashShare(drawSalt + string(g.request.ID)),
 		LatestStart: g.request.Arrived.Add(g.latencyShare(latestStartShare)),
 		Priority:    g.priority(),
 		TargetStart: g.request.Arrived.Add(g.latencyShare(targetStartShare) - waited),
