forward: Retry-After under pressure is bounded

Cause: a caller with an hour left was asked to return after twenty minutes, when the overload has long been over. Change: at most 5 s, which leaves callers with 15 s as they were. Measured: TestRetryAfterIsBounded fails without the change.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -27,6 +27,9 @@
 	// before a retry, and retrySpreadShare the part of it over which retries are spread.
 	patientShare     = 0.33
 	retrySpreadShare = 0.25
+	// maxRetryAfterOverload bounds the pause of callers with much time left: overloads last
+	// some seconds.
+	maxRetryAfterOverload = 5 * time.Second
 	// drawSalt makes Entry.Draw independent of the choice of the pool, which takes its
 	// number from the request's identifier as well.
 	drawSalt = "admission "
@@ -148,7 +151,7 @@
 func (g *generation) capacityRefusal(cause error) error {
 	retryAfter := retryAfterOverload + rand.N(retryAfterOverload)
 	if g.router.Directory.Pressure {
-		latest := time.Duration(patientShare * float64(g.request.Deadline.Sub(g.router.Timer.Now())))
+		latest := min(maxRetryAfterOverload, time.Duration(patientShare*float64(g.request.Deadline.Sub(g.router.Timer.Now()))))
 		retryAfter = max(retryAfterOverload, latest-time.Duration(retrySpreadShare*rand.Float64()*float64(latest)))
 	}
 	return &persimmoncart.Refusal{
--- a/internal/forward/admit_test.go
+++ b/internal/forward/admit_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"math"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -46,3 +48,19 @@
 		assert.NilError(t, err)
 	}
 }
+
+// Load: no room at any engine for a caller with an hour left. Guards against a caller that
+// is asked to return when the overload has long been over.
+func TestRetryAfterIsBounded(t *testing.T) {
+	for _, pressure := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newPressureFixture(t, pressure)
+			f.Upstream.reserve = func(int) error { return refused() }
+			r := request("/draft/")
+			r.Deadline = r.Arrived.Add(time.Hour)
+			_, err := f.Router.Serve(t.Context(), r)
+			retry := refusal(t, err).RetryAfter
+			assert.Assert(t, retry >= 2*time.Second && retry <= 5*time.Second, "%v", retry)
+		})
+	}
+}
