policy: requests of other instances are not taken to be as large as this one

Cause: an instance knows from reports how many requests of others an engine has, not their memory, and took each to need what the present request does. To a large request, most engines looked full: large and urgent ones were not even asked for. Change: with Directory.Pressure, the memory of the others' requests is estimated by the mean of this instance's own.

--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -311,6 +311,9 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	p, now := d.pool(name), d.Timer.Now()
+	if d.Pressure {
+		r.OtherTokens = p.selector.MeanTokens(r.Role)
+	}
 	e := p.selector.Pick(now, d.Random, &r)
 	if e == nil {
 		return nil
--- a/internal/policy/selector.go
+++ b/internal/policy/selector.go
@@ -209,7 +209,7 @@
 	if r.Size.Slots > 0 && float64(e.InFlight)+otherRequests+1 > float64(r.Size.Slots) {
 		return false
 	}
-	return r.Size.KVTokens == 0 || float64(e.Tokens+r.MinFreeTokens)+otherRequests*float64(r.Tokens) <= float64(r.Size.KVTokens)
+	return r.Size.KVTokens == 0 || float64(e.Tokens+r.MinFreeTokens)+otherRequests*r.otherTokens() <= float64(r.Size.KVTokens)
 }
 
 // draw returns a number from 0 to 1 by which all instances tell the same endpoints from
@@ -255,6 +255,7 @@
 	Avoid         []persimmoncart.EndpointID // used only if there is no other
 	DataCentre    persimmoncart.DataCentre   // where the request comes from
 	MinFreeTokens int                        // memory that must be free, in tokens; zero allows full engines
+	OtherTokens   int                        // expected memory of a request of another instance; zero for that of this one
 	Region        persimmoncart.Region
 	Reserved      float64 // share of the endpoints that are kept for more urgent requests
 	Role          persimmoncart.Role
@@ -269,6 +270,14 @@
 	return !e.Leaving && e.Role == r.Role && (r.Software == "" || e.Software == r.Software)
 }
 
+// otherTokens returns the expected memory of a request of another instance.
+func (r *SelectorRequest) otherTokens() float64 {
+	if r.OtherTokens > 0 {
+		return float64(r.OtherTokens)
+	}
+	return float64(r.Tokens)
+}
+
 // A Selector chooses the endpoint of a pool where a request costs the least:
 // its expected wait and work there, the network distance, and the risk of
 // failure. It is made for load that changes faster than reports arrive and for
@@ -282,6 +291,19 @@
 	return slices.ContainsFunc(s.Endpoints, func(e *EndpointState) bool { return r.matches(&e.Endpoint) })
 }
 
+// MeanTokens returns the mean memory of this instance's requests at endpoints with a role;
+// zero if it has none there.
+func (s *Selector) MeanTokens(role persimmoncart.Role) int {
+	requests, tokens := 0, 0
+	for _, e := range s.Endpoints {
+		if e.Endpoint.Role == role {
+			requests += e.InFlight
+			tokens += e.Tokens
+		}
+	}
+	return tokens / max(1, requests)
+}
+
 // Software returns the versions of the software that take new requests, those of the most
 // endpoints first.
 func (s *Selector) Software() []persimmoncart.SoftwareVersion {
@@ -418,7 +440,7 @@
 		c := work * (1 + running/max(1, float64(r.Size.Slots)))
 		c += overflowCost.Seconds() * max(0, running+1-float64(r.Size.Slots))
 		if r.Size.KVTokens > 0 && r.Tokens > 0 {
-			held := float64(e.Tokens+r.Tokens) + otherRequests*float64(r.Tokens)
+			held := float64(e.Tokens+r.Tokens) + otherRequests*r.otherTokens()
 			c += overflowCost.Seconds() * max(0, (held-float64(r.Size.KVTokens))/float64(r.Tokens))
 		}
 		return c
--- a/internal/policy/selector_test.go
+++ b/internal/policy/selector_test.go
@@ -107,6 +107,12 @@
 	assert.Assert(t, s.Pick(now, random, request) != nil)
 	e.SetLoad(now, persimmoncart.EndpointLoad{Running: 8, Slots: 12}) // four of them from other instances
 	assert.Assert(t, s.Pick(now, random, request) == nil)
+	// To a large request, an engine with smaller ones of others is not full.
+	request.OtherTokens = 3000
+	assert.Assert(t, s.Pick(now, random, request) != nil)
+	request.OtherTokens = 0
+	assert.Equal(t, s.MeanTokens(persimmoncart.RoleDecode), 4000)
+	assert.Equal(t, s.MeanTokens(persimmoncart.RolePrefill), 0)
 	assert.Assert(t, s.Pick(now.Add(10*time.Second), random, request) != nil)
 	e.MarkFull(now.Add(10 * time.Second))
 	assert.Assert(t, s.Pick(now.Add(10*time.Second), random, request) == nil)
