admission: a turn without room passes to the next request

Cause: what an engine frees wakes one waiting request. If it needed more than that, or others were faster, nobody else tried for up to 60 ms, and the same request was woken again. Change: with Weighted, each request has one turn in a round, which a freed slot or the poll starts; whoever finds no room wakes the next one.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -54,6 +54,7 @@
 	TargetStart time.Time               // latest start that still meets the target for the first token
 
 	nextTurn time.Time // earliest next turn of a late request
+	round    int       // of its last turn
 	rank     float64   // share of recent requests with a lower cost; zero if the size does not count
 	urgent   bool      // more urgent than most
 }
@@ -72,6 +73,8 @@
 //     urgent ones ask more engines at each turn, and some engines are left to them.
 //   - Accounts of equal priority get fair shares of what their served requests cost. Within
 //     an account, the request goes first that has to start first to be in time.
+//   - Each request has one turn in a round of turns, so that the first one, which may be too
+//     large for what is free, does not take the turns of all.
 //   - Requests that would take much memory for long are refused at once while there is
 //     room for few: several others are served in place of one.
 type Queue struct {
@@ -80,6 +83,7 @@
 	entries      []*Entry
 	pressure     Pressure
 	ranks        CostRanks
+	round        int                // of turns, from one
 	shares       *policy.FairShares // nil before the first request
 	urgency      float64            // mean priority of recent requests
 	urgencyKnown bool
@@ -165,11 +169,18 @@
 // Len returns the number of requests.
 func (q *Queue) Len() int { return len(q.entries) }
 
+// StartRound starts a round of turns, because an engine may have room.
+func (q *Queue) StartRound() { q.round++ }
+
+// HadTurn reports whether the request has had its turn in this round, so that the next one
+// goes if it has found no room.
+func (q *Queue) HadTurn(e *Entry) bool { return q.Weighted && e.round > 0 && e.round == q.round }
+
 // Next returns the request that goes first, or nil if there is none.
 func (q *Queue) Next(now time.Time) *Entry {
 	var next *Entry
 	for _, e := range q.entries {
-		if q.Weighted && e.Late(now) && now.Before(e.nextTurn) {
+		if q.HadTurn(e) || q.Weighted && e.Late(now) && now.Before(e.nextTurn) {
 			continue
 		}
 		if next == nil || q.compare(now, e, next) < 0 {
@@ -177,6 +188,7 @@
 		}
 	}
 	if next != nil && q.Weighted {
+		next.round = q.round
 		next.nextTurn = now.Add(time.Duration(q.pressure.Value(now) * float64(lateTurnPause)))
 	}
 	return next
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -144,6 +144,28 @@
 	})
 }
 
+// Load: an engine has room again while several requests wait, of which the first is too
+// large for it. Guards against a first request that takes the turns of all others, and
+// against an order of turns other than that of the queue.
+func TestRoundOfTurns(t *testing.T) {
+	const count = 5
+	q := admission.Queue{Weighted: true}
+	for n := range count {
+		e := newEntry(start, (n*3)%count, 1)
+		q.Enter(e)
+		q.Add(e)
+	}
+	for range 2 {
+		q.StartRound()
+		for priority := range count {
+			e := q.Next(start)
+			assert.Equal(t, e.Priority, priority)
+			assert.Assert(t, q.HadTurn(e))
+		}
+		assert.Assert(t, q.Next(start) == nil)
+	}
+}
+
 // Load: full pressure, with pools whose requests have one priority, whichever it is, and
 // pools with a few urgent ones. Guards against a pool without urgent requests that keeps
 // engines for all or refuses none, and against urgent ones that get no precedence.
--- a/internal/forward/admissionqueue.go
+++ b/internal/forward/admissionqueue.go
@@ -84,6 +84,9 @@
 	q.waiting.Add(entry)
 	q.turns[entry] = turn
 	q.schedulePoll()
+	if q.waiting.HadTurn(entry) {
+		q.wakeNext()
+	}
 	q.mutex.Unlock()
 	defer func() {
 		q.mutex.Lock()
@@ -100,10 +103,18 @@
 	}
 }
 
-// WakeNext wakes the waiting request with the highest precedence, if there is one.
+// WakeNext starts a round of turns: it wakes the waiting request with the highest
+// precedence, if there is one.
 func (q *admissionQueue) WakeNext() {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	q.waiting.StartRound()
+	q.wakeNext()
+}
+
+// wakeNext wakes the request that is next in the round, if there is one. The caller holds
+// the mutex.
+func (q *admissionQueue) wakeNext() {
 	entry := q.waiting.Next(q.timer.Now())
 	if entry == nil {
 		return
