--- a/internal/forward/concurrency_test.go
+++ b/internal/forward/concurrency_test.go
@@ -82,7 +82,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newAdaptiveFixture(t, true)
+				f := newFixtureWith(t, directoryOptions{adaptive: true})
 				f.Upstream.send = func(ctx context.Context, _ int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
 					switch {
 					case call.Endpoint.ID == c.endpoint:
--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmoncart/persimmoncart"
+	"github.com/persimmoncart/persimmoncart/internal/admission"
 	"github.com/persimmoncart/persimmoncart/internal/policy"
 )
 
@@ -45,6 +46,7 @@
 	EndpointsChanged func()                       // called when the versions of the software in service may have changed; must not block; may be nil
 	Home             persimmoncart.Instance
 	Logger           zerolog.Logger
+	Pressure         bool          // callers compete for too little room; see admission.Queue
 	Random           *rand.Rand    // guarded by the Directory
 	RetryRatio       float64       // retries allowed for each request, over all instances; SetRetryRatio changes it during use
 	RetrySlack       int           // retries of this instance allowed beyond RetryRatio
@@ -310,6 +312,9 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	p, now := d.pool(name), d.Timer.Now()
+	if d.Pressure {
+		r.OtherTokens = p.selector.MeanTokens(r.Role)
+	}
 	e := p.selector.Pick(now, d.Random, &r)
 	if e == nil {
 		return nil
@@ -438,7 +443,7 @@
 			d.pools = make(map[persimmoncart.PoolName]*pool)
 		}
 		p = &pool{
-			decodeQueue: admissionQueue{timer: d.Timer}, retries: policy.RetryWindow{Ratio: d.RetryRatio, Slack: d.RetrySlack, Span: d.RetrySpan},
+			decodeQueue: admissionQueue{timer: d.Timer, waiting: admission.Queue{Weighted: d.Pressure}}, retries: policy.RetryWindow{Ratio: d.RetryRatio, Slack: d.RetrySlack, Span: d.RetrySpan},
 			selector: policy.Selector{Adaptive: d.Adaptive},
 		}
 		d.pools[name] = p
--- a/internal/forward/fixture_test.go
+++ b/internal/forward/fixture_test.go
@@ -185,17 +185,24 @@
 // two decode engines.
 func newFixture(t testing.TB) *fixture {
 	t.Helper()
-	return newAdaptiveFixture(t, false)
+	return newFixtureWith(t, directoryOptions{})
 }
 
-// newAdaptiveFixture returns the same with a Directory that may be Adaptive.
-func newAdaptiveFixture(t testing.TB, adaptive bool) *fixture {
+// directoryOptions are the options of a fixture's Directory.
+type directoryOptions struct {
+	adaptive bool
+	pressure bool
+}
+
+// newFixtureWith returns the same with options of the Directory.
+func newFixtureWith(t testing.TB, options directoryOptions) *fixture {
 	t.Helper()
 	clock := &timer.System{}
 	d := &forward.Directory{
-		Adaptive:   adaptive,
+		Adaptive:   options.adaptive,
 		Home:       persimmoncart.Instance{DataCentre: "d1", ID: "i1", Region: "r1"},
 		Logger:     zerolog.Nop(),
+		Pressure:   options.pressure,
 		Random:     rand.New(rand.NewPCG(1, 1)),
 		RetryRatio: 0.2, RetrySlack: 2, RetrySpan: 10 * time.Second,
 		Timer: clock,
--- a/internal/forward/generate.go
+++ b/internal/forward/generate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -27,24 +26,11 @@
 	// expected to take, its queue included. Beyond it the decode engine reads the
 	// prompt itself, more slowly.
 	maxPrefillShare = 0.5
-	// targetStartShare is the share of the latency target after which the reservation
-	// of a decode engine is late: the rest is needed for prefill and the first event.
-	targetStartShare = 0.6
-	// latestStartShare is the share of the latency target after which a request
-	// without a decode engine is refused, so that its caller retries after the overload.
-	latestStartShare = 0.75
-	// retryAfterOverload is the shortest pause before a caller retries a generation that
-	// found no decode engine, and the span over which the retries are spread: overloads
-	// last some seconds.
-	retryAfterOverload = 2 * time.Second
 	// cacheReuseShare is the share of its lifetime during which exported KV cache is
 	// offered to a second decode engine.
 	cacheReuseShare = 0.6
 )
 
-// errNoCapacity reports that no decode engine had a free slot and memory in time.
-var errNoCapacity = errors.New("no decode engine had capacity in time")
-
 // errRetryBudget reports a request that may not be sent again.
 var errRetryBudget = errors.New("retry budget is used up")
 
@@ -55,6 +41,7 @@
 
 	cache        *exportedCache // of the prompt; nil before the prefill and after its use
 	cacheRefused bool           // a decode engine has refused the request with this cache
+	charged      bool           // its account has been charged for it
 	reservation  string         // identifier of the reservation on the decode engine; empty without one
 }
 
@@ -159,77 +146,6 @@
 	g.releaseReservation(&assigned.Endpoint, reservation)
 }
 
-// decodeRequest returns the request by which a decode engine is chosen.
-func (x *exchange) decodeRequest() policy.SelectorRequest {
-	return policy.SelectorRequest{
-		Avoid: x.tried, Role: persimmoncart.RoleDecode, RunOnce: x.route.Repeat == persimmoncart.RepeatNever,
-		Size: *x.engine, Software: x.software(persimmoncart.RoleDecode), Tokens: x.request.Generation.PromptTokens + x.router.Directory.OutputTokens(x.pool, x.request.Generation),
-	}
-}
-
-// reserveDecode chooses and reserves a decode engine. While all are full, it waits
-// for up to latestStartShare of the latency target. A request that can no longer be
-// in time, which includes most of those refused before, leaves room for one that can. One
-// that resumes a stream waits like a new one.
-func (g *generation) reserveDecode(ctx context.Context) (*assignment, error) {
-	waited := g.waited
-	if g.origin != nil {
-		// The target for the first event is past anyway. Behind all new requests, streams
-		// that are partly delivered would end for want of a slot.
-		waited = 0
-	}
-	entry := &policy.WaitlistEntry{
-		TargetStart: g.request.Arrived.Add(g.latencyShare(targetStartShare) - waited),
-		Arrived:     g.request.Arrived,
-		LatestStart: g.request.Arrived.Add(g.latencyShare(latestStartShare)),
-	}
-	queue := g.router.Directory.DecodeQueue(g.pool)
-	for {
-		now := g.router.Timer.Now()
-		if !now.Before(entry.LatestStart) {
-			return nil, g.capacityRefusal(errNoCapacity)
-		}
-		if err := g.interruptionRefusal(); err != nil {
-			return nil, err
-		}
-		request := g.decodeRequest()
-		request.MinFreeTokens = entry.RequiredFreeTokens(now, request.Tokens)
-		assigned := g.router.Directory.Assign(g.pool, request)
-		if assigned == nil {
-			if err := g.unavailableRefusal(entry.LatestStart.Sub(now)); err != nil {
-				return nil, err
-			}
-		} else {
-			reservation, ok := g.reserve(ctx, assigned, request.Tokens, request.MinFreeTokens-request.Tokens)
-			if ok {
-				g.reservation = reservation
-				g.logChoice(assigned)
-				return assigned, nil
-			}
-			if ctx.Err() == nil {
-				continue // try the next engine at once
-			}
-		}
-		queue.Wait(ctx, entry)
-		if ctx.Err() != nil {
-			return nil, g.contextError(ctx, false)
-		}
-	}
-}
-
-// unavailableRefusal returns the refusal of a request whose pool has no decode engine
-// for it, or none that takes requests within the given time; nil if one does.
-func (g *generation) unavailableRefusal(within time.Duration) error {
-	if err := g.missingEndpointRefusal(persimmoncart.RoleDecode); err != nil {
-		return err
-	}
-	request := policy.SelectorRequest{Role: persimmoncart.RoleDecode, Software: g.software(persimmoncart.RoleDecode)}
-	if left, ok := g.router.Directory.WaitLeft(g.pool, request); ok && left > within {
-		return g.backOffRefusal(left)
-	}
-	return nil
-}
-
 // decode sends the request to the decode engine and returns its stream.
 func (g *generation) decode(ctx context.Context, assigned *assignment) (*Response, error) {
 	call := g.upstreamCall(&assigned.Endpoint)
@@ -362,14 +278,6 @@
 	}
 }
 
-// capacityRefusal returns the refusal of a generation that no engine accepted.
-func (g *generation) capacityRefusal(cause error) error {
-	return &persimmoncart.Refusal{
-		Code: persimmoncart.RefusalCapacity, Err: cause, Message: "no engine took the request",
-		Outcome: persimmoncart.OutcomeNotRun, RetryAfter: retryAfterOverload + rand.N(retryAfterOverload),
-	}
-}
-
 // releaseCache frees exported KV cache that no decode engine will fetch, without
 // waiting for it.
 func (g *generation) releaseCache() {
--- a/internal/policy/selector.go
+++ b/internal/policy/selector.go
@@ -3,10 +3,13 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/persimmoncart/persimmoncart"
 )
 
@@ -45,6 +48,10 @@
 	// fullPeriod is how long an engine that refused a request is left out,
 	// unless a request of this instance ends there.
 	fullPeriod = 120 * time.Millisecond
+	// unreachablePeriod is how long an engine that did not respond is left out; it
+	// doubles with each further time up to maxUnreachablePeriod.
+	unreachablePeriod    = 120 * time.Millisecond
+	maxUnreachablePeriod = 2 * time.Second
 	// reservationRefusedPeriod is how long an engine is avoided after it refused a
 	// request with a reservation: the engine is changing its role or about to
 	// stop.
@@ -85,8 +92,10 @@
 	load                persimmoncart.EndpointLoad // last report; Running is without this instance's requests
 	loadTime            time.Time                  // of the last report; zero if there is none
 	requests            requestLimit
-	reservationRefusals int     // consecutive refusals of requests with a reservation
-	unitSeconds         float64 // average time of a unit of work, without the network
+	reservationRefusals int           // consecutive refusals of requests with a reservation
+	unitSeconds         float64       // average time of a unit of work, without the network
+	unreachable         time.Duration // for which it was left out the last time that it did not respond; zero after a response
+	unreachableUntil    time.Time     // left out until then
 }
 
 // BackOff records that the endpoint wants no requests of this instance until the
@@ -132,6 +141,20 @@
 // MarkFull records that the endpoint refused a request because it is full.
 func (e *EndpointState) MarkFull(now time.Time) { e.fullUntil = now.Add(fullPeriod) }
 
+// MarkUnreachable records that the endpoint did not respond to a call. One that has ended
+// looks idle until its record is removed: without a pause, waiting requests would spend
+// their time on it.
+func (e *EndpointState) MarkUnreachable(now time.Time) {
+	if now.Before(e.unreachableUntil) {
+		return // another request has found the same
+	}
+	e.unreachable = min(max(unreachablePeriod, 2*e.unreachable), maxUnreachablePeriod)
+	e.unreachableUntil = now.Add(e.unreachable)
+}
+
+// MarkReachable records that the endpoint responded.
+func (e *EndpointState) MarkReachable() { e.unreachable, e.unreachableUntil = 0, time.Time{} }
+
 // ReservationRefused records that the endpoint refused a request with a
 // reservation. Refusals are in a row if each is within twice
 // reservationRefusedPeriod of the previous one.
@@ -183,14 +206,20 @@
 // hasRoom reports whether the engine is expected to have a free slot and enough
 // free memory.
 func (e *EndpointState) hasRoom(now time.Time, r *SelectorRequest) bool {
-	if now.Before(e.fullUntil) || now.Before(e.avoidUntil) && e.reservationRefusals >= excludeAfterRefusals {
+	if now.Before(e.fullUntil) || now.Before(e.unreachableUntil) || now.Before(e.avoidUntil) && e.reservationRefusals >= excludeAfterRefusals {
 		return false
 	}
 	otherRequests := e.otherRequests(now)
 	if r.Size.Slots > 0 && float64(e.InFlight)+otherRequests+1 > float64(r.Size.Slots) {
 		return false
 	}
-	return r.Size.KVTokens == 0 || float64(e.Tokens+r.MinFreeTokens)+otherRequests*float64(r.Tokens) <= float64(r.Size.KVTokens)
+	return r.Size.KVTokens == 0 || float64(e.Tokens+r.MinFreeTokens)+otherRequests*r.otherTokens() <= float64(r.Size.KVTokens)
+}
+
+// draw returns a number from 0 to 1 by which all instances tell the same endpoints from
+// the others.
+func (e *EndpointState) draw() float64 {
+	return float64(xxhash.Sum64String(string(e.Endpoint.ID))) / math.MaxUint64
 }
 
 // slowdown returns how long work takes relative to normal; at least 1.
@@ -206,7 +235,9 @@
 	Avoid         []persimmoncart.EndpointID // used only if there is no other
 	DataCentre    persimmoncart.DataCentre   // where the request comes from
 	MinFreeTokens int                        // memory that must be free, in tokens; zero allows full engines
+	OtherTokens   int                        // expected memory of a request of another instance; zero for that of this one
 	Region        persimmoncart.Region
+	Reserved      float64 // share of the endpoints that are kept for more urgent requests
 	Role          persimmoncart.Role
 	RunOnce       bool                          // must not be sent again after it may have run
 	Size          persimmoncart.EngineCapacity  // of an engine; zero if unknown
@@ -219,6 +250,14 @@
 	return !e.Leaving && e.Role == r.Role && (r.Software == "" || e.Software == r.Software)
 }
 
+// otherTokens returns the expected memory of a request of another instance.
+func (r *SelectorRequest) otherTokens() float64 {
+	if r.OtherTokens > 0 {
+		return float64(r.OtherTokens)
+	}
+	return float64(r.Tokens)
+}
+
 // A Selector chooses the endpoint of a pool where a request costs the least:
 // its expected wait and work there, the network distance, and the risk of
 // failure. It is made for load that changes faster than reports arrive and for
@@ -235,6 +274,19 @@
 	return slices.ContainsFunc(s.Endpoints, func(e *EndpointState) bool { return r.matches(&e.Endpoint) })
 }
 
+// MeanTokens returns the mean memory of this instance's requests at endpoints with a role;
+// zero if it has none there.
+func (s *Selector) MeanTokens(role persimmoncart.Role) int {
+	requests, tokens := 0, 0
+	for _, e := range s.Endpoints {
+		if e.Endpoint.Role == role {
+			requests += e.InFlight
+			tokens += e.Tokens
+		}
+	}
+	return tokens / max(1, requests)
+}
+
 // Software returns the versions of the software that take new requests, those of the most
 // endpoints first.
 func (s *Selector) Software() []persimmoncart.SoftwareVersion {
@@ -256,13 +308,13 @@
 func (s *Selector) Pick(now time.Time, random *rand.Rand, r *SelectorRequest) *EndpointState {
 	var best *EndpointState
 	var least float64
-	withoutMissing := s.fewMissing(r)
+	withoutMissing, reserved := s.fewMissing(r), s.reservedDraw(r)
 	s.adapt(now, random)
 	for _, e := range s.Endpoints {
 		if !r.matches(&e.Endpoint) || e.WaitLeft(now) > 0 || withoutMissing && e.Missing {
 			continue
 		}
-		if r.MinFreeTokens > 0 && !e.hasRoom(now, r) {
+		if r.MinFreeTokens > 0 && !e.hasRoom(now, r) || reserved > 0 && e.draw() < reserved {
 			continue
 		}
 		c := s.cost(now, e, r) * (1 + costNoise*random.Float64())
@@ -276,6 +328,26 @@
 	return best
 }
 
+// reservedDraw returns the draw below which endpoints are kept for more urgent requests;
+// zero if none is. They are no more than their share, so that a small pool keeps none.
+func (s *Selector) reservedDraw(r *SelectorRequest) float64 {
+	if r.Reserved <= 0 {
+		return 0
+	}
+	var draws []float64
+	for _, e := range s.Endpoints {
+		if r.matches(&e.Endpoint) {
+			draws = append(draws, e.draw())
+		}
+	}
+	reserved := int(r.Reserved * float64(len(draws)))
+	if reserved == 0 {
+		return 0
+	}
+	slices.Sort(draws)
+	return draws[min(reserved, len(draws)-1)]
+}
+
 // fewMissing reports whether so few endpoints for a request are missing that they
 // have probably left: then none of them is used, however loaded the others are.
 // After an outage of the store many records are missing at once, most of which come
@@ -355,7 +427,7 @@
 		c := work * (1 + running/max(1, float64(r.Size.Slots)))
 		c += overflowCost.Seconds() * max(0, running+1-float64(r.Size.Slots))
 		if r.Size.KVTokens > 0 && r.Tokens > 0 {
-			held := float64(e.Tokens+r.Tokens) + otherRequests*float64(r.Tokens)
+			held := float64(e.Tokens+r.Tokens) + otherRequests*r.otherTokens()
 			c += overflowCost.Seconds() * max(0, (held-float64(r.Size.KVTokens))/float64(r.Tokens))
 		}
 		return c
