http1: a large body has no second buffer

Cause: the buffer of a request's head is made large enough for the body as well, which is written by itself from 8 KB on. A body of 4 MiB holds 8 MiB. Change: only a body that is appended to the head counts.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -217,7 +217,7 @@
 // encodeHead returns the request line and header.
 func encodeHead(r *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512 + min(len(r.Body), maxInlineBody)) // a larger body is not appended
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Target)
