refusal: codes for memory, progress and large heads

Cause: requests that are refused because the process is full, or because their body makes no progress, have no code of their own.

--- a/internal/caller/refusal.go
+++ b/internal/caller/refusal.go
@@ -119,6 +119,10 @@
 		return http.StatusRequestEntityTooLarge
 	case persimmoncart.RefusalAccountLimited:
 		return http.StatusTooManyRequests
+	case persimmoncart.RefusalHeadTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case persimmoncart.RefusalProgress:
+		return http.StatusRequestTimeout
 	case persimmoncart.RefusalInternal:
 		return http.StatusInternalServerError
 	case persimmoncart.RefusalEndpointFailed, persimmoncart.RefusalEndpointInvalid, persimmoncart.RefusalStreamBroken:
--- a/refusal.go
+++ b/refusal.go
@@ -18,12 +18,15 @@
 	RefusalDraining           RefusalCode = "draining"
 	RefusalEndpointFailed     RefusalCode = "endpoint_failed"
 	RefusalEndpointInvalid    RefusalCode = "endpoint_invalid"
+	RefusalHeadTooLarge       RefusalCode = "head_too_large"
 	RefusalInternal           RefusalCode = "internal"
 	RefusalKeyInvalid         RefusalCode = "key_invalid"
 	RefusalKeyMissing         RefusalCode = "key_missing"
+	RefusalMemory             RefusalCode = "memory" // no room for what the caller sends
 	RefusalModelUnknown       RefusalCode = "model_unknown"
 	RefusalNotReady           RefusalCode = "not_ready"
 	RefusalPoolEmpty          RefusalCode = "pool_empty"
+	RefusalProgress           RefusalCode = "progress" // the caller stopped to send or to read
 	RefusalPromptQuarantined  RefusalCode = "prompt_quarantined"
 	RefusalRequestQuarantined RefusalCode = "request_quarantined"
 	RefusalRouteUnknown       RefusalCode = "route_unknown"
@@ -46,12 +49,15 @@
 	RefusalDraining,
 	RefusalEndpointFailed,
 	RefusalEndpointInvalid,
+	RefusalHeadTooLarge,
 	RefusalInternal,
 	RefusalKeyInvalid,
 	RefusalKeyMissing,
+	RefusalMemory,
 	RefusalModelUnknown,
 	RefusalNotReady,
 	RefusalPoolEmpty,
+	RefusalProgress,
 	RefusalPromptQuarantined,
 	RefusalRequestQuarantined,
 	RefusalRouteUnknown,
