--- a/forwardtable.go
+++ b/forwardtable.go
@@ -31,9 +31,13 @@
 	}
 }
 
-// ForwardLimits bounds the requests that callers may send.
+// ForwardLimits bounds the requests that callers may send. Zero means that the
+// configuration has no such limit.
 type ForwardLimits struct {
-	MaxBodyBytes int64 // largest request body
+	HeaderTimeout  time.Duration // longest time for the head of a request
+	IdleTimeout    time.Duration // longest time without progress
+	MaxBodyBytes   int64         // largest request body
+	MaxHeaderBytes int           // largest head of a request
 }
 
 // A ForwardPool is a pool of endpoints of forwarded requests.
