--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -38,6 +38,7 @@
 
 	brokenByCrash prometheus.Counter
 	calls         *prometheus.HistogramVec
+	cuts          *prometheus.CounterVec
 	discarded     prometheus.Counter
 	firstToken    *prometheus.HistogramVec
 	labelValues   map[string]bool
@@ -60,10 +61,13 @@
 		Registry:      r,
 		calls:         histogram(r, "call_seconds", "Latency of answered plain calls.", latencyBuckets, "route"),
 		brokenByCrash: counter(r, "requests_broken_by_crash_total", "Requests whose endpoint crashed when it began to respond."),
-		discarded:     counter(r, "discarded_answers_total", "Answers and tokens that belonged to another attempt or were repeated."),
-		firstToken:    histogram(r, "first_token_seconds", "Time from the request to its first token.", latencyBuckets, "route"),
-		labelValues:   make(map[string]bool),
-		tokenGap:      prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "token_gap_seconds", Help: "Mean time between tokens of one stream.", Buckets: tokenGapBuckets}),
+		cuts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "connections_cut_total", Help: "Connections of clients that were cut, by reason and phase.",
+		}, []string{"reason", "phase"}),
+		discarded:   counter(r, "discarded_answers_total", "Answers and tokens that belonged to another attempt or were repeated."),
+		firstToken:  histogram(r, "first_token_seconds", "Time from the request to its first token.", latencyBuckets, "route"),
+		labelValues: make(map[string]bool),
+		tokenGap:    prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "token_gap_seconds", Help: "Mean time between tokens of one stream.", Buckets: tokenGapBuckets}),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "requests_total", Help: "Requests by route and outcome.",
 		}, []string{"route", "outcome"}),
@@ -73,7 +77,7 @@
 		version: gauge(r, "configuration_version", "Version of the configuration in force."),
 		wasted:  counter(r, "wasted_prefill_tokens_total", "Prompt tokens whose prefill was not followed by a first token."),
 	}
-	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.tokenGap, m.requests)
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.cuts, m.tokenGap, m.requests)
 	m.refusals = labelledCounters(r, "refusals_total", "Refusals by code.", "code", persimmoncart.RefusalCodes)
 	m.retries = labelledCounters(r, "retries_total", "Repeated attempts by reason.", "reason", persimmoncart.RetryReasons)
 	return m
