forward: buffers of responses are counted

Cause: up to 256 KiB of each plain response are held, and nobody counts them. Change: ForwardRequest.Memory counts them as they are allocated; without room the response is passed on with what there is. Refusals for want of memory or progress are left to package inbound to log.

--- a/forwardrequest.go
+++ b/forwardrequest.go
@@ -11,6 +11,14 @@
 // fingerprintBytes is the length of a fingerprint before its encoding.
 const fingerprintBytes = 16
 
+// A ByteHold counts bytes that a request makes the process hold.
+type ByteHold interface {
+	// Give gives back n bytes.
+	Give(n int)
+	// Take takes n bytes and reports whether there is room for them.
+	Take(n int) bool
+}
+
 // A ForwardRequest is one attempt of a caller, which an endpoint receives
 // unchanged.
 type ForwardRequest struct {
@@ -22,6 +30,7 @@
 	Host       string
 	ID         RequestID // of this attempt, chosen by the caller
 	Key        KeyHash   // of the caller's account; zero for none
+	Memory     ByteHold  // for the response; nil if nobody counts
 	Method     string
 	Position   StreamPosition // of the caller in a stream that it resumes
 	Resumes    RequestID      // attempt that brought the first event of a resumed stream; empty if the caller does not state it
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -14,10 +14,6 @@
 )
 
 const (
-	// bufferLimit is the size in bytes up to which a response is buffered before its
-	// first byte goes to the caller. If a response breaks off within it, the request
-	// can be sent again.
-	bufferLimit = 256 << 10
 	// hedgeDelayShare is the share of the latency target after which an idempotent
 	// request without a response goes to a second endpoint.
 	hedgeDelayShare = 0.45
@@ -279,45 +275,6 @@
 	return outcome
 }
 
-// readResponse buffers up to bufferLimit bytes of a response. It returns an error
-// if the response is not valid or breaks off within them.
-func (x *exchange) readResponse(response *persimmoncart.UpstreamResponse) (*Response, error) {
-	if err := x.checkResponse(response); err != nil {
-		_ = response.Body.Close()
-		return nil, err
-	}
-	size := bufferLimit
-	if response.BodyLength >= 0 && response.BodyLength < bufferLimit {
-		size = int(response.BodyLength)
-	}
-	var buffered []byte
-	rest := io.Reader(response.Body)
-	if size > 0 {
-		var err error
-		if buffered, err = io.ReadAll(io.LimitReader(rest, int64(size))); err != nil {
-			_ = response.Body.Close()
-			return nil, errors.Wrap(err, "read response")
-		}
-	}
-	result := &Response{Header: response.Header, Length: response.BodyLength, Status: response.Status}
-	if len(buffered) < bufferLimit {
-		// The connection can be reused only after its response has been read to the end.
-		if n, err := io.Copy(io.Discard, io.LimitReader(rest, 1)); err != nil || n > 0 {
-			_ = response.Body.Close()
-			return nil, errors.Wrap(errors.Join(err, errTrailing), "read end of response")
-		}
-		_ = response.Body.Close()
-		if response.BodyLength >= 0 && int64(len(buffered)) != response.BodyLength {
-			return nil, errors.Wrap(io.ErrUnexpectedEOF, "read response")
-		}
-		result.Length = int64(len(buffered))
-		result.Body = &bufferedBody{buffered: buffered}
-		return result, nil
-	}
-	result.Body = &bufferedBody{buffered: buffered, rest: response.Body}
-	return result, nil
-}
-
 // errTrailing reports bytes after the end of a response.
 var errTrailing = errors.New("more bytes than the response states")
 
@@ -346,41 +303,6 @@
 	return nil
 }
 
-// A bufferedBody is the buffered start of a response and its unread rest.
-type bufferedBody struct {
-	buffered []byte
-	rest     io.ReadCloser // nil if the whole body is buffered
-}
-
-// Close implements Body.
-func (b *bufferedBody) Close() error {
-	if b.rest == nil {
-		return nil
-	}
-	if err := b.rest.Close(); err != nil {
-		return errors.Wrap(err, "close response")
-	}
-	return nil
-}
-
-// Next implements Body.
-func (b *bufferedBody) Next() ([]byte, error) {
-	if len(b.buffered) > 0 {
-		buffered := b.buffered
-		b.buffered = nil
-		return buffered, nil
-	}
-	if b.rest == nil {
-		return nil, io.EOF
-	}
-	piece := make([]byte, 32<<10)
-	n, err := b.rest.Read(piece)
-	if n > 0 {
-		return piece[:n], nil
-	}
-	return nil, err
-}
-
 // A cancellingBody cancels the context of all sends when it is closed.
 type cancellingBody struct {
 	Body
--- a/internal/forward/router.go
+++ b/internal/forward/router.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"math"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -39,24 +38,6 @@
 // errDeadline is the cause of a context that ended at the request's deadline.
 var errDeadline = errors.New("request deadline exceeded")
 
-// A Body reads the body of a response piece by piece. Next returns io.EOF after
-// the last piece and another error if the response is incomplete.
-type Body interface {
-	// Close ends the response. If it is not complete, the endpoint stops its work.
-	Close() error
-	// Next returns the next piece, which is valid until the next call.
-	Next() ([]byte, error)
-}
-
-// A Response is the response to a forwarded request.
-type Response struct {
-	Body   Body
-	Header http.Header
-	Length int64 // of the body; negative if unknown
-	Status int
-	Stream bool // each piece has to reach the caller without delay
-}
-
 // A Router serves forwarded requests. Its fields are set before use.
 type Router struct {
 	Directory      *Directory
@@ -93,6 +74,9 @@
 	return x, nil
 }
 
+// Deadline returns the time after which nobody waits for the response.
+func (x *exchange) Deadline() time.Time { return x.deadline }
+
 // Serve serves an accepted request, whose body has been read. The caller closes the
 // response's body. The error is a *persimmoncart.Refusal if no endpoint gave a usable
 // response, or a *CallerGoneError.
@@ -257,9 +241,12 @@
 		refusal.Outcome, refusal.RetryAfter = persimmoncart.OutcomeUnknown, 0
 	}
 	x.router.Metrics.CountRefusal(refusal.Code)
+	x.observe(name, refusal.Outcome)
+	if refusal.Code == persimmoncart.RefusalMemory || refusal.Code == persimmoncart.RefusalProgress {
+		return refusal // package inbound has logged it, with others of its kind
+	}
 	x.log(x.router.Logger.Warn()).Str("route", string(name)).Str("code", string(refusal.Code)).
 		Stringer("outcome", refusal.Outcome).Dur("retry", refusal.RetryAfter).Str("reason", refusal.Message).AnErr("cause", refusal.Err).Msg("request refused")
-	x.observe(name, refusal.Outcome)
 	return refusal
 }
 
