--- /dev/null
+++ b/internal/inbound/main_test.go
@@ -0,0 +1,9 @@
+package inbound
+
+import (
+	"testing"
+
+	"github.com/persimmoncart/persimmoncart/internal/testmain"
+)
+
+func TestMain(m *testing.M) { testmain.Run(m) }
