platform: what callers make the process hold is bounded

Cause: bodies in chunks count as 64 KiB each and those of stated length as their length from the start, heads and responses count as nothing, nothing bounds the time of a body or of a response that is not read, and descriptors are not bounded. The memory limit of the runtime is 56 MB on every machine.

Change: an inbound.Guard protects all listeners; bodies are read and responses relayed by an inbound.Request, in place of the count in Ingress.

--- a/internal/entry/forwardinginstance.go
+++ b/internal/entry/forwardinginstance.go
@@ -14,6 +14,7 @@
 	"github.com/persimmoncart/persimmoncart"
 	"github.com/persimmoncart/persimmoncart/internal/control"
 	"github.com/persimmoncart/persimmoncart/internal/forward"
+	"github.com/persimmoncart/persimmoncart/internal/inbound"
 	"github.com/persimmoncart/persimmoncart/internal/policy"
 	"github.com/persimmoncart/persimmoncart/internal/timer"
 )
@@ -40,6 +41,7 @@
 	Directory        *forward.Directory
 	EndpointFollower *forward.Follower
 	GracePeriod      *policy.GracePeriod
+	Guard            *inbound.Guard // bounds what callers make the process hold
 	HealthHandler    func(ready func() bool) http.Handler
 	HealthListener   net.Listener
 	Logger           zerolog.Logger
@@ -73,7 +75,9 @@
 	f.callerServer.BaseContext = func(net.Listener) context.Context { return requests }
 	f.callerServer.ConnContext = f.connections.ConnContext
 	f.callerServer.ConnState = f.connections.ConnState
+	callers := f.Guard.Callers(f.callerServer, f.CallerListener)
 	f.healthServer = f.newServer(f.HealthHandler(f.ready))
+	health := f.Guard.Checks(f.healthServer, f.HealthListener, "ready")
 	f.RouteFollower.ReachableChanged = func(reachable bool) { f.publish(control.StoreChanged{Reachable: reachable}) }
 
 	services, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -86,11 +90,11 @@
 	var group errgroup.Group
 	group.Go(func() error { return supervisor.Run(services) })
 	failed := make(chan error, 3)
-	serve(f.callerServer, f.CallerListener, failed)
-	serve(f.healthServer, f.HealthListener, failed)
+	serve(f.callerServer, callers, failed)
+	serve(f.healthServer, health, failed)
 	if f.MetricsListener != nil {
 		metrics := f.newServer(f.MetricsHandler)
-		serve(metrics, f.MetricsListener, failed)
+		serve(metrics, f.Guard.Checks(metrics, f.MetricsListener, "metrics"), failed)
 		defer func() { _ = metrics.Close() }() // requests for metrics in flight may be lost
 	}
 	f.publish(control.StoreChanged{Reachable: true}) // assumed until a call fails
