--- a/internal/crowd/client_test.go
+++ b/internal/crowd/client_test.go
@@ -128,3 +128,11 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	return response.StatusCode, err
 }
+
+// dialCounting returns a function that opens connections and counts them in opened.
+func dialCounting(opened *int) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		*opened++
+		return (&net.Dialer{}).DialContext(ctx, network, addr)
+	}
+}
