--- a/internal/inbound/head.go
+++ b/internal/inbound/head.go
@@ -37,8 +37,7 @@
 func (c *Conn) readHead(p []byte, err error) (int, error) {
 	switch {
 	case c.isCut():
-		c.guard.Metrics.CountRefusal(persimmoncart.RefusalMemory) // cut has logged it
-		return 0, c.dismiss(responseNotRun)
+		return 0, c.refuseCut()
 	case err != nil:
 		if isTimeout(err) && c.headBytes > 0 {
 			c.guard.reportCut(persimmoncart.RefusalProgress, phaseHead)
@@ -57,6 +56,23 @@
 	return len(p), nil
 }
 
+// refuseCut responds to a head that has waited for its client and is cut, and returns the
+// error of the read. Nothing is left to be read, so that the response is not lost when
+// net/http closes the connection.
+func (c *Conn) refuseCut() error {
+	c.mutex.Lock()
+	first := !c.broken
+	c.broken = true
+	c.mutex.Unlock()
+	if first {
+		c.guard.Metrics.CountRefusal(persimmoncart.RefusalMemory) // cut has logged it
+		if c.SetWriteDeadline(c.guard.Timer.Now().Add(refuseTime)) == nil {
+			_, _ = c.Conn.Write([]byte(responseNotRun)) // a client that is gone needs none
+		}
+	}
+	return c.readError(errCut)
+}
+
 // dismiss responds to a head that has not been read to its end, and returns the error of
 // the read. The request has not run.
 func (c *Conn) dismiss(response string) error {
--- a/internal/inbound/limits.go
+++ b/internal/inbound/limits.go
@@ -10,6 +10,10 @@
 	// idleGrace is the time for which a hold waits for its client before it may be cut to
 	// make room. A client within the limits is only cut if the process is full.
 	idleGrace = time.Second
+	// headGrace is the time for which a connection waits for a head before it may be closed
+	// for a new one. The head of an ordinary client comes with the connection, and many
+	// more connections than there is room for must not keep it out for long.
+	headGrace = 100 * time.Millisecond
 	// headerMargin is added to the time that clients have for a head: the time until the
 	// process sees it begin and end does not count against them.
 	headerMargin = 2 * time.Second
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -17,6 +17,8 @@
 	sendBuffer = 64 << 10
 	// dismissTime is the longest time that a connection is kept open that is refused.
 	dismissTime = 500 * time.Millisecond
+	// refuseTime is the longest time for the response on a connection that is cut.
+	refuseTime = 10 * time.Millisecond
 	// dismissBytes bounds what is read of a connection that is refused.
 	dismissBytes = 64 << 10
 )
@@ -85,14 +87,10 @@
 	}
 	var oldest *Conn
 	var oldestSince time.Time
-	grace := idleGrace
-	if l.checks {
-		grace = 0
-	}
-	before := l.guard.Timer.Now().Add(-grace)
+	now := l.guard.Timer.Now()
 	for c := range l.connections {
 		since, waiting := c.hold.Waiting()
-		if waiting && !since.After(before) && (oldest == nil || since.Before(oldestSince)) && !c.isCut() {
+		if waiting && now.Sub(since) >= l.grace(c) && (oldest == nil || since.Before(oldestSince)) && !c.isCut() {
 			oldest, oldestSince = c, since
 		}
 	}
@@ -105,6 +103,19 @@
 	return true
 }
 
+// grace returns the time for which a connection waits for its client before it may be
+// closed for a new one.
+func (l *Listener) grace(c *Conn) time.Duration {
+	switch {
+	case l.checks:
+		return 0
+	case c.currentPhase() == phaseHead:
+		return headGrace
+	default:
+		return idleGrace
+	}
+}
+
 // open returns the number of open connections.
 func (l *Listener) open() int {
 	l.mutex.Lock()
--- a/internal/inbound/listener_test.go
+++ b/internal/inbound/listener_test.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -32,7 +33,7 @@
 		response := c.response()
 		assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
 		assert.Equal(t, response.Header.Get("Retry-After"), "1.000")
-		time.Sleep(idleGrace)
+		time.Sleep(headGrace)
 		c = f.dial()
 		c.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 		assert.Equal(t, c.response().StatusCode, http.StatusOK)
@@ -54,6 +55,7 @@
 		f.Handler = func(http.ResponseWriter, *http.Request) {}
 		for range 200 {
 			c := f.dialTo(f.checks)
+			go func() { _, _ = io.Copy(io.Discard, c.Conn) }() // a connection in memory takes only what is read
 			c.send("GET / HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a:\r\n", 4000))
 		}
 		assert.Assert(t, f.Guard.Budget.Held(KindCheck) <= share(f.Guard.Budget.Bytes, totalShares[KindCheck]))
