inbound: write deadlines are set once in a while

Cause: TestEndlessResponsesOfAllReplicas/body failed with -race (33.9 MB of 33.6 MB, 24.4 before): each piece of a response set a deadline, and of connections in memory each deadline is a timer that stays until the collector of the test's bubble drops it (14 MB). Buffers of responses also doubled as they grew. Change: a deadline is renewed once less than the time for progress is left of it, and buffers of responses of unknown length grow by a quarter.

--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -131,7 +131,8 @@
 func (x *exchange) readHeld(from io.Reader, size int, known bool) (read []byte, full bool, err error) {
 	memory := x.request.Memory
 	for {
-		capacity := min(size, max(minBuffer, 2*cap(read)))
+		// Grows slowly: many responses of faulty endpoints may be held at the same time.
+		capacity := min(size, max(minBuffer, cap(read)+cap(read)/4))
 		if known {
 			capacity = size
 		}
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -83,7 +83,8 @@
 	idleReads int   // read deadlines set since the connection is idle
 	lastRead  int64 // cost of what was last read, which may belong to the next request
 	phase     phase
-	readsCut  bool // nothing is read any more
+	readsCut  bool      // nothing is read any more
+	writeBy   time.Time // deadline of writes
 	writing   bool
 }
 
@@ -161,6 +162,9 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// SetWriteDeadline implements net.Conn. It does nothing: Write sets the deadline.
+func (*Conn) SetWriteDeadline(time.Time) error { return nil }
+
 // Write implements net.Conn. It writes in pieces that each have to be taken within the time
 // for progress.
 func (c *Conn) Write(p []byte) (int, error) {
@@ -266,7 +270,11 @@
 	now := c.guard.Timer.Now()
 	c.writing = true
 	c.hold.Wait(now)
-	return c.SetWriteDeadline(now.Add(c.limits.progressTime)) == nil
+	if c.writeBy.Sub(now) >= c.limits.progressTime {
+		return true
+	}
+	c.writeBy = now.Add(c.limits.progressTime + c.limits.progressTime/4) // is not set for each piece
+	return c.Conn.SetWriteDeadline(c.writeBy) == nil
 }
 
 // endWrite records the end of a write.
--- a/internal/inbound/head.go
+++ b/internal/inbound/head.go
@@ -66,7 +66,7 @@
 	c.mutex.Unlock()
 	if first {
 		c.guard.Metrics.CountRefusal(persimmoncart.RefusalMemory) // cut has logged it
-		if c.SetWriteDeadline(c.guard.Timer.Now().Add(refuseTime)) == nil {
+		if c.Conn.SetWriteDeadline(c.guard.Timer.Now().Add(refuseTime)) == nil {
 			_, _ = c.Conn.Write([]byte(responseNotRun)) // a client that is gone needs none
 		}
 	}
