soak: client accounts, limits, slow callers and uneven replicas

The soak ran without accounts, so that keys, quotas and callers that stop half-way were never seen under faults.

The configuration has accounts whose keys are withdrawn, moved and added with each version, and an anonymous route; all callers claim a forged account. A replica that receives a key, or an account that did not hold the request's key while the instance could take it for the holder, is a violation ("keys"). What an instance has to know follows from the time since its last fault and from the start of its process. Slow callers send half a body and stay, send byte by byte, or read slowly; "alive" finds processes that end without a signal. Replicas have different work times, two are 12 times slower during the faults, and "recovered" finds those that get no request afterwards.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -52,9 +52,13 @@
 // A caller sends requests to one instance, one at a time, and keeps its connection
 // to it, also while the instance stops.
 type caller struct {
+	accounts       *accountLog
 	client         *http.Client
 	firstEvent     int // number of the first event of a stream
 	instance       int
+	interval       time.Duration // mean pause between two requests
+	key            string        // empty for one of several, drawn for each request
+	kind           string        // empty for one drawn from weightedKinds
 	name           string
 	others         []*process // at which it may resume streams
 	partCrashes    *crashLog
@@ -69,12 +73,28 @@
 // run sends requests until ctx is done.
 func (c *caller) run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		time.Sleep(time.Duration(c.random.ExpFloat64() * float64(meanRequestInterval)))
-		c.send(ctx, fmt.Sprintf("%s-%d", c.name, n), weightedKinds[c.random.IntN(len(weightedKinds))])
+		time.Sleep(time.Duration(c.random.ExpFloat64() * float64(c.interval)))
+		kind := c.kind
+		if kind == "" {
+			kind = weightedKinds[c.random.IntN(len(weightedKinds))]
+		}
+		c.send(ctx, fmt.Sprintf("%s-%d", c.name, n), kind)
 	}
 	c.client.CloseIdleConnections()
 }
 
+// drawKey returns the key of a request, and whether that may be refused.
+func (c *caller) drawKey() (key string, spare bool) {
+	switch {
+	case c.key != "":
+		return c.key, c.key == keyBulk
+	case c.random.Float64() < doubtfulShare:
+		return doubtfulKeys[c.random.IntN(len(doubtfulKeys))], true
+	default:
+		return []string{keyMoving, keyNorth, keySouth}[c.random.IntN(3)], false
+	}
+}
+
 // send sends one request and records its outcome. Some requests, as given by
 // disconnectShare, are cancelled within 200 ms.
 func (c *caller) send(ctx context.Context, id, kind string) {
@@ -90,9 +110,10 @@
 	defer cancel()
 	body := "body of " + id
 	o := &outcome{id: id, instance: c.instance, kind: kind, sent: time.Now(), wantBody: standin.ResponseBody(id, []byte(body))}
+	o.key, o.spare = c.drawKey()
 	stream := kind == kindStream || kind == kindResumable
 	request := &standin.Request{
-		Body: body, Generation: stream, ID: id, Path: fmt.Sprintf("/%s/%d", kind, c.instance), Timeout: timeout,
+		Body: body, Generation: stream, ID: id, Key: o.key, Path: fmt.Sprintf("/%s/%d", kind, c.instance), Timeout: timeout,
 	}
 	if kind == kindIdempotent && c.random.Float64() < requestCrashShare && c.requestCrashes.begin() {
 		defer c.requestCrashes.end()
@@ -107,6 +128,7 @@
 		request.Parts += fmt.Sprintf("%x:200", c.random.Uint32())
 		o.wantBody = wholeStream(c.firstEvent, streamEvents)
 	}
+	c.accounts.register(request, c.instance, c.process)
 	err := c.exchange(ctx, c.process, request, o)
 	for kind == kindResumable && err != nil && c.mayResume(ctx, o) {
 		err = c.resume(ctx, request, o)
@@ -118,6 +140,7 @@
 	o.incomplete = err != nil
 	o.ended = time.Now()
 	o.disconnected = ctx.Err() != nil
+	c.accounts.checkRefusal(o)
 	c.recorder.add(o)
 }
 
@@ -175,5 +198,7 @@
 	next.ID, next.Resumes = fmt.Sprintf("%s-%d", o.id, o.resumptions), o.id
 	next.LastEvent = c.firstEvent + strings.Count(o.body, "\n\n") - 1
 	next.Timeout = time.Until(deadline)
-	return c.exchange(ctx, c.others[c.random.IntN(len(c.others))], &next, o)
+	other := c.random.IntN(len(c.others))
+	c.accounts.register(&next, other, c.others[other])
+	return c.exchange(ctx, c.others[other], &next, o)
 }
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -49,6 +49,7 @@
 			transport := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) { return listener.Dial(ctx, "", "") }}
 			recorder := &recorder{started: time.Now()}
 			caller := &caller{
+				accounts: &accountLog{recorder: recorder}, key: keyNorth,
 				client: &http.Client{Transport: transport}, process: &process{Instance: standin.Instance{Callers: netip.MustParseAddrPort("127.0.0.1:1")}},
 				random: rand.New(rand.NewPCG(1, 1)), recorder: recorder, requestCrashes: &crashLog{}, sentEndless: replica.SentEndless,
 			}
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -114,10 +114,15 @@
 // crashLogs returns the logs of both causes.
 func (s *Soak) crashLogs() []*crashLog { return []*crashLog{&s.partCrashes, &s.requestCrashes} }
 
-// recordArrivals returns a handler that records arrivals of requests that crash replicas
-// and passes all requests on to h.
-func (s *Soak) recordArrivals(h http.Handler) http.Handler {
+// recordArrivals returns a handler that records the requests of callers that reach a
+// replica, checks their accounts, and passes all requests on to h.
+func (s *Soak) recordArrivals(to *replica, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, "/persimmoncart/") {
+			to.requests.Add(1)
+			s.accounts.checkArrival(r.Header, time.Now())
+			s.quotaLog.addArrival(r.Header, time.Now())
+		}
 		switch {
 		case strings.Contains(r.Header.Get("X-Prefix-Hash"), crashPart+":"):
 			s.partCrashes.addArrival(standin.RequestID(r.Header), time.Now())
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -76,6 +76,7 @@
 
 // An injection is one active fault.
 type injection struct {
+	cut     []int // instances that it separates from the store, or stops
 	endTime time.Time
 	name    string // for the log
 	revert  func() // ends the fault
@@ -97,7 +98,7 @@
 				remaining = append(remaining, i)
 				continue
 			}
-			i.revert()
+			s.revert(i)
 		}
 		active = remaining
 		i := s.inject()
@@ -106,31 +107,49 @@
 		active = append(active, i)
 	}
 	for _, i := range active {
-		i.revert()
+		s.revert(i)
 	}
 }
 
+// revert ends a fault.
+func (s *Soak) revert(i injection) {
+	i.revert()
+	s.accounts.endFault(i.cut)
+}
+
 // inject starts one random fault.
 func (s *Soak) inject() injection {
 	n := s.random.IntN(len(s.processes))
 	p, r := s.processes[n], s.replicas[s.random.IntN(len(s.replicas))]
 	running := r.running()
 	noRevert := func() {}
-	switch s.random.IntN(12) {
+	var one, all []int
+	for k := range s.processes {
+		all = append(all, k)
+	}
+	one = all[n : n+1]
+	fault := s.random.IntN(12)
+	switch fault {
+	case 0, 1, 2, 4, 5:
+		s.accounts.beginFault(one)
+	case 3, 8, 9:
+		s.accounts.beginFault(all)
+	}
+	switch fault {
 	case 0:
 		p.signal(syscall.SIGKILL)
-		return injection{name: p.Name + " receives SIGKILL", revert: func() { s.restart(p) }}
+		return injection{cut: one, name: p.Name + " receives SIGKILL", revert: func() { s.restart(p) }}
 	case 1:
 		p.signal(syscall.SIGTERM)
-		return injection{name: p.Name + " receives SIGTERM", revert: func() { s.restart(p) }}
+		return injection{cut: one, name: p.Name + " receives SIGTERM", revert: func() { s.restart(p) }}
 	case 2:
 		p.signal(syscall.SIGSTOP)
-		return injection{name: p.Name + " receives SIGSTOP", revert: func() { p.signal(syscall.SIGCONT) }}
+		return injection{cut: one, name: p.Name + " receives SIGSTOP", revert: func() { p.signal(syscall.SIGCONT) }}
 	case 3:
 		for _, p := range s.processes {
 			p.signal(syscall.SIGKILL)
 		}
-		return injection{name: "all instances receive SIGKILL", revert: func() {
+		return injection{cut: all, name: "all instances receive SIGKILL", revert: func() {
 			for _, p := range s.processes {
 				s.restart(p)
 			}
@@ -138,7 +157,7 @@
 	case 4, 5:
 		mode := []ProxyMode{ProxyDropRequests, ProxyDelay, ProxyReset, ProxyDropAll}[s.random.IntN(4)]
 		s.storeProxies[n].SetMode(mode)
-		return injection{name: fmt.Sprintf("connections of %s to the store: proxy mode %d", p.Name, mode), revert: func() { s.storeProxies[n].SetMode(ProxyForward) }}
+		return injection{cut: one, name: fmt.Sprintf("connections of %s to the store: proxy mode %d", p.Name, mode), revert: func() { s.storeProxies[n].SetMode(ProxyForward) }}
 	case 6, 7:
 		mode := []ProxyMode{ProxyDropRequests, ProxyDelay, ProxyReset, ProxyDropAll}[s.random.IntN(4)]
 		running.proxy.SetMode(mode)
@@ -146,11 +165,11 @@
 	case 8:
 		mode := []standin.StoreMode{standin.StoreUnavailable, standin.StoreResets, standin.StoreHangs}[s.random.IntN(3)]
 		s.store.SetMode(mode)
-		return injection{name: fmt.Sprintf("store: mode %d", mode), revert: func() { s.store.SetMode(standin.StoreHealthy) }}
+		return injection{cut: all, name: fmt.Sprintf("store: mode %d", mode), revert: func() { s.store.SetMode(standin.StoreHealthy) }}
 	case 9:
 		s.store.PauseWatches()
 		s.writeConfiguration()
-		return injection{name: "store compacts its history", revert: s.store.Compact}
+		return injection{cut: all, name: "store compacts its history", revert: s.store.Compact}
 	case 10:
 		s.writeConfiguration()
 		return injection{name: fmt.Sprintf("configuration version %d is written", s.configVersion), revert: noRevert}
@@ -209,8 +228,8 @@
 	engineRoute := standin.Route{Kind: standin.KindStreaming, LatencyTarget: 900 * time.Millisecond, MaxAttempts: maxAttempts, Pool: serviceLLM, Timeout: 14 * time.Second}
 	booksRoute := standin.Route{LatencyTarget: 300 * time.Millisecond, MaxAttempts: maxAttempts, Pool: serviceBooks, Timeout: 6 * time.Second}
 	var routes []standin.Route
-	for name, r := range map[string]standin.Route{kindStream: engineRoute, kindResumable: engineRoute, kindIdempotent: booksRoute, kindNonIdempotent: booksRoute, fmt.Sprintf("v%d", s.configVersion): booksRoute} {
-		r.Name, r.Resumable = name, name == kindResumable
+	for name, r := range map[string]standin.Route{kindStream: engineRoute, kindResumable: engineRoute, kindIdempotent: booksRoute, kindNonIdempotent: booksRoute, fmt.Sprintf("v%d", s.configVersion): booksRoute, kindAnonymous: booksRoute} {
+		r.Anonymous, r.Name, r.Resumable = name == kindAnonymous, name, name == kindResumable
 		switch {
 		case name == kindNonIdempotent:
 			r.Kind = standin.KindNonIdempotent
@@ -219,7 +238,9 @@
 		}
 		routes = append(routes, r)
 	}
-	s.store.PutConfiguration(s.configVersion, routes, map[string]standin.EngineCapacity{serviceLLM: {KVTokens: 60000, Slots: replicaSlots}})
+	s.accounts.change(keyHolders(s.configVersion), func() {
+		s.store.PutConfiguration(s.configVersion, routes, map[string]standin.EngineCapacity{serviceLLM: {KVTokens: 60000, Slots: replicaSlots}}, accounts(s.configVersion)...)
+	})
 }
 
 // checkConfig checks that a change of the configuration is in force within
@@ -232,22 +253,33 @@
 	time.Sleep(configApplyTime)
 	for n, p := range s.processes {
 		for version, want := range map[int]int{oldVersion: http.StatusNotFound, oldVersion + 1: http.StatusOK} {
-			request := &standin.Request{Addr: p.Callers, ID: fmt.Sprintf("config-%d-%d", n, version), Path: fmt.Sprintf("/v%d/x", version), Timeout: 2 * time.Second}
-			httpRequest, err := request.HTTP(context.Background())
-			if err != nil {
-				panic(err) // the address is valid
-			}
-			response, err := (&http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(httpRequest)
+			status, err := s.probe(n, p, fmt.Sprintf("v%d", version), keyNorth)
 			if err != nil {
 				s.recorder.addViolation(ConfigInForce, "%s does not respond: %v", p.Name, err)
 				continue
 			}
-			_ = response.Body.Close() // only the status is compared
-			if response.StatusCode != want {
-				s.recorder.addViolation(ConfigInForce, "%s responds with status %d for version %d, want %d", p.Name, response.StatusCode, version, want)
+			if status != want {
+				s.recorder.addViolation(ConfigInForce, "%s responds with status %d for version %d, want %d", p.Name, status, version, want)
 			}
 		}
+		s.checkKeys(n, p)
+	}
+}
+
+// probe sends a request to an instance on a new connection and returns the status.
+func (s *Soak) probe(n int, p *process, route, key string) (int, error) {
+	s.probes++
+	request := &standin.Request{Addr: p.Callers, ID: fmt.Sprintf("probe%d-%d", n, s.probes), Key: key, Path: "/" + route + "/x", Timeout: 2 * time.Second}
+	s.accounts.register(request, n, p)
+	httpRequest, err := request.HTTP(context.Background())
+	if err != nil {
+		panic(err) // the address is valid
 	}
+	response, err := (&http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(httpRequest)
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, response.Body.Close()
 }
 
 // checkLeaving drains a replica and checks that it gets no new requests after
@@ -291,6 +323,11 @@
 		}
 	}
 	switch s.Violate {
+	case Alive:
+		p := s.processes[0]
+		_ = p.command.Process.Kill() // not by signal, which announces the end
+		p.wait(standin.GraceTime)
+		time.Sleep(100 * time.Millisecond) // until the end is counted
 	case AtMostOnce:
 		repeat(http.StatusOK, true)
 	case TrueRefusal:
@@ -301,6 +338,17 @@
 		s.recorder.add(&outcome{body: "half", id: "planted", kind: kindIdempotent, status: http.StatusOK, wantBody: "half of it"})
 	case OneSoftware:
 		s.recorder.add(&outcome{id: "planted", kind: kindResumable, software: []string{"v1", "v2"}})
+	case KeysHeld:
+		request := &standin.Request{Addr: r.addr, ID: "planted", Key: keyNorth, Path: "/look/1", Timeout: time.Second}
+		if httpRequest, err := request.HTTP(context.Background()); err == nil {
+			if response, err := http.DefaultClient.Do(httpRequest); err == nil {
+				_ = response.Body.Close()
+			}
+		}
+	case QuotaHeld:
+		for id := range s.executions() { // as if all requests were those of accountBulk
+			s.quotaLog.addArrival(http.Header{"X-Attempt-Id": {id}, "X-Tenant": {accountBulk}}, time.Now())
+		}
 	case Freed:
 		r.Reserve(time.Minute)
 	default:
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -16,21 +16,25 @@
 
 // Invariants that the soak checks.
 const (
+	Alive          Invariant = "alive"           // a process ends only after a signal
 	AtMostOnce     Invariant = "at-most-once"    // a request that may not be repeated runs at most once
 	ConfigInForce  Invariant = "config"          // an accepted configuration is in force in time and never reverts to the one before
 	CrashesBounded Invariant = "crashes-bounded" // requests that crash replicas run no more often than their route allows, and no longer reach replicas once the cause has to be known
 	Freed          Invariant = "freed"           // replicas hold no reservations after all callers have ended
 	GracefulStop   Invariant = "graceful-stop"   // a graceful stop interrupts no request and ends in time
+	KeysHeld       Invariant = "keys"            // requests run only for the account that holds their key, and replicas get no key
 	Leaving        Invariant = "leaving"         // a drained replica gets no new requests
 	Limited        Invariant = "limited"         // replicas get no more requests than the limits that they state allow
 	OneSoftware    Invariant = "one-software"    // a stream has events of one version of the replicas' software, also over the attempts of its caller
+	QuotaHeld      Invariant = "quota"           // an account uses no more than its limit allows, and is not refused below it
+	Recovered      Invariant = "recovered"       // a replica that was slow gets requests again
 	Resumed        Invariant = "resumed"         // requests are answered again after the last fault
 	TrueRefusal    Invariant = "true-refusal"    // a request that was refused as not run never runs
 	WholeAnswer    Invariant = "whole-answer"    // a caller gets the response to its own request, complete and in order
 )
 
 // Invariants lists all invariants, sorted.
-var Invariants = []Invariant{AtMostOnce, ConfigInForce, CrashesBounded, Freed, GracefulStop, Leaving, Limited, OneSoftware, Resumed, TrueRefusal, WholeAnswer}
+var Invariants = []Invariant{Alive, AtMostOnce, ConfigInForce, CrashesBounded, Freed, GracefulStop, KeysHeld, Leaving, Limited, OneSoftware, QuotaHeld, Recovered, Resumed, TrueRefusal, WholeAnswer}
 
 // An Invariant is the name of a property that callers and replicas can observe.
 type Invariant string
@@ -56,10 +60,12 @@
 	id           string
 	incomplete   bool // the connection ended before the end of the response
 	instance     int
+	key          string
 	kind         string
 	otherID      string // ID of another request, to which the response belongs
 	sent         time.Time
 	software     []string // versions of the replicas that wrote the events of a stream, in their order
+	spare        bool     // it may be refused: its key or its account's limit does not allow it, or may not
 	status       int      // 0 if no response was received
 	resumptions  int      // attempts to resume the stream
 	wantBody     string   // complete and correct response body
@@ -135,7 +141,7 @@
 		case o.crashes && count > maxAttempts:
 			r.addViolation(CrashesBounded, "%s crashed replicas and ran %d times, the route allows %d", o.id, count, maxAttempts)
 		}
-		refused := o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests
+		refused := o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests || o.status == http.StatusUnauthorized
 		if refused && count > 0 {
 			r.addViolation(TrueRefusal, "%s was refused with status %d but ran", o.id, o.status)
 		}
@@ -165,13 +171,13 @@
 }
 
 // countAnswered returns the number of requests that were sent after the given time
-// and crash no replica, and how many of them got a complete response with status 200.
+// and crash no replica and may not be refused, and how many of them got a complete response with status 200.
 func (r *recorder) countAnswered(after time.Time) (answered, sent int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for n := range r.outcomes {
 		o := &r.outcomes[n]
-		if o.sent.Before(after) || o.crashes {
+		if o.sent.Before(after) || o.crashes || o.spare {
 			continue
 		}
 		sent++
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -23,8 +23,10 @@
 
 	command  *exec.Cmd
 	ended    chan struct{} // closed when the process has ended
+	failed   int           // ends without a signal
 	mutex    sync.Mutex
-	stopping bool // SIGTERM or SIGKILL was sent
+	started  time.Time // last start
+	stopping bool      // SIGTERM or SIGKILL was sent
 }
 
 // start writes the instance's settings and starts the program, with its output
@@ -43,16 +45,22 @@
 	c := exec.Command(p.Program, "platform", "--settings="+settings)
 	c.Stdout, c.Stderr = log, log
 	c.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	begun := time.Now()
 	if err := c.Start(); err != nil {
 		return errors.Wrap(err, "start program")
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.command, p.ended, p.stopping = c, make(chan struct{}), false
+	p.command, p.ended, p.started, p.stopping = c, make(chan struct{}), begun, false
 	ended := p.ended
 	go func() {
 		_ = c.Wait() // wait reads the exit code from the command
 		_ = log.Close()
+		if !p.isStopping() {
+			p.mutex.Lock()
+			p.failed++
+			p.mutex.Unlock()
+		}
 		close(ended)
 	}()
 	return nil
@@ -96,3 +104,17 @@
 	defer p.mutex.Unlock()
 	return p.stopping
 }
+
+// startTime returns the time of the last start of the program.
+func (p *process) startTime() time.Time {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.started
+}
+
+// failures returns how often the program has ended without a signal.
+func (p *process) failures() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.failed
+}
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/persimmoncart/persimmoncart/internal/timer"
@@ -33,7 +34,8 @@
 	drainingSince time.Time // zero while it is not draining
 	fault         faultSource
 	number        int
-	service       string // name of its pool
+	requests      atomic.Int64 // of callers, at all processes
+	service       string       // name of its pool
 	zone          string
 
 	mutex     sync.Mutex
@@ -172,12 +174,12 @@
 		Born: time.Now(), CrashBody: crashBody, CrashPart: crashPart, EndpointAt: s.endpointAt,
 		EventInterval: eventInterval, EventsOf: eventsOf, Fault: r.fault.next, FromZero: s.firstEvent() == 0, ID: fmt.Sprintf("i-%d", r.number),
 		OnCrash: func() { s.handleCrash(ctx, r, p) }, Role: role, RoleChanged: func() { s.putEndpoint(r) },
-		Slots: replicaSlots, Software: r.nextSoftware(), StateSoftware: true, Timer: &timer.System{}, WorkTime: 15 * time.Millisecond,
+		Slots: replicaSlots, Software: r.nextSoftware(), StateSoftware: true, Timer: &timer.System{}, WorkTime: workTime(r.number),
 	}
 	if n := len(r.all()); n > 0 {
 		p.ID = fmt.Sprintf("i-%d-%d", r.number, n)
 	}
-	addr, err := serve(ctx, s.recordArrivals(p.Endpoint))
+	addr, err := serve(ctx, s.recordArrivals(r, p.Endpoint))
 	if err != nil {
 		return err
 	}
--- a/internal/soak/run/main.go
+++ b/internal/soak/run/main.go
@@ -27,6 +27,7 @@
 	Logs      string        `long:"logs" description:"folder for the logs of seeds that fail; empty keeps none"`
 	Parallel  int           `long:"parallel" default:"2" description:"seeds at the same time"`
 	Program   string        `long:"program" default:"bin/persimmoncart" description:"path of the program"`
+	Quotas    bool          `long:"quotas" description:"limits of accounts are enforced and checked"`
 	Seed      uint64        `long:"seed" default:"1" description:"first seed"`
 	Seeds     uint64        `long:"seeds" default:"1" description:"number of seeds"`
 }
@@ -88,7 +89,7 @@
 	var log bytes.Buffer
 	s := &soak.Soak{
 		Violate: soak.Invariant(o.Break), Callers: o.Callers, Folder: folder, Instances: o.Instances,
-		FaultDuration: o.Length, Log: &log, Program: o.Program, Seed: seed,
+		FaultDuration: o.Length, Log: &log, Program: o.Program, Quotas: o.Quotas, Seed: seed,
 	}
 	violations, err := s.Run(context.Background())
 	if err != nil {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -58,14 +58,18 @@
 	Instances     int
 	Log           io.Writer // of faults and checks
 	Program       string    // path of the real program
+	Quotas        bool      // limits of accounts are enforced and checked
 	Seed          uint64
 	Violate       Invariant // violated on purpose; empty for none
 
+	accounts       accountLog
 	configVersion  int
 	group          sync.WaitGroup // of the callers
 	logMutex       sync.Mutex
 	partCrashes    crashLog // under a part of a prompt
+	probes         int      // number of probes sent
 	processes      []*process
+	quotaLog       quotaLog
 	random         *rand.Rand
 	recorder       recorder
 	replicas       []*replica
@@ -105,7 +109,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.random = rand.New(rand.NewPCG(s.Seed, 1))
-	s.recorder.started = time.Now()
+	s.accounts.recorder, s.recorder.started = &s.recorder, time.Now()
 	s.partCrashes.Learned, s.requestCrashes.Learned = partCrashes, requestCrashes
 	if err := s.start(ctx); err != nil {
 		return nil, err
@@ -117,14 +121,18 @@
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	s.resuming.Store(true)
 	s.startCallers(callersCtx)
+	s.startSlowCallers(callersCtx)
+	endSlowdown := s.startSlowdown(ctx)
 	endReleases := s.startReleases(ctx)
 	s.injectFaults()
 	s.endFaults()
 	endReleases()
+	endSlowdown()
 	lastFault := time.Now()
 	endLimits := s.watchLimits()
 	time.Sleep(recoveryTime)
 	faultsEnded := time.Now()
+	checkRecovered := s.watchRecovered()
 	s.checkConfig()
 	s.checkLeaving()
 	endLimits()
@@ -135,6 +143,7 @@
 	}
 	s.resuming.Store(false) // a stream that a stop breaks must show
 	s.restartInOrder()
+	checkRecovered()
 	stopCallers()
 	s.group.Wait()
 	time.Sleep(releaseTime)
@@ -145,6 +154,12 @@
 		}
 	}
 	s.recorder.checkExecutions(s.executions())
+	s.checkQuota()
+	for _, p := range s.processes {
+		if n := p.failures(); n > 0 {
+			s.recorder.addViolation(Alive, "%s ended %d times without a signal", p.Name, n)
+		}
+	}
 	return s.recorder.violations, nil
 }
 
@@ -152,16 +167,26 @@
 func (s *Soak) startCallers(ctx context.Context) {
 	for n, p := range s.processes {
 		for k := range s.Callers {
-			c := &caller{
-				client:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
-				firstEvent: s.firstEvent(), instance: n, name: fmt.Sprintf("c%d.%d", n, k), partCrashes: &s.partCrashes, process: p,
-				others: s.processes, random: rand.New(rand.NewPCG(s.Seed, uint64(100+n*s.Callers+k))), recorder: &s.recorder, requestCrashes: &s.requestCrashes, sentEndless: s.sentEndless, resuming: &s.resuming,
-			}
-			s.group.Go(func() { c.run(ctx) })
+			s.startCaller(ctx, uint64(100+n*s.Callers+k), &caller{instance: n, interval: meanRequestInterval, name: fmt.Sprintf("c%d.%d", n, k), process: p})
+		}
+		if !s.Quotas {
+			continue
 		}
+		for k := range bulkCallers {
+			s.startCaller(ctx, uint64(2000+n*bulkCallers+k), &caller{instance: n, interval: meanBulkInterval, key: keyBulk, kind: kindStream, name: fmt.Sprintf("bulk%d.%d", n, k), process: p})
+		}
+		s.startCaller(ctx, uint64(3000+n), &caller{instance: n, interval: meanSteadyInterval, key: keySteady, kind: kindStream, name: fmt.Sprintf("steady%d", n), process: p})
 	}
 }
 
+// startCaller starts a caller.
+func (s *Soak) startCaller(ctx context.Context, stream uint64, c *caller) {
+	c.accounts, c.client, c.firstEvent = &s.accounts, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}, s.firstEvent()
+	c.others, c.partCrashes, c.random, c.recorder = s.processes, &s.partCrashes, rand.New(rand.NewPCG(s.Seed, stream)), &s.recorder
+	c.requestCrashes, c.resuming, c.sentEndless = &s.requestCrashes, &s.resuming, s.sentEndless
+	s.group.Go(func() { c.run(ctx) })
+}
+
 // stop kills all processes that the soak started and closes its proxies.
 func (s *Soak) stop() {
 	for _, p := range s.processes {
@@ -209,6 +234,11 @@
 		if p.Health, err = s.freeAddr(ctx); err != nil {
 			return err
 		}
+		if s.Quotas {
+			if p.Internal, err = s.freeAddr(ctx); err != nil {
+				return err
+			}
+		}
 		s.processes = append(s.processes, p)
 		if err := p.start(); err != nil {
 			return err
--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -138,15 +138,17 @@
 // send sends the connection's request and records its outcome.
 func (l *stopLoad) send(c *stopConn) {
 	body := "body of " + c.id
-	o := &outcome{id: c.id, instance: l.instance, kind: c.kind, sent: time.Now(), wantBody: standin.ResponseBody(c.id, []byte(body))}
-	request := &standin.Request{Addr: l.process.Callers, Body: body, ID: c.id, Path: fmt.Sprintf("/%s/%d", c.kind, l.instance), Timeout: 2 * time.Second}
+	o := &outcome{id: c.id, key: keyNorth, instance: l.instance, kind: c.kind, sent: time.Now(), wantBody: standin.ResponseBody(c.id, []byte(body))}
+	request := &standin.Request{Addr: l.process.Callers, Body: body, ID: c.id, Key: keyNorth, Path: fmt.Sprintf("/%s/%d", c.kind, l.instance), Timeout: 2 * time.Second}
 	if c.kind == kindStream || c.kind == kindResumable {
 		request.Generation, request.Timeout = true, 14*time.Second
 		request.Parts = sharedPart + ":900," + fmt.Sprintf("%x:200", len(c.id)+l.instance*1000)
 		o.wantBody = wholeStream(l.soak.firstEvent(), eventsOf(c.id))
 	}
+	l.soak.accounts.register(request, l.instance, l.process)
 	err := c.exchange(request, o)
 	o.incomplete, o.ended = err != nil, time.Now()
+	l.soak.accounts.checkRefusal(o)
 	l.soak.recorder.add(o)
 }
 
