soak: the request that crashes replicas has one key

A fingerprint covers the key of a request, so that instances learn of a crashing request for each key anew.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -117,7 +117,8 @@
 	}
 	if kind == kindIdempotent && c.random.Float64() < requestCrashShare && c.requestCrashes.begin() {
 		defer c.requestCrashes.end()
-		o.crashes, request.Body, request.Path = true, crashBody, crashPath
+		// A request under another key is another one, which instances have to learn anew.
+		o.crashes, o.key, o.spare, request.Body, request.Key, request.Path = true, keyNorth, false, crashBody, keyNorth, crashPath
 	}
 	if stream {
 		request.Parts = sharedPart + ":900,"
