--- a/internal/soak/quotas.go
+++ b/internal/soak/quotas.go
@@ -78,14 +78,19 @@
 	return int((bulkRate*quotaWindow.Seconds()+bulkBurst)*(1+quotaOverage)) + bulkRate + instances*streamTokens
 }
 
+// MostBulkTokens returns the highest number of tokens that accountBulk used within a window,
+// and the number that its limit allows.
+func (s *Soak) MostBulkTokens() (most, allowed int) {
+	return s.quotaLog.most(s.executions()), maxBulkTokens(s.Instances)
+}
+
 // checkQuota checks that accountBulk did not exceed its limit, and that no other account was
 // refused by its own.
 func (s *Soak) checkQuota() {
 	if !s.Quotas && s.Violate != QuotaHeld {
 		return
 	}
-	most, allowed := s.quotaLog.most(s.executions()), maxBulkTokens(s.Instances)
-	s.logf("%s used up to %d tokens in %s, %d are allowed", accountBulk, most, quotaWindow, allowed)
+	most, allowed := s.MostBulkTokens()
 	if most > allowed {
 		s.recorder.addViolation(QuotaHeld, "%s used %d tokens in %s, %d are allowed", accountBulk, most, quotaWindow, allowed)
 	}
--- a/internal/soak/run/main.go
+++ b/internal/soak/run/main.go
@@ -102,6 +102,10 @@
 	resumptions, completed := s.ResumedStreams()
 	fmt.Printf("seed %d: %d requests, %d of %d resumed streams completed, %d crashes, %d violations\n",
 		seed, s.Requests(), completed, resumptions, s.Crashes(), len(violations))
+	if o.Quotas {
+		most, allowed := s.MostBulkTokens()
+		fmt.Printf("seed %d: the account above its limit used up to %d tokens in a window, %d are allowed\n", seed, most, allowed)
+	}
 	if o.Break != "" {
 		for _, v := range violations {
 			if v.Invariant == soak.Invariant(o.Break) {
