--- a/Makefile
+++ b/Makefile
@@ -46,11 +46,11 @@
 	tools/lint run
 
 # Runs the real program as processes under random faults; SEEDS, BREAK, LENGTH,
-# INSTANCES, PARALLEL and QUOTAS are taken from the environment as well. QUOTAS=1
-# needs a program that enforces the limits of accounts.
+# INSTANCES, PARALLEL and QUOTAS are taken from the environment as well. QUOTAS=0
+# leaves out the limits of accounts.
 .PHONY: soak
 soak: build
-	@go run ./internal/soak/run --seed=$(SEED) --seeds=$(or $(SEEDS),1) --length=$(or $(LENGTH),8s) --instances=$(or $(INSTANCES),4) --parallel=$(or $(PARALLEL),2) --break=$(BREAK) $(if $(LOGS),--logs=$(LOGS)) $(if $(QUOTAS),--quotas)
+	@go run ./internal/soak/run --seed=$(SEED) --seeds=$(or $(SEEDS),1) --length=$(or $(LENGTH),8s) --instances=$(or $(INSTANCES),4) --parallel=$(or $(PARALLEL),2) --break=$(BREAK) $(if $(LOGS),--logs=$(LOGS)) $(if $(filter 0,$(QUOTAS)),,--quotas)
 
 .PHONY: test
 test:
