--- a/internal/quota/asker.go
+++ b/internal/quota/asker.go
@@ -67,7 +67,6 @@
 
 // A pendingAsk is an ask that was sent to another instance.
 type pendingAsk struct {
-	account  *persimmoncart.Account
 	addr     netip.AddrPort
 	limit    Limit
 	member   *member
@@ -143,7 +142,7 @@
 			a.scheduleWake(now.Sub(a.started), s, e)
 			return
 		}
-		if !a.ask(now, s, next, s.waiters[0].account, limit, s.waiters[0].units, e) {
+		if !a.ask(now, s, next, limit, s.waiters[0].units, e) {
 			return
 		}
 	}
@@ -151,7 +150,7 @@
 
 // ask asks a holder for units. It reports true if the reply is known already, as the
 // holder is this instance.
-func (a *asker) ask(now time.Time, s *accountState, t *slot, account *persimmoncart.Account, limit Limit, least int, e *Effects) bool {
+func (a *asker) ask(now time.Time, s *accountState, t *slot, limit Limit, least int, e *Effects) bool {
 	at := now.Sub(a.started)
 	left, waiting := s.drop(at), 0
 	want := int(min(s.demand*batchSpan.Seconds(), math.MaxInt32)) - left
@@ -164,7 +163,7 @@
 	a.nextID++
 	q := Ask{Account: s.key, ID: a.nextID, Least: least, Refused: t.refused, Want: max(want, waiting, least)}
 	t.refused = 0
-	p := &pendingAsk{account: account, addr: t.member.Addr, limit: limit, member: t.member, sent: at, state: s, want: q.Want}
+	p := &pendingAsk{addr: t.member.Addr, limit: limit, member: t.member, sent: at, state: s, want: q.Want}
 	if t.member.id == a.ring.Self {
 		a.apply(at, p, a.holder.ask(now, limit, q))
 		return true
--- a/internal/quota/instance.go
+++ b/internal/quota/instance.go
@@ -80,7 +80,7 @@
 	}
 	if s.asking == 0 && float64(left) < prefetchShare*float64(s.batch) && s.demand*batchSpan.Seconds() > 2*float64(units) {
 		if next := i.asker.choose(now, s, limit); next != nil {
-			i.asker.ask(now, s, next, account, limit, units, e)
+			i.asker.ask(now, s, next, limit, units, e)
 		}
 	}
 	return ticket, true
--- a/internal/quota/ring.go
+++ b/internal/quota/ring.go
@@ -264,11 +264,12 @@
 		m.unseen = moment{}
 	}
 	if found {
+		g.replace(g.members[n], m)
 		g.members[n] = m
-	} else {
-		g.members = slices.Insert(g.members, n, m)
+		return
 	}
-	g.changed()
+	g.replace(nil, m)
+	g.members = slices.Insert(g.members, n, m)
 }
 
 // Gone handles that the record of an instance was removed.
@@ -280,9 +281,9 @@
 	if g.onShrinking != nil {
 		g.onShrinking(now)
 	}
+	g.replace(g.members[n], nil)
 	g.members = slices.Delete(g.members, n, n+1)
 	g.empty(now)
-	g.changed()
 }
 
 // Holding reports whether the instance may hold limits now.
@@ -356,13 +357,19 @@
 	return out
 }
 
-// changed handles a change of members.
-func (g *Ring) changed() {
+// replace replaces a member by another one; either may be nil.
+func (g *Ring) replace(old, m *member) {
 	g.generation++
-	g.byAddr = make(map[netip.AddrPort]*member, len(g.members))
-	for _, m := range g.members {
-		g.byAddr[m.Addr] = m
+	if old != nil && g.byAddr[old.Addr] == old { // another instance may have the address by now
+		delete(g.byAddr, old.Addr)
+	}
+	if m == nil {
+		return
+	}
+	if g.byAddr == nil {
+		g.byAddr = make(map[netip.AddrPort]*member)
 	}
+	g.byAddr[m.Addr] = m
 }
 
 // empty handles that this instance may have taken the place of another one, whose buckets
--- a/internal/quotanet/ring.go
+++ b/internal/quotanet/ring.go
@@ -36,10 +36,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	ring, now := s.Instance.Ring, s.Timer.Now()
-	held := ring.Holding(now)
 	ring.Written(began, now, r, created, version.Epoch())
 	ring.Fresh(now, version)
-	s.logHolding(held)
+	s.logHolding()
 	return ring.MustConfirm()
 }
 
@@ -47,10 +46,8 @@
 func (s *Service) Confirmed() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now := s.Timer.Now()
-	held := s.Instance.Ring.Holding(now)
-	s.Instance.Ring.Confirmed(now)
-	s.logHolding(held)
+	s.Instance.Ring.Confirmed(s.Timer.Now())
+	s.logHolding()
 }
 
 // Contact handles a response of the store after which all records up to a version are
@@ -58,10 +55,8 @@
 func (s *Service) Contact(version persimmoncart.Version) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now := s.Timer.Now()
-	held := s.Instance.Ring.Holding(now)
-	s.Instance.Ring.Contact(now, version)
-	s.logHolding(held)
+	s.Instance.Ring.Contact(s.Timer.Now(), version)
+	s.logHolding()
 }
 
 // Fresh handles that the store has reached a version, as read without a lag.
@@ -75,10 +70,8 @@
 func (s *Service) Listed() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now := s.Timer.Now()
-	held := s.Instance.Ring.Holding(now)
-	s.Instance.Ring.Listed(now)
-	s.logHolding(held)
+	s.Instance.Ring.Listed(s.Timer.Now())
+	s.logHolding()
 }
 
 // Observe handles the record of an instance; nil if it takes no part.
@@ -98,9 +91,11 @@
 	s.Instance.Ring.Gone(s.Timer.Now(), id)
 }
 
-// logHolding logs that this instance has begun to hold limits.
-func (s *Service) logHolding(held bool) {
-	if now := s.Timer.Now(); !held && s.Instance.Ring.Holding(now) {
-		s.Logger.Info().Int("instances", s.Instance.Ring.Len()).Msg("holds limits of accounts")
+// logHolding logs that this instance has begun to hold limits, or has stopped. The caller
+// holds the mutex.
+func (s *Service) logHolding() {
+	if holding := s.Instance.Ring.Holding(s.Timer.Now()); holding != s.holding {
+		s.holding = holding
+		s.Logger.Info().Bool("holding", holding).Int("instances", s.Instance.Ring.Len()).Msg("limits of accounts held")
 	}
 }
--- a/internal/quotanet/service.go
+++ b/internal/quotanet/service.go
@@ -45,8 +45,9 @@
 	Timer      persimmoncart.Timer
 
 	accounts atomic.Pointer[accountIndex]
+	holding  bool // as last logged
 	lines    lineLimit
-	mutex    sync.Mutex // guards Instance
+	mutex    sync.Mutex // guards Instance and holding
 }
 
 // An accountIndex holds the accounts of a table by quota.Key.
@@ -278,6 +279,7 @@
 	s.decide(func(e *quota.Effects) {
 		s.Instance.Sweep(now, e)
 		s.Metrics.SetQuotaAccountsHeld(s.Instance.Held())
+		s.logHolding()
 	})
 }
 
