--- a/internal/quota/asker.go
+++ b/internal/quota/asker.go
@@ -373,10 +373,17 @@
 			delete(a.pending, id)
 		}
 	}
+	var left []*accountState
 	for key, s := range a.accounts {
-		a.expire(now, s, e)
+		if len(s.lots) > 0 {
+			left = append(left, s)
+		}
 		if s.asking == 0 && len(s.waiters) == 0 && at-s.demandAt > idleLimit {
 			delete(a.accounts, key)
 		}
 	}
+	slices.SortFunc(left, func(x, y *accountState) int { return cmp.Compare(x.key, y.key) }) // for the same course in each run of a test
+	for _, s := range left {
+		a.expire(now, s, e)
+	}
 }
--- a/internal/quota/ring.go
+++ b/internal/quota/ring.go
@@ -22,14 +22,6 @@
 	// contactLimit is the time without a response of the store after which an instance
 	// holds no limits: it may have missed records.
 	contactLimit = 50 * time.Second
-	// lagLimit is how far reads of the store may lag: a response that lacks what another one
-	// showed longer ago is no contact. With the time between such responses it is less than
-	// the difference of joinDelay and contactLimit.
-	lagLimit = 5 * time.Second
-	// maxKnown bounds the versions that reads may lack, and knownSpacing is the shortest time
-	// between two of them. Reads of heartbeat records are held for 15 s.
-	maxKnown     = 32
-	knownSpacing = time.Second
 	// heartbeatLimit is the time after its last heartbeat from which an instance holds no
 	// limits. Others remove its record after 240 s without a heartbeat and take its place.
 	heartbeatLimit = 200 * time.Second
@@ -100,23 +92,6 @@
 	shortDelay  time.Duration         // takes the place of joinDelay in tests that show what that is for
 }
 
-// A moment is a time with the time for which the machine was suspended before it.
-type moment struct {
-	at        time.Time
-	suspended time.Duration
-}
-
-// since returns the time from an earlier moment to this one.
-func (m moment) since(earlier moment) time.Duration {
-	return m.at.Sub(earlier.at) + m.suspended - earlier.suspended
-}
-
-// A storeVersion is a version that the store had at a time.
-type storeVersion struct {
-	at      time.Time
-	version persimmoncart.Version
-}
-
 // Record returns what the instance's next heartbeat states. Addr and DataCentre are those
 // of r.
 func (g *Ring) Record(now time.Time, r Record) Record {
@@ -198,46 +173,6 @@
 	}
 }
 
-// Contact handles a response of the store after which all records up to a version are
-// known.
-func (g *Ring) Contact(now time.Time, version persimmoncart.Version) {
-	g.reached = max(g.reached, version)
-	contact, shown := now, 0
-	for _, v := range g.known {
-		if v.version > g.reached {
-			break
-		}
-		shown++
-	}
-	if shown < len(g.known) && now.Sub(g.known[shown].at) > lagLimit {
-		contact = time.Time{} // the response is older than the first version that it lacks
-		if shown > 0 {
-			contact = g.known[shown-1].at
-		}
-	}
-	g.known = slices.Delete(g.known, 0, shown)
-	if contact.After(g.contact.at) {
-		g.contact = g.moment(contact)
-	}
-}
-
-// Fresh handles that the store has reached a version, as read without a lag.
-func (g *Ring) Fresh(now time.Time, version persimmoncart.Version) {
-	last := storeVersion{version: g.reached}
-	if len(g.known) > 0 {
-		last = g.known[len(g.known)-1]
-	}
-	if len(g.known) < maxKnown && version > last.version && now.Sub(last.at) >= knownSpacing {
-		g.known = append(g.known, storeVersion{at: now, version: version})
-	}
-}
-
-// Listed handles the first list of all records.
-func (g *Ring) Listed(now time.Time) {
-	g.listed = true
-	g.contact = g.moment(now)
-}
-
 // Observe handles the record of an instance, nil if it takes no part.
 func (g *Ring) Observe(now time.Time, id persimmoncart.InstanceID, incarnation persimmoncart.Incarnation, r *Record) {
 	if r == nil || !r.Addr.IsValid() {
@@ -295,14 +230,6 @@
 	return m.since(g.contact) < contactLimit && m.since(g.heartbeat) < heartbeatLimit
 }
 
-// moment returns the moment of a time.
-func (g *Ring) moment(now time.Time) moment {
-	if g.Suspended == nil {
-		return moment{at: now}
-	}
-	return moment{at: now, suspended: g.Suspended()}
-}
-
 // begun reports whether the instance has begun to hold limits.
 func (g *Ring) begun() bool { return g.holds && g.listed && (!g.Bootstrap || g.confirmed) }
 
