forward: arrivals do not overtake those that wait and go before them

Cause: a request asked for an engine when it arrived, whoever waited. Urgent requests and accounts below their share, which wait with the others, got room only at the turns between arrivals. Change: with Weighted, an arrival joins the queue if others wait, and starts a round.

--- a/internal/forward/admissionqueue.go
+++ b/internal/forward/admissionqueue.go
@@ -73,21 +73,48 @@
 	}
 }
 
+// Arrive lets a request that has arrived wait for its turn if others wait that may go before
+// it, and starts a round of turns: an arrival is one more occasion to ask.
+func (q *admissionQueue) Arrive(ctx context.Context, entry *admission.Entry) {
+	q.mutex.Lock()
+	if !q.waiting.Weighted || q.waiting.Len() == 0 {
+		q.mutex.Unlock()
+		return
+	}
+	turn := q.add(entry)
+	q.waiting.StartRound()
+	q.wakeNext()
+	q.mutex.Unlock()
+	q.await(ctx, entry, turn)
+}
+
 // Wait waits until the request may try again to reserve an engine, its LatestStart has
 // come, or ctx ends.
 func (q *admissionQueue) Wait(ctx context.Context, entry *admission.Entry) {
-	turn := make(chan struct{}, 1)
 	q.mutex.Lock()
+	turn := q.add(entry)
+	if q.waiting.HadTurn(entry) {
+		q.wakeNext()
+	}
+	q.mutex.Unlock()
+	q.await(ctx, entry, turn)
+}
+
+// add adds a request and returns the channel that states its turn. The caller holds the
+// mutex.
+func (q *admissionQueue) add(entry *admission.Entry) <-chan struct{} {
+	turn := make(chan struct{}, 1)
 	if q.turns == nil {
 		q.turns = make(map[*admission.Entry]chan struct{})
 	}
 	q.waiting.Add(entry)
 	q.turns[entry] = turn
 	q.schedulePoll()
-	if q.waiting.HadTurn(entry) {
-		q.wakeNext()
-	}
-	q.mutex.Unlock()
+	return turn
+}
+
+// await waits for the turn of a request that was added, its LatestStart or the end of ctx.
+func (q *admissionQueue) await(ctx context.Context, entry *admission.Entry, turn <-chan struct{}) {
 	defer func() {
 		q.mutex.Lock()
 		q.waiting.Remove(entry)
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -81,14 +81,15 @@
 	if !hopeful && g.origin == nil {
 		return nil, g.capacityRefusal(errNoProspect)
 	}
+	queue.Arrive(ctx, entry)
 	for first := true; ; first = false {
+		if ctx.Err() != nil {
+			return nil, g.contextError(ctx, false)
+		}
 		if assigned, err = g.takeTurn(ctx, queue, entry, first); assigned != nil || err != nil {
 			return assigned, err
 		}
 		queue.Wait(ctx, entry)
-		if ctx.Err() != nil {
-			return nil, g.contextError(ctx, false)
-		}
 	}
 }
 
--- a/internal/forward/admit_test.go
+++ b/internal/forward/admit_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"math"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,3 +67,36 @@
 		})
 	}
 }
+
+// Load: room for one generation while an urgent one waits and another one arrives. Guards
+// against an arrival that overtakes those that go before it, as they ask only now and then.
+func TestArrivalDoesNotOvertake(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixtureWith(t, directoryOptions{pressure: true})
+		routes := table(2)
+		routes.Routes["h"][0].Priority = 1 // /draft/
+		f.Directory.SetTable(routes)
+		var room atomic.Int32
+		f.Upstream.reserve = func(int) error {
+			time.Sleep(20 * time.Millisecond)
+			if room.Add(-1) < 0 {
+				return refused()
+			}
+			return nil
+		}
+		f.Upstream.send = func(_ context.Context, _ int, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
+			assert.Check(t, call.Priority == 0, "an arrival of priority %d", call.Priority)
+			return streamed(events(1, 2), io.EOF), nil
+		}
+		var callers sync.WaitGroup
+		callers.Go(func() {
+			_, refusal := f.send(t.Context(), request("/long/"))
+			assert.Check(t, refusal == nil)
+		})
+		time.Sleep(150 * time.Millisecond) // the first engine counts as full for 140 ms, and the next poll is at 160 ms
+		room.Store(1)
+		_, refusal := f.send(t.Context(), request("/draft/"))
+		assert.Check(t, refusal != nil)
+		callers.Wait()
+	})
+}
