--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -150,10 +149,11 @@
 // capacityRefusal returns the refusal of a generation that no engine accepted. Where
 // callers compete for too little room, they are asked to return as late as they will.
 func (g *generation) capacityRefusal(cause error) error {
-	retryAfter := retryAfterOverload + rand.N(retryAfterOverload)
+	random := g.router.Directory.RandomShare()
+	retryAfter := retryAfterOverload + time.Duration(random*float64(retryAfterOverload))
 	if g.router.Directory.Pressure {
 		latest := min(maxRetryAfterOverload, time.Duration(patientShare*float64(g.request.Deadline.Sub(g.router.Timer.Now()))))
-		retryAfter = max(retryAfterOverload, latest-time.Duration(retrySpreadShare*rand.Float64()*float64(latest)))
+		retryAfter = max(retryAfterOverload, latest-time.Duration(retrySpreadShare*random*float64(latest)))
 	}
 	return &persimmoncart.Refusal{
 		Code: persimmoncart.RefusalCapacity, Err: cause, Message: "no engine took the request",
--- a/internal/forward/directory.go
+++ b/internal/forward/directory.go
@@ -328,6 +328,13 @@
 	}
 }
 
+// RandomShare returns a random number from 0 to 1.
+func (d *Directory) RandomShare() float64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.Random.Float64()
+}
+
 // DecodeQueue returns the queue of generations that wait for a decode engine of a
 // pool.
 func (d *Directory) DecodeQueue(name persimmoncart.PoolName) *admissionQueue {
