--- a/internal/forward/crest_test.go
+++ b/internal/forward/crest_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,10 +18,34 @@
 // A memoryModel accounts for the memory of decode engines, which reservations and
 // generations hold.
 type memoryModel struct {
-	free  map[persimmoncart.EndpointID]int
-	holds map[string]hold
-	mutex sync.Mutex
-	next  int
+	asked   map[persimmoncart.EndpointID]int  // calls to engines that are gone; may be nil
+	free    map[persimmoncart.EndpointID]int  // tokens
+	gone    map[persimmoncart.EndpointID]bool // engines that refuse connections; may be nil
+	holds   map[string]hold
+	mutex   sync.Mutex
+	next    int
+	running map[persimmoncart.EndpointID]int // generations; nil if engines report no load
+}
+
+// isGone reports whether an engine refuses connections, and counts the call.
+func (m *memoryModel) isGone(e persimmoncart.EndpointID) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.gone[e] {
+		m.asked[e]++
+	}
+	return m.gone[e]
+}
+
+// load adds begun generations and returns the load that an engine reports, or nil.
+func (m *memoryModel) load(e persimmoncart.EndpointID, begun int) *persimmoncart.EndpointLoad {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.running == nil {
+		return nil
+	}
+	m.running[e] += begun
+	return &persimmoncart.EndpointLoad{Running: m.running[e], Slots: 32}
 }
 
 // A hold is memory of one engine.
@@ -52,14 +77,27 @@
 }
 
 // A memoryUpstream is a fakeUpstream whose decode engines have the memory of a
-// memoryModel. A generation takes generationTime.
+// memoryModel. A generation takes generationTime, or outputTokenTime for each of the
+// output tokens that the request states in outputHeader.
 type memoryUpstream struct {
 	fakeUpstream
 
 	model *memoryModel
 }
 
-const generationTime = 3500 * time.Millisecond
+const (
+	generationTime  = 3500 * time.Millisecond
+	outputHeader    = "X-Output"
+	outputTokenTime = 50 * time.Millisecond
+)
+
+func (u *memoryUpstream) Identify(ctx context.Context, e *persimmoncart.Endpoint) error {
+	time.Sleep(time.Millisecond)
+	if u.model.isGone(e.ID) {
+		return errReset
+	}
+	return u.fakeUpstream.Identify(ctx, e)
+}
 
 func (u *memoryUpstream) Prefill(ctx context.Context, call persimmoncart.UpstreamCall) (persimmoncart.PrefilledCache, error) {
 	time.Sleep(60 * time.Millisecond)
@@ -72,10 +110,14 @@
 }
 
 func (u *memoryUpstream) Reserve(_ context.Context, e *persimmoncart.Endpoint, tokens int, _ time.Duration) (string, error) {
-	time.Sleep(2 * time.Millisecond)
+	// Distinct times keep the order of calls the same in each run.
+	time.Sleep(2*time.Millisecond + time.Duration(tokens%1000)*time.Microsecond)
+	if u.model.isGone(e.ID) {
+		return "", errReset
+	}
 	id, ok := u.model.take(e.ID, tokens)
 	if !ok {
-		return "", refused()
+		return "", &persimmoncart.EndpointRefusedError{Load: u.model.load(e.ID, 0), Reason: "full"}
 	}
 	return id, nil
 }
@@ -83,11 +125,16 @@
 func (u *memoryUpstream) Send(_ context.Context, call persimmoncart.UpstreamCall) (*persimmoncart.UpstreamResponse, error) {
 	response := streamed("", nil)
 	body, engine := io.Pipe()
-	response.Body = body
+	response.Body, response.Load = body, u.model.load(call.Endpoint.ID, 1)
+	length := generationTime
+	if output, err := strconv.Atoi(call.Request.Header.Get(outputHeader)); err == nil {
+		length = time.Duration(output) * outputTokenTime
+	}
 	go func() {
 		_, _ = io.WriteString(engine, events(1, 1))
-		time.Sleep(generationTime)
+		time.Sleep(length)
 		u.model.drop(call.Reservation)
+		u.model.load(call.Endpoint.ID, -1)
 		_, _ = io.WriteString(engine, events(2, 2))
 		_ = engine.Close()
 	}()
