--- a/internal/forward/overload_test.go
+++ b/internal/forward/overload_test.go
@@ -18,7 +18,7 @@
 const (
 	overloadEngines  = 10
 	overloadRouters  = 7
-	overloadMemory   = 28159 // tokens of an engine
+	overloadMemory   = 28_000// tokens of an engine
 	overloadLength   = 24 * time.Second
 	overloadTarget   = 900 * time.Millisecond // to the first event
 	overloadPatience = 14 * time.Second       // of a caller
@@ -117,7 +117,7 @@
 		}
 		var routers []*fixture
 		for n := range overloadRouters {
-			f := newPressureFixture(t, o.pressure)
+			f := newFixtureWith(t, directoryOptions{pressure: o.pressure})
 			f.Directory.Random = rand.New(rand.NewPCG(o.seed, uint64(n)))
 			f.Directory.SetTable(overloadTable())
 			f.addDecodeEngines(overloadEngines - 2)
