quota, quotanet: reasons of constants without a deployment's figures

Cause: comments on minTokens, AskTimeout and maxDatagram cite figures of one deployment or one run, and the pause after an undecided request is defined in both packages. Change: the comments state the reason alone; quotanet uses quota.UnavailableRetry; the ignored results of HandleReply and HandleReturn say why they are ignored. No value changes. Result: the tests of both packages pass.

--- a/internal/quota/asker.go
+++ b/internal/quota/asker.go
@@ -13,7 +13,8 @@
 
 const (
 	// AskTimeout is the time after which a holder that has not replied is taken to be
-	// silent, and the next one is asked. A round trip between regions takes 24 ms.
+	// silent, and the next one is asked. It is longer than a round trip between regions,
+	// and leaves time for a second ask within WaitLimit.
 	AskTimeout = 60 * time.Millisecond
 	// WaitLimit bounds the time for which a request waits for units.
 	WaitLimit = 150 * time.Millisecond
@@ -38,8 +39,8 @@
 	// comes back, as a share of it, and minRetryJitter its least upper bound.
 	retryJitter    = 0.25
 	minRetryJitter = 50 * time.Millisecond
-	// unavailableRetry is the time after which a caller comes back if no holder answered.
-	unavailableRetry = 200 * time.Millisecond
+	// UnavailableRetry is the time after which a caller comes back if no holder answered.
+	UnavailableRetry = 200 * time.Millisecond
 )
 
 // Outcomes of a Waiter.
@@ -304,7 +305,7 @@
 
 // end refuses one request.
 func (a *asker) end(at time.Duration, s *accountState, limit Limit, w *Waiter) {
-	w.Outcome, w.RetryAfter = OutcomeUnavailable, unavailableRetry
+	w.Outcome, w.RetryAfter = OutcomeUnavailable, UnavailableRetry
 	retryAt, limited := time.Duration(math.MaxInt64), false
 	for n := range s.slots {
 		// A holder that had none for this request may have some again by now.
--- a/internal/quota/instance.go
+++ b/internal/quota/instance.go
@@ -91,7 +91,7 @@
 	w := &Waiter{account: account, units: units, until: now.Sub(i.asker.started) + WaitLimit}
 	s := i.asker.state(Key(account.Name))
 	if len(s.waiters) >= maxWaiters {
-		w.Outcome, w.RetryAfter = OutcomeUnavailable, unavailableRetry
+		w.Outcome, w.RetryAfter = OutcomeUnavailable, UnavailableRetry
 		return w
 	}
 	s.waiters = append(s.waiters, w)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -26,8 +26,8 @@
 	// minTokens is the size of a holder's bucket of tokens that it has at least, if the
 	// account's whole burst allows it. A bucket of few requests overflows between them, so
 	// that the account could not use its limit. It is also how far one request may
-	// overdraw a full bucket that is smaller than the request. MaxHolders of both are less
-	// than the 190,000 tokens by which an account may exceed its limit in a window.
+	// overdraw a full bucket that is smaller than the request. Both together, times
+	// MaxHolders, are less than the excess over a limit that is tolerated in a window.
 	minTokens = 15_000
 	// minRequests is the same for limits in requests.
 	minRequests = 1
@@ -39,8 +39,8 @@
 
 // A Limit is the rate limit of an account.
 type Limit struct {
-	Burst float64
-	Least float64 // size of a holder's bucket; see minTokens
+	Burst float64 // units that may be used at once
+	Least float64 // units that a holder's bucket has at least, up to Burst; see minTokens
 	Rate  float64 // units a second
 }
 
--- a/internal/quotanet/message.go
+++ b/internal/quotanet/message.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	// maxDatagram is the largest datagram that is read, bytes. Messages have at most 56.
+	// maxDatagram is the largest datagram that is read, bytes. No message is
+	// larger.
 	maxDatagram = 256
 	// maxUnits bounds the units in a message.
 	maxUnits = math.MaxInt32
--- a/internal/quotanet/service.go
+++ b/internal/quotanet/service.go
@@ -26,9 +26,6 @@
 	sweepPeriod = time.Second
 	// readPause is the pause after a failed read.
 	readPause = 100 * time.Millisecond
-	// retryAfterUnavailable is the pause before a caller sends a request again that no
-	// holder decided about.
-	retryAfterUnavailable = 200 * time.Millisecond
 )
 
 var _ persimmoncart.Quota = (*Service)(nil)
@@ -142,7 +139,7 @@
 		s.warn("unavailable").Str("account", string(account.Name)).Int("units", units).Msg("no instance decides about the account's limit")
 		return persimmoncart.QuotaTicket{}, &persimmoncart.Refusal{
 			Code: persimmoncart.RefusalNotReady, Message: "the account's use is not known", Outcome: persimmoncart.OutcomeNotRun,
-			RetryAfter: max(w.RetryAfter, retryAfterUnavailable),
+			RetryAfter: max(w.RetryAfter, quota.UnavailableRetry),
 		}
 	}
 }
@@ -229,6 +226,7 @@
 		return
 	}
 	if m.Kind == kindReply {
+		// A reply to no ask in flight is a late or repeated one, and is ignored.
 		s.decide(func(e *quota.Effects) { s.Instance.HandleReply(s.Timer.Now(), from, m.reply(), e) })
 		return
 	}
@@ -243,6 +241,7 @@
 	if m.Kind == kindReturn {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
+		// A return that is not accepted is a repeated one, or meant for an earlier process.
 		s.Instance.HandleReturn(s.Timer.Now(), from, limit, m.giveBack())
 		return
 	}
