concurrency: one function for the weight of a recent deviation

Cause: the half-life with its random factor is computed in two places, the bounds of the factor are unnamed, and two comments cite measured figures. Change: recentWeight, minJitter and jitterSpan; the comments state the reason alone. No value changes. Result: the tests of the package pass.

--- a/internal/concurrency/estimator.go
+++ b/internal/concurrency/estimator.go
@@ -15,15 +15,18 @@
 	// maxSamples bounds the weight of the samples of one endpoint, so that it follows a
 	// lasting change.
 	maxSamples = 24
-	// sampleHalfLife is the age at which samples count half. An instance has one sample of
-	// an engine in a minute, and speeds differ lastingly.
+	// sampleHalfLife is the age at which samples count half. Speeds differ lastingly, and
+	// an instance that is one of many rarely has a sample of one engine.
 	sampleHalfLife = 3 * time.Minute
 	// maxResidualScales is the number of mean deviations at which one sample is clipped.
 	maxResidualScales = 2
 	// recentGain is the weight of one sample in the recent deviation of an endpoint.
 	recentGain = 0.5
-	// recentHalfLife is the time in which the recent deviation halves without samples.
+	// recentHalfLife is the time in which the recent deviation halves without samples. At
+	// each instance it is multiplied by a random factor from minJitter, over jitterSpan.
 	recentHalfLife = 3 * time.Second
+	minJitter      = 0.7
+	jitterSpan     = 0.6
 	// deadScales is the number of mean deviations up to which recent requests show no
 	// change.
 	deadScales = 1.5
@@ -72,7 +75,7 @@
 
 // NewEstimator returns an Estimator without samples. Random is a number from 0 to 1.
 func NewEstimator(pool *Pool, random float64) *Estimator {
-	return &Estimator{jitter: 0.7 + 0.6*random, level: pool.level, pool: pool, slope: pool.slope}
+	return &Estimator{jitter: minJitter + jitterSpan*random, level: pool.level, pool: pool, slope: pool.slope}
 }
 
 // deviation returns the factor by which recent requests took longer than the model of the
@@ -83,7 +86,7 @@
 	if math.Abs(e.recent) <= chance {
 		return 1 // it only falls with time
 	}
-	recent := e.recent * decayWeight(now.Sub(e.updated), time.Duration(e.jitter*float64(recentHalfLife)))
+	recent := e.recent * e.recentWeight(now.Sub(e.updated))
 	return math.Exp(recent * min(max(0, math.Abs(recent)/chance-1), 1))
 }
 
@@ -157,7 +160,7 @@
 func (e *Estimator) decay(now time.Time) {
 	if !e.updated.IsZero() {
 		age := now.Sub(e.updated)
-		e.recent *= decayWeight(age, time.Duration(e.jitter*float64(recentHalfLife)))
+		e.recent *= e.recentWeight(age)
 		keep := decayWeight(age, sampleHalfLife)
 		e.weight, e.sumX, e.sumXX, e.sumXY, e.sumY = e.weight*keep, e.sumX*keep, e.sumXX*keep, e.sumXY*keep, e.sumY*keep
 	}
@@ -183,6 +186,11 @@
 	return (e.sumY - e.slope*e.sumX) / e.weight, w / (w + priorSamples)
 }
 
+// recentWeight returns the weight of a recent deviation of the given age.
+func (e *Estimator) recentWeight(age time.Duration) float64 {
+	return decayWeight(age, time.Duration(e.jitter*float64(recentHalfLife)))
+}
+
 // solve computes level and slope by least squares, with the pool's as the prior.
 func (e *Estimator) solve() {
 	w, xx := e.weight+priorSamples, e.sumXX+priorSlopeWeight
--- a/internal/concurrency/load.go
+++ b/internal/concurrency/load.go
@@ -8,10 +8,11 @@
 	// loadForgetHalfLife is the time in which the mean load returns half-way to the mean of
 	// the pool without reports.
 	loadForgetHalfLife = 4 * time.Second
-	// slowdownHalfLife is the same for the reported slowdown.
+	// slowdownHalfLife is the age at which a report counts half in the mean slowdown, and
+	// the time in which that returns half-way to the mean of the pool without reports.
 	slowdownHalfLife = 3 * time.Second
 	// slowdownMemory is the age at which the difference of the last reported slowdown
-	// to the mean counts half: noise ends within 600 ms.
+	// to the mean counts half. It is short, because noise in the speed ends quickly.
 	slowdownMemory = 250 * time.Millisecond
 	// minReportGain is the least weight of one report.
 	minReportGain = 0.05
