admission, forward: plain comments on the bounds of an overload

Cause: the comments on urgentShareRise and refuseFactor are hard to read as formulas, and patientShare is a figurative name. Change: the comments state the formula; patientShare becomes retryAfterShare. No value changes. Result: the tests of admission pass, and forward builds and passes vet.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -21,8 +21,8 @@
 	urgentTries   = 64
 	ordinaryTries = 12
 	lateTries     = 1
-	// urgentShare is the share of engines that are kept for urgent requests under full
-	// pressure, and urgentShareRise its rise for each part of the pressure.
+	// urgentShare is the largest share of engines that are kept for urgent requests. The
+	// share rises in proportion to the pressure, and is reached at 1/urgentShareRise.
 	urgentShare     = 0.17
 	urgentShareRise = 1.5
 	// urgencyGain is the weight of a new request in the mean priority, and urgencyMargin
@@ -30,8 +30,8 @@
 	urgencyGain   = 0.05
 	urgencyMargin = 0.5
 	// refusePressure is the pressure from which the most expensive requests are refused
-	// at once: cheaper ones take all room before their time is over. Of each further
-	// part of the pressure, refuseFactor times that share of the requests is refused.
+	// at once: cheaper ones take all room before their time is over. The refused share of
+	// the requests is refuseFactor times the pressure above refusePressure.
 	refusePressure = 0.4
 	refuseFactor   = 0.7
 	// exemptShare is the share of requests that are not refused for their size, so that
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -22,12 +22,12 @@
 	// found no decode engine, and the span over which the retries are spread: overloads
 	// last some seconds.
 	retryAfterOverload = 2 * time.Second
-	// patientShare is the share of the time that a caller has left for which it waits
-	// before a retry, and retrySpreadShare the part of it over which retries are spread.
-	patientShare     = 0.33
+	// retryAfterShare is the share of a caller's time left that it is asked to wait before
+	// a retry, and retrySpreadShare the part of it over which retries are spread.
+	retryAfterShare  = 0.33
 	retrySpreadShare = 0.25
-	// maxRetryAfterOverload bounds the pause of callers with much time left: overloads last
-	// some seconds.
+	// maxRetryAfterOverload bounds the pause of callers with much time left, so that they
+	// return soon after an overload.
 	maxRetryAfterOverload = 5 * time.Second
 	// drawSalt makes Entry.Draw independent of the choice of the pool, which takes its
 	// number from the request's identifier as well.
@@ -37,7 +37,7 @@
 // errNoCapacity reports that no decode engine had a free slot and memory in time.
 var errNoCapacity = errors.New("no decode engine had capacity in time")
 
-// errNoProspect reports that the engines have room for smaller requests only.
+// errNoProspect reports that smaller requests are expected to take all room in time.
 var errNoProspect = errors.New("no decode engine is expected to have capacity in time")
 
 // decodeRequest returns the request by which a decode engine is chosen.
@@ -152,7 +152,7 @@
 	random := g.router.Directory.RandomShare()
 	retryAfter := retryAfterOverload + time.Duration(random*float64(retryAfterOverload))
 	if g.router.Directory.Pressure {
-		latest := min(maxRetryAfterOverload, time.Duration(patientShare*float64(g.request.Deadline.Sub(g.router.Timer.Now()))))
+		latest := min(maxRetryAfterOverload, time.Duration(retryAfterShare*float64(g.request.Deadline.Sub(g.router.Timer.Now()))))
 		retryAfter = max(retryAfterOverload, latest-time.Duration(retrySpreadShare*random*float64(latest)))
 	}
 	return &persimmoncart.Refusal{
