--- a/internal/concurrency/pool.go
+++ b/internal/concurrency/pool.go
@@ -59,9 +59,6 @@
 	return &Pool{level: math.Log(initialUnitTime.Seconds()), scale: initialScale, initialSlope: slope, slope: slope, slowdown: 1}
 }
 
-// Others returns the mean number of requests of other instances at an endpoint.
-func (p *Pool) Others() float64 { return p.others }
-
 // BeginRefresh starts to compute the means from calls of Add for all endpoints. They are
 // in force after EndRefresh.
 func (p *Pool) BeginRefresh() { p.sums = poolSums{} }
