--- a/internal/forward/overload_test.go
+++ b/internal/forward/overload_test.go
@@ -18,7 +18,7 @@
 const (
 	overloadEngines  = 10
 	overloadRouters  = 7
-	overloadMemory   = 28_000// tokens of an engine
+	overloadMemory   = 28_000 // tokens of an engine
 	overloadLength   = 24 * time.Second
 	overloadTarget   = 900 * time.Millisecond // to the first event
 	overloadPatience = 14 * time.Second       // of a caller
