--- a/internal/forward/heartbeats.go
+++ b/internal/forward/heartbeats.go
@@ -227,7 +227,7 @@
 	}
 	h.members[id] = heartbeat{seen: h.Timer.Now(), version: o.Version}
 	if h.Ring != nil {
-		stored := decodeHeartbeat(o.Value)
+		stored := h.decode(o.Value)
 		h.Ring.Observe(id, stored.Incarnation, stored.Quota)
 	}
 }
@@ -283,7 +283,7 @@
 		h.version = object.Version // zero if there is none
 		if readErr == nil && h.Ring != nil && !h.found {
 			h.found = true
-			if earlier := decodeHeartbeat(object.Value); earlier.Incarnation != h.Self.Incarnation {
+			if earlier := h.decode(object.Value); earlier.Incarnation != h.Self.Incarnation {
 				h.Ring.Found(earlier.Quota, object.Version.Epoch())
 			}
 		}
@@ -349,10 +349,12 @@
 	return expired
 }
 
-// decodeHeartbeat decodes the value of a record. What is not valid counts as missing.
-func decodeHeartbeat(value []byte) storedHeartbeat {
+// decode decodes the value of a record. One that is not valid is logged and counts as
+// missing.
+func (h *Heartbeats) decode(value []byte) storedHeartbeat {
 	var stored storedHeartbeat
 	if err := json.Unmarshal(value, &stored); err != nil {
+		h.Logger.Warn().Err(err).Msg("heartbeat ignored")
 		return storedHeartbeat{}
 	}
 	return stored
