admission: engines are kept for urgent requests only where there are some

Cause: in a pool whose requests all have one priority, a share of the engines was kept for urgent ones under pressure, and stayed without use. A few requests of a very low priority raised the mean so far that all others were urgent: none of them was refused for its size, and they left nothing to each other. Change: Urgency also measures the share of requests above the mean priority. Engines kept are at most four times that share, and requests that are most of all are not urgent. Measured: TestUrgencyIsRelative fails without either.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -22,13 +22,11 @@
 	ordinaryTries = 12
 	lateTries     = 1
 	// urgentShare is the largest share of engines that are kept for urgent requests. The
-	// share rises in proportion to the pressure, and is reached at 1/urgentShareRise.
-	urgentShare     = 0.17
-	urgentShareRise = 1.5
-	// urgencyGain is the weight of a new request in the mean priority, and urgencyMargin
-	// the difference to it from which a request is urgent.
-	urgencyGain   = 0.05
-	urgencyMargin = 0.5
+	// share rises in proportion to the pressure, and is reached at 1/urgentShareRise. It is
+	// at most urgentShareFactor times the share of urgent requests.
+	urgentShare       = 0.17
+	urgentShareRise   = 1.5
+	urgentShareFactor = 4
 	// refusePressure is the pressure from which the most expensive requests are refused
 	// at once: cheaper ones take all room before their time is over. The refused share of
 	// the requests is refuseFactor times the pressure above refusePressure.
@@ -62,6 +60,9 @@
 // Late reports whether a start at now is later than TargetStart.
 func (e *Entry) Late(now time.Time) bool { return now.After(e.TargetStart) }
 
+// Urgent reports whether the request is more urgent than most.
+func (e *Entry) Urgent() bool { return e.urgent }
+
 // A Queue orders requests that wait for room at an engine. In an overload, more requests
 // arrive than can start in time. Then the newest request that can still be in time
 // goes first, because the oldest one would take its room for a late response. Late
@@ -80,13 +81,12 @@
 type Queue struct {
 	Weighted bool // set before use
 
-	entries      []*Entry
-	pressure     Pressure
-	ranks        CostRanks
-	round        int                // of turns, from one
-	shares       *policy.FairShares // nil before the first request
-	urgency      float64            // mean priority of recent requests
-	urgencyKnown bool
+	entries  []*Entry
+	pressure Pressure
+	ranks    CostRanks
+	round    int                // of turns, from one
+	shares   *policy.FairShares // nil before the first request
+	urgency  Urgency
 }
 
 // Enter takes note of a request that has arrived, before the other methods. Leave has to
@@ -99,11 +99,7 @@
 		q.shares = policy.NewFairShares(policy.DefaultMaxFairAccounts)
 	}
 	q.shares.Start(e.Account, equalWeight, 0) // charged when it is served
-	if !q.urgencyKnown {
-		q.urgencyKnown, q.urgency = true, float64(e.Priority)
-	}
-	q.urgency += urgencyGain * (float64(e.Priority) - q.urgency)
-	e.urgent = float64(e.Priority) < q.urgency-urgencyMargin
+	e.urgent = q.urgency.Add(e.Priority)
 	if rank := q.ranks.Add(e.Cost); e.Draw >= exemptShare && !e.urgent {
 		e.rank = rank
 	}
@@ -146,7 +142,7 @@
 	if !q.Weighted || e.urgent {
 		return 0
 	}
-	return urgentShare * min(1, urgentShareRise*q.pressure.Value(now))
+	return min(urgentShare*min(1, urgentShareRise*q.pressure.Value(now)), urgentShareFactor*q.urgency.Share())
 }
 
 // Tries returns how many engines a request may ask at each of its turns.
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -168,7 +168,7 @@
 
 // Load: full pressure, with pools whose requests have one priority, whichever it is, and
 // pools with a few urgent ones. Guards against a pool without urgent requests that keeps
-// engines for all or refuses none, and against urgent ones that get no precedence.
+// engines for some or refuses none, and against urgent ones that get no precedence.
 func TestUrgencyIsRelative(t *testing.T) {
 	for _, c := range []struct {
 		name             string
@@ -181,11 +181,13 @@
 		{name: "few urgent routes", ordinary: 1, urgent: 0, share: 0.08, want: true},
 		{name: "few urgent accounts", ordinary: 7, urgent: 3, share: 0.08, want: true},
 		{name: "most are urgent", ordinary: 1, urgent: 0, share: 0.92},
+		{name: "few of a far lower priority", ordinary: 29, urgent: 3, share: 0.92},
 	} {
 		q := admission.Queue{Weighted: true}
 		random := rand.New(rand.NewPCG(1, 1))
 		observe(&q, start, 100)
-		for n := range 400 {
+		refused := 0
+		for n := range 600 {
 			priority := c.ordinary
 			urgent := random.Float64() < c.share
 			if urgent {
@@ -193,14 +195,19 @@
 			}
 			e := newEntry(start, priority, math.Exp(random.NormFloat64()))
 			q.Enter(e)
-			if n < 100 {
+			if n < 200 {
 				continue // the mean priority is not known yet
 			}
 			want := urgent && c.want
-			assert.Equal(t, q.Reserved(start, e) == 0, want, c.name)
+			assert.Equal(t, e.Urgent(), want, c.name)
+			assert.Equal(t, q.Reserved(start, e) > 0, c.want && !want, c.name)
 			assert.Equal(t, q.Tries(start, e) > 12, want, c.name)
-			assert.Assert(t, !want || !q.Hopeless(start, e), c.name)
+			if q.Hopeless(start, e) {
+				assert.Assert(t, !want, c.name)
+				refused++
+			}
 		}
+		assert.Assert(t, refused > 0, c.name)
 	}
 }
 
