soak: limits of replicas are counted as long as before

Cause: since crashes end before the limits, the limits were counted for 4.5 s in place of 10.5 s, a weaker check. Change: they stay in force for 6 s after the drain. A run takes 6 s longer.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -33,6 +33,8 @@
 	// configApplyTime is the longest time until a change of the configuration is in
 	// force.
 	configApplyTime = 2500 * time.Millisecond
+	// limitsTime is the time for which limits of replicas are counted after the drain.
+	limitsTime = 6 * time.Second
 	// releaseTime is the longest time after the last request for which replicas may
 	// hold reservations.
 	releaseTime = 3 * time.Second
@@ -138,6 +140,7 @@
 	checkRecovered := s.watchRecovered()
 	s.checkConfig()
 	s.checkLeaving()
+	time.Sleep(limitsTime)
 	endLimits()
 	if answered, sent := s.recorder.countAnswered(faultsEnded); float64(answered) < minAnsweredShare*float64(sent) || sent == 0 {
 		s.recorder.addViolation(Resumed, "%d of %d requests were answered after the faults", answered, sent)
